Add the thin path: a live call through separate processes

Cause: the repository was empty.

Change: pure decision packages (scheduling, routing, membership, configuration, composed by decision), the edges (HTTP, WebSocket with MessagePack between daemons, engine streams, platform clients), the command line, stand-ins of the platform and of an engine, one binary, and a demo.

--- /dev/null
+++ b/packages/api/src/answer-writer.ts
@@ -0,0 +1,127 @@
+import {type ServerResponse} from 'node:http';
+import {retryAfterSeconds, type ProblemError} from '@cicadapost/errors';
+import type {Chunk, RequestId, VersionSpan} from '@cicadapost/types';
+
+export type CompletionResult = Readonly<{
+	tokens: number;
+	status: number;
+	contentType: string;
+	versions: readonly VersionSpan[];
+}>;
+
+/** Sends `application/problem+json`. */
+export function sendProblem(res: ServerResponse, problem: ProblemError): void {
+	if (res.headersSent) {
+		res.end();
+		return;
+	}
+
+	const retry = problem.retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterSeconds(problem.retryAfterMs))};
+	res.writeHead(problem.status, {'content-type': 'application/problem+json', ...retry});
+	res.end(JSON.stringify(problem.toBody()));
+}
+
+/** Writes the answer of one request to its caller. */
+export abstract class AnswerWriter {
+	constructor(protected readonly res: ServerResponse) {}
+
+	abstract chunk(chunk: Chunk): void;
+	abstract complete(result: CompletionResult): void;
+	abstract fail(problem: ProblemError): void;
+}
+
+export type CompletionOptions = Readonly<{requestId: RequestId; model: string}>;
+
+/** A completion as one JSON document. */
+export class JsonCompletionWriter extends AnswerWriter {
+	private text = '';
+
+	constructor(res: ServerResponse, private readonly options: CompletionOptions) {
+		super(res);
+	}
+
+	override chunk(chunk: Chunk): void {
+		this.text += chunk.text;
+	}
+
+	override complete(result: CompletionResult): void {
+		this.res.writeHead(200, {'content-type': 'application/json', 'x-request-id': this.options.requestId});
+		this.res.end(JSON.stringify({
+			id: this.options.requestId,
+			object: 'text_completion',
+			model: this.options.model,
+			choices: [{index: 0, text: this.text, finish_reason: 'stop'}],
+			usage: {completion_tokens: result.tokens},
+			versions: result.versions,
+		}));
+	}
+
+	override fail(problem: ProblemError): void {
+		sendProblem(this.res, problem);
+	}
+}
+
+/** A completion as server-sent events, one for each piece. */
+export class StreamCompletionWriter extends AnswerWriter {
+	constructor(res: ServerResponse, private readonly options: CompletionOptions) {
+		super(res);
+	}
+
+	override chunk(chunk: Chunk): void {
+		this.start();
+		this.event({
+			id: this.options.requestId, object: 'text_completion', model: this.options.model, choices: [{index: 0, text: chunk.text, finish_reason: null}],
+		});
+	}
+
+	override complete(result: CompletionResult): void {
+		this.start();
+		this.event({
+			id: this.options.requestId,
+			object: 'text_completion',
+			model: this.options.model,
+			choices: [{index: 0, text: '', finish_reason: 'stop'}],
+			usage: {completion_tokens: result.tokens},
+			versions: result.versions,
+		});
+		this.res.end('data: [DONE]\n\n');
+	}
+
+	/** After the first piece the status is sent, so the problem goes out as an `error` event. */
+	override fail(problem: ProblemError): void {
+		if (!this.res.headersSent) {
+			sendProblem(this.res, problem);
+			return;
+		}
+
+		this.res.end(`event: error\ndata: ${JSON.stringify(problem.toBody())}\n\n`);
+	}
+
+	private start(): void {
+		if (!this.res.headersSent) {
+			this.res.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-request-id': this.options.requestId});
+		}
+	}
+
+	private event(data: unknown): void {
+		this.res.write(`data: ${JSON.stringify(data)}\n\n`);
+	}
+}
+
+/** The answer of a plain service, passed on as it came. */
+export class ServiceWriter extends AnswerWriter {
+	private text = '';
+
+	override chunk(chunk: Chunk): void {
+		this.text += chunk.text;
+	}
+
+	override complete(result: CompletionResult): void {
+		this.res.writeHead(result.status, {'content-type': result.contentType});
+		this.res.end(this.text);
+	}
+
+	override fail(problem: ProblemError): void {
+		sendProblem(this.res, problem);
+	}
+}
--- /dev/null
+++ b/packages/api/src/authenticate.ts
@@ -0,0 +1,63 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {ProblemError} from '@cicadapost/errors';
+import type {MemberSettings} from '@cicadapost/settings';
+import type {MemberId} from '@cicadapost/types';
+
+export type Role = 'caller' | 'trainer' | 'operator';
+
+export type Principal = Readonly<{
+	role: Role;
+	/** Absent for the operators of the system itself. */
+	member?: MemberId;
+}>;
+
+type KnownKey = Readonly<{hash: Uint8Array; principal: Principal}>;
+
+export function hashKey(key: string): string {
+	return createHash('sha256').update(key).digest('hex');
+}
+
+/** Knows the hashes of the bearer keys that are in effect. */
+export class KeyRing {
+	private keys: readonly KnownKey[] = [];
+
+	constructor(private readonly operatorKeyHashes: readonly string[]) {
+		this.update({});
+	}
+
+	update(members: Readonly<Record<string, MemberSettings>>): void {
+		const operators = this.operatorKeyHashes.map(hash => ({hash: Buffer.from(hash, 'hex'), principal: {role: 'operator' as const}}));
+		const others = Object.entries(members).flatMap(([member, settings]) => settings.keys.map(key => ({
+			hash: Buffer.from(key.sha256, 'hex'), principal: {role: key.role, member: member as MemberId},
+		})));
+		this.keys = [...operators, ...others];
+	}
+
+	/** The holder of the key in an `Authorization` header. Compares with each key, so that the time tells nothing. */
+	authenticate(authorization: string | undefined): Principal {
+		const match = /^Bearer (?<key>.+)$/v.exec(authorization ?? '');
+		const hash = Buffer.from(hashKey(match?.groups?.key ?? ''), 'hex');
+		let found: Principal | undefined;
+		for (const known of this.keys) {
+			if (timingSafeEqual(known.hash, hash)) {
+				found = known.principal;
+			}
+		}
+
+		if (match === null || found === undefined) {
+			throw new ProblemError({
+				kind: 'unauthenticated', detail: 'the key is missing or unknown', remedy: 'send "Authorization: Bearer <key>" with a key of a member', field: 'Authorization',
+			});
+		}
+
+		return found;
+	}
+}
+
+export function requireRole(principal: Principal, ...roles: Role[]): void {
+	if (!roles.includes(principal.role)) {
+		throw new ProblemError({
+			kind: 'forbidden', detail: `a key with the role "${principal.role}" may not do this`, remedy: `use a key with the role ${roles.join(' or ')}`,
+		});
+	}
+}
--- /dev/null
+++ b/packages/api/src/index.ts
@@ -0,0 +1,6 @@
+/** HTTP interface for callers, trainers and operators. */
+
+export * from './answer-writer.js';
+export * from './api-server.js';
+export * from './authenticate.js';
+export * from './parse-completion.js';
--- /dev/null
+++ b/packages/api/src/read-body.ts
@@ -0,0 +1,20 @@
+import {type IncomingMessage} from 'node:http';
+import {ProblemError} from '@cicadapost/errors';
+
+/** The whole body as text. Throws `body-too-large` as soon as it passes `limitBytes`. */
+export async function readBody(req: IncomingMessage, limitBytes: number): Promise<string> {
+	const parts: Uint8Array[] = [];
+	let size = 0;
+	for await (const part of req as AsyncIterable<Uint8Array>) {
+		size += part.length;
+		if (size > limitBytes) {
+			throw new ProblemError({
+				kind: 'body-too-large', detail: `the body has more than ${limitBytes} bytes`, remedy: 'send a smaller body', field: 'body',
+			});
+		}
+
+		parts.push(part);
+	}
+
+	return Buffer.concat(parts).toString('utf8');
+}
--- /dev/null
+++ b/packages/cli/src/commands/serve/index.ts
@@ -0,0 +1,34 @@
+import {createContainer, Daemon} from '@cicadapost/daemon';
+import {daemonSettingsSchema} from '@cicadapost/settings';
+import type {CommandModule} from 'yargs';
+import {readSettingsFile} from '../../read-settings-file.js';
+
+type ServeArgs = {settings: string};
+
+/** `serve`: runs a daemon until SIGTERM or SIGINT, then shuts down without cutting a request. */
+export const serveCommand: CommandModule<unknown, ServeArgs> = {
+	command: 'serve',
+	describe: 'Run a daemon',
+	builder: parser => parser.option('settings', {
+		type: 'string', demandOption: true, describe: 'Settings file of this daemon (JSON with comments)',
+	}),
+	async handler(args) {
+		const settings = readSettingsFile(args.settings, daemonSettingsSchema);
+		const daemon = createContainer(settings).resolve(Daemon);
+		await daemon.start();
+		const shutDown = once(async () => daemon.shutDown());
+		process.on('SIGTERM', shutDown);
+		process.on('SIGINT', shutDown);
+	},
+};
+
+/** A handler that acts on the first signal only. */
+function once(action: () => Promise<void>): () => void {
+	let isDone = false;
+	return () => {
+		if (!isDone) {
+			isDone = true;
+			void action();
+		}
+	};
+}
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,3 @@
+/** Decides which version of the configuration is in effect. */
+
+export * from './configuration.js';
--- /dev/null
+++ b/packages/daemon/src/container.ts
@@ -0,0 +1,25 @@
+import 'reflect-metadata';
+import {UpstreamConnections} from '@cicadapost/engines';
+import {createLogger} from '@cicadapost/observability';
+import {PeerLinks} from '@cicadapost/peers';
+import {HttpTableService, HttpVmList} from '@cicadapost/platform';
+import type {DaemonSettings} from '@cicadapost/settings';
+import type {DaemonId} from '@cicadapost/types';
+import {container, type DependencyContainer} from 'tsyringe';
+import {SystemClock} from './clock.js';
+import {tokens} from './tokens.js';
+
+/** Registers what a daemon is built from. Tests register other parts in place of these. */
+export function createContainer(settings: DaemonSettings): DependencyContainer {
+	const child = container.createChildContainer();
+	child.registerInstance(tokens.settings, settings);
+	child.registerInstance(tokens.clock, new SystemClock());
+	child.registerInstance(tokens.logger, createLogger({daemon: settings.daemon, dataCentre: settings.dataCentre, level: settings.log.level}));
+	child.registerInstance(tokens.tableService, new HttpTableService({baseUrl: settings.platform.tableService}));
+	child.registerInstance(tokens.vmList, new HttpVmList({baseUrl: settings.platform.vmList}));
+	child.registerInstance(tokens.upstreams, new UpstreamConnections());
+	child.registerInstance(tokens.peers, new PeerLinks({
+		self: settings.daemon as DaemonId, secret: settings.peerSecret, host: settings.listen.peers.host, port: settings.listen.peers.port,
+	}));
+	return child;
+}
--- /dev/null
+++ b/packages/daemon/src/tokens.ts
@@ -0,0 +1,11 @@
+/** Tokens of the dependency container. */
+
+export const tokens = {
+	settings: Symbol('settings'),
+	clock: Symbol('clock'),
+	logger: Symbol('logger'),
+	tableService: Symbol('tableService'),
+	vmList: Symbol('vmList'),
+	peers: Symbol('peers'),
+	upstreams: Symbol('upstreams'),
+} as const;
--- /dev/null
+++ b/packages/decision/src/events.ts
@@ -0,0 +1,41 @@
+/** Events that a daemon's decision code takes, and actions that it returns. */
+
+import type {ProblemError} from '@cicadapost/errors';
+import type {
+	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, Millis, Payload, PeerMessage, RefusalReason, Request, RequestId, RowAnswer, UpstreamId, VersionSpan, VmRecord,
+} from '@cicadapost/types';
+
+export type DaemonEvent =
+	/** A caller's request that has been authenticated and checked. */
+	| Readonly<{kind: 'request'; request: Request}>
+	| Readonly<{kind: 'caller-left'; requestId: RequestId}>
+	/** From here on a byte may have reached the upstream. */
+	| Readonly<{kind: 'attempt-sent'; attempt: AttemptId}>
+	| Readonly<{kind: 'attempt-chunk'; attempt: AttemptId; chunk: Chunk}>
+	| Readonly<{kind: 'attempt-finished'; attempt: AttemptId; tokens: number; status: number; contentType: string}>
+	| Readonly<{kind: 'attempt-failed'; attempt: AttemptId; failure: AttemptFailure; sent: boolean; detail?: string}>
+	| Readonly<{kind: 'message'; from: DaemonId; message: PeerMessage}>
+	| Readonly<{kind: 'vm-list'; vms: readonly VmRecord[]}>
+	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
+	| Readonly<{kind: 'apply-configuration'; call: CallId; expectedVersion: number; document: string}>
+	| Readonly<{kind: 'shut-down'}>
+	/** To be sent at least every 100 ms. */
+	| Readonly<{kind: 'tick'}>;
+
+export type DaemonAction =
+	| Readonly<{kind: 'send'; to: DaemonId; message: PeerMessage}>
+	| Readonly<{kind: 'connect'; daemon: DaemonId; address: string}>
+	| Readonly<{kind: 'disconnect'; daemon: DaemonId}>
+	| Readonly<{kind: 'open-attempt'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis}>
+	| Readonly<{kind: 'cancel-attempt'; attempt: AttemptId}>
+	| Readonly<{kind: 'deliver'; requestId: RequestId; chunk: Chunk}>
+	| Readonly<{kind: 'complete'; requestId: RequestId; tokens: number; status: number; contentType: string; versions: readonly VersionSpan[]}>
+	| Readonly<{kind: 'fail'; requestId: RequestId; cause: AttemptFailure | RefusalReason; sent: boolean; problem: ProblemError}>
+	| Readonly<{kind: 'read-row'; call: CallId; table: string; key: string}>
+	/** Compare-and-set; `expectedVersion` 0 inserts. */
+	| Readonly<{kind: 'write-row'; call: CallId; table: string; key: string; expectedVersion: number; value: string}>
+	| Readonly<{kind: 'configuration-in-effect'; version: number; document: string}>
+	| Readonly<{kind: 'apply-accepted'; call: CallId; version: number}>
+	| Readonly<{kind: 'apply-refused'; call: CallId; problem: ProblemError; currentVersion: number; currentDocument: string}>
+	/** Nothing is in flight any more and the daemon may end. */
+	| Readonly<{kind: 'stopped'}>;
--- /dev/null
+++ b/packages/decision/src/shards.ts
@@ -0,0 +1,39 @@
+import {ownerIn, type MembershipState} from '@cicadapost/membership';
+import type {ShardUpstream} from '@cicadapost/scheduling';
+import type {SiteConfiguration} from '@cicadapost/settings';
+import {
+	shardId, type DataCentreId, type PoolId, type ShardId, type UpstreamId,
+} from '@cicadapost/types';
+
+/** Above this size the decisions for one shard take more of a core than one daemon may spend on control. */
+export const upstreamsPerShard = 16;
+
+/** The upstreams of each shard of `dataCentre`. */
+export function shardsOf(site: SiteConfiguration, dataCentre: DataCentreId, leaving: ReadonlySet<UpstreamId>): Map<ShardId, ShardUpstream[]> {
+	const shards = new Map<ShardId, ShardUpstream[]>();
+	const countOf = new Map<string, number>();
+	for (const [name, upstream] of Object.entries(site.upstreams).sort(([a], [b]) => (a < b ? -1 : 1))) {
+		const pool = site.pools[upstream.pool];
+		if (pool === undefined) {
+			continue;
+		}
+
+		const count = countOf.get(upstream.pool) ?? 0;
+		countOf.set(upstream.pool, count + 1);
+		const shard = shardId(dataCentre, upstream.pool as PoolId, Math.floor(count / upstreamsPerShard));
+		const members = shards.get(shard) ?? [];
+		members.push({
+			upstream: name as UpstreamId,
+			leaving: leaving.has(name as UpstreamId),
+			initialWindow: pool.initialWindow,
+			maxWindow: pool.maxWindow,
+		});
+		shards.set(shard, members);
+	}
+
+	return shards;
+}
+
+export function shardOwner(membership: MembershipState, shard: ShardId): ReturnType<typeof ownerIn> {
+	return ownerIn(membership, membership.dataCentre, shard);
+}
--- /dev/null
+++ b/packages/demo/src/processes.ts
@@ -0,0 +1,49 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+
+/** A child process that prints its port as its first JSON line. */
+export type Started = Readonly<{child: ChildProcess; port: number; peerPort: number}>;
+
+/** Processes of one run. `stopAll` ends exactly those. */
+export class Processes {
+	private readonly children = new Set<ChildProcess>();
+
+	/** Starts a program and resolves when it has printed a JSON line with a port. */
+	async start(program: string, args: readonly string[]): Promise<Started> {
+		const child = spawn(program, args, {stdio: ['ignore', 'pipe', 'inherit']});
+		this.children.add(child);
+		return new Promise((resolve, reject) => {
+			child.once('error', reject);
+			child.once('exit', code => {
+				reject(new Error(`${program} ${args[0] ?? ''} ended early with code ${code}`));
+			});
+			createInterface({input: child.stdout}).on('line', line => {
+				const record = parseLine(line);
+				const port = record.apiPort ?? record.port;
+				if (typeof port === 'number') {
+					resolve({child, port, peerPort: Number(record.peerPort ?? 0)});
+				}
+			});
+		});
+	}
+
+	/** Ends one process without warning. */
+	kill(started: Started): void {
+		started.child.kill('SIGKILL');
+		this.children.delete(started.child);
+	}
+
+	stopAll(): void {
+		for (const child of this.children) {
+			child.kill('SIGKILL');
+		}
+	}
+}
+
+function parseLine(line: string): Record<string, unknown> {
+	try {
+		return JSON.parse(line) as Record<string, unknown>;
+	} catch {
+		return {};
+	}
+}
--- /dev/null
+++ b/packages/engines/src/index.ts
@@ -0,0 +1,3 @@
+/** Clients of model engines and plain services. */
+
+export * from './completion-stream.js';
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,3 @@
+/** Typed errors whose messages name the remedy. */
+
+export * from './problem.js';
--- /dev/null
+++ b/packages/observability/src/index.ts
@@ -0,0 +1,3 @@
+/** Structured logs and metrics. */
+
+export * from './logger.js';
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,4 @@
+/** Messages between daemons over WebSocket and MessagePack. */
+
+export * from './parse-message.js';
+export * from './peer-links.js';
--- /dev/null
+++ b/packages/peers/src/parse-message.ts
@@ -0,0 +1,25 @@
+import type {PeerMessage} from '@cicadapost/types';
+import {z} from 'zod';
+
+const messageSchema = z.looseObject({
+	kind: z.enum([
+		'heartbeat',
+		'acquire',
+		'grant',
+		'refuse',
+		'release',
+		'relay',
+		'relay-chunk',
+		'relay-finished',
+		'relay-failed',
+		'cancel-relay',
+		'configuration',
+		'configuration-pull',
+	]),
+});
+
+/** The message in `frame`, or undefined if it is none. */
+export function parsePeerMessage(frame: unknown): PeerMessage | undefined {
+	const parsed = messageSchema.safeParse(frame);
+	return parsed.success ? (parsed.data as unknown as PeerMessage) : undefined;
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,5 @@
+/** Table service, object store and VM list of the platform: abstract classes and HTTP clients. */
+
+export * from './object-store.js';
+export * from './table-service.js';
+export * from './vm-list.js';
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,4 @@
+/** Decides the life cycle of one request in its entry daemon. */
+
+export * from './assemble-stream.js';
+export * from './router.js';
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,3 @@
+/** Decides which waiting request gets which upstream of a shard. */
+
+export * from './scheduler.js';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,6 @@
+/** Schemas, parsing and merging of daemon settings and of the operators' configuration. */
+
+export * from './configuration-schema.js';
+export * from './daemon-settings.js';
+export * from './parse.js';
+export * from './site-configuration.js';
--- /dev/null
+++ b/packages/settings/src/parse.ts
@@ -0,0 +1,96 @@
+import {
+	findNodeAtLocation, parseTree, printParseErrorCode, getNodeValue, type ParseError,
+} from 'jsonc-parser';
+import {Left, Right, type Either} from 'purify-ts';
+import type {z} from 'zod';
+
+/** One fault of a settings file, with its place. Lines and columns count from 1. */
+export type SettingsFault = Readonly<{
+	file: string;
+	line: number;
+	column: number;
+	/** Path of the field, such as `members.acme.weight`. */
+	field: string;
+	message: string;
+	remedy: string;
+}>;
+
+/** A settings file that can't be used. The message lists each fault with line, column and remedy. */
+export class SettingsError extends Error {
+	readonly faults: readonly SettingsFault[];
+
+	constructor(faults: readonly SettingsFault[]) {
+		super(faults.map(fault => formatFault(fault)).join('\n'));
+		this.name = 'SettingsError';
+		this.faults = faults;
+	}
+}
+
+export function formatFault(fault: SettingsFault): string {
+	const field = fault.field === '' ? '' : `${fault.field}: `;
+	return `${fault.file}:${fault.line}:${fault.column}: ${field}${fault.message}; ${fault.remedy}`;
+}
+
+function placeOf(text: string, offset: number): {line: number; column: number} {
+	const before = text.slice(0, offset);
+	const lastBreak = before.lastIndexOf('\n');
+	return {line: before.split('\n').length, column: offset - lastBreak};
+}
+
+function remedyFor(issue: z.core.$ZodIssue): string {
+	switch (issue.code) {
+		case 'unrecognized_keys': {
+			return `remove ${issue.keys.map(key => `"${key}"`).join(', ')} or correct the spelling`;
+		}
+
+		case 'invalid_type': {
+			return `give a value of type ${issue.expected}`;
+		}
+
+		case 'invalid_value': {
+			return `use one of ${issue.values.join(', ')}`;
+		}
+
+		default: {
+			return 'correct the value';
+		}
+	}
+}
+
+/** Parses JSON with comments and checks it against `schema`. */
+export function parseSettings<Schema extends z.ZodType>(text: string, file: string, schema: Schema): Either<SettingsError, z.infer<Schema>> {
+	const parseErrors: ParseError[] = [];
+	const tree = parseTree(text, parseErrors, {allowTrailingComma: true});
+	if (tree === undefined || parseErrors.length > 0) {
+		const faults = parseErrors.map(err => ({
+			file,
+			...placeOf(text, err.offset),
+			field: '',
+			message: printParseErrorCode(err.error),
+			remedy: 'correct the JSON syntax',
+		}));
+		return Left(new SettingsError(faults.length > 0
+			? faults
+			: [{
+				file, line: 1, column: 1, field: '', message: 'the file is empty', remedy: 'start from an example in docs/operators.md',
+			}]));
+	}
+
+	const result = schema.safeParse(getNodeValue(tree));
+	if (result.success) {
+		return Right(result.data);
+	}
+
+	return Left(new SettingsError(result.error.issues.map(issue => {
+		const path = issue.path.map(part => (typeof part === 'symbol' ? String(part) : part));
+		const unknownKey = issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [];
+		const node = findNodeAtLocation(tree, [...path, ...unknownKey]) ?? findNodeAtLocation(tree, path);
+		return {
+			file,
+			...placeOf(text, node?.offset ?? tree.offset),
+			field: [...path, ...unknownKey].join('.'),
+			message: issue.message,
+			remedy: remedyFor(issue),
+		};
+	})));
+}
--- /dev/null
+++ b/packages/settings/src/site-configuration.ts
@@ -0,0 +1,42 @@
+import type {DataCentreId} from '@cicadapost/types';
+import type {
+	BaseConfiguration, ConfigurationDocument, MemberSettings, Overlay, PolicySettings, PoolSettings, UpstreamSettings,
+} from './configuration-schema.js';
+
+/** What is in effect at one data centre: the base with the overlay of that data centre applied. */
+export type SiteConfiguration = Readonly<{
+	members: Readonly<Record<string, MemberSettings>>;
+	pools: Readonly<Record<string, PoolSettings>>;
+	dataCentres: BaseConfiguration['dataCentres'];
+	upstreams: Readonly<Record<string, UpstreamSettings>>;
+	policy: PolicySettings;
+	/** Pools that each data centre has upstreams for, so that requests can be relayed there. */
+	poolsByDataCentre: Readonly<Record<string, readonly string[]>>;
+}>;
+
+function withoutUndefined<Value extends Record<string, unknown>>(value: Value): Partial<Value> {
+	return Object.fromEntries(Object.entries(value).filter(([, part]) => part !== undefined)) as Partial<Value>;
+}
+
+function mergePools(base: BaseConfiguration, overlay: Overlay | undefined): Record<string, PoolSettings> {
+	return Object.fromEntries(Object.entries(base.pools).map(([name, pool]) => [
+		name, {...pool, ...withoutUndefined(overlay?.pools[name] ?? {})} as PoolSettings,
+	]));
+}
+
+function poolsOf(overlay: Overlay): string[] {
+	return [...new Set(Object.values(overlay.upstreams).map(upstream => upstream.pool))];
+}
+
+/** Merges the base and the overlay of `dataCentre`. */
+export function siteConfiguration(document: ConfigurationDocument, dataCentre: DataCentreId): SiteConfiguration {
+	const overlay = document.overlays[dataCentre];
+	return {
+		members: document.base.members,
+		pools: mergePools(document.base, overlay),
+		dataCentres: document.base.dataCentres,
+		upstreams: overlay?.upstreams ?? {},
+		policy: {...document.base.policy, ...withoutUndefined(overlay?.policy ?? {})} as PolicySettings,
+		poolsByDataCentre: Object.fromEntries(Object.entries(document.overlays).map(([name, value]) => [name, poolsOf(value)])),
+	};
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine.ts
@@ -0,0 +1,121 @@
+import {createHash} from 'node:crypto';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {JsonServer, readJson, sendJson} from './json-server.js';
+
+export type EngineOptions = Readonly<{
+	name: string;
+	port?: number;
+	/** Time of one decoding step with an empty batch, in milliseconds. */
+	stepMs?: number;
+	/** Added for each sequence in the batch, in milliseconds. */
+	stepMsPerSequence?: number;
+	version?: number;
+}>;
+
+type Sequence = {
+	readonly res: ServerResponse;
+	readonly key: string;
+	next: number;
+	readonly end: number;
+};
+
+/** A small stand-in of a model engine with continuous batching: one token for each sequence in each step. */
+export class EngineStandIn extends JsonServer {
+	private readonly sequences = new Set<Sequence>();
+	private isStepping = false;
+	private version: number;
+	/** Faults that a test can ask for with `POST /control`. */
+	private readonly faults = {slowness: 1, silent: false, poison: ''};
+
+	constructor(private readonly options: EngineOptions) {
+		super(options.port ?? 0);
+		this.version = options.version ?? 1;
+	}
+
+	protected override async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const body = await readJson(req);
+		switch (`${req.method} ${req.url}`) {
+			case 'POST /v1/completions': {
+				this.admit(req, res, body);
+				break;
+			}
+
+			case 'POST /control': {
+				Object.assign(this.faults, body);
+				this.version = Number(body.version ?? this.version);
+				sendJson(res, 200, this.faults);
+				break;
+			}
+
+			case 'GET /state': {
+				sendJson(res, 200, {name: this.options.name, version: this.version, running: this.sequences.size});
+				break;
+			}
+
+			case 'GET /load': {
+				sendJson(res, 200, {running: this.sequences.size});
+				break;
+			}
+
+			default: {
+				sendJson(res, 404, {});
+			}
+		}
+	}
+
+	private admit(req: IncomingMessage, res: ServerResponse, body: Record<string, unknown>): void {
+		const prompt = String(body.prompt);
+		if (this.faults.poison !== '' && prompt.includes(this.faults.poison)) {
+			process.exit(134);
+		}
+
+		const sequence: Sequence = {
+			res, key: `${prompt}\n${String(Number(body.seed ?? 0))}`, next: Number(req.headers['x-resume-from'] ?? 0), end: Number(body.max_tokens ?? 16),
+		};
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		res.on('close', () => {
+			this.sequences.delete(sequence);
+		});
+		this.sequences.add(sequence);
+		this.scheduleStep();
+	}
+
+	private scheduleStep(): void {
+		if (this.isStepping || this.sequences.size === 0) {
+			return;
+		}
+
+		this.isStepping = true;
+		const stepMs = ((this.options.stepMs ?? 5) + (this.sequences.size * (this.options.stepMsPerSequence ?? 0.5))) * this.faults.slowness;
+		setTimeout(() => {
+			this.isStepping = false;
+			this.step();
+			this.scheduleStep();
+		}, stepMs);
+	}
+
+	private step(): void {
+		if (this.faults.silent) {
+			return;
+		}
+
+		for (const sequence of this.sequences) {
+			if (sequence.next < sequence.end) {
+				const offset = sequence.next++;
+				sequence.res.write(`data: ${JSON.stringify({
+					text: tokenText(sequence.key, offset), tokens: 1, version: this.version, offset,
+				})}\n\n`);
+			}
+
+			if (sequence.next >= sequence.end) {
+				sequence.res.end('data: [DONE]\n\n');
+				this.sequences.delete(sequence);
+			}
+		}
+	}
+}
+
+/** The token at `offset` depends only on prompt, seed and offset, so that a resumed stream continues the same text. */
+export function tokenText(key: string, offset: number): string {
+	return `${createHash('sha1').update(`${key}\n${offset}`).digest('hex').slice(0, 4)} `;
+}
--- /dev/null
+++ b/packages/stand-ins/src/json-server.ts
@@ -0,0 +1,45 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+
+/** Base of the stand-ins: an HTTP server on loopback. */
+export abstract class JsonServer {
+	protected readonly server: Server;
+
+	constructor(private readonly port: number) {
+		this.server = createServer((req, res) => {
+			void this.serve(req, res);
+		});
+	}
+
+	async listen(): Promise<number> {
+		await new Promise<void>((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(this.port, '127.0.0.1', resolve);
+		});
+		return (this.server.address() as AddressInfo).port;
+	}
+
+	close(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	protected abstract serve(req: IncomingMessage, res: ServerResponse): Promise<void>;
+}
+
+export function sendJson(res: ServerResponse, status: number, body: unknown): void {
+	res.writeHead(status, {'content-type': 'application/json'});
+	res.end(JSON.stringify(body));
+}
+
+export async function readJson(req: IncomingMessage): Promise<Record<string, unknown>> {
+	const parts: Uint8Array[] = [];
+	for await (const part of req as AsyncIterable<Uint8Array>) {
+		parts.push(part);
+	}
+
+	const text = Buffer.concat(parts).toString('utf8');
+	return text === '' ? {} : (JSON.parse(text) as Record<string, unknown>);
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform.ts
@@ -0,0 +1,125 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {VmRecord} from '@cicadapost/types';
+import {JsonServer, readJson, sendJson} from './json-server.js';
+
+type Row = {version: number; value: string};
+
+/** Faults that a test can ask for with `POST /control`. */
+export type PlatformFaults = {
+	/** Answers nothing. */
+	down: boolean;
+	/** Delay of each answer in milliseconds. */
+	delayMs: number;
+	/** Number of writes that take effect and whose answer is lost. */
+	loseAnswers: number;
+};
+
+/** A small stand-in of the platform: table service, object store and VM list in memory. */
+export class PlatformStandIn extends JsonServer {
+	private readonly tables = new Map<string, Row>();
+	private readonly objects = new Map<string, string>();
+	private vms: VmRecord[] = [];
+	private readonly faults: PlatformFaults = {down: false, delayMs: 0, loseAnswers: 0};
+
+	constructor(options: Readonly<{port?: number}> = {}) {
+		super(options.port ?? 0);
+	}
+
+	protected override async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const url = new URL(req.url ?? '/', 'http://localhost');
+		const body = await readJson(req);
+		if (url.pathname === '/control') {
+			const {vms, ...faults} = body;
+			Object.assign(this.faults, faults);
+			this.vms = (vms as VmRecord[] | undefined) ?? this.vms;
+			sendJson(res, 200, this.faults);
+			return;
+		}
+
+		if (this.faults.down) {
+			res.destroy();
+			return;
+		}
+
+		if (this.faults.delayMs > 0) {
+			await new Promise(resolve => {
+				setTimeout(resolve, this.faults.delayMs);
+			});
+		}
+
+		this.answer(req, res, url, body);
+	}
+
+	private answer(req: IncomingMessage, res: ServerResponse, url: URL, body: Record<string, unknown>): void {
+		const [, area, ...rest] = url.pathname.split('/').map(part => decodeURIComponent(part));
+		const key = rest.join('/');
+		switch (area) {
+			case 'tables': {
+				this.answerTable(req, res, key, url, body);
+				break;
+			}
+
+			case 'objects': {
+				this.answerObject(req, res, key, body);
+				break;
+			}
+
+			case 'vms': {
+				sendJson(res, 200, {vms: this.vms});
+				break;
+			}
+
+			default: {
+				sendJson(res, 404, {});
+			}
+		}
+	}
+
+	private answerTable(req: IncomingMessage, res: ServerResponse, key: string, url: URL, body: Record<string, unknown>): void {
+		const prefix = url.searchParams.get('prefix');
+		if (req.method === 'GET' && prefix !== null) {
+			const start = `${key}/${prefix}`;
+			const rows = [...this.tables].filter(([name]) => name.startsWith(start)).map(([name, row]) => ({key: name.slice(key.length + 1), ...row}));
+			sendJson(res, 200, {rows});
+			return;
+		}
+
+		const row = this.tables.get(key);
+		if (req.method === 'GET') {
+			sendJson(res, row === undefined ? 404 : 200, row ?? {});
+			return;
+		}
+
+		const expected = Number(req.headers['if-match']);
+		if ((row?.version ?? 0) !== expected) {
+			sendJson(res, 412, row ?? {version: 0, value: ''});
+			return;
+		}
+
+		const version = expected + 1;
+		this.tables.set(key, {version, value: String(body.value)});
+		if (this.faults.loseAnswers > 0) {
+			this.faults.loseAnswers--;
+			res.destroy();
+			return;
+		}
+
+		sendJson(res, 200, {version});
+	}
+
+	private answerObject(req: IncomingMessage, res: ServerResponse, key: string, body: Record<string, unknown>): void {
+		if (req.method === 'PUT') {
+			this.objects.set(key, String(body.value));
+			sendJson(res, 200, {});
+			return;
+		}
+
+		if (req.method === 'DELETE') {
+			sendJson(res, this.objects.delete(key) ? 200 : 404, {});
+			return;
+		}
+
+		const value = this.objects.get(key);
+		sendJson(res, value === undefined ? 404 : 200, {value});
+	}
+}
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,8 @@
+/** Branded ids, shared records and the messages between daemons. */
+
+export * from './ids.js';
+export * from './messages.js';
+export type * from './outcome.js';
+export type * from './request.js';
+export type * from './row.js';
+export type * from './vm.js';
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Installs the npm packages once for each state of the lock file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+exec 9>.setup.lock
+flock 9
+stamp=node_modules/.cicadapost-lock
+if ! cmp -s package-lock.json "$stamp"; then
+	npm ci --no-audit --no-fund --prefer-offline >&2
+	cp package-lock.json "$stamp"
+fi
