Add the operators' command line, metrics, traces and configuration checks

Cause: the thin path could be configured and nothing more; an operator could not see a queue, compare a change, or ask why a request was refused.

Change: config diff and history, members, upstreams (a drain is a configuration change, so it holds everywhere and never reverts), status, trace; references between base and overlays are checked; JSON Schema files for editors are generated and compared in a test; histograms for each member and class with a bounded number of labels; a bounded trace of the latest requests; request ids start with the name of the daemon that knows them.

Ruled out: a drain kept in the memory of daemons (lost on a restart).

--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {ProblemError} from '@cicadapost/errors';
-import {documentSchema, parseSettings, type SiteConfiguration} from '@cicadapost/settings';
+import {type SiteConfiguration} from '@cicadapost/settings';
 import {
 	type Chunk, type Millis, type Request, type RequestId,
 } from '@cicadapost/types';
@@ -14,20 +14,14 @@
 } from './answer-writer.js';
 import {KeyRing, requireRole} from './authenticate.js';
 import {parseCompletion} from './parse-completion.js';
+import {registerAdminRoutes, type AdminHandlers} from './admin-routes.js';
 import {readBody} from './read-body.js';
-
-/** Answer to an operator's change of the configuration. */
-export type ApplyAnswer =
-	| Readonly<{kind: 'accepted'; version: number}>
-	| Readonly<{kind: 'refused'; problem: ProblemError; currentVersion: number; currentDocument: string}>;
+import {sendJson} from './send-json.js';
 
 /** What the API asks the rest of the daemon to do. */
-export type ApiHandlers = Readonly<{
+export type ApiHandlers = AdminHandlers & Readonly<{
 	startRequest: (request: Request) => void;
 	abandonRequest: (requestId: RequestId) => void;
-	applyConfiguration: (expectedVersion: number, document: string) => Promise<ApplyAnswer>;
-	currentConfiguration: () => Readonly<{version: number; document: string}>;
-	status: () => unknown;
 }>;
 
 export type ApiServerOptions = Readonly<{
@@ -35,6 +29,8 @@
 	port?: number;
 	bodyBytes?: number;
 	operatorKeyHashes?: readonly string[];
+	/** Start of each request id, so that an operator knows which daemon to ask for its trace. */
+	daemon: string;
 	now: () => Millis;
 	handlers: ApiHandlers;
 }>;
@@ -60,16 +56,7 @@
 			},
 		});
 		app.post('/v1/completions', async (req, res) => this.complete(req, res));
-		app.get('/admin/configuration', (req, res) => {
-			this.requireOperator(req);
-			const {version, document} = this.options.handlers.currentConfiguration();
-			sendJson(res, 200, {version, document: document === '' ? null : (JSON.parse(document) as unknown)});
-		});
-		app.put('/admin/configuration', async (req, res) => this.apply(req, res));
-		app.get('/admin/status', (req, res) => {
-			this.requireOperator(req);
-			sendJson(res, 200, this.options.handlers.status());
-		});
+		registerAdminRoutes(app, {keys: this.keys, handlers: options.handlers, bodyBytes: this.bodyBytes});
 		app.get('/health', (_req, res) => {
 			sendJson(res, 200, {status: 'ok'});
 		});
@@ -114,15 +101,11 @@
 		this.writers.delete(requestId);
 	}
 
-	private requireOperator(req: IncomingMessage): void {
-		requireRole(this.keys.authenticate(req.headers.authorization), 'operator');
-	}
-
 	private async complete(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const principal = this.keys.authenticate(req.headers.authorization);
 		requireRole(principal, 'caller', 'trainer');
 		const body = await readBody(req, this.bodyBytes);
-		const requestId = randomUUID() as RequestId;
+		const requestId = `${this.options.daemon}-${randomUUID()}` as RequestId;
 		const {request, stream, model} = parseCompletion({
 			headers: req.headers, body, member: principal.member!, requestId,
 		}, this.options.now());
@@ -135,32 +118,6 @@
 		});
 		this.options.handlers.startRequest(request);
 	}
-
-	private async apply(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		this.requireOperator(req);
-		const expectedVersion = Number(req.headers['if-match']);
-		if (!Number.isInteger(expectedVersion) || expectedVersion < 0) {
-			throw new ProblemError({
-				kind: 'invalid-request', field: 'If-Match', detail: 'If-Match must be the version that the change is based on', remedy: 'read it with GET /admin/configuration; 0 for the first',
-			});
-		}
-
-		const document = parseSettings(await readBody(req, this.bodyBytes), 'body', documentSchema);
-		const parsed = document.mapLeft(err => new ProblemError({
-			kind: 'invalid-request', field: err.faults[0]?.field ?? 'body', detail: err.message, remedy: 'correct the document; "cicadapost config check" shows each fault',
-		}));
-		if (parsed.isLeft()) {
-			throw parsed.extract();
-		}
-
-		const answer = await this.options.handlers.applyConfiguration(expectedVersion, JSON.stringify(parsed.extract()));
-		if (answer.kind === 'accepted') {
-			sendJson(res, 200, {version: answer.version});
-			return;
-		}
-
-		sendProblem(res, answer.problem);
-	}
 }
 
 function toProblem(err: unknown): ProblemError {
@@ -170,8 +127,3 @@
 			kind: 'internal', detail: 'the daemon met an unexpected error', remedy: 'report it with the request id', outcome: 'unknown',
 		});
 }
-
-function sendJson(res: ServerResponse, status: number, body: unknown): void {
-	res.writeHead(status, {'content-type': 'application/json'});
-	res.end(JSON.stringify(body));
-}
--- a/packages/api/src/index.ts
+++ b/packages/api/src/index.ts
@@ -1,5 +1,6 @@
 /** HTTP interface for callers, trainers and operators. */
 
+export * from './admin-routes.js';
 export * from './answer-writer.js';
 export * from './api-server.js';
 export * from './authenticate.js';
--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -1,15 +1,55 @@
+import type {ProblemBody} from '@cicadapost/errors';
+import {documentSchema, type ConfigurationDocument} from '@cicadapost/settings';
 import {request} from 'undici';
+import {z} from 'zod';
+import {CommandError} from './command-error.js';
+import {exitCodes} from './exit-codes.js';
 
 export type AdminOptions = Readonly<{daemon: string; key: string}>;
 
 export type AdminResponse = Readonly<{status: number; body: unknown}>;
 
+export type AdminCall = Readonly<{
+	method?: 'GET' | 'PUT' | 'POST';
+	path: string;
+	headers?: Readonly<Record<string, string>>;
+	body?: string;
+}>;
+
+const timeoutMs = 10_000;
+
 /** One call to the operators' interface of a daemon. */
-export async function callAdmin(options: AdminOptions, method: 'GET' | 'PUT' | 'POST', path: string, init: {headers?: Record<string, string>; body?: string} = {}): Promise<AdminResponse> {
-	const res = await request(`${options.daemon.replace(/\/$/v, '')}${path}`, {
-		method,
-		headers: {authorization: `Bearer ${options.key}`, 'content-type': 'application/json', ...init.headers},
-		...(init.body === undefined ? {} : {body: init.body}),
-	});
-	return {status: res.statusCode, body: await res.body.json()};
+export async function callAdmin(options: AdminOptions, call: AdminCall): Promise<AdminResponse> {
+	try {
+		const res = await request(`${options.daemon.replace(/\/$/v, '')}${call.path}`, {
+			method: call.method ?? 'GET',
+			headers: {authorization: `Bearer ${options.key}`, 'content-type': 'application/json', ...call.headers},
+			...(call.body === undefined ? {} : {body: call.body}),
+			signal: AbortSignal.timeout(timeoutMs),
+		});
+		return {status: res.statusCode, body: await res.body.json()};
+	} catch (err) {
+		throw new CommandError(`no answer from ${options.daemon} (${err instanceof Error ? err.message : String(err)}); name a running daemon with --daemon`);
+	}
+}
+
+/** The body of a successful call. Throws `CommandError` with the problem and its remedy otherwise. */
+export async function queryAdmin(options: AdminOptions, call: AdminCall): Promise<unknown> {
+	const {status, body} = await callAdmin(options, call);
+	if (status !== 200) {
+		const problem = body as ProblemBody;
+		throw new CommandError(`${problem.detail}; ${problem.remedy}`, status === 409 ? exitCodes.conflict : exitCodes.failure);
+	}
+
+	return body;
+}
+
+const currentSchema = z.object({version: z.int(), document: documentSchema.nullable()});
+
+export type CurrentConfiguration = Readonly<{version: number; document: ConfigurationDocument | undefined}>;
+
+/** The configuration in effect at a daemon; version 0 if there is none yet. */
+export async function readConfiguration(options: AdminOptions): Promise<CurrentConfiguration> {
+	const {version, document} = currentSchema.parse(await queryAdmin(options, {path: '/admin/configuration'}));
+	return {version, document: document ?? undefined};
 }
--- a/packages/cli/src/admin-options.ts
+++ b/packages/cli/src/admin-options.ts
@@ -1,15 +1,24 @@
 import type {Argv} from 'yargs';
 import type {AdminOptions} from './admin-client.js';
+import {CommandError} from './command-error.js';
+
+export type AdminArgs = {daemon: string};
+export type QueryArgs = AdminArgs & {json: boolean};
 
 /** Options of each command that talks to a daemon. The key comes from the environment, so that it is in no process list. */
-export function adminOptions<Arguments>(parser: Argv<Arguments>): Argv<Arguments & {daemon: string}> {
+export function adminOptions<Args>(parser: Argv<Args>): Argv<Args & AdminArgs> {
 	return parser.option('daemon', {type: 'string', default: 'http://127.0.0.1:8080', describe: 'API address of a daemon'});
 }
 
-export function adminOf(args: {daemon: string}): AdminOptions {
+/** Options of each query. */
+export function queryOptions<Args>(parser: Argv<Args>): Argv<Args & QueryArgs> {
+	return adminOptions(parser).option('json', {type: 'boolean', default: false, describe: 'Print JSON'});
+}
+
+export function adminOf(args: AdminArgs): AdminOptions {
 	const key = process.env.CICADAPOST_KEY;
 	if (key === undefined) {
-		throw new Error('no operator key; set CICADAPOST_KEY');
+		throw new CommandError('no operator key; set the environment variable CICADAPOST_KEY');
 	}
 
 	return {daemon: args.daemon, key};
--- a/packages/cli/src/commands/config/apply.ts
+++ b/packages/cli/src/commands/config/apply.ts
@@ -1,35 +1,79 @@
-import type {ProblemBody} from '@cicadapost/errors';
 import type {CommandModule} from 'yargs';
-import {callAdmin, type AdminOptions} from '../../admin-client.js';
-import {adminOf, adminOptions} from '../../admin-options.js';
+import {diffSites, documentSchema, type ConfigurationDocument} from '@cicadapost/settings';
+import {
+	callAdmin, queryAdmin, readConfiguration, type AdminOptions,
+} from '../../admin-client.js';
+import {adminOf, adminOptions, type AdminArgs} from '../../admin-options.js';
+import {CommandError} from '../../command-error.js';
 import {exitCodes} from '../../exit-codes.js';
+import {printLine} from '../../print.js';
 import {documentOptions} from './document-options.js';
+import {printDiff} from './print-diff.js';
 import {readDocument, type DocumentArgs} from './read-document.js';
 
-type ApplyArgs = DocumentArgs & {daemon: string; from: number | undefined};
+type ApplyArgs = DocumentArgs & AdminArgs & {from: number | undefined; wait: number};
 
-/** `config apply`: replaces the configuration if nobody else has changed it since. */
+const pollMs = 200;
+
+/** `config apply`: replaces the configuration if nobody else has changed it since, and waits until each live daemon has it. */
 export const applyCommand: CommandModule<unknown, ApplyArgs> = {
 	command: 'apply',
 	describe: 'Apply the base file and the overlays',
-	builder: parser => adminOptions(documentOptions(parser)).option('from', {type: 'number', describe: 'Version that the change is based on; default: the current one'}),
+	builder: parser => adminOptions(documentOptions(parser))
+		.option('from', {type: 'number', describe: 'Version that the change is based on; default: the current one'})
+		.option('wait', {type: 'number', default: 19, describe: 'Seconds to wait until the daemons that this one knows have the change'}),
 	async handler(args) {
 		const admin = adminOf(args);
 		const document = readDocument(args);
-		const from = args.from ?? await currentVersion(admin);
-		const res = await callAdmin(admin, 'PUT', '/admin/configuration', {headers: {'if-match': String(from)}, body: JSON.stringify(document)});
-		if (res.status === 200) {
-			process.stdout.write(`accepted as version ${(res.body as {version: number}).version}\n`);
-			return;
-		}
-
-		const problem = res.body as ProblemBody;
-		process.stderr.write(`${problem.detail}; ${problem.remedy}\n`);
-		process.exitCode = res.status === 409 ? exitCodes.conflict : exitCodes.failure;
+		const current = await readConfiguration(admin);
+		const version = await apply(admin, args.from ?? current.version, document);
+		printLine(`accepted as version ${version}`);
+		await waitUntilInEffect(admin, version, args.wait * 1000);
 	},
 };
 
-async function currentVersion(admin: AdminOptions): Promise<number> {
-	const res = await callAdmin(admin, 'GET', '/admin/configuration');
-	return (res.body as {version: number}).version;
+async function apply(admin: AdminOptions, from: number, document: ConfigurationDocument): Promise<number> {
+	const call = {
+		method: 'PUT', path: '/admin/configuration', headers: {'if-match': String(from)}, body: JSON.stringify(document),
+	} as const;
+	const {status, body} = await callAdmin(admin, call);
+	if (status === 200) {
+		return (body as {version: number}).version;
+	}
+
+	const {detail, remedy, currentDocument} = body as {detail: string; remedy: string; currentDocument?: unknown};
+	const current = documentSchema.safeParse(currentDocument);
+	if (current.success) {
+		printLine('your change, compared with the accepted configuration:');
+		printDiff(diffSites(current.data, document));
+	}
+
+	throw new CommandError(`${detail}; ${remedy}`, status === 409 ? exitCodes.conflict : exitCodes.failure);
+}
+
+type Status = Readonly<{configurationVersion: number; peers: Readonly<Record<string, {configurationVersion: number}>>}>;
+
+async function waitUntilInEffect(admin: AdminOptions, version: number, patienceMs: number): Promise<void> {
+	const until = performance.now() + patienceMs;
+	let behind = await daemonsBehind(admin, version);
+	let lastShown = '';
+	while (behind.length > 0 && performance.now() < until) {
+		const line = `waiting for ${behind.length} daemons: ${behind.slice(0, 5).join(', ')}`;
+		if (line !== lastShown) {
+			printLine(line);
+			lastShown = line;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, pollMs);
+		});
+		behind = await daemonsBehind(admin, version);
+	}
+
+	printLine(behind.length === 0 ? 'in effect at each daemon that answers' : `still behind: ${behind.join(', ')}; they get it as soon as they can be reached`);
+}
+
+async function daemonsBehind(admin: AdminOptions, version: number): Promise<string[]> {
+	const status = await queryAdmin(admin, {path: '/admin/status'}) as Status;
+	return Object.entries(status.peers).filter(([, peer]) => peer.configurationVersion < version).map(([daemon]) => daemon);
 }
--- a/packages/cli/src/commands/config/index.ts
+++ b/packages/cli/src/commands/config/index.ts
@@ -1,13 +1,21 @@
 import type {CommandModule} from 'yargs';
 import {applyCommand} from './apply.js';
 import {checkCommand} from './check.js';
+import {diffCommand} from './diff.js';
+import {historyCommand} from './history.js';
 import {showCommand} from './show.js';
 
 /** `config`: the operators' configuration. */
 export const configCommand: CommandModule = {
 	command: 'config <command>',
-	describe: 'Check, apply and show the configuration',
-	builder: parser => parser.command(checkCommand).command(applyCommand).command(showCommand).demandCommand(1, 'name a config command'),
+	describe: 'Check, compare, apply and show the configuration',
+	builder: parser => parser
+		.command(checkCommand)
+		.command(diffCommand)
+		.command(applyCommand)
+		.command(showCommand)
+		.command(historyCommand)
+		.demandCommand(1, 'name a config command'),
 	handler() {
 		// The subcommands do the work.
 	},
--- a/packages/cli/src/commands/config/read-document.ts
+++ b/packages/cli/src/commands/config/read-document.ts
@@ -1,13 +1,23 @@
 import path from 'node:path';
-import {baseSchema, overlaySchema, type ConfigurationDocument} from '@cicadapost/settings';
+import {
+	baseSchema, checkDocument, formatReferenceFault, overlaySchema, type ConfigurationDocument,
+} from '@cicadapost/settings';
+import {CommandError} from '../../command-error.js';
+import {exitCodes} from '../../exit-codes.js';
 import {readSettingsFile} from '../../read-settings-file.js';
 
 export type DocumentArgs = {base: string; overlay: string[]};
 
 /** Reads the base file and the overlays. The name of an overlay file, without its ending, is its data centre. */
 export function readDocument(args: DocumentArgs): ConfigurationDocument {
-	return {
+	const document = {
 		base: readSettingsFile(args.base, baseSchema),
 		overlays: Object.fromEntries(args.overlay.map(file => [path.basename(file).replace(/\.jsonc?$/v, ''), readSettingsFile(file, overlaySchema)])),
 	};
+	const faults = checkDocument(document);
+	if (faults.length > 0) {
+		throw new CommandError(faults.map(fault => formatReferenceFault(fault)).join('\n'), exitCodes.invalidSettings);
+	}
+
+	return document;
 }
--- a/packages/cli/src/commands/config/show.ts
+++ b/packages/cli/src/commands/config/show.ts
@@ -1,14 +1,21 @@
 import type {CommandModule} from 'yargs';
-import {callAdmin} from '../../admin-client.js';
-import {adminOf, adminOptions} from '../../admin-options.js';
+import {readConfiguration} from '../../admin-client.js';
+import {adminOf, queryOptions, type QueryArgs} from '../../admin-options.js';
+import {printJson, printLine} from '../../print.js';
 
 /** `config show`: prints the configuration that is in effect at a daemon. */
-export const showCommand: CommandModule<unknown, {daemon: string}> = {
+export const showCommand: CommandModule<unknown, QueryArgs> = {
 	command: 'show',
 	describe: 'Show the configuration in effect',
-	builder: adminOptions,
+	builder: queryOptions,
 	async handler(args) {
-		const res = await callAdmin(adminOf(args), 'GET', '/admin/configuration');
-		process.stdout.write(`${JSON.stringify(res.body, null, 2)}\n`);
+		const {version, document} = await readConfiguration(adminOf(args));
+		if (args.json) {
+			printJson({version, document: document ?? null});
+			return;
+		}
+
+		printLine(`version ${version}`);
+		printJson(document ?? {});
 	},
 };
--- /dev/null
+++ b/packages/cli/src/commands/members/index.ts
@@ -0,0 +1,59 @@
+import type {CommandModule} from 'yargs';
+import {readConfiguration} from '../../admin-client.js';
+import {adminOf, queryOptions, type QueryArgs} from '../../admin-options.js';
+import {CommandError} from '../../command-error.js';
+import {printJson, printTable} from '../../print.js';
+
+type Member = Readonly<{name: string; weight: number; tokensPerSecond: number | undefined; maxGroupSamples: number; roles: readonly string[]}>;
+
+async function readMembers(args: QueryArgs): Promise<Member[]> {
+	const {document} = await readConfiguration(adminOf(args));
+	return Object.entries(document?.base.members ?? {}).map(([name, member]) => ({
+		name, weight: member.weight, tokensPerSecond: member.cap?.tokensPerSecond, maxGroupSamples: member.maxGroupSamples, roles: member.keys.map(key => key.role),
+	}));
+}
+
+function printMembers(members: readonly Member[], args: QueryArgs): void {
+	if (args.json) {
+		printJson(members);
+		return;
+	}
+
+	printTable(['member', 'weight', 'cap (tokens/s)', 'samples in a group', 'keys'], members.map(member => [
+		member.name, member.weight, member.tokensPerSecond ?? 'none', member.maxGroupSamples, member.roles.join(', '),
+	]));
+}
+
+const listCommand: CommandModule<unknown, QueryArgs> = {
+	command: 'list',
+	describe: 'List the members',
+	builder: queryOptions,
+	async handler(args) {
+		printMembers(await readMembers(args), args);
+	},
+};
+
+const showCommand: CommandModule<unknown, QueryArgs & {member: string}> = {
+	command: 'show <member>',
+	describe: 'Show one member',
+	builder: parser => queryOptions(parser).positional('member', {type: 'string', demandOption: true}),
+	async handler(args) {
+		const members = await readMembers(args);
+		const found = members.filter(({name}) => name === args.member);
+		if (found.length === 0) {
+			throw new CommandError(`the member "${args.member}" does not exist; known: ${members.map(({name}) => name).join(', ')}`);
+		}
+
+		printMembers(found, args);
+	},
+};
+
+/** `members`: who shares the pools. */
+export const membersCommand: CommandModule = {
+	command: 'members <command>',
+	describe: 'List and show members',
+	builder: parser => parser.command(listCommand).command(showCommand).demandCommand(1, 'name a members command'),
+	handler() {
+		// The subcommands do the work.
+	},
+};
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,35 +1,60 @@
 /** The command line of cicadapost. */
 
+import {SettingsError} from '@cicadapost/settings';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {CommandError} from './command-error.js';
 import {configCommand} from './commands/config/index.js';
+import {membersCommand} from './commands/members/index.js';
 import {serveCommand} from './commands/serve/index.js';
+import {statusCommand} from './commands/status/index.js';
+import {traceCommand} from './commands/trace/index.js';
+import {upstreamsCommand} from './commands/upstreams/index.js';
 import {versionCommand} from './commands/version/index.js';
 import {exitCodes} from './exit-codes.js';
 
+/** Set when yargs has reported a fault of the command line itself, whose text it has printed. */
+class UsageError extends Error {}
+
+function exitCodeOf(err: unknown): number {
+	if (err instanceof UsageError) {
+		return exitCodes.usage;
+	}
+
+	if (err instanceof SettingsError) {
+		return exitCodes.invalidSettings;
+	}
+
+	return err instanceof CommandError ? err.exitCode : exitCodes.failure;
+}
+
 async function main(): Promise<void> {
-	await yargs(hideBin(process.argv))
-		.scriptName('cicadapost')
-		.usage('$0 <command> [options]')
-		.command(serveCommand)
-		.command(configCommand)
-		.command(versionCommand)
-		.demandCommand(1, 'name a command')
-		.strict()
-		.recommendCommands()
-		.version(false)
-		.help()
-		.fail((message, err, parser) => {
-			if (err === undefined) {
-				process.stderr.write(`${message}; see "cicadapost --help"\n`);
-				parser.showHelp('error');
-				process.exitCode = exitCodes.usage;
-			} else {
-				process.stderr.write(`${err.message}\n`);
-				process.exitCode = exitCodes.failure;
-			}
-		})
-		.parseAsync();
+	try {
+		await yargs(hideBin(process.argv))
+			.scriptName('cicadapost')
+			.usage('$0 <command> [options]')
+			.command(serveCommand)
+			.command(configCommand)
+			.command(membersCommand)
+			.command(upstreamsCommand)
+			.command(statusCommand)
+			.command(traceCommand)
+			.command(versionCommand)
+			.demandCommand(1, 'name a command')
+			.recommendCommands()
+			.strict()
+			.version(false)
+			.help()
+			.epilogue('Exit codes: 0 success, 1 failure, 2 wrong command line, 3 faulty settings, 4 conflict')
+			.exitProcess(false)
+			.fail((message, err) => {
+				throw err ?? new UsageError(`${message}; see "cicadapost --help"`);
+			})
+			.parseAsync();
+	} catch (err) {
+		process.stderr.write(`${err instanceof Error ? err.message : String(err)}\n`);
+		process.exitCode = exitCodeOf(err);
+	}
 }
 
 // The bundle is a CommonJS module, which has no top-level await.
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -1,6 +1,8 @@
 import 'reflect-metadata';
 import {UpstreamConnections} from '@cicadapost/engines';
-import {createLogger} from '@cicadapost/observability';
+import {
+	createLogger, Metrics, NoMetricsSink, StatsdSink, type MetricsSink,
+} from '@cicadapost/observability';
 import {PeerLinks} from '@cicadapost/peers';
 import {HttpTableService, HttpVmList} from '@cicadapost/platform';
 import type {DaemonSettings} from '@cicadapost/settings';
@@ -17,9 +19,19 @@
 	child.registerInstance(tokens.logger, createLogger({daemon: settings.daemon, dataCentre: settings.dataCentre, level: settings.log.level}));
 	child.registerInstance(tokens.tableService, new HttpTableService({baseUrl: settings.platform.tableService}));
 	child.registerInstance(tokens.vmList, new HttpVmList({baseUrl: settings.platform.vmList}));
+	child.registerInstance(tokens.metrics, new Metrics(createSink(settings)));
 	child.registerInstance(tokens.upstreams, new UpstreamConnections());
 	child.registerInstance(tokens.peers, new PeerLinks({
 		self: settings.daemon as DaemonId, secret: settings.peerSecret, host: settings.listen.peers.host, port: settings.listen.peers.port,
 	}));
 	return child;
 }
+
+function createSink(settings: DaemonSettings): MetricsSink {
+	const {enabled, host, port} = settings.metrics;
+	return enabled
+		? new StatsdSink({
+			host, port, daemon: settings.daemon, dataCentre: settings.dataCentre,
+		})
+		: new NoMetricsSink();
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,18 +4,22 @@
 	createDaemonState, decide, type DaemonAction, type DaemonEvent, type DaemonState,
 } from '@cicadapost/decision';
 import {type UpstreamConnections} from '@cicadapost/engines';
-import {type Logger} from '@cicadapost/observability';
+import {type Logger, type Metrics} from '@cicadapost/observability';
 import {type PeerLinks} from '@cicadapost/peers';
 import {type TableService, type VmList} from '@cicadapost/platform';
 import {
 	siteConfiguration, type ConfigurationDocument, type DaemonSettings, type SiteConfiguration,
 } from '@cicadapost/settings';
 import type {
-	AttemptId, CallId, DaemonId, DataCentreId, RegionId,
+	AttemptId, CallId, DaemonId, DataCentreId, Millis, RegionId, RequestId,
 } from '@cicadapost/types';
 import {inject, injectable} from 'tsyringe';
 import {type Clock} from './clock.js';
+import {readHistory, recordHistory} from './configuration-history.js';
+import {RequestObserver} from './request-observer.js';
+import {daemonStatus} from './status.js';
 import {tokens} from './tokens.js';
+import {TraceStore} from './trace-store.js';
 
 const tickMs = 50;
 const vmListIntervalMs = 1000;
@@ -31,6 +35,8 @@
 	private readonly queue: DaemonEvent[] = [];
 	private isDraining = false;
 	private readonly timers: NodeJS.Timeout[] = [];
+	private readonly traces = new TraceStore();
+	private readonly observer: RequestObserver;
 	private resolveStopped: () => void = () => undefined;
 	private readonly stopped = new Promise<void>(resolve => {
 		this.resolveStopped = resolve;
@@ -45,7 +51,9 @@
 		@inject(tokens.vmList) private readonly vmList: VmList,
 		@inject(tokens.peers) private readonly peers: PeerLinks,
 		@inject(tokens.upstreams) private readonly upstreams: UpstreamConnections,
+		@inject(tokens.metrics) private readonly metrics: Metrics,
 	) {
+		this.observer = new RequestObserver({logger, metrics});
 		this.state = createDaemonState({
 			self: settings.daemon as DaemonId,
 			dataCentre: settings.dataCentre as DataCentreId,
@@ -57,6 +65,7 @@
 			port: settings.listen.api.port,
 			bodyBytes: settings.limits.bodyBytes,
 			operatorKeyHashes: settings.operatorKeyHashes,
+			daemon: settings.daemon,
 			now: () => clock.now(),
 			handlers: {
 				startRequest: request => {
@@ -67,7 +76,9 @@
 				},
 				applyConfiguration: async (expectedVersion, document) => this.applyConfiguration(expectedVersion, document),
 				currentConfiguration: () => ({version: this.state.configuration.version, document: this.state.configuration.document}),
-				status: () => this.status(),
+				configurationHistory: async () => readHistory(this.tableService),
+				status: () => daemonStatus(this.state, this.metrics),
+				trace: requestId => this.traces.get(requestId as RequestId),
 			},
 		});
 	}
@@ -109,6 +120,7 @@
 		this.api.close();
 		this.peers.close();
 		await this.upstreams.close();
+		this.metrics.close();
 		this.logger.info({event: 'stopped'}, 'daemon stopped');
 	}
 
@@ -122,17 +134,25 @@
 		this.isDraining = true;
 		try {
 			for (let next = this.queue.shift(); next !== undefined; next = this.queue.shift()) {
-				const outcome = decide(this.state, next, this.clock.now());
-				this.state = outcome.state;
-				for (const action of outcome.actions) {
-					this.apply(action);
-				}
+				this.decide(next, this.clock.now());
 			}
 		} finally {
 			this.isDraining = false;
 		}
 	}
 
+	private decide(event: DaemonEvent, now: Millis): void {
+		this.traces.recordEvent(event, now);
+		this.observer.observeEvent(event, now);
+		const outcome = decide(this.state, event, now);
+		this.state = outcome.state;
+		for (const action of outcome.actions) {
+			this.traces.recordAction(action, now);
+			this.observer.observeAction(action, now);
+			this.apply(action);
+		}
+	}
+
 	private apply(action: DaemonAction): void {
 		switch (action.kind) {
 			case 'send': {
@@ -171,9 +191,6 @@
 			}
 
 			case 'fail': {
-				this.logger.info({
-					event: 'refused', requestId: action.requestId, cause: action.cause, outcome: action.problem.outcome,
-				}, 'request failed');
 				this.api.fail(action.requestId, action.problem);
 				break;
 			}
@@ -273,25 +290,15 @@
 	}
 
 	private answerApply(call: CallId, answer: ApplyAnswer): void {
+		if (answer.kind === 'accepted') {
+			void recordHistory(this.tableService, {
+				version: answer.version, acceptedAt: new Date(this.clock.wallTime()).toISOString(), daemon: this.settings.daemon,
+			});
+		}
+
 		this.applies.get(call)?.(answer);
 		this.applies.delete(call);
 	}
-
-	private status(): unknown {
-		const {state} = this;
-		return {
-			daemon: state.self,
-			dataCentre: state.dataCentre,
-			configurationVersion: state.configuration.version,
-			requestsInFlight: state.router.requests.size,
-			peers: Object.fromEntries([...state.membership.peers].map(([daemon, peer]) => [daemon, {
-				dataCentre: peer.dataCentre, leaving: peer.leaving, configurationVersion: peer.configurationVersion,
-			}])),
-			shards: Object.fromEntries([...state.schedulers].map(([shard, scheduler]) => [shard, {
-				waiting: scheduler.waiting.length, running: scheduler.running.size,
-			}])),
-		};
-	}
 }
 
 type Report = Parameters<Parameters<UpstreamConnections['run']>[1]>[0];
--- /dev/null
+++ b/packages/daemon/src/request-observer.ts
@@ -0,0 +1,123 @@
+import type {DaemonAction, DaemonEvent} from '@cicadapost/decision';
+import type {Logger, Metrics} from '@cicadapost/observability';
+import type {Millis, Request, RequestId} from '@cicadapost/types';
+import {requestOfAttempt} from './trace-store.js';
+
+type Observed = {
+	readonly request: Request;
+	readonly arrivedAt: Millis;
+	attempts: number;
+	hasFirstToken: boolean;
+};
+
+export type RequestObserverOptions = Readonly<{logger: Logger; metrics: Metrics}>;
+
+/** Turns the events and actions of requests into histograms and into one log line for each refusal, retry and failure. */
+export class RequestObserver {
+	private readonly requests = new Map<RequestId, Observed>();
+
+	constructor(private readonly options: RequestObserverOptions) {}
+
+	observeEvent(event: DaemonEvent, now: Millis): void {
+		if (event.kind === 'request') {
+			this.requests.set(event.request.requestId, {
+				request: event.request, arrivedAt: now, attempts: 0, hasFirstToken: false,
+			});
+		}
+
+		if (event.kind === 'caller-left') {
+			this.requests.delete(event.requestId);
+		}
+
+		if (event.kind === 'attempt-failed') {
+			const observed = this.requests.get(requestOfAttempt(event.attempt));
+			this.options.logger.info({
+				event: 'attempt-failed', attempt: event.attempt, failure: event.failure, sent: event.sent, detail: event.detail, ...fieldsOf(observed?.request),
+			}, 'attempt failed');
+		}
+	}
+
+	observeAction(action: DaemonAction, now: Millis): void {
+		switch (action.kind) {
+			case 'open-attempt': {
+				this.observeOpen(action, now);
+				break;
+			}
+
+			case 'deliver': {
+				const observed = this.requests.get(action.requestId);
+				if (observed !== undefined && !observed.hasFirstToken) {
+					observed.hasFirstToken = true;
+					this.record('time_to_first_token', observed, now);
+				}
+
+				break;
+			}
+
+			case 'complete': {
+				const observed = this.requests.get(action.requestId);
+				this.requests.delete(action.requestId);
+				if (observed !== undefined) {
+					this.record('total_time', observed, now);
+				}
+
+				break;
+			}
+
+			case 'fail': {
+				this.observeFailure(action);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	private observeOpen(action: Extract<DaemonAction, {kind: 'open-attempt'}>, now: Millis): void {
+		const observed = this.requests.get(requestOfAttempt(action.attempt));
+		if (observed === undefined) {
+			return;
+		}
+
+		observed.attempts++;
+		if (observed.attempts === 1) {
+			this.record('wait', observed, now);
+			return;
+		}
+
+		this.options.logger.info({
+			event: 'further-attempt', attempt: action.attempt, number: observed.attempts, upstream: action.upstream, ...fieldsOf(observed.request),
+		}, 'request runs again or on a second upstream');
+		this.options.metrics.count('further_attempts', {class: observed.request.requestClass});
+	}
+
+	private observeFailure(action: Extract<DaemonAction, {kind: 'fail'}>): void {
+		const observed = this.requests.get(action.requestId);
+		this.requests.delete(action.requestId);
+		this.options.logger.info({
+			event: 'request-failed',
+			requestId: action.requestId,
+			cause: action.cause,
+			outcome: action.problem.outcome,
+			detail: action.problem.detail,
+			retryAfterMs: action.problem.retryAfterMs,
+			...fieldsOf(observed?.request),
+		}, 'request failed');
+		this.options.metrics.count('failed_requests', {cause: action.cause, outcome: action.problem.outcome});
+	}
+
+	private record(name: 'wait' | 'time_to_first_token' | 'total_time', observed: Observed, now: Millis): void {
+		const {member, requestClass} = observed.request;
+		this.options.metrics.record(name, now - observed.arrivedAt, {member, requestClass});
+	}
+}
+
+function fieldsOf(request: Request | undefined): Record<string, string> {
+	return request === undefined
+		? {}
+		: {
+			requestId: request.requestId, member: request.member, class: request.requestClass, pool: request.pool,
+		};
+}
--- a/packages/decision/src/shards.ts
+++ b/packages/decision/src/shards.ts
@@ -24,7 +24,7 @@
 		const members = shards.get(shard) ?? [];
 		members.push({
 			upstream: name as UpstreamId,
-			leaving: leaving.has(name as UpstreamId),
+			leaving: upstream.draining || leaving.has(name as UpstreamId),
 			initialWindow: pool.initialWindow,
 			maxWindow: pool.maxWindow,
 		});
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,3 +1,4 @@
 /** Structured logs and metrics. */
 
 export * from './logger.js';
+export * from './metrics.js';
--- /dev/null
+++ b/packages/observability/src/metrics.ts
@@ -0,0 +1,134 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+import {StatsD} from 'hot-shots';
+
+/** What is measured for each member and request class, in milliseconds unless the name says otherwise. */
+export type HistogramName =
+	/** From the arrival of a request to its first connection to an upstream. */
+	| 'wait'
+	| 'time_to_first_token'
+	| 'total_time'
+	/** Weight versions between a sample and its trainer at hand-over. */
+	| 'staleness_versions'
+	/** Time between a trainer's fetch and the group that answers it. */
+	| 'trainer_idle';
+
+export type Labels = Readonly<{member: string; requestClass: string}>;
+
+export type HistogramSummary = Readonly<{
+	name: HistogramName;
+	member: string;
+	requestClass: string;
+	count: number;
+	p50: number;
+	p99: number;
+	max: number;
+}>;
+
+/** Receives measured values. */
+export abstract class MetricsSink {
+	abstract histogram(name: HistogramName, value: number, labels: Labels): void;
+	abstract increment(name: string, labels: Readonly<Record<string, string>>): void;
+	abstract close(): void;
+}
+
+/** Used where no metrics server is configured. */
+export class NoMetricsSink extends MetricsSink {
+	override histogram(): void {
+		// Nothing is sent.
+	}
+
+	override increment(): void {
+		// Nothing is sent.
+	}
+
+	override close(): void {
+		// Nothing is open.
+	}
+}
+
+export type StatsdOptions = Readonly<{host: string; port: number; daemon: string; dataCentre: string}>;
+
+/** Sends to a StatsD server with hot-shots. */
+export class StatsdSink extends MetricsSink {
+	private readonly client: StatsD;
+
+	constructor(options: StatsdOptions) {
+		super();
+		this.client = new StatsD({
+			host: options.host,
+			port: options.port,
+			prefix: 'cicadapost.',
+			globalTags: {daemon: options.daemon, data_centre: options.dataCentre},
+			errorHandler() {
+				// A metrics server that is down must not disturb requests.
+			},
+		});
+	}
+
+	override histogram(name: HistogramName, value: number, labels: Labels): void {
+		this.client.histogram(name, value, {member: labels.member, class: labels.requestClass});
+	}
+
+	override increment(name: string, labels: Readonly<Record<string, string>>): void {
+		this.client.increment(name, 1, labels);
+	}
+
+	override close(): void {
+		this.client.close();
+	}
+}
+
+/** Above this number of members and classes further ones share the label `other`, so that memory stays bounded. */
+export const maxLabelSets = 200;
+
+const highestTrackableValue = 3_600_000;
+
+/** Histograms for each member and request class, kept for `status` and passed on to a sink. */
+export class Metrics {
+	private readonly histograms = new Map<string, {name: HistogramName; labels: Labels; histogram: Histogram}>();
+	private readonly labelSets = new Set<string>();
+
+	constructor(private readonly sink: MetricsSink) {}
+
+	record(name: HistogramName, value: number, labels: Labels): void {
+		const bounded = this.bound(labels);
+		const key = `${name}\n${bounded.member}\n${bounded.requestClass}`;
+		let entry = this.histograms.get(key);
+		if (entry === undefined) {
+			entry = {name, labels: bounded, histogram: build({highestTrackableValue, numberOfSignificantValueDigits: 2})};
+			this.histograms.set(key, entry);
+		}
+
+		entry.histogram.recordValue(Math.min(highestTrackableValue, Math.max(0, Math.round(value))));
+		this.sink.histogram(name, value, bounded);
+	}
+
+	count(name: string, labels: Readonly<Record<string, string>>): void {
+		this.sink.increment(name, labels);
+	}
+
+	summaries(): HistogramSummary[] {
+		return [...this.histograms.values()].map(({name, labels, histogram}) => ({
+			name,
+			...labels,
+			count: histogram.totalCount,
+			p50: histogram.getValueAtPercentile(50),
+			p99: histogram.getValueAtPercentile(99),
+			max: histogram.maxValue,
+		}));
+	}
+
+	close(): void {
+		this.sink.close();
+	}
+
+	private bound(labels: Labels): Labels {
+		const key = `${labels.member}\n${labels.requestClass}`;
+		if (!this.labelSets.has(key) && this.labelSets.size >= maxLabelSets) {
+			return {member: 'other', requestClass: labels.requestClass};
+		}
+
+		this.labelSets.add(key);
+		return labels;
+	}
+}
--- a/packages/settings/src/configuration-schema.ts
+++ b/packages/settings/src/configuration-schema.ts
@@ -36,6 +36,8 @@
 	url: z.url(),
 	/** Whether the upstream rejects orders that carry an old fencing number. */
 	checksFencing: z.boolean().default(false),
+	/** A draining upstream finishes what it runs and gets no new work. */
+	draining: z.boolean().default(false),
 });
 
 const policySchema = z.strictObject({
--- /dev/null
+++ b/packages/settings/src/diff-sites.test.ts
@@ -0,0 +1,62 @@
+import {describe, expect, it} from 'vitest';
+import {checkDocument} from './check-document.js';
+import {documentSchema} from './configuration-schema.js';
+import {diffSites} from './diff-sites.js';
+
+const hash = 'a'.repeat(64);
+
+function document(change: {weight?: number; maxWindow?: number; pool?: string; draining?: boolean} = {}) {
+	return documentSchema.parse({
+		base: {
+			members: {clerks: {weight: change.weight ?? 1, keys: [{sha256: hash, role: 'caller'}]}},
+			pools: {netmodel: {kind: 'engine'}},
+			dataCentres: {north: {region: 'alps'}, south: {region: 'alps'}},
+		},
+		overlays: {
+			north: {
+				upstreams: {'north-1': {pool: change.pool ?? 'netmodel', url: 'http://127.0.0.1:1', draining: change.draining ?? false}},
+				pools: change.maxWindow === undefined ? {} : {netmodel: {maxWindow: change.maxWindow}},
+			},
+		},
+	});
+}
+
+describe('diffSites', () => {
+	describe('with a change of the base', () => {
+		it('names each data centre, so that an operator sees the whole effect', () => {
+			expect(diffSites(document(), document({weight: 2}))).toEqual(['north', 'south'].map(dataCentre => ({
+				dataCentre, changes: [{field: 'members.clerks.weight', before: 1, after: 2}],
+			})));
+		});
+	});
+
+	describe('with a change of an overlay', () => {
+		it('names only that data centre', () => {
+			expect(diffSites(document(), document({maxWindow: 3}))).toEqual([
+				{dataCentre: 'north', changes: [{field: 'pools.netmodel.maxWindow', before: 64, after: 3}]},
+			]);
+		});
+	});
+
+	describe('without a document before', () => {
+		it('never shows a whole key hash', () => {
+			expect(JSON.stringify(diffSites(undefined, document()))).not.toContain(hash);
+		});
+	});
+});
+
+describe('checkDocument', () => {
+	it('accepts a document whose names all exist', () => {
+		expect(checkDocument(document())).toEqual([]);
+	});
+
+	it('finds a pool that does not exist, which would leave an upstream without work', () => {
+		expect(checkDocument(document({pool: 'netmodle'}))).toMatchObject([{part: 'north', field: 'upstreams.north-1.pool', remedy: 'use one of netmodel'}]);
+	});
+
+	it('finds a key that two members share, which would let one act as the other', () => {
+		const shared = document();
+		shared.base.members.others = shared.base.members.clerks!;
+		expect(checkDocument(shared)).toMatchObject([{field: 'members.others.keys.0'}]);
+	});
+});
