Add fakes in virtual time for measurement cases and fuzzing

Cause: the measurement cases and the fuzzer need engines, a store and a network around the decision code, without sockets and with equal runs for equal seeds.

Ruled out: a simulator of a whole cluster. The fakes stand only at the interfaces of the decision code, and `World` decides nothing.

Change: packages/fakes with an event queue in virtual time, a seeded random source, an engine with continuous batching, a table service and an object store with faults, a network between daemons, and `FakeDaemon`, which drives `decide`, carries out its actions, and can be killed, restarted, paused and resumed, also between a decision and its actions. Actions of an unknown kind go to a handler or are recorded as `unhandled-action`.

Conclusion: the fuzzer and the measurement cases can be built on it.

--- /dev/null
+++ b/packages/fakes/src/recorder.ts
@@ -0,0 +1,57 @@
+import type {DaemonAction} from '@cicadapost/decision';
+import type {
+	AttemptFailure, AttemptId, Chunk, DaemonId, Millis, RefusalReason, RequestId, RunOutcome, UpstreamId, VersionSpan,
+} from '@cicadapost/types';
+
+/** What an observer outside the daemons can see. Times are virtual, in milliseconds. */
+export type Observation = Readonly<
+	/** `job` is the `key` of the job, which stays the same when a caller sends it again. */
+	| {kind: 'caller-sent'; daemon: DaemonId; requestId: RequestId; job: string}
+	| {kind: 'caller-chunk'; requestId: RequestId; chunk: Chunk}
+	| {kind: 'caller-completed'; requestId: RequestId; tokens: number; status: number; versions: readonly VersionSpan[]}
+	| {kind: 'caller-failed'; requestId: RequestId; cause: AttemptFailure | RefusalReason; outcome: RunOutcome; retryAfterMs: Millis | undefined}
+	/** The daemon died and the caller's connection with it. */
+	| {kind: 'caller-cut'; requestId: RequestId}
+	| {kind: 'upstream-received'; upstream: UpstreamId; attempt: AttemptId; job: string; resumeFrom: number; isLeaving: boolean; cachedTokens: number}
+	| {kind: 'upstream-ended'; upstream: UpstreamId; attempt: AttemptId; job: string; result: 'finished' | 'cancelled' | 'died'; tokens: number}
+	| {kind: 'upstream-died' | 'upstream-started' | 'upstream-leaving'; upstream: UpstreamId}
+	| {kind: 'upstream-order'; upstream: UpstreamId; fence: number; version: number; result: 'accepted' | 'stale-fence' | 'dead'}
+	| {kind: 'upstream-version'; upstream: UpstreamId; version: number; isFailedSwap: boolean}
+	| {kind: 'row-written'; by: string; table: string; key: string; version: number; value: string}
+	| {kind: 'object-written' | 'object-deleted'; by: string; key: string}
+	| {kind: 'daemon-started' | 'daemon-killed' | 'daemon-paused' | 'daemon-resumed' | 'daemon-stopped'; daemon: DaemonId}
+	| {kind: 'configuration-in-effect'; daemon: DaemonId; version: number}
+	| {kind: 'apply-accepted'; daemon: DaemonId; call: string; version: number}
+	| {kind: 'apply-refused'; daemon: DaemonId; call: string; currentVersion: number}
+	/** The decision code returned an action that no handler is known for. */
+	| {kind: 'unhandled-action'; daemon: DaemonId; action: Readonly<{kind: string}>}
+	| {kind: 'note'; text: string; data?: unknown}
+> & Readonly<{at: Millis}>;
+
+type WithoutTime<Value> = Value extends unknown ? Omit<Value, 'at'> : never;
+
+/** Collects observations in the order in which they happen. */
+export class Recorder {
+	readonly events: Observation[] = [];
+	private readonly listeners: Array<(event: Observation) => void> = [];
+
+	/** With `isKeeping` false only listeners see the observations; long runs need that. */
+	constructor(private readonly now: () => Millis, private readonly isKeeping = true) {}
+
+	listen(listener: (event: Observation) => void): void {
+		this.listeners.push(listener);
+	}
+
+	record(event: WithoutTime<Observation>): void {
+		const observation = {at: this.now(), ...event} as Observation;
+		if (this.isKeeping) {
+			this.events.push(observation);
+		}
+
+		for (const listener of this.listeners) {
+			listener(observation);
+		}
+	}
+}
+
+export type ActionOf<Kind extends DaemonAction['kind']> = Extract<DaemonAction, {kind: Kind}>;
--- /dev/null
+++ b/packages/fakes/src/world.ts
@@ -0,0 +1,117 @@
+import type {
+	DaemonId, RegionId, UpstreamId, VmRecord,
+} from '@cicadapost/types';
+import {FakeDaemon, type FakeDaemonOptions} from './daemon.js';
+import {FakeEngine, type FakeEngineOptions} from './engine.js';
+import {EventQueue} from './event-queue.js';
+import {FakeNetwork, type NetworkOptions, type Place} from './network.js';
+import {Random} from './random.js';
+import {Recorder} from './recorder.js';
+import {FakeObjectStore, FakeTableService} from './store.js';
+
+export type WorldOptions = Readonly<{
+	seed: number;
+	/** Data centre to region. */
+	dataCentres: Readonly<Record<string, string>>;
+	/** Data centre of the table service and the object store; the first one by default. */
+	storeDataCentre?: string;
+	network?: NetworkOptions;
+	/** The VM list shows changes this much later. */
+	vmListLagMs?: number;
+	/** False for long runs that only use `recorder.listen`. */
+	isKeepingRecord?: boolean;
+}>;
+
+/** The fakes of one run. It decides nothing; daemons and engines are added one by one. */
+export class World {
+	readonly queue = new EventQueue();
+	readonly random: Random;
+	readonly recorder: Recorder;
+	readonly network: FakeNetwork;
+	readonly tables: FakeTableService;
+	readonly objects: FakeObjectStore;
+	readonly engines = new Map<UpstreamId, FakeEngine>();
+	readonly daemons = new Map<DaemonId, FakeDaemon>();
+	private vms: readonly VmRecord[] = [];
+
+	constructor(readonly options: WorldOptions) {
+		this.random = new Random(options.seed);
+		this.recorder = new Recorder(() => this.queue.now, options.isKeepingRecord ?? true);
+		this.network = new FakeNetwork(this.queue, this.random.fork(), options.network);
+		this.tables = new FakeTableService({queue: this.queue, random: this.random.fork(), recorder: this.recorder});
+		this.objects = new FakeObjectStore({queue: this.queue, random: this.random.fork(), recorder: this.recorder});
+	}
+
+	get storePlace(): Place {
+		return this.place('store', this.options.storeDataCentre ?? Object.keys(this.options.dataCentres)[0]!);
+	}
+
+	/** The VM list as it is published now. */
+	get vmList(): readonly VmRecord[] {
+		return this.vms;
+	}
+
+	place(node: string, dataCentre: string): Place {
+		return {node, dataCentre, region: this.options.dataCentres[dataCentre] ?? ''};
+	}
+
+	addEngine(options: FakeEngineOptions): FakeEngine {
+		const engine = new FakeEngine({queue: this.queue, random: this.random.fork(), recorder: this.recorder}, options);
+		this.engines.set(options.upstream, engine);
+		return engine;
+	}
+
+	addDaemon(options: Omit<FakeDaemonOptions, 'region'>): FakeDaemon {
+		const daemon = new FakeDaemon(this, {...options, region: this.place('', options.dataCentre).region as RegionId});
+		this.daemons.set(options.daemon, daemon);
+		return daemon;
+	}
+
+	/** Publishes the present daemons and engines after the lag of the VM list. */
+	publishVms(leavingDaemons: readonly DaemonId[] = []): void {
+		const vms: VmRecord[] = [
+			...[...this.daemons.values()].map((daemon): VmRecord => ({
+				id: daemon.daemon, role: 'entry', dataCentre: daemon.dataCentre, state: leavingDaemons.includes(daemon.daemon) ? 'leaving' : 'live', peerAddress: `${daemon.daemon}:1`,
+			})),
+			...[...this.engines.values()].map((engine): VmRecord => ({
+				id: engine.upstream, role: 'upstream', dataCentre: engine.dataCentre, state: engine.isLeaving ? 'leaving' : 'live',
+			})),
+		];
+		this.queue.schedule(this.options.vmListLagMs ?? 0, () => {
+			this.vms = vms;
+		});
+	}
+
+	/** A configuration document for the engines of this world, as JSON. */
+	configuration(options: ConfigurationOptions): string {
+		const engines = [...this.engines.values()];
+		const pools = [...new Set(engines.map(engine => engine.pool))];
+		const overlays = Object.fromEntries(Object.keys(this.options.dataCentres).map(dataCentre => [dataCentre, {
+			upstreams: Object.fromEntries(engines.filter(engine => engine.dataCentre === dataCentre).map(engine => [engine.upstream, {
+				pool: engine.pool, url: `http://${engine.upstream}.invalid`, checksFencing: engine.checksFencing,
+			}])),
+			pools: {},
+			policy: {},
+		}]));
+		return JSON.stringify({
+			base: {
+				members: Object.fromEntries(Object.entries(options.members).map(([name, member]) => [name, {
+					weight: 1, keys: [], maxGroupSamples: 64, ...member,
+				}])),
+				pools: Object.fromEntries(pools.map(pool => [pool, {
+					kind: 'engine', idempotent: true, initialWindow: 8, maxWindow: 64, trainingFloor: 0.2, silenceMs: 5000, ...options.pool,
+				}])),
+				dataCentres: Object.fromEntries(Object.entries(this.options.dataCentres).map(([name, region]) => [name, {region}])),
+				policy: {retryBudget: 0.1, hedgeBudget: 0.05, ...options.policy},
+			},
+			overlays,
+		});
+	}
+}
+
+export type ConfigurationOptions = Readonly<{
+	members: Readonly<Record<string, Readonly<Record<string, unknown>>>>;
+	pool?: Readonly<Record<string, unknown>>;
+	policy?: Readonly<Record<string, unknown>>;
+}>;
+
