--- /dev/null
+++ b/packages/claims/src/answers.ts
@@ -0,0 +1,107 @@
+import {ProblemError} from '@cicadapost/errors';
+import type {Millis, RequestId, VersionSpan} from '@cicadapost/types';
+import type {ClaimRecord} from './claim-record.js';
+
+/** The recorded answer of an earlier call with the same key. */
+export type RecordedAnswer = Readonly<{
+	status: number;
+	contentType: string;
+	tokens: number;
+	versions: readonly VersionSpan[];
+	body: string;
+}>;
+
+type Refusal = Readonly<{kind: 'refuse'; requestId: RequestId; problem: ProblemError}>;
+
+export type ClaimAnswer =
+	| Readonly<{kind: 'replay'; requestId: RequestId; answer: RecordedAnswer}>
+	| Refusal;
+
+/** Time after which a call that met a running one with the same key may ask again. */
+const runningRetryMs: Millis = 1000;
+/** Time after which a call that met an unreachable store may try again. */
+const storeRetryMs: Millis = 2000;
+
+function refuse(requestId: RequestId, problem: ProblemError): Refusal {
+	return {kind: 'refuse', requestId, problem};
+}
+
+export function keyConflict(requestId: RequestId): Refusal {
+	return refuse(requestId, new ProblemError({
+		kind: 'idempotency-conflict',
+		field: 'Idempotency-Key',
+		detail: 'the Idempotency-Key was used with another request',
+		remedy: 'use a new key for each request, and the same key only to repeat a request without a change',
+	}));
+}
+
+export function stillRunning(requestId: RequestId): ClaimAnswer {
+	return refuse(requestId, new ProblemError({
+		kind: 'outcome-unknown',
+		detail: 'a call with this Idempotency-Key was started and has no recorded outcome',
+		remedy: 'ask again with the same key after Retry-After; it is not run a second time',
+		outcome: 'unknown',
+		retryAfterMs: runningRetryMs,
+	}));
+}
+
+export function storeUnavailable(requestId: RequestId): ClaimAnswer {
+	return refuse(requestId, new ProblemError({
+		kind: 'store-unavailable',
+		detail: 'the claim could not be stored, so this call has not run; an earlier call with the same key may have',
+		remedy: 'send it again with the same key after Retry-After',
+		outcome: 'not-run',
+		retryAfterMs: storeRetryMs,
+	}));
+}
+
+export function tooLate(requestId: RequestId): ClaimAnswer {
+	return refuse(requestId, new ProblemError({
+		kind: 'store-unavailable',
+		detail: 'the claim was stored too late to send the request, so it has not run',
+		remedy: 'send it again with the same key after Retry-After',
+		outcome: 'not-run',
+		retryAfterMs: runningRetryMs,
+	}));
+}
+
+/** The answer to a repeat, from the record of the earlier call; undefined if the key may be claimed again. */
+export function answerFrom(requestId: RequestId, bodyHash: string, record: ClaimRecord): ClaimAnswer | undefined {
+	// A call that never ran leaves no outcome that a changed body could contradict.
+	if (record.state === 'not-run') {
+		return undefined;
+	}
+
+	if (record.bodyHash !== bodyHash) {
+		return keyConflict(requestId);
+	}
+
+	if (record.state === 'claimed') {
+		return stillRunning(requestId);
+	}
+
+	if (record.state === 'failed') {
+		return refuse(requestId, new ProblemError({
+			kind: record.outcome === 'ran' ? 'upstream-rejected' : 'outcome-unknown',
+			detail: `the earlier call with this key failed: ${record.detail}`,
+			remedy: 'find out whether it took effect before you send it with a new key',
+			outcome: record.outcome,
+		}));
+	}
+
+	const {status, contentType, tokens, versions, body} = record;
+	if (body === undefined) {
+		return refuse(requestId, new ProblemError({
+			kind: 'outcome-unknown',
+			detail: `the earlier call with this key finished with status ${status}; its answer was too long to be kept`,
+			remedy: 'do not send it again; it has run',
+			outcome: 'ran',
+		}));
+	}
+
+	return {
+		kind: 'replay', requestId, answer: {
+			status, contentType, tokens, versions, body,
+		},
+	};
+}
--- /dev/null
+++ b/packages/claims/src/claims.test.ts
@@ -0,0 +1,391 @@
+import {ProblemError} from '@cicadapost/errors';
+import type {
+	Fingerprint, MemberId, PoolId, Request, RequestId, RowAnswer,
+} from '@cicadapost/types';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	claimValidMs, createClaims, decideClaims, isClaimsIdle, maxOpenClaims, settleMs, type ClaimsAction, type ClaimsEvent, type ClaimsState,
+} from './claims.js';
+import {releaseKey, createKeyGuard, takeKey} from './key-guard.js';
+
+function requestOf(requestId: string, key: string, bodyHash = 'h'): Request {
+	return {
+		requestId: requestId as RequestId,
+		member: 'crew' as MemberId,
+		requestClass: 'live',
+		pool: 'callout' as PoolId,
+		promptTokens: 1,
+		maxTokens: 1,
+		idempotent: false,
+		fingerprint: 'f' as Fingerprint,
+		prefixKey: 'p',
+		payload: {
+			method: 'POST', path: '/', contentType: 'text/plain', body: '',
+		},
+		deadlineAt: 60_000,
+		idempotencyKey: key,
+		bodyHash,
+		mixedVersions: false,
+	};
+}
+
+type Row = {version: number; value: string};
+
+/** A table with compare-and-set. */
+class Store {
+	readonly rows = new Map<string, Row>();
+
+	answer(action: ClaimsAction): RowAnswer {
+		if (action.kind === 'read-row') {
+			const row = this.rows.get(action.key);
+			return row === undefined ? {kind: 'absent'} : {kind: 'row', ...row};
+		}
+
+		if (action.kind !== 'write-row') {
+			throw new Error(`not a call: ${action.kind}`);
+		}
+
+		const row = this.rows.get(action.key) ?? {version: 0, value: ''};
+		if (row.version !== action.expectedVersion) {
+			return {kind: 'conflict', ...row};
+		}
+
+		this.rows.set(action.key, {version: row.version + 1, value: action.value});
+		return {kind: 'written', version: row.version + 1};
+	}
+}
+
+/** Claims of one daemon whose calls to `store` succeed unless `isLost` says otherwise. */
+class Daemon {
+	readonly state: ClaimsState;
+	readonly log: ClaimsAction[] = [];
+	now = 0;
+	/** Whether an answer is lost; the write takes effect all the same. */
+	isLost: (action: ClaimsAction) => boolean = () => false;
+	isDown = false;
+
+	constructor(private readonly store: Store, private readonly name: string) {
+		this.state = createClaims(name);
+	}
+
+	claim(requestId: string, key: string, bodyHash?: string): ClaimsAction | undefined {
+		this.post({kind: 'claim', request: requestOf(requestId, key, bodyHash), nonce: `${this.name}.${requestId}`});
+		return this.log.findLast(action => action.kind === 'claimed' || action.kind === 'refuse' || action.kind === 'replay');
+	}
+
+	post(event: ClaimsEvent): void {
+		for (const action of decideClaims(this.state, event, this.now).actions) {
+			if (action.kind === 'read-row' || action.kind === 'write-row') {
+				const answer: RowAnswer = this.isDown ? {kind: 'unavailable'} : this.store.answer(action);
+				this.post({kind: 'answer', call: action.call, answer: this.isLost(action) ? {kind: 'unavailable'} : answer});
+			} else {
+				this.log.push(action);
+			}
+		}
+	}
+
+	finish(requestId: string, text: string): void {
+		this.post({kind: 'text', requestId: requestId as RequestId, text});
+		this.post({
+			kind: 'ended', requestId: requestId as RequestId, end: {
+				kind: 'finished', status: 201, contentType: 'text/plain', tokens: 1, versions: [],
+			},
+		});
+	}
+}
+
+function problemOf(action: ClaimsAction | undefined): ProblemError {
+	expect(action?.kind).toBe('refuse');
+	return (action as Extract<ClaimsAction, {kind: 'refuse'}>).problem;
+}
+
+describe('decideClaims', () => {
+	describe('with a repeat through another daemon', () => {
+		it('gives the recorded answer, so that the call-out does not run twice', () => {
+			const store = new Store();
+			const [first, second] = [new Daemon(store, 'a'), new Daemon(store, 'b')];
+			expect(first.claim('r1', 'k')?.kind).toBe('claimed');
+			first.finish('r1', 'called');
+			expect(second.claim('r2', 'k')).toEqual({
+				kind: 'replay', requestId: 'r2', answer: {
+					status: 201, contentType: 'text/plain', tokens: 1, versions: [], body: 'called',
+				},
+			});
+		});
+
+		it('says unknown while the first call has no outcome', () => {
+			const store = new Store();
+			new Daemon(store, 'a').claim('r1', 'k');
+			const problem = problemOf(new Daemon(store, 'b').claim('r2', 'k'));
+			expect([problem.outcome, problem.retryAfterMs !== undefined]).toEqual(['unknown', true]);
+		});
+
+		it('refuses another body as a conflict', () => {
+			const store = new Store();
+			new Daemon(store, 'a').claim('r1', 'k');
+			const problem = problemOf(new Daemon(store, 'b').claim('r2', 'k', 'other'));
+			expect([problem.kind, problem.status, problem.field]).toEqual(['idempotency-conflict', 409, 'Idempotency-Key']);
+		});
+
+		it('lets the key be claimed again after a call that did not run, so that Retry-After is honest', () => {
+			const store = new Store();
+			const first = new Daemon(store, 'a');
+			first.claim('r1', 'k');
+			first.post({kind: 'ended', requestId: 'r1' as RequestId, end: {kind: 'failed', problem: new ProblemError({kind: 'overloaded', detail: 'd', remedy: 'r'})}});
+			expect(new Daemon(store, 'b').claim('r2', 'k')?.kind).toBe('claimed');
+		});
+
+		it('says that the call ran when its answer was too long to be kept', () => {
+			const store = new Store();
+			const first = new Daemon(store, 'a');
+			first.claim('r1', 'k');
+			first.finish('r1', 'x'.repeat(100_000));
+			expect(problemOf(new Daemon(store, 'b').claim('r2', 'k')).outcome).toBe('ran');
+		});
+	});
+
+	describe('with a lost answer of the store', () => {
+		it('reads the row back and goes on if it holds the own nonce', () => {
+			const daemon = new Daemon(new Store(), 'a');
+			daemon.isLost = action => action.kind === 'write-row';
+			expect(daemon.claim('r1', 'k')?.kind).toBe('claimed');
+		});
+
+		it('does not take the row of another call for its own', () => {
+			const store = new Store();
+			new Daemon(store, 'a').claim('r1', 'k');
+			const second = new Daemon(store, 'b');
+			second.isLost = action => action.kind === 'write-row';
+			expect(problemOf(second.claim('r2', 'k')).outcome).toBe('unknown');
+		});
+	});
+
+	describe('with the store down', () => {
+		it('refuses at once as not-run with Retry-After', () => {
+			const daemon = new Daemon(new Store(), 'a');
+			daemon.isDown = true;
+			const problem = problemOf(daemon.claim('r1', 'k'));
+			expect([problem.kind, problem.outcome, problem.retryAfterMs !== undefined]).toEqual(['store-unavailable', 'not-run', true]);
+		});
+
+		it('refuses a claim that the store does not answer, so that the caller does not wait for its deadline', () => {
+			const state = createClaims('a');
+			decideClaims(state, {kind: 'claim', request: requestOf('r1', 'k'), nonce: 'n'}, 0);
+			const {actions} = decideClaims(state, {kind: 'tick'}, settleMs);
+			expect(problemOf(actions[0]).outcome).toBe('not-run');
+		});
+
+		it('answers a repeat from memory and stores the outcome when the store is back', () => {
+			const store = new Store();
+			const daemon = new Daemon(store, 'a');
+			daemon.claim('r1', 'k');
+			daemon.isDown = true;
+			daemon.finish('r1', 'called');
+			expect(daemon.claim('r2', 'k')?.kind).toBe('replay');
+			daemon.isDown = false;
+			daemon.now = 10_000;
+			daemon.post({kind: 'tick'});
+			expect(new Daemon(store, 'b').claim('r3', 'k')?.kind).toBe('replay');
+			expect(isClaimsIdle(daemon.state)).toBe(true);
+		});
+
+		it('keeps a bounded number of outcomes and refuses further claims instead of dropping one', () => {
+			const daemon = new Daemon(new Store(), 'a');
+			for (let index = 0; index < maxOpenClaims; index++) {
+				daemon.claim(`r${index}`, `k${index}`);
+			}
+
+			expect(problemOf(daemon.claim('more', 'more')).outcome).toBe('not-run');
+			expect(daemon.state.claims.size).toBe(maxOpenClaims);
+		});
+	});
+
+	describe('with a claimant that gave up', () => {
+		it('leaves the row of a later call alone, or a third call could run beside it', () => {
+			const store = new Store();
+			const first = new Daemon(store, 'a');
+			first.isDown = true;
+			first.claim('r1', 'k');
+			new Daemon(store, 'b').claim('r2', 'k');
+			first.isDown = false;
+			first.now = 10_000;
+			first.post({kind: 'tick'});
+			expect(problemOf(new Daemon(store, 'c').claim('r3', 'k')).outcome).toBe('unknown');
+			expect(isClaimsIdle(first.state)).toBe(true);
+		});
+	});
+
+	describe('with a claimant that is late', () => {
+		it('counts from the request of the claim and leaves the row as not-run', () => {
+			const store = new Store();
+			const state = createClaims('a');
+			const [write] = decideClaims(state, {kind: 'claim', request: requestOf('r1', 'k'), nonce: 'n'}, 0).actions;
+			const answer = store.answer(write!);
+			const {actions} = decideClaims(state, {kind: 'answer', call: (write as Extract<ClaimsAction, {kind: 'write-row'}>).call, answer}, claimValidMs);
+			expect(problemOf(actions[0]).outcome).toBe('not-run');
+			store.answer(actions[1]!);
+			expect(new Daemon(store, 'b').claim('r2', 'k')?.kind).toBe('claimed');
+		});
+	});
+
+	describe('in random histories of two daemons and one store', () => {
+		const step = fc.record({
+			kind: fc.constantFrom('claim', 'claim', 'apply', 'apply', 'apply', 'answer', 'answer', 'answer', 'lose', 'repeat', 'finish', 'decline', 'tick'),
+			daemon: fc.nat(1),
+			pick: fc.nat(7),
+			wait: fc.constantFrom(0, 1, 300, 1000, 9000),
+		});
+
+		it('opens a key at most once, says not-run only of calls that did not open, and answers each call at most once', () => {
+			fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
+				const history = new History();
+				for (const {kind, daemon, pick, wait} of steps) {
+					history.now += wait;
+					history.step(kind, daemon, pick);
+				}
+
+				history.check();
+			}), {numRuns: 3000, seed: 20_261});
+		});
+	});
+});
+
+type Call = {action: ClaimsAction; daemon: number; answer: RowAnswer | undefined};
+
+/** Two daemons with calls that take effect and are answered in any order, twice, or without an answer. */
+class History {
+	now = 0;
+	private readonly store = new Store();
+	private readonly states = [createClaims('a'), createClaims('b')];
+	private readonly calls: Call[] = [];
+	private readonly opened: Array<{requestId: string; daemon: number; hasEnded: boolean; isKnownNotRun: boolean}> = [];
+	private readonly answers: Array<{requestId: string; outcome: string}> = [];
+	private requests = 0;
+
+	step(kind: string, daemon: number, pick: number): void {
+		const call = this.calls[pick % Math.max(1, this.calls.length)];
+		switch (kind) {
+			case 'claim': {
+				const requestId = `r${this.requests++}`;
+				this.post(daemon, {kind: 'claim', request: requestOf(requestId, 'k', pick === 0 ? 'other' : 'h'), nonce: `${daemon}.${requestId}`});
+				break;
+			}
+
+			case 'apply': {
+				if (call !== undefined) {
+					call.answer ??= this.store.answer(call.action);
+				}
+
+				break;
+			}
+
+			case 'answer': {
+				if (call !== undefined) {
+					call.answer ??= this.store.answer(call.action);
+					this.settle(call, call.answer);
+				}
+
+				break;
+			}
+
+			// The answer is lost; the write may still take effect later.
+			case 'lose': {
+				if (call !== undefined) {
+					this.settle(call, {kind: 'unavailable'}, call.answer === undefined);
+				}
+
+				break;
+			}
+
+			case 'repeat': {
+				if (call?.answer !== undefined) {
+					this.settle(call, call.answer, true);
+				}
+
+				break;
+			}
+
+			case 'finish':
+			case 'decline': {
+				this.end(kind === 'finish', pick);
+				break;
+			}
+
+			default: {
+				this.post(daemon, {kind: 'tick'});
+			}
+		}
+	}
+
+	check(): void {
+		const ran = this.opened.filter(entry => !entry.isKnownNotRun);
+		expect(ran.length).toBeLessThanOrEqual(1);
+		const refused = new Set(this.answers.filter(({outcome}) => outcome === 'not-run').map(({requestId}) => requestId));
+		expect(this.opened.filter(({requestId}) => refused.has(requestId))).toEqual([]);
+		expect(new Set(this.answers.map(({requestId}) => requestId)).size).toBe(this.answers.length);
+	}
+
+	private settle(call: Call, answer: RowAnswer, keep = false): void {
+		if (!keep) {
+			this.calls.splice(this.calls.indexOf(call), 1);
+		}
+
+		this.post(call.daemon, {kind: 'answer', call: (call.action as Extract<ClaimsAction, {kind: 'write-row'}>).call, answer});
+	}
+
+	private end(hasRun: boolean, pick: number): void {
+		const running = this.opened.filter(entry => !entry.hasEnded);
+		const entry = running[pick % Math.max(1, running.length)];
+		if (entry === undefined) {
+			return;
+		}
+
+		entry.hasEnded = true;
+		entry.isKnownNotRun = !hasRun;
+		this.post(entry.daemon, {
+			kind: 'ended', requestId: entry.requestId as RequestId, end: hasRun
+				? {
+					kind: 'finished', status: 200, contentType: 't', tokens: 1, versions: [],
+				}
+				: {kind: 'failed', problem: new ProblemError({kind: 'overloaded', detail: 'd', remedy: 'r'})},
+		});
+	}
+
+	private post(daemon: number, event: ClaimsEvent): void {
+		for (const action of decideClaims(this.states[daemon]!, event, this.now).actions) {
+			if (action.kind === 'claimed') {
+				expect(this.now).toBeLessThan(action.sendBy);
+				this.opened.push({
+					requestId: action.request.requestId, daemon, hasEnded: false, isKnownNotRun: false,
+				});
+			} else if (action.kind === 'refuse' || action.kind === 'replay') {
+				this.answers.push({requestId: action.requestId, outcome: action.kind === 'replay' ? 'replay' : action.problem.outcome});
+			} else {
+				this.calls.push({action, daemon, answer: undefined});
+			}
+		}
+	}
+}
+
+describe('takeKey', () => {
+	const options = {...requestOf('r1', 'k'), idempotent: true};
+	const repeat = {...options, requestId: 'r2' as RequestId};
+
+	it('refuses a second run of the same key while the first is running', () => {
+		const guard = createKeyGuard();
+		expect(takeKey(guard, options, 0)).toBeUndefined();
+		const problem = takeKey(guard, repeat, 1);
+		expect([problem?.status, problem?.outcome, problem?.retryAfterMs]).toEqual([409, 'unknown', 1000]);
+		releaseKey(guard, 'r1' as RequestId, 2);
+		expect(takeKey(guard, repeat, 3)).toBeUndefined();
+	});
+
+	it('refuses a key that was used with another body, and names the field', () => {
+		const guard = createKeyGuard();
+		takeKey(guard, options, 0);
+		releaseKey(guard, 'r1' as RequestId, 1);
+		const problem = takeKey(guard, {...repeat, bodyHash: 'other'}, 2);
+		expect([problem?.status, problem?.outcome, problem?.field]).toEqual([409, 'not-run', 'Idempotency-Key']);
+	});
+});
--- /dev/null
+++ b/packages/claims/src/key-guard.ts
@@ -0,0 +1,85 @@
+/** The use of idempotency keys by idempotent requests, within one daemon. */
+
+import {ProblemError} from '@cicadapost/errors';
+import type {Millis, Request, RequestId} from '@cicadapost/types';
+import {keyConflict} from './answers.js';
+import {claimKey} from './claim-record.js';
+
+type KeyUse = Readonly<{
+	bodyHash: string;
+	requestId: RequestId;
+	isRunning: boolean;
+	forgetAt: Millis;
+}>;
+
+export type KeyGuardState = {
+	/** Oldest first. */
+	uses: Map<string, KeyUse>;
+	keyOf: Map<RequestId, string>;
+};
+
+/** A key whose request has ended is remembered for this long, so that its use with another body is noticed. */
+export const keyMemoryMs: Millis = 600_000;
+/** Most keys of ended requests that are remembered; at about 200 bytes each this is 2 MB. */
+const maxRemembered = 10_000;
+const runningRetryMs: Millis = 1000;
+
+export function createKeyGuard(): KeyGuardState {
+	return {uses: new Map(), keyOf: new Map()};
+}
+
+function limitMemory(state: KeyGuardState, now: Millis): void {
+	for (const [key, use] of state.uses) {
+		if (state.uses.size <= maxRemembered && use.forgetAt > now) {
+			return;
+		}
+
+		if (!use.isRunning) {
+			state.uses.delete(key);
+		}
+	}
+}
+
+/** Takes the key for `request`. Returns the refusal if the key is in use or was used with another body. */
+export function takeKey(state: KeyGuardState, request: Request, now: Millis): ProblemError | undefined {
+	if (request.idempotencyKey === undefined) {
+		return undefined;
+	}
+
+	const key = claimKey(request.member, request.idempotencyKey);
+	const use = state.uses.get(key);
+	const isRemembered = use !== undefined && (use.isRunning || use.forgetAt > now);
+	if (isRemembered && use.bodyHash !== request.bodyHash) {
+		return keyConflict(request.requestId).problem;
+	}
+
+	if (isRemembered && use.isRunning) {
+		return new ProblemError({
+			kind: 'idempotency-conflict',
+			field: 'Idempotency-Key',
+			detail: 'a request with this Idempotency-Key is running',
+			remedy: 'wait for its answer, or ask again with the same key after Retry-After',
+			outcome: 'unknown',
+			retryAfterMs: runningRetryMs,
+		});
+	}
+
+	state.uses.delete(key);
+	state.uses.set(key, {
+		bodyHash: request.bodyHash, requestId: request.requestId, isRunning: true, forgetAt: now + keyMemoryMs,
+	});
+	state.keyOf.set(request.requestId, key);
+	limitMemory(state, now);
+	return undefined;
+}
+
+/** The request has ended; its key may be used again for the same body. */
+export function releaseKey(state: KeyGuardState, requestId: RequestId, now: Millis): void {
+	const key = state.keyOf.get(requestId);
+	const use = key === undefined ? undefined : state.uses.get(key);
+	state.keyOf.delete(requestId);
+	if (key !== undefined && use?.requestId === requestId) {
+		state.uses.delete(key);
+		state.uses.set(key, {...use, isRunning: false, forgetAt: now + keyMemoryMs});
+	}
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {ApiServer, type ApplyAnswer} from '@cicadapost/api';
 import {
-	createDaemonState, decide, type DaemonAction, type DaemonEvent, type DaemonState,
+	createDaemonState, decide, hasWaitingFrames, type DaemonAction, type DaemonEvent, type DaemonState,
 } from '@cicadapost/decision';
 import {type UpstreamConnections} from '@cicadapost/engines';
 import {type Logger} from '@cicadapost/observability';
@@ -18,6 +18,8 @@
 import {tokens} from './tokens.js';
 
 const tickMs = 50;
+/** Tokens of relayed streams wait at most this long for a frame. */
+const relayFlushMs = 20;
 const vmListIntervalMs = 1000;
 
 /** One daemon: hands events to the decision code and carries out its actions. */
@@ -89,6 +91,10 @@
 		this.timers.push(setInterval(() => {
 			this.post({kind: 'tick'});
 		}, tickMs), setInterval(() => {
+			if (hasWaitingFrames(this.state.relays)) {
+				this.post({kind: 'flush-relays'});
+			}
+		}, relayFlushMs), setInterval(() => {
 			void this.readVmList();
 		}, vmListIntervalMs));
 		void this.readVmList();
@@ -136,7 +142,11 @@
 	private apply(action: DaemonAction): void {
 		switch (action.kind) {
 			case 'send': {
-				this.peers.send(action.to, action.message);
+				const isSent = this.peers.send(action.to, action.message);
+				if (!isSent && action.message.kind === 'relay') {
+					this.post({kind: 'relay-unsent', attempt: action.message.attempt});
+				}
+
 				break;
 			}
 
@@ -213,7 +223,7 @@
 	}
 
 	private openAttempt(action: Extract<DaemonAction, {kind: 'open-attempt'}>): void {
-		const {attempt, payload, resumeFrom} = action;
+		const {attempt, payload, resumeFrom, notAfter} = action;
 		const upstream = this.site?.upstreams[action.upstream];
 		if (upstream === undefined) {
 			this.post({
@@ -229,6 +239,7 @@
 			url: upstream.url,
 			resumeFrom,
 			silenceMs: this.site?.pools[upstream.pool]?.silenceMs ?? 5000,
+			maySend: () => this.clock.now() < notAfter,
 			signal: controller.signal,
 		}, report => {
 			if (report.kind === 'finished' || report.kind === 'failed') {
--- /dev/null
+++ b/packages/decision/src/at-most-once.test.ts
@@ -0,0 +1,316 @@
+import {retryAfterSeconds} from '@cicadapost/errors';
+import {documentSchema} from '@cicadapost/settings';
+import type {
+	DaemonId, DataCentreId, Fingerprint, MemberId, PeerMessage, PoolId, RegionId, Request, RequestId, RowAnswer,
+} from '@cicadapost/types';
+import {describe, expect, it} from 'vitest';
+import {createDaemonState, type DaemonState} from './daemon-state.js';
+import {decide} from './decide.js';
+import type {DaemonAction, DaemonEvent} from './events.js';
+
+const home = 'home' as DataCentreId;
+const away = 'away' as DataCentreId;
+const self = 'self' as DaemonId;
+const peer = 'peer' as DaemonId;
+
+function documentOf(upstreams: Readonly<Record<string, readonly string[]>>): string {
+	return JSON.stringify(documentSchema.parse({
+		base: {members: {}, pools: {model: {kind: 'engine'}}, dataCentres: {home: {region: 'r'}, away: {region: 'r'}}},
+		overlays: Object.fromEntries(Object.entries(upstreams).map(([name, list]) => [name, {
+			upstreams: Object.fromEntries(list.map(upstream => [upstream, {pool: 'model', url: 'http://127.0.0.1:1'}])),
+		}])),
+	}));
+}
+
+function requestOf(options: Partial<Request> = {}): Request {
+	return {
+		requestId: 'r' as RequestId,
+		member: 'm' as MemberId,
+		requestClass: 'live',
+		pool: 'model' as PoolId,
+		promptTokens: 1,
+		maxTokens: 4,
+		idempotent: true,
+		fingerprint: 'f' as Fingerprint,
+		prefixKey: 'p',
+		payload: {
+			method: 'POST', path: '/', contentType: 'text/plain', body: '',
+		},
+		deadlineAt: 30_000,
+		bodyHash: 'h',
+		mixedVersions: false,
+		...options,
+	};
+}
+
+const twoAtHome = {home: ['u1', 'u2']};
+const once = {idempotent: false, idempotencyKey: 'k'} as const;
+
+/** One daemon whose actions are collected. Store calls wait until the test answers them. */
+class Bench {
+	readonly actions: DaemonAction[] = [];
+	now = 1000;
+	private state: DaemonState;
+
+	constructor(upstreams: Readonly<Record<string, readonly string[]>> = twoAtHome) {
+		this.state = createDaemonState({
+			self, dataCentre: home, region: 'r' as RegionId, incarnation: 1,
+		});
+		this.message({kind: 'configuration', version: 1, document: documentOf(upstreams)});
+		if (upstreams.away !== undefined) {
+			this.message({
+				kind: 'heartbeat', dataCentre: away, incarnation: 1, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+			});
+		}
+	}
+
+	post(event: DaemonEvent): void {
+		const outcome = decide(this.state, event, this.now);
+		this.state = outcome.state;
+		this.actions.push(...outcome.actions);
+	}
+
+	message(message: PeerMessage): void {
+		this.post({kind: 'message', from: peer, message});
+	}
+
+	heartbeat(): void {
+		this.message({
+			kind: 'heartbeat', dataCentre: away, incarnation: 1, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+		});
+	}
+
+	of<Kind extends DaemonAction['kind']>(kind: Kind): Array<Extract<DaemonAction, {kind: Kind}>> {
+		return this.actions.filter(action => action.kind === kind) as Array<Extract<DaemonAction, {kind: Kind}>>;
+	}
+
+	sent<Kind extends PeerMessage['kind']>(kind: Kind): Array<Extract<PeerMessage, {kind: Kind}>> {
+		return this.of('send').map(({message}) => message).filter(message => message.kind === kind) as Array<Extract<PeerMessage, {kind: Kind}>>;
+	}
+
+	/** Answers the last call to the claims table. */
+	store(answer: RowAnswer): void {
+		const call = this.actions.findLast(action => (action.kind === 'write-row' || action.kind === 'read-row') && action.table === 'claims');
+		this.post({kind: 'row-answer', call: (call as Extract<DaemonAction, {kind: 'read-row'}>).call, answer});
+	}
+
+	get opened() {
+		return this.of('open-attempt');
+	}
+
+	get attempt() {
+		return this.opened.at(-1)!.attempt;
+	}
+
+	get failure() {
+		const failures = this.of('fail');
+		expect(failures).toHaveLength(1);
+		return failures[0]!.problem;
+	}
+}
+
+describe('a non-idempotent request', () => {
+	describe('with its claim', () => {
+		it('is opened only after the claim is stored, and carries the time until which it may be sent', () => {
+			const bench = new Bench();
+			bench.post({kind: 'request', request: requestOf(once)});
+			expect(bench.opened).toEqual([]);
+			bench.now = 1500;
+			bench.store({kind: 'written', version: 1});
+			expect(bench.opened.map(({notAfter}) => notAfter)).toEqual([11_000]);
+		});
+
+		it('is refused as not-run at once when the store can not be reached', () => {
+			const bench = new Bench();
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.store({kind: 'unavailable'});
+			bench.store({kind: 'unavailable'});
+			expect([bench.failure.outcome, bench.opened.length]).toEqual(['not-run', 0]);
+			expect(retryAfterSeconds(bench.failure.retryAfterMs!)).toBeGreaterThan(0);
+		});
+
+		it('is not sent by a daemon that was paused until after sendBy, and says so', () => {
+			const bench = new Bench({home: ['u1']});
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.now = 12_000;
+			bench.store({kind: 'written', version: 1});
+			expect([bench.failure.outcome, bench.opened.length]).toEqual(['not-run', 0]);
+		});
+
+		it('records what it answered, and runs on without its caller', () => {
+			const bench = new Bench();
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.store({kind: 'written', version: 1});
+			bench.post({kind: 'attempt-sent', attempt: bench.attempt});
+			bench.post({kind: 'caller-left', requestId: 'r' as RequestId});
+			expect(bench.of('cancel-attempt')).toEqual([]);
+			bench.post({
+				kind: 'attempt-chunk', attempt: bench.attempt, chunk: {
+					offset: 0, tokens: 1, text: 'done', version: 0,
+				},
+			});
+			bench.post({
+				kind: 'attempt-finished', attempt: bench.attempt, tokens: 1, status: 201, contentType: 'text/plain',
+			});
+			const row = bench.of('write-row').at(-1)!;
+			expect([row.expectedVersion, JSON.parse(row.value)]).toMatchObject([1, {state: 'finished', status: 201, body: 'done'}]);
+		});
+	});
+
+	describe('with a failed attempt', () => {
+		const failures = ['silent', 'upstream-died', 'server-error'] as const;
+
+		it.each(failures)('is not sent a second time after "%s", and ends as unknown without Retry-After', failure => {
+			const bench = new Bench();
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.store({kind: 'written', version: 1});
+			bench.post({kind: 'attempt-sent', attempt: bench.attempt});
+			bench.post({
+				kind: 'attempt-failed', attempt: bench.attempt, failure, sent: true,
+			});
+			expect([bench.opened.length, bench.failure.outcome, bench.failure.retryAfterMs]).toEqual([1, 'unknown', undefined]);
+		});
+
+		it('is sent to another upstream when the first refused the connection, since no byte left', () => {
+			const bench = new Bench();
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.store({kind: 'written', version: 1});
+			bench.post({
+				kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
+			});
+			expect(new Set(bench.opened.map(({upstream}) => upstream)).size).toBe(2);
+		});
+	});
+
+	describe('with a repeated grant', () => {
+		it('is opened once, since the second grant would run it again', () => {
+			const bench = new Bench();
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.store({kind: 'written', version: 1});
+			const {attempt, upstream} = bench.opened[0]!;
+			bench.message({kind: 'grant', attempt, upstream});
+			expect(bench.opened).toHaveLength(1);
+		});
+	});
+
+	describe('relayed to this daemon', () => {
+		const relay: PeerMessage = {
+			kind: 'relay', attempt: 'a.0' as never, request: requestOf(once), payload: requestOf().payload, remainingMs: 5000, sendWithinMs: 2000, resumeFrom: 0, mixedVersions: false,
+		};
+
+		it('runs once when the frame comes twice, also after it has ended', () => {
+			const bench = new Bench();
+			bench.message(relay);
+			bench.message(relay);
+			bench.post({
+				kind: 'attempt-failed', attempt: bench.attempt, failure: 'upstream-died', sent: true,
+			});
+			bench.message(relay);
+			expect(bench.opened.map(({notAfter}) => notAfter)).toEqual([3000]);
+			expect(bench.sent('relay-failed').map(({sent}) => sent)).toEqual([true]);
+		});
+
+		it('does not run when its cancel came first', () => {
+			const bench = new Bench();
+			bench.message({kind: 'cancel-relay', attempt: 'a.0' as never});
+			bench.message(relay);
+			expect(bench.opened).toEqual([]);
+		});
+	});
+});
+
+describe('the outcome that a caller is told', () => {
+	const cases = ['open', 'sent'] as const;
+
+	it.each(cases)('is unknown at the deadline when the attempt was in state "%s", since a byte may have left', state => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf()});
+		if (state === 'sent') {
+			bench.post({kind: 'attempt-sent', attempt: bench.attempt});
+		}
+
+		bench.now = 30_000;
+		bench.post({kind: 'tick'});
+		expect([bench.failure.kind, bench.failure.outcome]).toEqual(['deadline-passed', 'unknown']);
+		expect(bench.of('cancel-attempt')).toHaveLength(1);
+	});
+
+	it('is not-run when each upstream refused the connection', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf()});
+		for (let index = 0; index < 2; index++) {
+			bench.post({
+				kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
+			});
+		}
+
+		expect([bench.failure.outcome, bench.failure.retryAfterMs !== undefined]).toEqual(['not-run', true]);
+	});
+
+	it('stays unknown when a later attempt was not sent', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf()});
+		bench.post({
+			kind: 'attempt-failed', attempt: bench.attempt, failure: 'upstream-died', sent: true,
+		});
+		bench.post({
+			kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
+		});
+		expect(bench.failure.outcome).toBe('unknown');
+	});
+
+	describe('of a relay', () => {
+		const upstreams = {home: [], away: ['v1']};
+
+		it('is not-run when the relay was never handed to a connection', () => {
+			const bench = new Bench(upstreams);
+			bench.post({kind: 'request', request: requestOf()});
+			bench.post({kind: 'relay-unsent', attempt: bench.sent('relay')[0]!.attempt});
+			expect(bench.failure.outcome).toBe('not-run');
+		});
+
+		it('is unknown when its daemon is lost', () => {
+			const bench = new Bench(upstreams);
+			bench.post({kind: 'request', request: requestOf()});
+			bench.now += 3100;
+			bench.post({kind: 'tick'});
+			expect(bench.failure.outcome).toBe('unknown');
+		});
+
+		it('is unknown at once when its daemon lives and the relay is silent', () => {
+			const bench = new Bench(upstreams);
+			bench.post({kind: 'request', request: requestOf()});
+			bench.now += 2000;
+			bench.heartbeat();
+			bench.post({kind: 'tick'});
+			expect(bench.failure.outcome).toBe('unknown');
+			expect(bench.sent('cancel-relay')).toHaveLength(1);
+		});
+
+		it('is what the other daemon reports', () => {
+			const bench = new Bench(upstreams);
+			bench.post({kind: 'request', request: requestOf()});
+			bench.message({
+				kind: 'relay-failed', attempt: bench.sent('relay')[0]!.attempt, failure: 'overloaded', sent: false, retryAfterMs: 3000,
+			});
+			expect([bench.failure.outcome, bench.failure.retryAfterMs]).toEqual(['not-run', 3000]);
+		});
+	});
+});
+
+describe('a request with an Idempotency-Key', () => {
+	it('is not run beside another one with the same key', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf({idempotencyKey: 'k'})});
+		bench.post({kind: 'request', request: requestOf({idempotencyKey: 'k', requestId: 'r2' as RequestId})});
+		expect([bench.opened.length, bench.failure.status]).toEqual([1, 409]);
+	});
+});
+
+describe('a grant for an attempt that has ended', () => {
+	it('is released at its owner, or the slot stays taken', () => {
+		const bench = new Bench();
+		bench.message({kind: 'grant', attempt: 'old.0' as never, upstream: 'u1' as never});
+		expect(bench.sent('release')).toMatchObject([{attempt: 'old.0', shard: 'home/model/0', result: 'cancelled'}]);
+	});
+});
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -1,3 +1,6 @@
+import {
+	createClaims, createKeyGuard, type ClaimsState, type KeyGuardState,
+} from '@cicadapost/claims';
 import {createConfiguration, type ConfigurationState} from '@cicadapost/configuration';
 import {createMembership, type MembershipState} from '@cicadapost/membership';
 import {createRouter, type RouterState} from '@cicadapost/routing';
@@ -6,6 +9,7 @@
 import type {
 	Acquire, AttemptId, DaemonId, DataCentreId, RegionId, RequestId, ShardId,
 } from '@cicadapost/types';
+import {createRelays, type RelaysState} from './relays.js';
 
 /** Where the result of a request goes. */
 export type Origin =
@@ -28,6 +32,10 @@
 	configuration: ConfigurationState;
 	site: SiteConfiguration | undefined;
 	router: RouterState;
+	claims: ClaimsState;
+	/** Idempotency keys of idempotent requests. */
+	keys: KeyGuardState;
+	relays: RelaysState;
 	/** Shards that this daemon owns. */
 	schedulers: Map<ShardId, SchedulerState>;
 	origins: Map<RequestId, Origin>;
@@ -53,6 +61,9 @@
 		configuration: createConfiguration(),
 		site: undefined,
 		router: createRouter(),
+		claims: createClaims(`${options.self}.${options.incarnation}.claim`),
+		keys: createKeyGuard(),
+		relays: createRelays(),
 		schedulers: new Map(),
 		origins: new Map(),
 		acquires: new Map(),
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -1,5 +1,8 @@
 /** The decisions of a whole daemon behind one function. It holds no socket, clock, timer or randomness. */
 
+import {
+	claimsTable, decideClaims, isClaimsIdle, releaseKey, takeKey, type ClaimEnd, type ClaimsAction, type ClaimsEvent,
+} from '@cicadapost/claims';
 import {
 	configurationKey, configurationTable, decideConfiguration, type ConfigurationAction, type ConfigurationEvent,
 } from '@cicadapost/configuration';
@@ -8,7 +11,7 @@
 	decideMembership, liveDaemons, ownerIn, type MembershipAction, type MembershipEvent,
 } from '@cicadapost/membership';
 import {
-	decideRouting, type PoolPlaces, type RouterAction, type RouterEvent,
+	decideRouting, mayHaveSent, type PoolPlaces, type RouterAction, type RouterEvent,
 } from '@cicadapost/routing';
 import {
 	createScheduler, decideScheduling, type SchedulerAction, type SchedulerEvent,
@@ -17,9 +20,12 @@
 import type {
 	CallId, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId,
 } from '@cicadapost/types';
-import type {DaemonState} from './daemon-state.js';
+import type {DaemonState, Origin} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
-import {shardOwner, shardsOf} from './shards.js';
+import {
+	addToFrame, closeRelayStream, flushFrames, openRelayStream, takeRelay,
+} from './relays.js';
+import {shardOf, shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
 
@@ -44,8 +50,14 @@
 			}
 
 			case 'caller-left': {
-				this.state.origins.delete(event.requestId);
-				this.route({kind: 'caller-left', requestId: event.requestId});
+				this.dropCaller(event.requestId);
+				break;
+			}
+
+			case 'relay-unsent': {
+				this.route({
+					kind: 'failed', attempt: event.attempt, failure: 'relay-lost', sent: false,
+				});
 				break;
 			}
 
@@ -80,6 +92,11 @@
 			}
 
 			case 'row-answer': {
+				if (this.state.claims.pending.has(event.call)) {
+					this.claim({kind: 'answer', call: event.call, answer: event.answer});
+					break;
+				}
+
 				this.configure({kind: 'answer', call: event.call, answer: event.answer});
 				break;
 			}
@@ -96,6 +113,11 @@
 				break;
 			}
 
+			case 'flush-relays': {
+				this.sendFrames();
+				break;
+			}
+
 			case 'tick': {
 				this.tick();
 				break;
@@ -106,7 +128,9 @@
 	private tick(): void {
 		this.updateMembership({kind: 'tick'});
 		this.configure({kind: 'tick', call: this.nextCall()});
+		this.claim({kind: 'tick'});
 		this.route({kind: 'tick'});
+		this.sendFrames();
 		for (const shard of this.state.schedulers.keys()) {
 			this.schedule(shard, {kind: 'tick'});
 		}
@@ -115,7 +139,8 @@
 	}
 
 	private stopIfIdle(): void {
-		if (this.state.leaving && !this.state.stopped && this.state.router.requests.size === 0) {
+		const isIdle = this.state.router.requests.size === 0 && isClaimsIdle(this.state.claims);
+		if (this.state.leaving && !this.state.stopped && isIdle) {
 			this.state.stopped = true;
 			this.actions.push({kind: 'stopped'});
 		}
@@ -138,7 +163,8 @@
 			return;
 		}
 
-		if (this.state.site.pools[request.pool] === undefined) {
+		const pool = this.state.site.pools[request.pool];
+		if (pool === undefined) {
 			this.reject(requestId, 'no-upstream', new ProblemError({
 				kind: 'not-found',
 				detail: `the pool "${request.pool}" does not exist`,
@@ -148,11 +174,89 @@
 			return;
 		}
 
+		if (!request.idempotent) {
+			this.state.origins.set(requestId, {kind: 'caller'});
+			this.claim({kind: 'claim', request, nonce: `${this.state.self}.${this.state.incarnation}.${requestId}`});
+			return;
+		}
+
+		const refusal = takeKey(this.state.keys, request, this.now);
+		if (refusal !== undefined) {
+			this.reject(requestId, 'overloaded', refusal);
+			return;
+		}
+
 		this.state.origins.set(requestId, {kind: 'caller'});
 		this.route({kind: 'request', request, places: this.placesOf(request.pool)});
 	}
 
-	private reject(requestId: RequestId, cause: 'no-upstream', problem: ProblemError): void {
+	/** A claimed request that may have been sent runs on without its caller, so that its outcome is recorded. */
+	private dropCaller(requestId: RequestId): void {
+		this.state.origins.delete(requestId);
+		const claim = this.state.claims.claims.get(requestId);
+		const entry = this.state.router.requests.get(requestId);
+		if (claim !== undefined && entry !== undefined && mayHaveSent(entry)) {
+			return;
+		}
+
+		this.route({kind: 'caller-left', requestId});
+		releaseKey(this.state.keys, requestId, this.now);
+		this.claim({kind: 'withdrawn', requestId});
+	}
+
+	private claim(event: ClaimsEvent): void {
+		const outcome = decideClaims(this.state.claims, event, this.now);
+		this.state.claims = outcome.state;
+		for (const action of outcome.actions) {
+			this.applyClaims(action);
+		}
+	}
+
+	private applyClaims(action: ClaimsAction): void {
+		switch (action.kind) {
+			case 'read-row':
+			case 'write-row': {
+				this.actions.push({...action, table: claimsTable});
+				break;
+			}
+
+			case 'claimed': {
+				const {request, sendBy} = action;
+				this.route({
+					kind: 'request', request, places: this.placesOf(request.pool), sendBy,
+				});
+				break;
+			}
+
+			case 'replay': {
+				const {requestId, answer} = action;
+				const {body, ...end} = answer;
+				this.answer({
+					kind: 'deliver', requestId, chunk: {
+						offset: 0, tokens: answer.tokens, text: body, version: answer.versions.at(-1)?.version ?? 0,
+					},
+				});
+				this.answer({...end, kind: 'complete', requestId});
+				break;
+			}
+
+			case 'refuse': {
+				const {requestId, problem} = action;
+				this.answer({
+					kind: 'fail', requestId, cause: 'overloaded', sent: problem.outcome !== 'not-run', problem,
+				});
+				break;
+			}
+		}
+	}
+
+	private sendFrames(): void {
+		for (const frame of flushFrames(this.state.relays, this.now)) {
+			this.actions.push({kind: 'send', ...frame});
+		}
+	}
+
+	private reject(requestId: RequestId, cause: 'no-upstream' | 'overloaded', problem: ProblemError): void {
 		this.actions.push({
 			kind: 'fail', requestId, cause, sent: false, problem,
 		});
@@ -164,7 +268,9 @@
 			return {shards: [], dataCentres: []};
 		}
 
-		const shards = [...shardsOf(site, dataCentre, membership.leavingUpstreams).keys()].filter(shard => shard.split('/')[1] === pool);
+		const shards = [...shardsOf(site, dataCentre, membership.leavingUpstreams)]
+			.filter(([shard]) => shard.split('/')[1] === pool)
+			.map(([shard, upstreams]) => ({shard, upstreams: upstreams.filter(({leaving}) => !leaving).map(({upstream}) => upstream)}));
 		const homeRegion = site.dataCentres[dataCentre]?.region;
 		const dataCentres = Object.entries(site.poolsByDataCentre)
 			.filter(([name, pools]) => name !== dataCentre && pools.includes(pool) && liveDaemons(membership, name as DataCentreId).length > 0)
@@ -187,8 +293,7 @@
 			}
 
 			case 'grant': {
-				this.state.acquires.delete(message.attempt);
-				this.route({...message, kind: 'granted'});
+				this.receiveGrant(from, message);
 				break;
 			}
 
@@ -224,9 +329,7 @@
 			}
 
 			case 'cancel-relay': {
-				const requestId = relayedRequestId(message.attempt);
-				this.state.origins.delete(requestId);
-				this.route({kind: 'caller-left', requestId});
+				this.cancelRelayed(message.attempt);
 				break;
 			}
 
@@ -242,21 +345,51 @@
 		}
 	}
 
+	/** A grant for an attempt that has ended goes back to its owner, or the slot would stay taken. */
+	private receiveGrant(from: DaemonId, grant: Extract<PeerMessage, {kind: 'grant'}>): void {
+		this.state.acquires.delete(grant.attempt);
+		if (this.state.router.attempts.has(grant.attempt)) {
+			this.route({...grant, kind: 'granted'});
+			return;
+		}
+
+		const shard = this.state.site === undefined ? undefined : shardOf(this.state.site, this.state.dataCentre, grant.upstream);
+		if (shard !== undefined) {
+			this.sendOrReceive(from, {
+				kind: 'release', attempt: grant.attempt, shard, result: 'cancelled', tokens: 0, generationMs: 0,
+			});
+		}
+	}
+
+	private cancelRelayed(attempt: Relay['attempt']): void {
+		// A cancel may overtake its relay, which must not run then.
+		takeRelay(this.state.relays, attempt, this.now);
+		const requestId = relayedRequestId(attempt);
+		closeRelayStream(this.state.relays, requestId, this.now);
+		this.state.origins.delete(requestId);
+		this.route({kind: 'caller-left', requestId});
+	}
+
 	private startRelayed(from: DaemonId, relay: Relay): void {
+		if (!takeRelay(this.state.relays, relay.attempt, this.now)) {
+			return;
+		}
+
 		const requestId = relayedRequestId(relay.attempt);
 		this.state.origins.set(requestId, {kind: 'relay', from, attempt: relay.attempt});
+		openRelayStream(this.state.relays, {requestId, to: from, attempt: relay.attempt}, this.now);
 		const request: Request = {
 			...relay.request,
 			requestId,
 			payload: relay.payload,
 			deadlineAt: this.now + relay.remainingMs,
 			bodyHash: '',
-			mixedVersions: true,
+			mixedVersions: relay.mixedVersions,
 		};
 		// A relayed request stays in this data centre, so that it can't be relayed in a circle.
 		const places = {...this.placesOf(relay.request.pool), dataCentres: []};
 		this.route({
-			kind: 'request', request, places, resumeFrom: relay.resumeFrom,
+			kind: 'request', request, places, sendBy: this.now + relay.sendWithinMs, resumeFrom: relay.resumeFrom, version: relay.version,
 		});
 	}
 
@@ -340,16 +473,20 @@
 			}
 
 			case 'cancel-relay': {
-				// Any daemon of the other data centre may run it; a cancel for an unknown attempt is ignored.
-				for (const [daemon, peer] of this.state.membership.peers) {
-					if (peer.dataCentre !== this.state.dataCentre) {
-						this.actions.push({kind: 'send', to: daemon, message: {kind: 'cancel-relay', attempt: action.attempt}});
-					}
+				const to = this.state.relays.sentTo.get(action.attempt);
+				this.state.relays.sentTo.delete(action.attempt);
+				if (to !== undefined) {
+					this.actions.push({kind: 'send', to, message: {kind: 'cancel-relay', attempt: action.attempt}});
 				}
 
 				break;
 			}
 
+			case 'relay-ended': {
+				this.state.relays.sentTo.delete(action.attempt);
+				break;
+			}
+
 			case 'deliver':
 			case 'complete':
 			case 'fail': {
@@ -381,13 +518,15 @@
 			return;
 		}
 
+		this.state.relays.sentTo.set(relay.attempt, to);
 		this.actions.push({kind: 'send', to, message: relay});
 	}
 
-	private answer(action: Extract<RouterAction, {kind: 'deliver' | 'complete' | 'fail'}>): void {
+	private answer(action: AnswerAction): void {
 		const origin = this.state.origins.get(action.requestId);
 		if (action.kind !== 'deliver') {
 			this.state.origins.delete(action.requestId);
+			releaseKey(this.state.keys, action.requestId, this.now);
 		}
 
 		if (origin?.kind === 'caller') {
@@ -395,8 +534,39 @@
 		}
 
 		if (origin?.kind === 'relay') {
-			this.actions.push({kind: 'send', to: origin.from, message: relayAnswer(origin.attempt, action)});
+			this.answerRelay(origin, action);
 		}
+
+		this.recordOutcome(action);
+	}
+
+	private answerRelay(origin: Extract<Origin, {kind: 'relay'}>, action: AnswerAction): void {
+		const {relays} = this.state;
+		const frames = action.kind === 'deliver'
+			? addToFrame(relays, action.requestId, action.chunk, this.now)
+			: closeRelayStream(relays, action.requestId, this.now);
+		for (const frame of frames) {
+			this.actions.push({kind: 'send', ...frame});
+		}
+
+		if (action.kind !== 'deliver') {
+			this.actions.push({kind: 'send', to: origin.from, message: relayEnd(origin.attempt, action)});
+		}
+	}
+
+	private recordOutcome(action: AnswerAction): void {
+		const {requestId} = action;
+		if (this.state.claims.claims.get(requestId)?.phase !== 'running') {
+			return;
+		}
+
+		if (action.kind === 'deliver') {
+			this.claim({kind: 'text', requestId, text: action.chunk.text});
+			return;
+		}
+
+		const end: ClaimEnd = action.kind === 'complete' ? {...action, kind: 'finished'} : {kind: 'failed', problem: action.problem};
+		this.claim({kind: 'ended', requestId, end});
 	}
 
 	private updateMembership(event: MembershipEvent): void {
@@ -434,6 +604,7 @@
 					this.schedule(shard, {kind: 'daemon-lost', daemon: action.daemon});
 				}
 
+				this.loseRelays(action.daemon);
 				break;
 			}
 
@@ -444,6 +615,25 @@
 		}
 	}
 
+	/** Relays that ran on a lost daemon have failed; those that ran for it have no reader any more. */
+	private loseRelays(daemon: DaemonId): void {
+		for (const [attempt, to] of this.state.relays.sentTo) {
+			if (to === daemon) {
+				this.route({
+					kind: 'failed', attempt, failure: 'relay-lost', sent: true,
+				});
+			}
+		}
+
+		for (const [requestId, stream] of this.state.relays.streams) {
+			const entry = this.state.router.requests.get(requestId);
+			// A request that must run at most once is not stopped half way.
+			if (stream.to === daemon && entry?.request.idempotent === true) {
+				this.cancelRelayed(stream.attempt);
+			}
+		}
+	}
+
 	/** Takes over shards that this daemon owns now, gives up the others, and repeats `acquire` at new owners. */
 	private refreshShards(): void {
 		const {site, dataCentre, membership, schedulers, acquires, self} = this.state;
@@ -496,6 +686,7 @@
 
 			case 'in-effect': {
 				this.state.site = siteConfiguration(JSON.parse(action.document) as ConfigurationDocument, this.state.dataCentre);
+				this.route({kind: 'policy', ...this.state.site.policy});
 				this.actions.push({kind: 'configuration-in-effect', version: action.version, document: action.document});
 				this.refreshShards();
 				break;
@@ -536,24 +727,16 @@
 	return `relay:${attempt}` as RequestId;
 }
 
-function relayAnswer(attempt: Relay['attempt'], action: Extract<RouterAction, {kind: 'deliver' | 'complete' | 'fail'}>): PeerMessage {
-	switch (action.kind) {
-		case 'deliver': {
-			return {kind: 'relay-chunk', attempt, chunk: action.chunk};
-		}
-
-		case 'complete': {
-			return {
-				kind: 'relay-finished', attempt, tokens: action.tokens, status: action.status, contentType: action.contentType,
-			};
-		}
+type AnswerAction = Extract<RouterAction, {kind: 'deliver' | 'complete' | 'fail'}>;
 
-		case 'fail': {
-			return {
-				kind: 'relay-failed', attempt, failure: action.cause, sent: action.sent, retryAfterMs: action.problem.retryAfterMs ?? 0,
-			};
+function relayEnd(attempt: Relay['attempt'], action: Exclude<AnswerAction, {kind: 'deliver'}>): PeerMessage {
+	return action.kind === 'complete'
+		? {
+			kind: 'relay-finished', attempt, tokens: action.tokens, status: action.status, contentType: action.contentType,
 		}
-	}
+		: {
+			kind: 'relay-failed', attempt, failure: action.cause, sent: action.sent, retryAfterMs: action.problem.retryAfterMs ?? 0,
+		};
 }
 
 function applyRefused(action: Extract<ConfigurationAction, {kind: 'refused'}>): DaemonAction {
--- a/packages/decision/src/events.ts
+++ b/packages/decision/src/events.ts
@@ -13,12 +13,16 @@
 	| Readonly<{kind: 'attempt-sent'; attempt: AttemptId}>
 	| Readonly<{kind: 'attempt-chunk'; attempt: AttemptId; chunk: Chunk}>
 	| Readonly<{kind: 'attempt-finished'; attempt: AttemptId; tokens: number; status: number; contentType: string}>
-	| Readonly<{kind: 'attempt-failed'; attempt: AttemptId; failure: AttemptFailure; sent: boolean; detail?: string}>
+	| Readonly<{kind: 'attempt-failed'; attempt: AttemptId; failure: AttemptFailure | RefusalReason; sent: boolean; retryAfterMs?: Millis; detail?: string}>
+	/** A relay was not handed to a connection, so no byte of it left. */
+	| Readonly<{kind: 'relay-unsent'; attempt: AttemptId}>
 	| Readonly<{kind: 'message'; from: DaemonId; message: PeerMessage}>
 	| Readonly<{kind: 'vm-list'; vms: readonly VmRecord[]}>
 	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
 	| Readonly<{kind: 'apply-configuration'; call: CallId; expectedVersion: number; document: string}>
 	| Readonly<{kind: 'shut-down'}>
+	/** To be sent every 20 ms while `hasWaitingFrames`; a tick does the same. */
+	| Readonly<{kind: 'flush-relays'}>
 	/** To be sent at least every 100 ms. */
 	| Readonly<{kind: 'tick'}>;
 
@@ -26,7 +30,8 @@
 	| Readonly<{kind: 'send'; to: DaemonId; message: PeerMessage}>
 	| Readonly<{kind: 'connect'; daemon: DaemonId; address: string}>
 	| Readonly<{kind: 'disconnect'; daemon: DaemonId}>
-	| Readonly<{kind: 'open-attempt'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis}>
+	/** The edge checks `notAfter` again right before the first byte is written, and reports `late` if it has passed. */
+	| Readonly<{kind: 'open-attempt'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis; notAfter: Millis}>
 	| Readonly<{kind: 'cancel-attempt'; attempt: AttemptId}>
 	| Readonly<{kind: 'deliver'; requestId: RequestId; chunk: Chunk}>
 	| Readonly<{kind: 'complete'; requestId: RequestId; tokens: number; status: number; contentType: string; versions: readonly VersionSpan[]}>
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -6,4 +6,5 @@
 export * from './daemon-state.js';
 export * from './decide.js';
 export type * from './events.js';
+export {hasWaitingFrames} from './relays.js';
 export * from './shards.js';
--- a/packages/decision/src/shards.ts
+++ b/packages/decision/src/shards.ts
@@ -34,6 +34,17 @@
 	return shards;
 }
 
+/** The shard of `dataCentre` that `upstream` belongs to, or undefined if the configuration does not name it. */
+export function shardOf(site: SiteConfiguration, dataCentre: DataCentreId, upstream: UpstreamId): ShardId | undefined {
+	for (const [shard, upstreams] of shardsOf(site, dataCentre, new Set())) {
+		if (upstreams.some(member => member.upstream === upstream)) {
+			return shard;
+		}
+	}
+
+	return undefined;
+}
+
 export function shardOwner(membership: MembershipState, shard: ShardId): ReturnType<typeof ownerIn> {
 	return ownerIn(membership, membership.dataCentre, shard);
 }
--- a/packages/engines/src/completion-stream.ts
+++ b/packages/engines/src/completion-stream.ts
@@ -22,6 +22,8 @@
 	resumeFrom?: number;
 	/** Without a byte for this long the connection counts as silent, in milliseconds. */
 	silenceMs?: number;
+	/** Asked right before the first byte is written; false ends the attempt as `late` with nothing sent. */
+	maySend?: () => boolean;
 	signal: AbortSignal;
 }>;
 
@@ -43,6 +45,10 @@
 		const silenceMs = options.silenceMs ?? defaultSilenceMs;
 		const progress: Progress = {received: options.resumeFrom ?? 0};
 		const dispatcher = this.agent.compose(dispatch => (options_, handler) => dispatch(options_, new SentHandler(handler, () => {
+			if (!(options.maySend?.() ?? true)) {
+				throw new LateError('the time to send the request has passed');
+			}
+
 			report({kind: 'sent'});
 		})));
 		try {
@@ -84,11 +90,20 @@
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
-		this.onSent();
+		try {
+			this.onSent();
+		} catch (err) {
+			this.inner.onRequestStart?.(controller, context);
+			controller.abort(err as Error);
+			return;
+		}
+
 		this.inner.onRequestStart?.(controller, context);
 	}
 }
 
+class LateError extends Error {}
+
 type Progress = {received: number};
 
 async function readEvents(body: AsyncIterable<Uint8Array>, progress: Progress, report: (report: AttemptReport) => void): Promise<void> {
@@ -154,6 +169,12 @@
 		};
 	}
 
+	if (err instanceof LateError) {
+		return {
+			kind: 'failed', failure: 'late', sent: false, detail,
+		};
+	}
+
 	const isSilent = err instanceof errors.HeadersTimeoutError || err instanceof errors.BodyTimeoutError;
 	return {
 		kind: 'failed', failure: isSilent ? 'silent' : 'upstream-died', sent: true, detail,
--- a/packages/peers/src/peer-links.ts
+++ b/packages/peers/src/peer-links.ts
@@ -82,12 +82,15 @@
 		this.dialled.delete(address);
 	}
 
-	/** Sends if there is an open connection; otherwise the message is lost, as on any network. */
-	send(to: DaemonId, message: PeerMessage): void {
+	/** Sends if there is an open connection. False if there is none: then no byte of the message has left. */
+	send(to: DaemonId, message: PeerMessage): boolean {
 		const link = this.links.get(to);
-		if (link?.readyState === WebSocket.OPEN) {
-			link.send(this.packr.pack(message));
+		if (link?.readyState !== WebSocket.OPEN) {
+			return false;
 		}
+
+		link.send(this.packr.pack(message));
+		return true;
 	}
 
 	close(): void {
--- a/packages/routing/src/assemble-stream.test.ts
+++ b/packages/routing/src/assemble-stream.test.ts
@@ -9,8 +9,8 @@
 	describe('with chunks out of order', () => {
 		it('passes them on in order, so that a caller never reads a gap', () => {
 			const stream = createStream();
-			expect(addChunk(stream, chunk(1))).toEqual([]);
-			expect(addChunk(stream, chunk(0)).map(({offset}) => offset)).toEqual([0, 1]);
+			expect(addChunk(stream, chunk(1)).ready).toEqual([]);
+			expect(addChunk(stream, chunk(0)).ready.map(({offset}) => offset)).toEqual([0, 1]);
 		});
 	});
 
@@ -18,7 +18,50 @@
 		it('drops it, so that no token is delivered twice', () => {
 			const stream = createStream();
 			addChunk(stream, chunk(0));
-			expect(addChunk(stream, chunk(0))).toEqual([]);
+			expect(addChunk(stream, chunk(0))).toEqual({ready: []});
+		});
+	});
+
+	describe('with a chunk that overlaps the tokens passed on', () => {
+		const wide = (offset: number, text: string, version = 1) => ({
+			offset, tokens: text.length, text, version,
+		});
+
+		it('passes on only the rest, so that an engine resumed at another offset repeats nothing', () => {
+			const stream = createStream();
+			addChunk(stream, wide(0, 'ab'));
+			addChunk(stream, wide(2, 'cd'));
+			expect(addChunk(stream, wide(2, 'cdef')).ready).toEqual([wide(4, 'ef')]);
+		});
+
+		it('reports a fault when its text contradicts them, so that two completions are never mixed', () => {
+			const stream = createStream();
+			addChunk(stream, wide(0, 'ab'));
+			expect(addChunk(stream, wide(0, 'xbc')).fault).toBe('diverged');
+			expect(addChunk(stream, wide(0, 'x')).fault).toBe('diverged');
+			expect(stream.delivered).toBe(2);
+		});
+
+		it('reports a fault when it can not be cut, so that no token is lost or repeated', () => {
+			const stream = createStream({resumeFrom: 3});
+			expect(addChunk(stream, wide(2, 'cd')).fault).toBe('diverged');
+		});
+
+		it('still cuts after many chunks, when old boundaries have been forgotten', () => {
+			const stream = createStream();
+			for (let offset = 0; offset < 2000; offset += 2) {
+				addChunk(stream, wide(offset, 'ab'));
+			}
+
+			expect(addChunk(stream, wide(1998, 'abc')).ready).toEqual([wide(2000, 'c')]);
+		});
+	});
+
+	describe('with another version where versions must not mix', () => {
+		it('reports a fault and passes nothing on', () => {
+			const stream = createStream({resumeFrom: 2, version: 1});
+			expect(addChunk(stream, chunk(2, 2), false)).toEqual({ready: [], fault: 'version-changed'});
+			expect(stream.delivered).toBe(2);
 		});
 	});
 
--- a/packages/routing/src/assemble-stream.ts
+++ b/packages/routing/src/assemble-stream.ts
@@ -1,6 +1,6 @@
 import type {Chunk, VersionSpan} from '@cicadapost/types';
 
-/** A completion as far as it has been received. Chunks may arrive late, twice and out of order. */
+/** A completion as far as it has been received. Chunks may arrive late, twice, out of order and overlapping. */
 export type StreamState = {
 	/** Tokens that have been passed on, in order and without gaps. */
 	delivered: number;
@@ -9,14 +9,54 @@
 	/** Total number of tokens, once the upstream has named it. */
 	total: number | undefined;
 	versions: VersionSpan[];
+	/** The end of the text that has been passed on by this process. */
+	text: string;
+	/** Token offsets at which a recent chunk began or ended, with their places in the whole text. */
+	marks: Map<number, number>;
+	/** Place in the whole text at which `text` begins. */
+	textFrom: number;
+	/** Version of the last token that the caller has, if it is known. */
+	version: number | undefined;
 };
 
-export function createStream(): StreamState {
+/** Why a chunk can't continue the stream. */
+export type StreamFault =
+	/** Its version is another one and the caller does not allow mixed versions. */
+	| 'version-changed'
+	/** Its text contradicts what has been passed on, or it overlaps in a way that can't be cut. */
+	| 'diverged';
+
+export type AddedChunk = Readonly<{
+	/** Chunks that can be passed on now, in order. */
+	ready: readonly Chunk[];
+	fault?: StreamFault;
+}>;
+
+/** More waiting chunks than this are not a reordering but a stream with a gap. */
+const maxEarly = 4096;
+/** Chunk boundaries that are kept to cut an overlapping chunk; an overlap is about one chunk long. */
+const maxMarks = 256;
+
+export type StreamOptions = Readonly<{
+	/** Tokens that the caller already has. */
+	resumeFrom?: number;
+	/** Weight version of those tokens. */
+	version?: number | undefined;
+}>;
+
+export function createStream(options: StreamOptions = {}): StreamState {
+	const resumeFrom = options.resumeFrom ?? 0;
 	return {
-		delivered: 0, early: new Map(), total: undefined, versions: [],
+		delivered: resumeFrom, early: new Map(), total: undefined, versions: [], text: '', marks: new Map([[resumeFrom, 0]]), textFrom: 0, version: options.version,
 	};
 }
 
+/** Forgets what came from an upstream beyond the tokens passed on, before another upstream continues. */
+export function resumeStream(stream: StreamState): void {
+	stream.early.clear();
+	stream.total = undefined;
+}
+
 function recordVersion(stream: StreamState, chunk: Chunk): void {
 	const last = stream.versions.at(-1);
 	const to = chunk.offset + chunk.tokens;
@@ -28,24 +68,94 @@
 	stream.versions.push({from: chunk.offset, to, version: chunk.version});
 }
 
-/** Adds a chunk and returns those that can now be passed on, in order. */
-export function addChunk(stream: StreamState, chunk: Chunk): Chunk[] {
-	if (chunk.offset < stream.delivered || chunk.tokens === 0) {
-		return [];
+/** The text passed on from token `offset`, or undefined if no recent chunk began there. */
+function textFrom(stream: StreamState, offset: number): string | undefined {
+	const mark = stream.marks.get(offset);
+	return mark === undefined || mark < stream.textFrom ? undefined : stream.text.slice(mark - stream.textFrom);
+}
+
+/** Whether an old chunk contradicts the text that was passed on, as far as that is still known. */
+function contradicts(stream: StreamState, chunk: Chunk): boolean {
+	return !(textFrom(stream, chunk.offset)?.startsWith(chunk.text) ?? true);
+}
+
+/** The part of `chunk` after the tokens that were passed on, or undefined if its text does not continue them. */
+function cut(stream: StreamState, chunk: Chunk): Chunk | undefined {
+	if (chunk.offset === stream.delivered) {
+		return chunk;
+	}
+
+	const known = textFrom(stream, chunk.offset);
+	if (known === undefined || !chunk.text.startsWith(known)) {
+		return undefined;
+	}
+
+	return {
+		...chunk, offset: stream.delivered, tokens: chunk.offset + chunk.tokens - stream.delivered, text: chunk.text.slice(known.length),
+	};
+}
+
+function pass(stream: StreamState, chunk: Chunk): void {
+	stream.delivered += chunk.tokens;
+	stream.text += chunk.text;
+	stream.marks.set(stream.delivered, stream.textFrom + stream.text.length);
+	stream.version = chunk.version;
+	recordVersion(stream, chunk);
+	if (stream.marks.size > 2 * maxMarks) {
+		forgetMarks(stream);
+	}
+}
+
+function forgetMarks(stream: StreamState): void {
+	const kept = [...stream.marks].slice(-maxMarks);
+	const start = kept[0]?.[1] ?? stream.textFrom;
+	stream.text = stream.text.slice(start - stream.textFrom);
+	stream.textFrom = start;
+	stream.marks = new Map(kept);
+}
+
+function takeNext(stream: StreamState): Chunk | undefined {
+	for (const chunk of stream.early.values()) {
+		if (chunk.offset <= stream.delivered) {
+			stream.early.delete(chunk.offset);
+			return chunk;
+		}
+	}
+
+	return undefined;
+}
+
+/** Adds a chunk and returns those that can now be passed on. After a fault the attempt that sent the chunk must end. */
+export function addChunk(stream: StreamState, chunk: Chunk, mixedVersions = true): AddedChunk {
+	if (chunk.offset + chunk.tokens <= stream.delivered) {
+		return contradicts(stream, chunk) ? {ready: [], fault: 'diverged'} : {ready: []};
+	}
+
+	if (chunk.tokens === 0 || (stream.early.get(chunk.offset)?.tokens ?? 0) >= chunk.tokens) {
+		return {ready: []};
 	}
 
 	stream.early.set(chunk.offset, chunk);
 	const ready: Chunk[] = [];
-	let next = stream.early.get(stream.delivered);
-	while (next !== undefined) {
-		stream.early.delete(next.offset);
-		stream.delivered += next.tokens;
-		recordVersion(stream, next);
-		ready.push(next);
-		next = stream.early.get(stream.delivered);
+	for (let next = takeNext(stream); next !== undefined; next = takeNext(stream)) {
+		if (next.offset + next.tokens <= stream.delivered) {
+			continue;
+		}
+
+		if (!mixedVersions && stream.version !== undefined && next.version !== stream.version) {
+			return {ready, fault: 'version-changed'};
+		}
+
+		const rest = cut(stream, next);
+		if (rest === undefined) {
+			return {ready, fault: 'diverged'};
+		}
+
+		pass(stream, rest);
+		ready.push(rest);
 	}
 
-	return ready;
+	return stream.early.size > maxEarly ? {ready, fault: 'diverged'} : {ready};
 }
 
 /** Whether each token up to the total has been passed on. */
--- /dev/null
+++ b/packages/routing/src/attempts.ts
@@ -0,0 +1,136 @@
+/** Starts and ends the attempts of a request. */
+
+import type {
+	Acquire, AttemptId, DataCentreId, Millis, Release, ReleaseResult, RequestSummary,
+} from '@cicadapost/types';
+import {
+	mayHaveSent, type Attempt, type Entry, type Place, type RouterState,
+} from './router-state.js';
+import type {RouterAction} from './router.js';
+
+function summaryOf(entry: Entry): RequestSummary {
+	const {requestId, member, requestClass, pool, promptTokens, maxTokens, idempotent, fingerprint, prefixKey} = entry.request;
+	return {
+		requestId, member, requestClass, pool, promptTokens, maxTokens, idempotent, fingerprint, prefixKey,
+	};
+}
+
+function homePlace(entry: Entry): Place | undefined {
+	const {shards} = entry.places;
+	for (let index = 0; index < shards.length; index++) {
+		const home = shards[(entry.firstShard + index) % shards.length]!;
+		const isUsable = !entry.refusedShards.has(home.shard) && home.upstreams.some(upstream => !entry.avoid.has(upstream));
+		if (isUsable) {
+			return {kind: 'shard', shard: home.shard};
+		}
+	}
+
+	return undefined;
+}
+
+function remotePlace(state: RouterState, entry: Entry, now: Millis): Place | undefined {
+	const isOpen = (candidate: DataCentreId): boolean => !entry.triedDataCentres.has(candidate) && (state.closedUntil.get(candidate) ?? 0) <= now;
+	const dataCentre = entry.places.dataCentres.find(candidate => isOpen(candidate));
+	return dataCentre === undefined ? undefined : {kind: 'data-centre', dataCentre};
+}
+
+/** Home first, then the other data centres, then upstreams of which only a connection failed. */
+export function nextPlace(state: RouterState, entry: Entry, now: Millis): Place | undefined {
+	const place = homePlace(entry) ?? remotePlace(state, entry, now);
+	if (place !== undefined) {
+		return place;
+	}
+
+	for (const [upstream, kind] of entry.avoid) {
+		if (kind === 'soft') {
+			entry.avoid.delete(upstream);
+		}
+	}
+
+	return homePlace(entry);
+}
+
+export function startAttempt(state: RouterState, entry: Entry, place: Place, now: Millis): RouterAction[] {
+	const {request} = entry;
+	const attempt = `${request.requestId}.${entry.starts}` as AttemptId;
+	entry.starts++;
+	entry.retryAt = undefined;
+	entry.attempts.push({
+		attempt,
+		place,
+		upstream: undefined,
+		mayHaveSent: place.kind === 'data-centre',
+		written: false,
+		openedAt: now,
+		firstTokenAt: undefined,
+		progressAt: now,
+		tokens: 0,
+		status: 200,
+		contentType: 'application/json',
+	});
+	state.attempts.set(attempt, request.requestId);
+	const remainingMs = request.deadlineAt - now;
+	if (place.kind === 'shard') {
+		const running = entry.attempts.flatMap(other => (other.upstream === undefined ? [] : [other.upstream]));
+		const acquire: Acquire = {
+			kind: 'acquire', attempt, shard: place.shard, request: summaryOf(entry), remainingMs, avoid: [...entry.avoid.keys(), ...running],
+		};
+		return [{kind: 'acquire', acquire}];
+	}
+
+	entry.triedDataCentres.add(place.dataCentre);
+	return [{
+		kind: 'relay', dataCentre: place.dataCentre, relay: {
+			kind: 'relay',
+			attempt,
+			request: summaryOf(entry),
+			payload: request.payload,
+			remainingMs,
+			sendWithinMs: entry.notAfter - now,
+			resumeFrom: entry.stream.delivered,
+			mixedVersions: request.mixedVersions,
+			...(entry.stream.version === undefined ? {} : {version: entry.stream.version}),
+		},
+	}];
+}
+
+function releaseOf(attempt: Attempt, result: ReleaseResult, now: Millis): Release | undefined {
+	return attempt.place.kind === 'data-centre'
+		? undefined
+		: {
+			kind: 'release',
+			attempt: attempt.attempt,
+			shard: attempt.place.shard,
+			result,
+			tokens: attempt.tokens,
+			...(attempt.firstTokenAt === undefined ? {} : {firstTokenMs: attempt.firstTokenAt - attempt.openedAt}),
+			generationMs: attempt.firstTokenAt === undefined ? 0 : now - attempt.firstTokenAt,
+		};
+}
+
+/** Ends an attempt: cancels what still runs and returns its slot. */
+export function endAttempt(state: RouterState, entry: Entry, attempt: Attempt, result: ReleaseResult, now: Millis): RouterAction[] {
+	entry.mayHaveSent ||= attempt.mayHaveSent;
+	entry.written ||= attempt.written;
+	entry.attempts = entry.attempts.filter(other => other !== attempt);
+	state.attempts.delete(attempt.attempt);
+	const release = releaseOf(attempt, result, now);
+	if (release === undefined) {
+		return result === 'finished' ? [{kind: 'relay-ended', attempt: attempt.attempt}] : [{kind: 'cancel-relay', attempt: attempt.attempt}];
+	}
+
+	const cancel: RouterAction[] = attempt.upstream !== undefined && result !== 'finished' ? [{kind: 'cancel', attempt: attempt.attempt}] : [];
+	return [...cancel, {kind: 'release', release}];
+}
+
+/** Ends all attempts of a request and forgets it. */
+export function endRequest(state: RouterState, entry: Entry, result: ReleaseResult, now: Millis): RouterAction[] {
+	const actions = entry.attempts.flatMap(attempt => endAttempt(state, entry, attempt, result, now));
+	state.requests.delete(entry.request.requestId);
+	return actions;
+}
+
+/** Whether a further attempt can't make a request run twice that must run at most once. */
+export function isSafeToSend(entry: Entry): boolean {
+	return entry.request.idempotent || !(mayHaveSent(entry) || entry.written);
+}
--- /dev/null
+++ b/packages/routing/src/router-state.ts
@@ -0,0 +1,88 @@
+import type {
+	AttemptId, DataCentreId, Millis, Request, RequestId, ShardId, UpstreamId,
+} from '@cicadapost/types';
+import type {StreamState} from './assemble-stream.js';
+import {createBudget, type Budget} from './budget.js';
+
+/** A shard of the own data centre with the upstreams that are not leaving. */
+export type HomeShard = Readonly<{shard: ShardId; upstreams: readonly UpstreamId[]}>;
+
+/** Where a pool can be reached now. Computed from configuration and membership for each new request. */
+export type PoolPlaces = Readonly<{
+	shards: readonly HomeShard[];
+	/** Other data centres that have upstreams of the pool, nearest first. */
+	dataCentres: readonly DataCentreId[];
+}>;
+
+export type Place = Readonly<{kind: 'shard'; shard: ShardId}> | Readonly<{kind: 'data-centre'; dataCentre: DataCentreId}>;
+
+export type Attempt = {
+	readonly attempt: AttemptId;
+	readonly place: Place;
+	upstream: UpstreamId | undefined;
+	/** Whether a byte may have reached an upstream: set with `open` or `relay`, cleared only if the edge or the peer reports that nothing was sent. */
+	mayHaveSent: boolean;
+	/** Whether the edge has reported that it writes to a connection. */
+	written: boolean;
+	openedAt: Millis;
+	firstTokenAt: Millis | undefined;
+	/** Last frame of a relayed attempt. */
+	progressAt: Millis;
+	tokens: number;
+	status: number;
+	contentType: string;
+};
+
+export type Entry = {
+	readonly request: Request;
+	readonly places: PoolPlaces;
+	/** No byte is sent to an upstream after this time. */
+	readonly notAfter: Millis;
+	/** First home shard that is asked; requests take turns. */
+	readonly firstShard: number;
+	stream: StreamState;
+	attempts: Attempt[];
+	/** Whether a byte of an attempt that has ended may have reached an upstream. */
+	mayHaveSent: boolean;
+	/** Whether an attempt that has ended was written to a connection, although its upstream may have declined it. */
+	written: boolean;
+	/** Attempts so far; numbers their ids. */
+	starts: number;
+	failures: number;
+	/** Upstreams that failed on this request. A soft failure concerns the connection only, so the upstream may be used again if there is no other. */
+	avoid: Map<UpstreamId, 'soft' | 'hard'>;
+	refusedShards: Set<ShardId>;
+	triedDataCentres: Set<DataCentreId>;
+	/** Time of the next attempt while none is running. */
+	retryAt: Millis | undefined;
+};
+
+export type RouterState = {
+	requests: Map<RequestId, Entry>;
+	attempts: Map<AttemptId, RequestId>;
+	/** Counts requests, so that they take turns over the shards of a pool. */
+	rotation: number;
+	/** Retries as a share of first attempts. */
+	retries: Budget;
+	/** Data centres that refused a relay, until a later try is likely to succeed. */
+	closedUntil: Map<DataCentreId, Millis>;
+};
+
+const defaultRetryShare = 0.1;
+/** A crashed engine leaves up to a window of streams to one daemon; the bucket covers such a burst. */
+const retryBurst = 64;
+
+export function createRouter(): RouterState {
+	return {
+		requests: new Map(),
+		attempts: new Map(),
+		rotation: 0,
+		retries: createBudget({share: defaultRetryShare, initial: retryBurst / 2, burst: retryBurst}),
+		closedUntil: new Map(),
+	};
+}
+
+/** Whether a byte of the request may have reached an upstream. */
+export function mayHaveSent(entry: Entry): boolean {
+	return entry.mayHaveSent || entry.attempts.some(attempt => attempt.mayHaveSent);
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,217 +1,169 @@
 /** The life cycle of a request in its entry daemon: where it runs, and what its caller hears. */
 
-import {ProblemError, type ProblemKind} from '@cicadapost/errors';
+import {type ProblemError} from '@cicadapost/errors';
 import type {
-	Acquire, AttemptFailure, AttemptId, Chunk, DataCentreId, Millis, Outcome, Payload, RefusalReason, Release, Relay, ReleaseResult, Request, RequestId,
-	RunOutcome, ShardId, UpstreamId, VersionSpan,
+	Acquire, AttemptId, Chunk, DataCentreId, Millis, Outcome, Payload, RefusalReason, Release, Relay, ReleaseResult, Request, RequestId, UpstreamId, VersionSpan,
 } from '@cicadapost/types';
 import {
-	addChunk, createStream, isWhole, type StreamState,
+	addChunk, createStream, isWhole, resumeStream, type StreamFault,
 } from './assemble-stream.js';
-
-/** Where a pool can be reached now. Computed from configuration and membership for each new request. */
-export type PoolPlaces = Readonly<{
-	shards: readonly ShardId[];
-	/** Other data centres that have upstreams of the pool, nearest first. */
-	dataCentres: readonly DataCentreId[];
-}>;
+import {
+	endAttempt, endRequest, isSafeToSend, nextPlace, startAttempt,
+} from './attempts.js';
+import {earn, spend} from './budget.js';
+import {failureProblem, isRefusal, type FailureCause} from './problems.js';
+import {
+	mayHaveSent, type Attempt, type Entry, type PoolPlaces, type RouterState,
+} from './router-state.js';
 
 export type RouterEvent =
-	| Readonly<{kind: 'request'; request: Request; places: PoolPlaces; resumeFrom?: number}>
+	/** `sendBy`: no byte is sent to an upstream after this time; the deadline if absent. `version` is that of the tokens before `resumeFrom`. */
+	| Readonly<{kind: 'request'; request: Request; places: PoolPlaces; sendBy?: Millis; resumeFrom?: number; version?: number | undefined}>
 	| Readonly<{kind: 'granted'; attempt: AttemptId; upstream: UpstreamId}>
 	| Readonly<{kind: 'refused'; attempt: AttemptId; reason: RefusalReason; retryAfterMs: Millis}>
 	/** From here on a byte may have reached the upstream. */
 	| Readonly<{kind: 'sent'; attempt: AttemptId}>
 	| Readonly<{kind: 'chunk'; attempt: AttemptId; chunk: Chunk}>
 	| Readonly<{kind: 'finished'; attempt: AttemptId; tokens: number; status: number; contentType: string}>
-	| Readonly<{kind: 'failed'; attempt: AttemptId; failure: AttemptFailure | RefusalReason; sent: boolean; retryAfterMs?: Millis; detail?: string}>
+	/** `sent` is false only if no byte of the attempt can have reached an upstream, or the upstream itself declined to run it. */
+	| Readonly<{kind: 'failed'; attempt: AttemptId; failure: FailureCause; sent: boolean; retryAfterMs?: Millis | undefined; detail?: string | undefined}>
 	| Readonly<{kind: 'caller-left'; requestId: RequestId}>
+	/** Shares of extra work that the operators allow. */
+	| Readonly<{kind: 'policy'; retryBudget: number; hedgeBudget: number}>
 	| Readonly<{kind: 'tick'}>;
 
 export type RouterAction =
 	| Readonly<{kind: 'acquire'; acquire: Acquire}>
 	| Readonly<{kind: 'release'; release: Release}>
-	| Readonly<{kind: 'open'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis}>
+	/** The edge sends no byte after `notAfter`. */
+	| Readonly<{kind: 'open'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis; notAfter: Millis}>
 	| Readonly<{kind: 'cancel'; attempt: AttemptId}>
 	| Readonly<{kind: 'relay'; dataCentre: DataCentreId; relay: Relay}>
 	| Readonly<{kind: 'cancel-relay'; attempt: AttemptId}>
+	/** A relay has finished; nothing is to be cancelled. */
+	| Readonly<{kind: 'relay-ended'; attempt: AttemptId}>
 	| Readonly<{kind: 'deliver'; requestId: RequestId; chunk: Chunk}>
 	| Readonly<{kind: 'complete'; requestId: RequestId; tokens: number; status: number; contentType: string; versions: readonly VersionSpan[]}>
-	| Readonly<{kind: 'fail'; requestId: RequestId; cause: AttemptFailure | RefusalReason; sent: boolean; problem: ProblemError}>;
-
-type Attempt = {
-	readonly attempt: AttemptId;
-	readonly place: Readonly<{kind: 'shard'; shard: ShardId}> | Readonly<{kind: 'data-centre'; dataCentre: DataCentreId}>;
-	upstream: UpstreamId | undefined;
-	sent: boolean;
-	openedAt: Millis;
-	firstTokenAt: Millis | undefined;
-	tokens: number;
-	status: number;
-	contentType: string;
-};
-
-type Entry = {
-	readonly request: Request;
-	readonly places: PoolPlaces;
-	stream: StreamState;
-	attempts: Attempt[];
-	/** Whether a byte of any attempt may have reached an upstream. */
-	sent: boolean;
-	failures: number;
-	avoid: UpstreamId[];
-	triedDataCentres: DataCentreId[];
-};
-
-export type RouterState = {
-	requests: Map<RequestId, Entry>;
-	attempts: Map<AttemptId, RequestId>;
-};
-
-const maxFailures = 3;
-const defaultRetryAfterMs = 1000;
-
-export function createRouter(): RouterState {
-	return {requests: new Map(), attempts: new Map()};
-}
+	| Readonly<{kind: 'fail'; requestId: RequestId; cause: FailureCause; sent: boolean; problem: ProblemError}>;
 
-const problemOf: Readonly<Record<AttemptFailure | RefusalReason, readonly [ProblemKind, string, string]>> = {
-	unreachable: ['upstream-failed', 'the upstream refused the connection', 'send the request again'],
-	'upstream-died': ['upstream-failed', 'the upstream ended while it ran the request', 'send the request again'],
-	silent: ['upstream-failed', 'the upstream stopped sending', 'send the request again'],
-	rejected: ['upstream-rejected', 'the upstream rejected the request', 'correct the request body'],
-	'server-error': ['upstream-failed', 'the upstream answered with an error', 'send the request again'],
-	deadline: ['deadline-passed', 'the deadline passed', 'send the request again with a larger X-Deadline-Ms'],
-	'relay-lost': ['upstream-failed', 'the connection to the other data centre was lost', 'send the request again'],
-	late: ['upstream-failed', 'the request could not be sent in time', 'send the request again'],
-	overloaded: ['overloaded', 'the queue is too long for the deadline', 'wait for Retry-After'],
-	'no-upstream': ['no-upstream', 'no upstream of the pool is available', 'wait for Retry-After'],
-	'over-cap': ['over-cap', 'the member has used up its cap', 'wait for Retry-After or ask the operator for a larger cap'],
-	blocked: ['request-blocked', 'the request ended each upstream that ran it', 'change the request, or wait for Retry-After'],
-	'not-owner': ['no-upstream', 'the shard is moving to another daemon', 'wait for Retry-After'],
-	leaving: ['shutting-down', 'the daemon is shutting down', 'send the request again'],
-};
-
-function outcomeOf(entry: Entry, failure: AttemptFailure | RefusalReason): RunOutcome {
-	if (failure === 'rejected') {
-		return 'ran';
-	}
+type FailedEvent = Extract<RouterEvent, {kind: 'failed'}>;
 
-	return entry.sent ? 'unknown' : 'not-run';
-}
+/** Upper limit of failed attempts of one request, beside the retry budget. */
+const maxFailures = 4;
+/** A relay without a frame for this long is taken for lost. Its daemon sends keep-alive frames four times as often. */
+export const relaySilenceMs: Millis = 2000;
 
-function startAttempt(state: RouterState, entry: Entry, now: Millis): RouterAction[] {
-	const {request} = entry;
-	const attempt = `${request.requestId}.${entry.failures}` as AttemptId;
-	const remainingMs = request.deadlineAt - now;
-	const {payload, ...rest} = request;
-	const summary = {
-		requestId: rest.requestId, member: rest.member, requestClass: rest.requestClass, pool: rest.pool, promptTokens: rest.promptTokens,
-		maxTokens: rest.maxTokens, idempotent: rest.idempotent, fingerprint: rest.fingerprint, prefixKey: rest.prefixKey,
-	};
-	const base = {
-		attempt, upstream: undefined, sent: false, openedAt: now, firstTokenAt: undefined, tokens: 0, status: 200, contentType: 'application/json',
-	};
-	const shard = entry.places.shards[entry.failures % Math.max(1, entry.places.shards.length)];
-	const dataCentre = entry.places.dataCentres.find(candidate => !entry.triedDataCentres.includes(candidate));
-	const leaveHome = shard === undefined || (entry.failures > 0 && entry.avoid.length === 0 && dataCentre !== undefined);
-	if (!leaveHome) {
-		entry.attempts.push({...base, place: {kind: 'shard', shard}});
-		state.attempts.set(attempt, request.requestId);
-		return [{
-			kind: 'acquire', acquire: {
-				kind: 'acquire', attempt, shard, request: summary, remainingMs, avoid: entry.avoid,
-			},
-		}];
-	}
+/** Failures that a further attempt would meet again. */
+const finalCauses: ReadonlySet<FailureCause> = new Set<FailureCause>(['rejected', 'blocked', 'over-cap', 'deadline', 'late']);
+/** Failures of a connection that say nothing about the upstream behind it. */
+const softCauses: ReadonlySet<FailureCause> = new Set<FailureCause>(['silent', 'overloaded']);
 
-	if (dataCentre === undefined) {
-		return fail(state, entry, 'no-upstream');
-	}
-
-	entry.triedDataCentres.push(dataCentre);
-	entry.attempts.push({...base, place: {kind: 'data-centre', dataCentre}});
-	state.attempts.set(attempt, request.requestId);
+function fail(state: RouterState, entry: Entry, cause: FailureCause, told: Pick<FailedEvent, 'retryAfterMs' | 'detail'> = {}): RouterAction[] {
+	const {requestId, idempotent} = entry.request;
+	const sent = mayHaveSent(entry);
+	state.requests.delete(requestId);
 	return [{
-		kind: 'relay', dataCentre, relay: {
-			kind: 'relay', attempt, request: summary, payload, remainingMs, resumeFrom: entry.stream.delivered,
-		},
+		kind: 'fail', requestId, cause, sent, problem: failureProblem({
+			cause, sent, idempotent, ...told,
+		}),
 	}];
 }
 
-function endAttempt(state: RouterState, entry: Entry, attempt: Attempt, result: ReleaseResult, now: Millis): RouterAction[] {
-	entry.attempts = entry.attempts.filter(other => other !== attempt);
-	state.attempts.delete(attempt.attempt);
-	if (attempt.place.kind === 'data-centre') {
-		return result === 'finished' ? [] : [{kind: 'cancel-relay', attempt: attempt.attempt}];
+/** Fails a request whose attempts still run: what they may have sent counts, and they are cancelled. */
+function abandon(state: RouterState, entry: Entry, cause: FailureCause, now: Millis): RouterAction[] {
+	const result: ReleaseResult = cause === 'deadline' ? 'deadline' : 'cancelled';
+	return [...endRequest(state, entry, result, now), ...fail(state, entry, cause)];
+}
+
+function begin(state: RouterState, event: Extract<RouterEvent, {kind: 'request'}>, now: Millis): RouterAction[] {
+	const {request, places} = event;
+	if (state.requests.has(request.requestId)) {
+		return [];
 	}
 
-	const cancel: RouterAction[] = attempt.upstream !== undefined && result !== 'finished' ? [{kind: 'cancel', attempt: attempt.attempt}] : [];
-	return [...cancel, {
-		kind: 'release', release: {
-			kind: 'release',
-			attempt: attempt.attempt,
-			shard: attempt.place.shard,
-			result,
-			tokens: attempt.tokens,
-			...(attempt.firstTokenAt === undefined ? {} : {firstTokenMs: attempt.firstTokenAt - attempt.openedAt}),
-			generationMs: attempt.firstTokenAt === undefined ? 0 : now - attempt.firstTokenAt,
-		},
-	}];
+	const entry: Entry = {
+		request,
+		places,
+		notAfter: Math.min(request.deadlineAt, event.sendBy ?? request.deadlineAt),
+		firstShard: state.rotation,
+		stream: createStream({resumeFrom: event.resumeFrom ?? 0, version: event.version}),
+		attempts: [],
+		mayHaveSent: false,
+		written: false,
+		starts: 0,
+		failures: 0,
+		avoid: new Map(),
+		refusedShards: new Set(),
+		triedDataCentres: new Set(),
+		retryAt: undefined,
+	};
+	state.rotation++;
+	state.requests.set(request.requestId, entry);
+	earn(state.retries, 1);
+	const place = nextPlace(state, entry, now);
+	return place === undefined ? fail(state, entry, 'no-upstream') : startAttempt(state, entry, place, now);
 }
 
-function endRequest(state: RouterState, entry: Entry, result: ReleaseResult, now: Millis): RouterAction[] {
-	const actions = entry.attempts.flatMap(attempt => endAttempt(state, entry, attempt, result, now));
-	state.requests.delete(entry.request.requestId);
-	return actions;
-}
+function note(state: RouterState, entry: Entry, attempt: Attempt, event: FailedEvent, now: Millis): void {
+	if (attempt.upstream !== undefined) {
+		entry.avoid.set(attempt.upstream, softCauses.has(event.failure) ? 'soft' : 'hard');
+		return;
+	}
 
-function fail(state: RouterState, entry: Entry, failure: AttemptFailure | RefusalReason, retryAfterMs?: Millis, detail?: string): RouterAction[] {
-	const [kind, text, remedy] = problemOf[failure];
-	const retryable = kind !== 'upstream-rejected';
-	state.requests.delete(entry.request.requestId);
-	return [{
-		kind: 'fail', requestId: entry.request.requestId, cause: failure, sent: entry.sent, problem: new ProblemError({
-			kind,
-			detail: detail ?? text,
-			remedy,
-			outcome: outcomeOf(entry, failure),
-			...(retryable ? {retryAfterMs: retryAfterMs ?? defaultRetryAfterMs} : {}),
-		}),
-	}];
-}
+	const isPlaceClosed = event.failure === 'overloaded' || event.failure === 'no-upstream';
+	if (isPlaceClosed && attempt.place.kind === 'shard') {
+		entry.refusedShards.add(attempt.place.shard);
+	}
 
-function mayRetry(entry: Entry, event: Extract<RouterEvent, {kind: 'failed'}>, now: Millis): boolean {
-	const isFinal = event.failure === 'rejected' || event.failure === 'blocked' || event.failure === 'over-cap' || event.failure === 'deadline';
-	const isSafe = entry.request.idempotent || !entry.sent;
-	return !isFinal && isSafe && entry.failures < maxFailures && entry.request.deadlineAt > now;
+	if (isPlaceClosed && attempt.place.kind === 'data-centre') {
+		state.closedUntil.set(attempt.place.dataCentre, now + (event.retryAfterMs ?? 0));
+	}
 }
 
-function receiveFailure(state: RouterState, event: Extract<RouterEvent, {kind: 'failed'}>, now: Millis): RouterAction[] {
+function receiveFailure(state: RouterState, event: FailedEvent, now: Millis): RouterAction[] {
 	const found = find(state, event.attempt);
 	if (found === undefined) {
 		return [];
 	}
 
 	const {entry, attempt} = found;
-	entry.sent ||= event.sent;
-	entry.failures++;
-	if (attempt.upstream !== undefined) {
-		entry.avoid.push(attempt.upstream);
+	// A report that nothing was sent is about this attempt alone.
+	attempt.mayHaveSent = event.sent || attempt.firstTokenAt !== undefined;
+	note(state, entry, attempt, event, now);
+	const ended = endAttempt(state, entry, attempt, releaseResultOf(event.failure), now);
+	if (entry.attempts.length > 0) {
+		return ended;
 	}
 
-	const actions = endAttempt(state, entry, attempt, isFailure(event.failure) ? event.failure : 'cancelled', now);
-	if (mayRetry(entry, event, now)) {
-		return [...actions, ...startAttempt(state, entry, now)];
-	}
+	resumeStream(entry.stream);
+	return [...ended, ...retryOrFail(state, entry, event, now)];
+}
 
-	return [...actions, ...fail(state, entry, event.failure, event.retryAfterMs, event.detail)];
+function releaseResultOf(cause: FailureCause): ReleaseResult {
+	// The shard owner judges upstreams; a swap of weights or a refusal is no fault of an upstream.
+	return isRefusal(cause) || cause === 'version-changed' ? 'cancelled' : cause;
 }
 
-const refusals: ReadonlySet<string> = new Set<RefusalReason>(['overloaded', 'no-upstream', 'over-cap', 'blocked', 'not-owner', 'leaving']);
+function retryOrFail(state: RouterState, entry: Entry, event: FailedEvent, now: Millis): RouterAction[] {
+	const told = {retryAfterMs: event.retryAfterMs, detail: event.detail};
+	const isOver = finalCauses.has(event.failure) || !isSafeToSend(entry) || entry.notAfter <= now;
+	if (isOver) {
+		return fail(state, entry, event.failure, told);
+	}
+
+	if (event.failure === 'not-owner') {
+		// The shard moves to another daemon; nothing has been tried yet, so this costs no retry.
+		entry.retryAt = now + (event.retryAfterMs ?? 0);
+		return [];
+	}
 
-function isFailure(failure: AttemptFailure | RefusalReason): failure is AttemptFailure {
-	return !refusals.has(failure);
+	entry.failures++;
+	const place = entry.failures < maxFailures ? nextPlace(state, entry, now) : undefined;
+	if (place === undefined || !spend(state.retries, 1)) {
+		return fail(state, entry, event.failure, told);
+	}
+
+	return startAttempt(state, entry, place, now);
 }
 
 function find(state: RouterState, attemptId: AttemptId): {entry: Entry; attempt: Attempt} | undefined {
@@ -221,6 +173,34 @@
 	return entry === undefined || attempt === undefined ? undefined : {entry, attempt};
 }
 
+function open(state: RouterState, event: Extract<RouterEvent, {kind: 'granted'}>, now: Millis): RouterAction[] {
+	const found = find(state, event.attempt);
+	// A repeated grant must not open the upstream a second time.
+	if (found === undefined || found.attempt.upstream !== undefined || found.attempt.place.kind !== 'shard') {
+		return [];
+	}
+
+	const {entry, attempt} = found;
+	if (!isSafeToSend(entry) || entry.notAfter <= now) {
+		return receiveFailure(state, {
+			kind: 'failed', attempt: event.attempt, failure: 'late', sent: false,
+		}, now);
+	}
+
+	attempt.upstream = event.upstream;
+	attempt.mayHaveSent = true;
+	attempt.openedAt = now;
+	return [{
+		kind: 'open',
+		attempt: event.attempt,
+		upstream: event.upstream,
+		payload: entry.request.payload,
+		resumeFrom: entry.stream.delivered,
+		deadlineAt: entry.request.deadlineAt,
+		notAfter: entry.notAfter,
+	}];
+}
+
 function completeIfWhole(state: RouterState, entry: Entry, attempt: Attempt, now: Millis): RouterAction[] {
 	if (!isWhole(entry.stream)) {
 		return [];
@@ -244,29 +224,72 @@
 	}
 
 	const {entry, attempt} = found;
-	entry.sent = true;
+	attempt.progressAt = now;
+	if (event.chunk.tokens === 0) {
+		return [];
+	}
+
+	attempt.mayHaveSent = true;
 	attempt.firstTokenAt ??= now;
 	attempt.tokens += event.chunk.tokens;
-	const ready = addChunk(entry.stream, event.chunk);
-	const deliveries = ready.map((chunk): RouterAction => ({kind: 'deliver', requestId: entry.request.requestId, chunk}));
-	return [...deliveries, ...completeIfWhole(state, entry, attempt, now)];
+	const added = addChunk(entry.stream, event.chunk, entry.request.mixedVersions);
+	const deliveries = added.ready.map((chunk): RouterAction => ({kind: 'deliver', requestId: entry.request.requestId, chunk}));
+	const rest = added.fault === undefined ? completeIfWhole(state, entry, attempt, now) : receiveFailure(state, streamFailure(attempt, added.fault), now);
+	return [...deliveries, ...rest];
 }
 
-function refuse(state: RouterState, event: Extract<RouterEvent, {kind: 'refused'}>, now: Millis): RouterAction[] {
+function streamFailure(attempt: Attempt, fault: StreamFault): FailedEvent {
+	return fault === 'version-changed'
+		? {
+			kind: 'failed', attempt: attempt.attempt, failure: 'version-changed', sent: true,
+		}
+		: {
+			kind: 'failed', attempt: attempt.attempt, failure: 'server-error', sent: true, detail: 'the upstream continued with a text that does not follow what was delivered',
+		};
+}
+
+function finish(state: RouterState, event: Extract<RouterEvent, {kind: 'finished'}>, now: Millis): RouterAction[] {
+	const found = find(state, event.attempt);
+	if (found === undefined) {
+		return [];
+	}
+
+	const {entry, attempt} = found;
+	attempt.progressAt = now;
+	attempt.mayHaveSent = true;
+	attempt.status = event.status;
+	attempt.contentType = event.contentType;
+	entry.stream.total = event.tokens;
+	const completed = completeIfWhole(state, entry, attempt, now);
+	// Frames between daemons may still come; an upstream that has finished sends nothing more.
+	if (completed.length > 0 || attempt.place.kind === 'data-centre') {
+		return completed;
+	}
+
 	return receiveFailure(state, {
-		kind: 'failed', attempt: event.attempt, failure: event.reason, sent: false, retryAfterMs: event.retryAfterMs,
+		kind: 'failed', attempt: event.attempt, failure: 'server-error', sent: true, detail: 'the upstream left out a part of the completion',
 	}, now);
 }
 
-function expire(state: RouterState, now: Millis): RouterAction[] {
-	const actions: RouterAction[] = [];
-	for (const entry of state.requests.values()) {
-		if (entry.request.deadlineAt <= now) {
-			actions.push(...endRequest(state, entry, 'deadline', now), ...fail(state, entry, 'deadline'));
-		}
+function tickEntry(state: RouterState, entry: Entry, now: Millis): RouterAction[] {
+	if (entry.request.deadlineAt <= now) {
+		return abandon(state, entry, 'deadline', now);
+	}
+
+	// A claimed request that has not been sent by now never is.
+	if (entry.notAfter <= now && !mayHaveSent(entry)) {
+		return abandon(state, entry, 'late', now);
+	}
+
+	if (entry.retryAt !== undefined && entry.retryAt <= now) {
+		const place = nextPlace(state, entry, now);
+		return place === undefined ? fail(state, entry, 'no-upstream') : startAttempt(state, entry, place, now);
 	}
 
-	return actions;
+	const silent = entry.attempts.filter(attempt => attempt.place.kind === 'data-centre' && attempt.progressAt + relaySilenceMs <= now);
+	return silent.flatMap(attempt => receiveFailure(state, {
+		kind: 'failed', attempt: attempt.attempt, failure: 'relay-lost', sent: true,
+	}, now));
 }
 
 /** Decides about requests. Updates `state` in place and returns it. */
@@ -277,42 +300,24 @@
 function route(state: RouterState, event: RouterEvent, now: Millis): RouterAction[] {
 	switch (event.kind) {
 		case 'request': {
-			const stream = createStream();
-			stream.delivered = event.resumeFrom ?? 0;
-			const entry: Entry = {
-				request: event.request, places: event.places, stream, attempts: [], sent: false, failures: 0, avoid: [], triedDataCentres: [],
-			};
-			state.requests.set(event.request.requestId, entry);
-			return startAttempt(state, entry, now);
+			return begin(state, event, now);
 		}
 
 		case 'granted': {
-			const found = find(state, event.attempt);
-			if (found === undefined) {
-				return [];
-			}
-
-			found.attempt.upstream = event.upstream;
-			found.attempt.openedAt = now;
-			return [{
-				kind: 'open',
-				attempt: event.attempt,
-				upstream: event.upstream,
-				payload: found.entry.request.payload,
-				resumeFrom: found.entry.stream.delivered,
-				deadlineAt: found.entry.request.deadlineAt,
-			}];
+			return open(state, event, now);
 		}
 
 		case 'refused': {
-			return refuse(state, event, now);
+			return receiveFailure(state, {
+				kind: 'failed', attempt: event.attempt, failure: event.reason, sent: false, retryAfterMs: event.retryAfterMs,
+			}, now);
 		}
 
 		case 'sent': {
 			const found = find(state, event.attempt);
 			if (found !== undefined) {
-				found.attempt.sent = true;
-				found.entry.sent = true;
+				found.attempt.mayHaveSent = true;
+				found.attempt.written = true;
 			}
 
 			return [];
@@ -323,15 +328,7 @@
 		}
 
 		case 'finished': {
-			const found = find(state, event.attempt);
-			if (found === undefined) {
-				return [];
-			}
-
-			found.entry.stream.total = event.tokens;
-			found.attempt.status = event.status;
-			found.attempt.contentType = event.contentType;
-			return completeIfWhole(state, found.entry, found.attempt, now);
+			return finish(state, event, now);
 		}
 
 		case 'failed': {
@@ -343,8 +340,13 @@
 			return entry === undefined ? [] : endRequest(state, entry, 'cancelled', now);
 		}
 
+		case 'policy': {
+			state.retries.share = event.retryBudget;
+			return [];
+		}
+
 		case 'tick': {
-			return expire(state, now);
+			return [...state.requests.values()].flatMap(entry => tickEntry(state, entry, now));
 		}
 	}
 }
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -72,10 +72,17 @@
 	request: RequestSummary;
 	payload: Payload;
 	remainingMs: Millis;
+	/** No byte may be sent to an upstream later than this. Shorter than `remainingMs` for a claimed request. */
+	sendWithinMs: Millis;
 	/** Tokens that the caller already has. */
 	resumeFrom: number;
+	/** Weight version of the tokens before `resumeFrom`. */
+	version?: number;
+	/** Whether the rest may come from another weight version. */
+	mixedVersions: boolean;
 }>;
 
+/** One or more pieces of a completion. A chunk without tokens only says that the relay is alive. */
 export type RelayChunk = Readonly<{
 	kind: 'relay-chunk';
 	attempt: AttemptId;
--- a/packages/types/src/request.ts
+++ b/packages/types/src/request.ts
@@ -72,4 +72,6 @@
 	/** The daemon in the other data centre that ran the attempt is gone. */
 	| 'relay-lost'
 	/** The attempt was not sent in time, because its claim had lapsed. */
-	| 'late';
+	| 'late'
+	/** The upstream continued with another weight version and the caller does not allow mixed ones. */
+	| 'version-changed';
