Fakes: check notAfter right before an attempt is written

Cause: the fakes looked for a field that the claims do not use, so a paused claimant in the fakes would have sent late. Change: FakeDaemon refuses an attempt after its notAfter, as the edge does. Conclusion: the fuzzer can judge paused claimants.

--- a/packages/daemon/src/trace-store.test.ts
+++ b/packages/daemon/src/trace-store.test.ts
@@ -20,7 +20,7 @@
 		const store = new TraceStore();
 		store.recordEvent(received('r1'), 0);
 		store.recordAction({
-			kind: 'open-attempt', attempt: 'r1.0' as AttemptId, upstream: 'engine-1' as UpstreamId, payload, resumeFrom: 0, deadlineAt: 1000,
+			kind: 'open-attempt', attempt: 'r1.0' as AttemptId, upstream: 'engine-1' as UpstreamId, payload, resumeFrom: 0, deadlineAt: 1000, notAfter: 1000,
 		}, 5);
 		const trace = store.get('r1' as RequestId);
 		expect(trace?.at(-1)).toEqual({atMs: 5, what: 'connects to upstream', detail: {attempt: 'r1.0', upstream: 'engine-1', resumeFrom: 0}});
--- a/packages/fakes/src/daemon.ts
+++ b/packages/fakes/src/daemon.ts
@@ -31,9 +31,6 @@
 	progressAt: Millis;
 };
 
-/** A claimed attempt carries the time on the daemon's clock after which it must not be sent. */
-type WithSendBy = Readonly<{sendBy?: Millis}>;
-
 const packr = new Packr({useRecords: false});
 
 /** Size of a message between daemons on the wire. */
@@ -366,8 +363,7 @@
 		}
 
 		// The edge checks the time again right before it writes; the process may have been paused since the decision.
-		const {sendBy} = action as WithSendBy;
-		if (sendBy !== undefined && this.now > sendBy) {
+		if (this.now > action.notAfter) {
 			this.post({
 				kind: 'attempt-failed', attempt, failure: 'late', sent: false,
 			});
