Configuration: settle lost answers, validate at the boundary, poll once for each data centre

Cause: an apply whose answer was lost was reported as refused although the write had taken effect; each daemon polled the store; a store with an older row was never corrected; a document from a store or a peer was cast without a check; each daemon that adopted a version sent it to every peer.

Change: the stored value holds the configuration version, the document and the ids of the last 16 changes. apply reads the row, writes by compare-and-set, and after a lost answer reads back: its id in the row means accepted, an unchanged row means that the same write is repeated, another row means conflict. Reads of a lower version are ignored, and the poller of the data centre (rendezvous hashing) writes the known one back at most every 10 s. Documents are checked with the schema of settings before they come into effect; a faulty one is logged and changes nothing. A push goes to the data centre, and from its first gateway to one daemon of each other data centre. A 409 carries the current version and document.

Ruled out: the row version as configuration version. Writing back over an older row gives a row version below the known one, and an operator's change in between would be accepted under a version that the daemons ignore.

A change that a restored store has lost and that no reachable daemon knows can't be protected.

--- a/packages/api/src/answer-writer.ts
+++ b/packages/api/src/answer-writer.ts
@@ -9,8 +9,8 @@
 	versions: readonly VersionSpan[];
 }>;
 
-/** Sends `application/problem+json`. */
-export function sendProblem(res: ServerResponse, problem: ProblemError): void {
+/** Sends `application/problem+json`. `extension` holds further members of the body (RFC 9457, section 3.2). */
+export function sendProblem(res: ServerResponse, problem: ProblemError, extension: Readonly<Record<string, unknown>> = {}): void {
 	if (res.headersSent) {
 		res.end();
 		return;
@@ -18,7 +18,7 @@
 
 	const retry = problem.retryAfterMs === undefined ? {} : {'retry-after': String(retryAfterSeconds(problem.retryAfterMs))};
 	res.writeHead(problem.status, {'content-type': 'application/problem+json', ...retry});
-	res.end(JSON.stringify(problem.toBody()));
+	res.end(JSON.stringify({...problem.toBody(), ...extension}));
 }
 
 /** Writes the answer of one request to its caller. */
--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -159,7 +159,10 @@
 			return;
 		}
 
-		sendProblem(res, answer.problem);
+		// The document lets the command line show what changed; the key of an operator may read it anyway.
+		sendProblem(res, answer.problem, answer.currentDocument === ''
+			? {}
+			: {currentVersion: answer.currentVersion, currentDocument: JSON.parse(answer.currentDocument) as unknown});
 	}
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,9 +7,7 @@
 import {type Logger} from '@cicadapost/observability';
 import {type PeerLinks} from '@cicadapost/peers';
 import {type TableService, type VmList} from '@cicadapost/platform';
-import {
-	siteConfiguration, type ConfigurationDocument, type DaemonSettings, type SiteConfiguration,
-} from '@cicadapost/settings';
+import type {DaemonSettings, SiteConfiguration} from '@cicadapost/settings';
 import type {
 	AttemptId, CallId, DaemonId, DataCentreId, RegionId,
 } from '@cicadapost/types';
@@ -189,7 +187,7 @@
 			}
 
 			case 'configuration-in-effect': {
-				this.useConfiguration(action.version, action.document);
+				this.useConfiguration(action.version);
 				break;
 			}
 
@@ -205,6 +203,11 @@
 				break;
 			}
 
+			case 'log': {
+				this.logger.warn({event: action.event}, action.detail);
+				break;
+			}
+
 			case 'stopped': {
 				this.resolveStopped();
 				break;
@@ -256,9 +259,12 @@
 		}
 	}
 
-	private useConfiguration(version: number, document: string): void {
-		this.site = siteConfiguration(JSON.parse(document) as ConfigurationDocument, this.settings.dataCentre as DataCentreId);
-		this.api.useConfiguration(this.site);
+	private useConfiguration(version: number): void {
+		this.site = this.state.site;
+		if (this.site !== undefined) {
+			this.api.useConfiguration(this.site);
+		}
+
 		this.logger.info({event: 'configuration-in-effect', version}, 'configuration in effect');
 	}
 
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -5,7 +5,7 @@
 } from '@cicadapost/configuration';
 import {ProblemError} from '@cicadapost/errors';
 import {
-	decideMembership, liveDaemons, ownerIn, type MembershipAction, type MembershipEvent,
+	decideMembership, firstGatewayPeers, liveDaemons, ownerIn, type MembershipAction, type MembershipEvent,
 } from '@cicadapost/membership';
 import {
 	decideRouting, type PoolPlaces, type RouterAction, type RouterEvent,
@@ -13,12 +13,13 @@
 import {
 	createScheduler, decideScheduling, type SchedulerAction, type SchedulerEvent,
 } from '@cicadapost/scheduling';
-import {siteConfiguration, type ConfigurationDocument} from '@cicadapost/settings';
+import {siteConfiguration} from '@cicadapost/settings';
 import type {
-	CallId, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId,
+	CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId,
 } from '@cicadapost/types';
 import type {DaemonState} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
+import {documentFault, parseDocument} from './parse-document.js';
 import {shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
@@ -105,7 +106,7 @@
 
 	private tick(): void {
 		this.updateMembership({kind: 'tick'});
-		this.configure({kind: 'tick', call: this.nextCall()});
+		this.configure({kind: 'tick', call: this.nextCall(), isPoller: this.owns(configurationKey)});
 		this.route({kind: 'tick'});
 		for (const shard of this.state.schedulers.keys()) {
 			this.schedule(shard, {kind: 'tick'});
@@ -115,7 +116,7 @@
 	}
 
 	private stopIfIdle(): void {
-		if (this.state.leaving && !this.state.stopped && this.state.router.requests.size === 0) {
+		if (this.state.leaving && !this.state.stopped && this.state.router.requests.size === 0 && this.state.configuration.applies.size === 0) {
 			this.state.stopped = true;
 			this.actions.push({kind: 'stopped'});
 		}
@@ -231,7 +232,7 @@
 			}
 
 			case 'configuration': {
-				this.configure({...message, kind: 'offered'});
+				this.receiveConfiguration(from, message);
 				break;
 			}
 
@@ -472,8 +473,21 @@
 		}
 	}
 
+	/** Whether this daemon does the work named `key` for its data centre. */
+	private owns(key: string): boolean {
+		return ownerIn(this.state.membership, this.state.dataCentre, key) === this.state.self;
+	}
+
+	private receiveConfiguration(from: DaemonId, message: ConfigurationMessage): void {
+		const {kind, passOn, ...configuration} = message;
+		const isLocal = this.state.membership.peers.get(from)?.dataCentre === this.state.dataCentre;
+		this.configure({
+			kind: 'offered', from, isLocal, passOn: passOn ?? false, configuration,
+		});
+	}
+
 	private configure(event: ConfigurationEvent): void {
-		const outcome = decideConfiguration(this.state.configuration, event, this.now);
+		const outcome = decideConfiguration(this.state.configuration, event, this.now, documentFault);
 		this.state.configuration = outcome.state;
 		for (const action of outcome.actions) {
 			this.applyConfiguration(action);
@@ -488,16 +502,16 @@
 			}
 
 			case 'write-row': {
-				this.actions.push({
-					kind: 'write-row', call: action.call, table: configurationTable, key: configurationKey, expectedVersion: action.expectedVersion, value: action.document,
-				});
+				this.actions.push({...action, table: configurationTable, key: configurationKey});
 				break;
 			}
 
 			case 'in-effect': {
-				this.state.site = siteConfiguration(JSON.parse(action.document) as ConfigurationDocument, this.state.dataCentre);
-				this.actions.push({kind: 'configuration-in-effect', version: action.version, document: action.document});
-				this.refreshShards();
+				parseDocument(action.document).ifRight(document => {
+					this.state.site = siteConfiguration(document, this.state.dataCentre);
+					this.actions.push({kind: 'configuration-in-effect', version: action.version, document: action.document});
+					this.refreshShards();
+				});
 				break;
 			}
 
@@ -512,15 +526,17 @@
 			}
 
 			case 'push': {
-				for (const to of this.state.membership.peers.keys()) {
-					this.actions.push({kind: 'send', to, message: {kind: 'configuration', version: action.version, document: action.document}});
-				}
-
+				this.pushConfiguration(action);
 				break;
 			}
 
 			case 'send': {
-				this.actions.push({kind: 'send', to: action.to, message: {kind: 'configuration', version: action.version, document: action.document}});
+				this.actions.push({kind: 'send', to: action.to, message: {kind: 'configuration', ...action.configuration}});
+				break;
+			}
+
+			case 'rejected': {
+				this.actions.push({kind: 'log', event: 'configuration-rejected', detail: `configuration from ${action.source} was not accepted: ${action.detail}`});
 				break;
 			}
 
@@ -530,6 +546,23 @@
 			}
 		}
 	}
+
+	private pushConfiguration(action: Extract<ConfigurationAction, {kind: 'push'}>): void {
+		const {membership, dataCentre} = this.state;
+		if (action.scope !== 'other-data-centres') {
+			for (const [to, peer] of membership.peers) {
+				if (peer.dataCentre === dataCentre) {
+					this.actions.push({kind: 'send', to, message: {kind: 'configuration', ...action.configuration, passOn: action.scope === 'everywhere'}});
+				}
+			}
+		}
+
+		if (action.scope !== 'data-centre') {
+			for (const to of firstGatewayPeers(membership)) {
+				this.actions.push({kind: 'send', to, message: {kind: 'configuration', ...action.configuration}});
+			}
+		}
+	}
 }
 
 function relayedRequestId(attempt: string): RequestId {
@@ -572,16 +605,34 @@
 	}
 
 	return {
-		kind: 'apply-refused',
-		call: action.call,
-		currentVersion: 0,
-		currentDocument: '',
-		problem: new ProblemError({
-			kind: 'store-unavailable',
-			detail: 'the table service did not confirm the change',
-			remedy: 'check "cicadapost config show" and apply again after Retry-After',
-			outcome: 'unknown',
-			retryAfterMs: 5000,
-		}),
+		kind: 'apply-refused', call: action.call, currentVersion: 0, currentDocument: '', problem: applyProblem(action),
 	};
 }
+
+function applyProblem(action: Exclude<Extract<ConfigurationAction, {kind: 'refused'}>, {reason: 'conflict'}>): ProblemError {
+	switch (action.reason) {
+		case 'invalid': {
+			return new ProblemError({
+				kind: 'invalid-request', detail: action.detail, remedy: 'correct the document; "cicadapost config check" shows each fault',
+			});
+		}
+
+		case 'unreadable': {
+			return new ProblemError({
+				kind: 'internal',
+				detail: `the row ${configurationTable}/${configurationKey} can't be read: ${action.detail}`,
+				remedy: 'restore the row in the table service, or use daemons of the release that wrote it',
+			});
+		}
+
+		case 'store-unavailable': {
+			return new ProblemError({
+				kind: 'store-unavailable',
+				detail: action.outcome === 'unknown' ? 'the table service did not confirm the change' : 'the table service can\'t be reached; nothing was changed',
+				remedy: 'check "cicadapost config show" and apply again after Retry-After',
+				outcome: action.outcome,
+				retryAfterMs: 5000,
+			});
+		}
+	}
+}
--- a/packages/decision/src/events.ts
+++ b/packages/decision/src/events.ts
@@ -37,5 +37,7 @@
 	| Readonly<{kind: 'configuration-in-effect'; version: number; document: string}>
 	| Readonly<{kind: 'apply-accepted'; call: CallId; version: number}>
 	| Readonly<{kind: 'apply-refused'; call: CallId; problem: ProblemError; currentVersion: number; currentDocument: string}>
+	/** A line for the log. `event` is its stable name. */
+	| Readonly<{kind: 'log'; event: string; detail: string}>
 	/** Nothing is in flight any more and the daemon may end. */
 	| Readonly<{kind: 'stopped'}>;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -68,6 +68,15 @@
 	return ownerOf(key, liveDaemons(state, dataCentre));
 }
 
+/** The peers that this daemon is the first gateway towards: one in each other data centre for which it is. */
+export function firstGatewayPeers(state: MembershipState): DaemonId[] {
+	const others = new Set([...state.peers.values()].map(peer => peer.dataCentre).filter(dataCentre => dataCentre !== state.dataCentre));
+	return [...others]
+		.filter(other => ownerIn(state, state.dataCentre, `gateway/${state.dataCentre}/${other}`) === state.self)
+		.map(other => ownerIn(state, other, `gateway/${other}/${state.dataCentre}`))
+		.filter(daemon => daemon !== undefined);
+}
+
 function receiveHeartbeat(state: MembershipState, event: Extract<MembershipEvent, {kind: 'heartbeat'}>, now: Millis): MembershipAction[] {
 	const {from, heartbeat} = event;
 	const known = state.peers.get(from);
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -110,6 +110,10 @@
 	kind: 'configuration';
 	version: number;
 	document: string;
+	/** Ids of the last changes, newest first; see `StoredConfiguration` in packages/configuration. */
+	nonces?: readonly string[];
+	/** The receiver passes it on to the data centres that it is a gateway for. */
+	passOn?: boolean;
 }>;
 
 /** Asks for the configuration of a peer whose heartbeat names a higher version. */
