--- a/packages/api/src/admin-routes.ts
+++ b/packages/api/src/admin-routes.ts
@@ -4,6 +4,7 @@
 	checkDocument, documentSchema, formatReferenceFault, parseSettings, type ConfigurationDocument,
 } from '@cicadapost/settings';
 import type {App} from '@tinyhttp/app';
+import {sendProblem} from './answer-writer.js';
 import {type KeyRing, requireRole} from './authenticate.js';
 import {readBody} from './read-body.js';
 import {sendJson} from './send-json.js';
@@ -140,9 +141,7 @@
 		return;
 	}
 
+	// The document lets the command line show what changed; an operator may read it anyway.
 	const {problem, currentVersion, currentDocument} = answer;
-	const current = currentVersion > 0 ? {currentVersion, currentDocument: JSON.parse(currentDocument) as unknown} : {};
-	const retry = problem.retryAfterMs === undefined ? {} : {'retry-after': String(Math.ceil(problem.retryAfterMs / 1000))};
-	res.writeHead(problem.status, {'content-type': 'application/problem+json', ...retry});
-	res.end(JSON.stringify({...problem.toBody(), ...current}));
+	sendProblem(res, problem, currentDocument === '' ? {} : {currentVersion, currentDocument: JSON.parse(currentDocument) as unknown});
 }
--- a/packages/fakes/src/fakes.test.ts
+++ b/packages/fakes/src/fakes.test.ts
@@ -21,7 +21,7 @@
 		world.addEngine({upstream: upstream as UpstreamId, pool: 'p' as PoolId, dataCentre: 'west' as DataCentreId});
 	}
 
-	world.tables.seed('configuration', 'current', world.configuration({members: {m: {}}}));
+	world.tables.seed('configuration', 'current', world.storedConfiguration({members: {m: {}}}));
 	const daemons = [['d1', 'west'], ['d2', 'west'], ['d3', 'east']].map(([daemon, dataCentre]) => world.addDaemon({daemon: daemon as DaemonId, dataCentre: dataCentre as DataCentreId}));
 	world.publishVms();
 	world.queue.runUntil(3000);
--- a/packages/fakes/src/world.ts
+++ b/packages/fakes/src/world.ts
@@ -1,3 +1,4 @@
+import {encodeStored} from '@cicadapost/configuration';
 import type {
 	DaemonId, RegionId, UpstreamId, VmRecord,
 } from '@cicadapost/types';
@@ -82,6 +83,11 @@
 		});
 	}
 
+	/** Value of the row `configuration/current` at version 1, to seed the table service with. */
+	storedConfiguration(options: ConfigurationOptions): string {
+		return encodeStored({version: 1, document: this.configuration(options), nonces: []});
+	}
+
 	/** A configuration document for the engines of this world, as JSON. */
 	configuration(options: ConfigurationOptions): string {
 		const engines = [...this.engines.values()];
