--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -6,7 +6,7 @@
 import {ProblemError} from '@cicadapost/errors';
 import {documentSchema, parseSettings, type SiteConfiguration} from '@cicadapost/settings';
 import {
-	type Chunk, type Millis, type Request, type RequestId,
+	type Chunk, type MemberId, type Millis, type Request, type RequestId, type TrainerAnswer, type TrainerCall,
 } from '@cicadapost/types';
 import {App} from '@tinyhttp/app';
 import {
@@ -14,6 +14,7 @@
 } from './answer-writer.js';
 import {KeyRing, requireRole} from './authenticate.js';
 import {parseCompletion} from './parse-completion.js';
+import {parseTrainerCall, trainerResult, type TrainerCallKind} from './parse-trainer-call.js';
 import {readBody} from './read-body.js';
 
 /** Answer to an operator's change of the configuration. */
@@ -25,6 +26,8 @@
 export type ApiHandlers = Readonly<{
 	startRequest: (request: Request) => void;
 	abandonRequest: (requestId: RequestId) => void;
+	/** Resolves with the answer to a trainer's call; the signal tells that the trainer has closed its connection. */
+	callTrainer: (member: MemberId, call: TrainerCall, signal: AbortSignal) => Promise<TrainerAnswer>;
 	applyConfiguration: (expectedVersion: number, document: string) => Promise<ApplyAnswer>;
 	currentConfiguration: () => Readonly<{version: number; document: string}>;
 	status: () => unknown;
@@ -60,6 +63,9 @@
 			},
 		});
 		app.post('/v1/completions', async (req, res) => this.complete(req, res));
+		app.post('/v1/rollouts/groups', async (req, res) => this.callTrainer('submit', req, res));
+		app.post('/v1/rollouts/fetch', async (req, res) => this.callTrainer('fetch', req, res));
+		app.post('/v1/rollouts/ack', async (req, res) => this.callTrainer('ack', req, res));
 		app.get('/admin/configuration', (req, res) => {
 			this.requireOperator(req);
 			const {version, document} = this.options.handlers.currentConfiguration();
@@ -136,6 +142,18 @@
 		this.options.handlers.startRequest(request);
 	}
 
+	private async callTrainer(kind: TrainerCallKind, req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const principal = this.keys.authenticate(req.headers.authorization);
+		requireRole(principal, 'trainer');
+		const call = parseTrainerCall(kind, await readBody(req, this.bodyBytes));
+		const controller = new AbortController();
+		res.on('close', () => {
+			controller.abort();
+		});
+		const answer = await this.options.handlers.callTrainer(principal.member!, call, controller.signal);
+		sendJson(res, 200, trainerResult(answer));
+	}
+
 	private async apply(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		this.requireOperator(req);
 		const expectedVersion = Number(req.headers['if-match']);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,12 +6,12 @@
 import {type UpstreamConnections} from '@cicadapost/engines';
 import {type Logger} from '@cicadapost/observability';
 import {type PeerLinks} from '@cicadapost/peers';
-import {type TableService, type VmList} from '@cicadapost/platform';
+import {type ObjectStore, type TableService, type VmList} from '@cicadapost/platform';
 import {
 	siteConfiguration, type ConfigurationDocument, type DaemonSettings, type SiteConfiguration,
 } from '@cicadapost/settings';
 import type {
-	AttemptId, CallId, DaemonId, DataCentreId, RegionId,
+	AttemptId, CallId, DaemonId, DataCentreId, MemberId, ObjectAnswer, RegionId, TrainerAnswer, TrainerCall,
 } from '@cicadapost/types';
 import {inject, injectable} from 'tsyringe';
 import {type Clock} from './clock.js';
@@ -28,6 +28,7 @@
 	private readonly api: ApiServer;
 	private readonly attempts = new Map<AttemptId, AbortController>();
 	private readonly applies = new Map<CallId, (answer: ApplyAnswer) => void>();
+	private readonly trainerCalls = new Map<CallId, (answer: TrainerAnswer) => void>();
 	private readonly queue: DaemonEvent[] = [];
 	private isDraining = false;
 	private readonly timers: NodeJS.Timeout[] = [];
@@ -42,6 +43,7 @@
 		@inject(tokens.clock) private readonly clock: Clock,
 		@inject(tokens.logger) private readonly logger: Logger,
 		@inject(tokens.tableService) private readonly tableService: TableService,
+		@inject(tokens.objectStore) private readonly objectStore: ObjectStore,
 		@inject(tokens.vmList) private readonly vmList: VmList,
 		@inject(tokens.peers) private readonly peers: PeerLinks,
 		@inject(tokens.upstreams) private readonly upstreams: UpstreamConnections,
@@ -65,6 +67,7 @@
 				abandonRequest: requestId => {
 					this.post({kind: 'caller-left', requestId});
 				},
+				callTrainer: async (member, request, signal) => this.callTrainer(member, request, signal),
 				applyConfiguration: async (expectedVersion, document) => this.applyConfiguration(expectedVersion, document),
 				currentConfiguration: () => ({version: this.state.configuration.version, document: this.state.configuration.document}),
 				status: () => this.status(),
@@ -188,6 +191,24 @@
 				break;
 			}
 
+			case 'list-rows': {
+				void this.listRows(action);
+				break;
+			}
+
+			case 'get-object':
+			case 'put-object':
+			case 'delete-object': {
+				void this.callObjectStore(action);
+				break;
+			}
+
+			case 'trainer-answer': {
+				this.trainerCalls.get(action.call)?.(action.answer);
+				this.trainerCalls.delete(action.call);
+				break;
+			}
+
 			case 'configuration-in-effect': {
 				this.useConfiguration(action.version, action.document);
 				break;
@@ -249,6 +270,31 @@
 		this.post({kind: 'row-answer', call: action.call, answer});
 	}
 
+	private async listRows(action: Extract<DaemonAction, {kind: 'list-rows'}>): Promise<void> {
+		const rows = await this.tableService.list(action.table, action.prefix);
+		this.post({kind: 'list-answer', call: action.call, rows});
+	}
+
+	private async callObjectStore(action: ObjectStoreAction): Promise<void> {
+		const answer = await objectAnswer(this.objectStore, action);
+		this.post({kind: 'object-answer', call: action.call, answer});
+	}
+
+	private async callTrainer(member: MemberId, request: TrainerCall, signal: AbortSignal): Promise<TrainerAnswer> {
+		const call = randomUUID() as CallId;
+		signal.addEventListener('abort', () => {
+			if (this.trainerCalls.delete(call)) {
+				this.post({kind: 'trainer-left', call});
+			}
+		}, {once: true});
+		return new Promise(resolve => {
+			this.trainerCalls.set(call, resolve);
+			this.post({
+				kind: 'trainer-call', call, member, request,
+			});
+		});
+	}
+
 	private async readVmList(): Promise<void> {
 		const vms = await this.vmList.read();
 		if (vms !== undefined) {
@@ -284,6 +330,7 @@
 			dataCentre: state.dataCentre,
 			configurationVersion: state.configuration.version,
 			requestsInFlight: state.router.requests.size,
+			steps: [...state.rollouts.steps.values()].filter(step => step.isOwned).map(({member, step, groups}) => ({member, step, groups: groups.size})),
 			peers: Object.fromEntries([...state.membership.peers].map(([daemon, peer]) => [daemon, {
 				dataCentre: peer.dataCentre, leaving: peer.leaving, configurationVersion: peer.configurationVersion,
 			}])),
@@ -294,6 +341,17 @@
 	}
 }
 
+type ObjectStoreAction = Extract<DaemonAction, {kind: 'get-object' | 'put-object' | 'delete-object'}>;
+
+async function objectAnswer(store: ObjectStore, action: ObjectStoreAction): Promise<ObjectAnswer> {
+	if (action.kind === 'get-object') {
+		return store.get(action.key);
+	}
+
+	const isDone = action.kind === 'put-object' ? await store.put(action.key, action.value) : await store.delete(action.key);
+	return isDone ? {kind: 'done'} : {kind: 'unavailable'};
+}
+
 type Report = Parameters<Parameters<UpstreamConnections['run']>[1]>[0];
 
 function attemptEvent(attempt: AttemptId, report: Report): DaemonEvent {
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -5,6 +5,7 @@
 	clock: Symbol('clock'),
 	logger: Symbol('logger'),
 	tableService: Symbol('tableService'),
+	objectStore: Symbol('objectStore'),
 	vmList: Symbol('vmList'),
 	peers: Symbol('peers'),
 	upstreams: Symbol('upstreams'),
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -1,5 +1,6 @@
 import {createConfiguration, type ConfigurationState} from '@cicadapost/configuration';
 import {createMembership, type MembershipState} from '@cicadapost/membership';
+import {createRollouts, type RolloutState} from '@cicadapost/rollouts';
 import {createRouter, type RouterState} from '@cicadapost/routing';
 import type {SchedulerState} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
@@ -11,7 +12,9 @@
 export type Origin =
 	| Readonly<{kind: 'caller'}>
 	/** Another daemon has asked for it. */
-	| Readonly<{kind: 'relay'; from: DaemonId; attempt: AttemptId}>;
+	| Readonly<{kind: 'relay'; from: DaemonId; attempt: AttemptId}>
+	/** A sample of a training step that this daemon owns. */
+	| Readonly<{kind: 'rollout'}>;
 
 /** An `acquire` without an answer yet. It is sent again when the shard changes its owner. */
 export type OpenAcquire = Readonly<{
@@ -28,6 +31,7 @@
 	configuration: ConfigurationState;
 	site: SiteConfiguration | undefined;
 	router: RouterState;
+	rollouts: RolloutState;
 	/** Shards that this daemon owns. */
 	schedulers: Map<ShardId, SchedulerState>;
 	origins: Map<RequestId, Origin>;
@@ -53,6 +57,7 @@
 		configuration: createConfiguration(),
 		site: undefined,
 		router: createRouter(),
+		rollouts: createRollouts({self: options.self, incarnation: options.incarnation}),
 		schedulers: new Map(),
 		origins: new Map(),
 		acquires: new Map(),
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -7,6 +7,9 @@
 import {
 	decideMembership, liveDaemons, ownerIn, type MembershipAction, type MembershipEvent,
 } from '@cicadapost/membership';
+import {
+	decideRollouts, stepsToOwn, type RolloutAction, type RolloutEvent,
+} from '@cicadapost/rollouts';
 import {
 	decideRouting, type PoolPlaces, type RouterAction, type RouterEvent,
 } from '@cicadapost/routing';
@@ -19,6 +22,9 @@
 } from '@cicadapost/types';
 import type {DaemonState} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
+import {
+	checkTrainerCall, sampleEvent, sampleRequest, stepOwner,
+} from './rollout-steps.js';
 import {shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
@@ -80,10 +86,27 @@
 			}
 
 			case 'row-answer': {
+				if (this.state.rollouts.calls.has(event.call)) {
+					this.rollOut(event);
+					break;
+				}
+
 				this.configure({kind: 'answer', call: event.call, answer: event.answer});
 				break;
 			}
 
+			case 'list-answer':
+			case 'object-answer':
+			case 'trainer-left': {
+				this.rollOut(event);
+				break;
+			}
+
+			case 'trainer-call': {
+				this.startTrainerCall(event);
+				break;
+			}
+
 			case 'apply-configuration': {
 				this.configure({...event, kind: 'apply'});
 				break;
@@ -107,6 +130,7 @@
 		this.updateMembership({kind: 'tick'});
 		this.configure({kind: 'tick', call: this.nextCall()});
 		this.route({kind: 'tick'});
+		this.rollOut({kind: 'tick'});
 		for (const shard of this.state.schedulers.keys()) {
 			this.schedule(shard, {kind: 'tick'});
 		}
@@ -239,6 +263,79 @@
 				this.configure({kind: 'pulled', from, haveVersion: message.haveVersion});
 				break;
 			}
+
+			case 'rollout-call': {
+				this.rollOut({
+					...message, kind: 'call', from, owner: stepOwner(this.state, message.member, message.request.step),
+				});
+				break;
+			}
+
+			case 'rollout-answer': {
+				this.rollOut({...message, kind: 'forward-answer'});
+				break;
+			}
+		}
+	}
+
+	private startTrainerCall(event: Extract<DaemonEvent, {kind: 'trainer-call'}>): void {
+		const {call, member, request} = event;
+		const problem = checkTrainerCall(this.state, member, request);
+		if (problem !== undefined) {
+			this.actions.push({kind: 'trainer-answer', call, answer: {kind: 'problem', problem}});
+			return;
+		}
+
+		this.rollOut({
+			kind: 'call', call, from: undefined, member, request, owner: stepOwner(this.state, member, request.step),
+		});
+	}
+
+	private rollOut(event: RolloutEvent): void {
+		const outcome = decideRollouts(this.state.rollouts, event, this.now);
+		this.state.rollouts = outcome.state;
+		for (const action of outcome.actions) {
+			this.applyRollout(action);
+		}
+	}
+
+	private applyRollout(action: RolloutAction): void {
+		switch (action.kind) {
+			case 'answer': {
+				const {call, to, answer} = action;
+				this.actions.push(to === undefined ? {kind: 'trainer-answer', call, answer} : {kind: 'send', to, message: {kind: 'rollout-answer', call, answer}});
+				break;
+			}
+
+			case 'forward': {
+				const {to, ...message} = action;
+				this.actions.push({kind: 'send', to, message: {...message, kind: 'rollout-call'}});
+				break;
+			}
+
+			case 'start-sample': {
+				this.state.origins.set(action.requestId, {kind: 'rollout'});
+				this.route({kind: 'request', request: sampleRequest(action, this.now), places: this.placesOf(action.pool)});
+				break;
+			}
+
+			case 'cancel-sample': {
+				this.state.origins.delete(action.requestId);
+				this.route({kind: 'caller-left', requestId: action.requestId});
+				break;
+			}
+
+			default: {
+				this.actions.push(action);
+			}
+		}
+	}
+
+	/** Tells the rollouts which daemon owns each step now. */
+	private refreshSteps(): void {
+		const owners = new Map(stepsToOwn(this.state.rollouts).map(({key, member, step}) => [key, stepOwner(this.state, member, step)]));
+		if (owners.size > 0) {
+			this.rollOut({kind: 'owners', owners});
 		}
 	}
 
@@ -397,6 +494,10 @@
 		if (origin?.kind === 'relay') {
 			this.actions.push({kind: 'send', to: origin.from, message: relayAnswer(origin.attempt, action)});
 		}
+
+		if (origin?.kind === 'rollout') {
+			this.rollOut(sampleEvent(action));
+		}
 	}
 
 	private updateMembership(event: MembershipEvent): void {
@@ -439,6 +540,7 @@
 
 			case 'changed': {
 				this.refreshShards();
+				this.refreshSteps();
 				break;
 			}
 		}
@@ -498,6 +600,7 @@
 				this.state.site = siteConfiguration(JSON.parse(action.document) as ConfigurationDocument, this.state.dataCentre);
 				this.actions.push({kind: 'configuration-in-effect', version: action.version, document: action.document});
 				this.refreshShards();
+				this.refreshSteps();
 				break;
 			}
 
--- a/packages/decision/src/events.ts
+++ b/packages/decision/src/events.ts
@@ -2,7 +2,8 @@
 
 import type {ProblemError} from '@cicadapost/errors';
 import type {
-	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, Millis, Payload, PeerMessage, RefusalReason, Request, RequestId, RowAnswer, UpstreamId, VersionSpan, VmRecord,
+	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, ListedRow, MemberId, Millis, ObjectAnswer, Payload, PeerMessage, RefusalReason, Request, RequestId, RowAnswer,
+	TrainerAnswer, TrainerCall, UpstreamId, VersionSpan, VmRecord,
 } from '@cicadapost/types';
 
 export type DaemonEvent =
@@ -17,6 +18,11 @@
 	| Readonly<{kind: 'message'; from: DaemonId; message: PeerMessage}>
 	| Readonly<{kind: 'vm-list'; vms: readonly VmRecord[]}>
 	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
+	| Readonly<{kind: 'list-answer'; call: CallId; rows: readonly ListedRow[] | undefined}>
+	| Readonly<{kind: 'object-answer'; call: CallId; answer: ObjectAnswer}>
+	/** A trainer's call that has been authenticated and checked. */
+	| Readonly<{kind: 'trainer-call'; call: CallId; member: MemberId; request: TrainerCall}>
+	| Readonly<{kind: 'trainer-left'; call: CallId}>
 	| Readonly<{kind: 'apply-configuration'; call: CallId; expectedVersion: number; document: string}>
 	| Readonly<{kind: 'shut-down'}>
 	/** To be sent at least every 100 ms. */
@@ -34,6 +40,11 @@
 	| Readonly<{kind: 'read-row'; call: CallId; table: string; key: string}>
 	/** Compare-and-set; `expectedVersion` 0 inserts. */
 	| Readonly<{kind: 'write-row'; call: CallId; table: string; key: string; expectedVersion: number; value: string}>
+	| Readonly<{kind: 'list-rows'; call: CallId; table: string; prefix: string}>
+	| Readonly<{kind: 'get-object'; call: CallId; key: string}>
+	| Readonly<{kind: 'put-object'; call: CallId; key: string; value: string}>
+	| Readonly<{kind: 'delete-object'; call: CallId; key: string}>
+	| Readonly<{kind: 'trainer-answer'; call: CallId; answer: TrainerAnswer}>
 	| Readonly<{kind: 'configuration-in-effect'; version: number; document: string}>
 	| Readonly<{kind: 'apply-accepted'; call: CallId; version: number}>
 	| Readonly<{kind: 'apply-refused'; call: CallId; problem: ProblemError; currentVersion: number; currentDocument: string}>
--- /dev/null
+++ b/packages/decision/src/rollout-steps.ts
@@ -0,0 +1,122 @@
+/** Where training steps are run, and their samples as requests. */
+
+import {createHash} from 'node:crypto';
+import {liveDaemons, ownerIn, ownerOf} from '@cicadapost/membership';
+import type {RolloutAction, RolloutEvent} from '@cicadapost/rollouts';
+import type {RouterAction} from '@cicadapost/routing';
+import type {
+	DaemonId, DataCentreId, Fingerprint, MemberId, Millis, Request, TrainerCall, TrainerProblem,
+} from '@cicadapost/types';
+import type {DaemonState} from './daemon-state.js';
+
+const bytesPerToken = 4;
+/** Characters of a prompt that decide its prefix key, the same as for live calls. */
+const prefixLength = 512;
+const configurationRetryMs = 2000;
+
+/**
+The daemon that runs a step. The home data centre is chosen by rendezvous hashing over those that have engines and a
+live daemon, then the daemon in it; both by member and step, so that daemons in every data centre agree.
+While data centres are partitioned, each side has an owner of its own. Both may run the step; the compare-and-set of a
+group's row decides which one hands it over, and the side without the store needs the trainer's `received` list.
+*/
+export function stepOwner(state: DaemonState, member: MemberId, step: number): DaemonId | undefined {
+	const {site, membership} = state;
+	const key = `${encodeURIComponent(member)}/${step}`;
+	if (site === undefined) {
+		return undefined;
+	}
+
+	const alive = Object.keys(site.dataCentres).filter(name => liveDaemons(membership, name as DataCentreId).length > 0);
+	const equipped = alive.filter(name => site.poolsByDataCentre[name]?.some(pool => site.pools[pool]?.kind === 'engine'));
+	// Data centres are ranked by the same function as daemons.
+	const home = ownerOf(key, (equipped.length > 0 ? equipped : alive) as unknown as DaemonId[]);
+	return home === undefined ? undefined : ownerIn(membership, home as unknown as DataCentreId, key);
+}
+
+/** What is wrong with a trainer's call by the configuration in effect, if anything. */
+export function checkTrainerCall(state: DaemonState, member: MemberId, request: TrainerCall): TrainerProblem | undefined {
+	const {site} = state;
+	if (site === undefined) {
+		return {
+			kind: 'no-upstream', detail: 'this daemon has no configuration yet', remedy: 'wait for Retry-After', outcome: 'not-run', retryAfterMs: configurationRetryMs,
+		};
+	}
+
+	if (request.kind !== 'submit') {
+		return undefined;
+	}
+
+	if (site.pools[request.model]?.kind !== 'engine') {
+		return {
+			kind: 'invalid-request',
+			field: 'model',
+			detail: `"${request.model}" is not a pool of engines`,
+			remedy: 'use the name of a configured pool of engines as "model"',
+			outcome: 'not-run',
+		};
+	}
+
+	const limit = site.members[member]?.maxGroupSamples ?? 0;
+	return request.samples <= limit
+		? undefined
+		: {
+			kind: 'invalid-request',
+			field: 'samples',
+			detail: `the group has ${request.samples} samples and the member may have ${limit} in one group`,
+			remedy: 'submit smaller groups, or ask the operator for a larger maxGroupSamples',
+			outcome: 'not-run',
+		};
+}
+
+function shortHash(text: string, length: number): string {
+	return createHash('sha256').update(text).digest('hex').slice(0, length);
+}
+
+/** The request that runs one sample. The samples of a group share their prompt, and so prefix key and fingerprint. */
+export function sampleRequest(action: Extract<RolloutAction, {kind: 'start-sample'}>, now: Millis): Request {
+	const {requestId, member, pool, prompt, seed, maxTokens, timeoutMs} = action;
+	const body = JSON.stringify({
+		model: pool, prompt, max_tokens: maxTokens, seed, stream: true,
+	});
+	return {
+		requestId,
+		member,
+		requestClass: 'training',
+		pool,
+		promptTokens: Math.ceil(prompt.length / bytesPerToken),
+		maxTokens,
+		idempotent: true,
+		fingerprint: shortHash(`${member}\n${pool}\n${prompt}`, 32) as Fingerprint,
+		prefixKey: shortHash(prompt.slice(0, prefixLength), 16),
+		payload: {
+			method: 'POST', path: '/v1/completions', contentType: 'application/json', body,
+		},
+		deadlineAt: now + timeoutMs,
+		bodyHash: shortHash(body, 64),
+		mixedVersions: true,
+	};
+}
+
+/** What the router reports about a sample. Anything but a whole stream of the engine counts as a failure. */
+export function sampleEvent(action: Extract<RouterAction, {kind: 'deliver' | 'complete' | 'fail'}>): RolloutEvent {
+	const {requestId} = action;
+	switch (action.kind) {
+		case 'deliver': {
+			return {kind: 'sample-chunk', requestId, chunk: action.chunk};
+		}
+
+		case 'complete': {
+			const isStream = action.status === 200 && action.contentType.startsWith('text/event-stream');
+			return isStream
+				? {
+					kind: 'sample-finished', requestId, tokens: action.tokens, versions: action.versions,
+				}
+				: {kind: 'sample-failed', requestId, retryAfterMs: 0};
+		}
+
+		case 'fail': {
+			return {kind: 'sample-failed', requestId, retryAfterMs: action.problem.retryAfterMs ?? 0};
+		}
+	}
+}
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -7,6 +7,7 @@
 import {request} from 'undici';
 import {freePort} from './free-port.js';
 import {Processes, type Started} from './processes.js';
+import {printStep, startTrainer, stepOwnerIndex} from './training-step.js';
 
 const binary = path.resolve('dist/cicadapost');
 const standIns = path.resolve('dist/stand-ins.cjs');
@@ -15,6 +16,7 @@
 	inspectors: {key: 'inspectors-key-of-the-demo', weight: 3, role: 'caller'},
 	clerks: {key: 'clerks-key-of-the-demo', weight: 1, role: 'caller'},
 } as const;
+const trainer = {name: 'netmodel-trainer', key: 'trainer-key-of-the-demo', step: 7} as const;
 const dataCentres = {'alpen-west-1': 'alpen-west', 'lage-landen-1': 'lage-landen'} as const;
 
 type MemberName = keyof typeof members;
@@ -76,9 +78,12 @@
 	await post(`${platformUrl}/control`, {vms});
 	const baseFile = path.join(directory, 'base.jsonc');
 	writeFileSync(baseFile, JSON.stringify({
-		members: Object.fromEntries(Object.entries(members).map(([name, member]) => [name, {
-			weight: member.weight, keys: [{sha256: hash(member.key), role: member.role}],
-		}])),
+		members: {
+			...Object.fromEntries(Object.entries(members).map(([name, member]) => [name, {
+				weight: member.weight, keys: [{sha256: hash(member.key), role: member.role}],
+			}])),
+			[trainer.name]: {weight: 1, keys: [{sha256: hash(trainer.key), role: 'trainer'}]},
+		},
 		pools: {netmodel: {kind: 'engine'}},
 		dataCentres: Object.fromEntries(Object.entries(dataCentres).map(([name, region]) => [name, {region}])),
 	}));
@@ -165,11 +170,13 @@
 		};
 		const names = Object.keys(members) as MemberName[];
 		const callsInParallel = 20;
+		const training = startTrainer(processes, {daemons, key: trainer.key, step: trainer.step});
 		for (const round of [0, 1, 2]) {
 			if (round === 1) {
-				processes.kill(daemons[1]!);
+				const owner = await stepOwnerIndex(daemons, operatorKey);
+				processes.kill(daemons[owner]!);
 				processes.kill(engines[0]!);
-				process.stdout.write('killed one daemon and one engine\n');
+				process.stdout.write('killed the daemon that runs the training step, and one engine\n');
 			}
 
 			await Promise.all(names.flatMap(name => Array.from({length: callsInParallel}, async (_, index) => call(daemons, name, (round * callsInParallel) + index, results[name]))));
@@ -192,6 +199,7 @@
 			].join(' ')}\n`);
 		}
 
+		printStep(await training);
 		const lost = names.reduce((sum, name) => sum + results[name].lost, 0);
 		if (lost > 0) {
 			throw new Error(`${lost} calls got no answer`);
--- a/packages/demo/src/processes.ts
+++ b/packages/demo/src/processes.ts
@@ -27,6 +27,28 @@
 		});
 	}
 
+	/** Starts a program and resolves with its last line of output when it has ended. */
+	async run(program: string, args: readonly string[]): Promise<string> {
+		const child = spawn(program, args, {stdio: ['ignore', 'pipe', 'inherit']});
+		this.children.add(child);
+		let last = '';
+		createInterface({input: child.stdout}).on('line', line => {
+			last = line;
+		});
+		return new Promise((resolve, reject) => {
+			child.once('error', reject);
+			child.once('close', code => {
+				this.children.delete(child);
+				if (code === 0) {
+					resolve(last);
+					return;
+				}
+
+				reject(new Error(`${args.at(-1) ?? program} ended with code ${code}`));
+			});
+		});
+	}
+
 	/** Ends one process without warning. */
 	kill(started: Started): void {
 		started.child.kill('SIGKILL');
--- /dev/null
+++ b/packages/demo/src/trainer.ts
@@ -0,0 +1,176 @@
+/** A trainer of the demo: submits the groups of one step, fetches them until it has all, and reports what it received. */
+
+import {setTimeout as delay} from 'node:timers/promises';
+import {pathToFileURL} from 'node:url';
+import {request} from 'undici';
+
+export type TrainerOptions = Readonly<{
+	/** Addresses of the daemons; the trainer turns to the next one after a failure. */
+	urls: readonly string[];
+	key: string;
+	step: number;
+	groups: number;
+	samples: number;
+	maxTokens: number;
+	stalenessBound: number;
+	/** Groups that have not come by then count as lost, in milliseconds. */
+	limitMs: number;
+}>;
+
+export type StepReport = Readonly<{
+	step: number;
+	groups: number;
+	samples: number;
+	/** Largest age of a sample in weight versions. */
+	staleness: number;
+	versions: readonly number[];
+	duplicates: number;
+	lost: number;
+	tooOld: number;
+	/** Calls that had to be sent again. */
+	repeats: number;
+}>;
+
+type Sample = Readonly<{index: number; tokens: number; versions: ReadonlyArray<Readonly<{from: number; to: number; version: number}>>}>;
+type Fetched = Readonly<{groups: ReadonlyArray<Readonly<{group: number; samples: readonly Sample[]}>>; missing: readonly number[]; durable: boolean}>;
+
+const pollMs = 100;
+const callTimeoutMs = 10_000;
+
+class Trainer {
+	private readonly received = new Set<number>();
+	private readonly seen = new Set<string>();
+	private readonly versions = new Set<number>();
+	private readonly startedAt = performance.now();
+	private currentVersion = 0;
+	private duplicates = 0;
+	private staleness = 0;
+	private tooOld = 0;
+	private repeats = 0;
+	private url = 0;
+	/** After a hand-over that the store has not recorded, the service relies on the list of received groups. */
+	private needsList = false;
+
+	constructor(private readonly options: TrainerOptions) {}
+
+	async run(): Promise<StepReport> {
+		const {step, groups, samples} = this.options;
+		await Promise.all(Array.from({length: groups}, async (_, group) => this.submit(group)));
+		for (let fetch = 1; this.received.size < groups && !this.isLate(); fetch++) {
+			const fetchId = `fetch-${fetch}`;
+			await this.fetch(fetchId);
+			await this.call('ack', {step, fetchId});
+		}
+
+		return {
+			step,
+			groups: this.received.size,
+			samples: this.seen.size,
+			staleness: this.staleness,
+			versions: [...this.versions].sort((a, b) => a - b),
+			duplicates: this.duplicates,
+			lost: (groups * samples) - this.seen.size,
+			tooOld: this.tooOld,
+			repeats: this.repeats,
+		};
+	}
+
+	private async submit(group: number): Promise<void> {
+		const {step, samples, maxTokens, stalenessBound} = this.options;
+		await this.call('groups', {
+			step, group, model: 'netmodel', prompt: `judge net ${group} of the slope`, samples, maxTokens, stalenessBound,
+		});
+	}
+
+	/** Repeats one fetch until it returns groups. */
+	private async fetch(fetchId: string): Promise<void> {
+		const {step, groups} = this.options;
+		for (;;) {
+			const answer = await this.call('fetch', {
+				step, fetchId, max: 4, currentVersion: this.currentVersion, submitted: groups, ...(this.needsList ? {received: [...this.received]} : {}),
+			});
+			if (answer === undefined) {
+				return;
+			}
+
+			const fetched = answer as Fetched;
+			this.needsList ||= !fetched.durable;
+			for (const {group, samples} of fetched.groups) {
+				this.receive(group, samples);
+			}
+
+			for (const group of fetched.missing) {
+				await this.submit(group);
+			}
+
+			if (fetched.groups.length > 0) {
+				return;
+			}
+
+			await delay(pollMs);
+		}
+	}
+
+	private receive(group: number, samples: readonly Sample[]): void {
+		this.received.add(group);
+		for (const sample of samples) {
+			const name = `${group}/${sample.index}`;
+			this.duplicates += Number(this.seen.has(name));
+			this.seen.add(name);
+			const versions = sample.versions.map(span => span.version);
+			for (const version of versions) {
+				this.versions.add(version);
+			}
+
+			const age = this.currentVersion - Math.min(...versions);
+			this.staleness = Math.max(this.staleness, age);
+			this.tooOld += Number(age > this.options.stalenessBound);
+		}
+
+		// The trainer of the demo takes up new weights as soon as a sample names them.
+		this.currentVersion = Math.max(this.currentVersion, ...this.versions);
+	}
+
+	private isLate(): boolean {
+		return performance.now() - this.startedAt > this.options.limitMs;
+	}
+
+	/** Sends a call until a daemon answers it; undefined once the step is late. */
+	private async call(path: 'groups' | 'fetch' | 'ack', body: unknown): Promise<unknown> {
+		while (!this.isLate()) {
+			try {
+				const res = await request(`${this.options.urls[this.url % this.options.urls.length]!}/v1/rollouts/${path}`, {
+					method: 'POST',
+					headers: {'content-type': 'application/json', authorization: `Bearer ${this.options.key}`},
+					body: JSON.stringify(body),
+					signal: AbortSignal.timeout(callTimeoutMs),
+				});
+				const answer = await res.body.json() as Readonly<{field?: string; detail?: string}>;
+				if (res.statusCode === 200) {
+					return answer;
+				}
+
+				this.needsList ||= answer.field === 'received';
+				if (res.statusCode < 500) {
+					throw new TypeError(`the service answered ${res.statusCode}: ${answer.detail ?? ''}`);
+				}
+			} catch (err) {
+				if (err instanceof TypeError) {
+					throw err;
+				}
+				// The daemon was killed; the next one gets the same call.
+			}
+
+			this.url++;
+			this.repeats++;
+			await delay(pollMs);
+		}
+
+		return undefined;
+	}
+}
+
+if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
+	const report = await new Trainer(JSON.parse(process.argv[2] ?? '{}') as TrainerOptions).run();
+	process.stdout.write(`${JSON.stringify(report)}\n`);
+}
--- /dev/null
+++ b/packages/demo/src/training-step.ts
@@ -0,0 +1,61 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import {type Processes, type Started} from './processes.js';
+import type {StepReport, TrainerOptions} from './trainer.js';
+
+export type TrainingOptions = Readonly<{daemons: readonly Started[]; key: string; step: number}>;
+
+const groups = 16;
+const samplesPerGroup = 4;
+const statusIntervalMs = 20;
+
+/** Runs the trainer as a process of its own and resolves with what it received. */
+export async function startTrainer(processes: Processes, {daemons, key, step}: TrainingOptions): Promise<StepReport> {
+	const options: TrainerOptions = {
+		urls: daemons.map(daemon => `http://127.0.0.1:${daemon.port}`),
+		key,
+		step,
+		groups,
+		samples: samplesPerGroup,
+		maxTokens: 96,
+		stalenessBound: 1,
+		limitMs: 60_000,
+	};
+	const output = await processes.run(process.execPath, ['--import', 'tsx', 'packages/demo/src/trainer.ts', JSON.stringify(options)]);
+	return JSON.parse(output) as StepReport;
+}
+
+type Status = Readonly<{steps?: readonly unknown[]}>;
+
+/** Index of the daemon that owns the training step, once there is one. */
+export async function stepOwnerIndex(daemons: readonly Started[], operatorKey: string): Promise<number> {
+	for (;;) {
+		for (const [index, daemon] of daemons.entries()) {
+			const res = await request(`http://127.0.0.1:${daemon.port}/admin/status`, {headers: {authorization: `Bearer ${operatorKey}`}});
+			const status = await res.body.json() as Status;
+			if ((status.steps?.length ?? 0) > 0) {
+				return index;
+			}
+		}
+
+		await delay(statusIntervalMs);
+	}
+}
+
+/** Prints the result of the step. Throws if a sample was lost, came twice or was too old. */
+export function printStep(report: StepReport): void {
+	process.stdout.write('training step  groups  samples  staleness  versions  duplicates  lost  repeated calls\n');
+	process.stdout.write(`${[
+		String(report.step).padEnd(13),
+		String(report.groups).padStart(7),
+		String(report.samples).padStart(8),
+		String(report.staleness).padStart(10),
+		report.versions.join(',').padStart(9),
+		String(report.duplicates).padStart(11),
+		String(report.lost).padStart(5),
+		String(report.repeats).padStart(15),
+	].join(' ')}\n`);
+	if (report.duplicates > 0 || report.lost > 0 || report.tooOld > 0) {
+		throw new Error(`the trainer got ${report.duplicates} samples twice, ${report.tooOld} too old, and ${report.lost} not at all`);
+	}
+}
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -1,11 +1,7 @@
+import type {ObjectAnswer} from '@cicadapost/types';
 import {z} from 'zod';
 import {callJson, type HttpServiceOptions} from './table-service.js';
 
-export type ObjectAnswer =
-	| Readonly<{kind: 'object'; value: string}>
-	| Readonly<{kind: 'absent'}>
-	| Readonly<{kind: 'unavailable'}>;
-
 const objectSchema = z.object({value: z.string()});
 
 /** Whole objects by key. */
--- /dev/null
+++ b/packages/rollouts/src/decide-rollouts.ts
@@ -0,0 +1,365 @@
+/** Decides about the training steps that this daemon owns, and forwards the calls for those of others. */
+
+import type {
+	CallId, DaemonId, MemberId, Millis, Outcome,
+} from '@cicadapost/types';
+import {stepKey} from './group-row.js';
+import type {RolloutAction, RolloutEvent, StepKey} from './rollout-events.js';
+import type {
+	Group, PendingCall, RolloutState, Step, StoreCall,
+} from './rollout-state.js';
+import {
+	addText, cancelRuns, failRun, finishRun, hedgeStragglers, startRuns,
+} from './run-samples.js';
+import {settleWaiters, takeCall} from './serve-trainer.js';
+import {
+	isDirty, markDown, markUp, probe, readRows, receiveObject, receiveRow, receiveRows, syncGroup, type StoreResult,
+} from './sync-store.js';
+
+/** A step that no call was about for this long leaves memory; its rows stay. */
+const stepIdleMs = 3_600_000;
+const forwardRetryMs = 200;
+/** A forwarded call without an answer for this long ends as unknown. */
+const forwardTimeoutMs = 20_000;
+const forwardFailedRetryMs = 1000;
+/** A duplicate of a forwarded call is recognised for this long. */
+const seenMs = 60_000;
+
+/** Updates `state` in place and returns it with the actions to carry out, in order. */
+export function decideRollouts(state: RolloutState, event: RolloutEvent, now: Millis): Outcome<RolloutState, RolloutAction> {
+	return {state, actions: react(state, event, now)};
+}
+
+function react(state: RolloutState, event: RolloutEvent, now: Millis): RolloutAction[] {
+	switch (event.kind) {
+		case 'call': {
+			return receiveCall(state, event, now);
+		}
+
+		case 'forward-answer': {
+			return receiveForwardAnswer(state, event, now);
+		}
+
+		case 'trainer-left': {
+			state.forwards.delete(event.call);
+			return [];
+		}
+
+		case 'sample-chunk': {
+			addText(state, event.requestId, event.chunk.text, event.chunk.tokens);
+			return [];
+		}
+
+		case 'sample-finished': {
+			const finished = finishRun(state, event, now);
+			return finished === undefined ? [] : [...finished.actions, ...advanceGroup(state, finished.step, finished.group, now)];
+		}
+
+		case 'sample-failed': {
+			failRun(state, event.requestId, event.retryAfterMs, now);
+			return [];
+		}
+
+		case 'row-answer':
+		case 'list-answer':
+		case 'object-answer': {
+			return receiveStoreAnswer(state, event, now);
+		}
+
+		case 'owners': {
+			return changeOwners(state, event.owners, now);
+		}
+
+		case 'tick': {
+			return tick(state, now);
+		}
+	}
+}
+
+function tick(state: RolloutState, now: Millis): RolloutAction[] {
+	const actions = [...probe(state, now), ...retryForwards(state, now)];
+	for (const [call, expiresAt] of state.seen) {
+		if (expiresAt <= now) {
+			state.seen.delete(call);
+		}
+	}
+
+	for (const step of state.steps.values()) {
+		actions.push(...advanceStep(state, step, now));
+		const isIdle = step.waiters.length === 0 && now - step.touchedAt >= stepIdleMs;
+		const isLeft = !step.isOwned && ![...step.groups.values()].some(group => isDirty(group));
+		if (isIdle || isLeft) {
+			actions.push(...dropStep(state, step));
+		}
+	}
+
+	return actions;
+}
+
+function dropStep(state: RolloutState, step: Step): RolloutAction[] {
+	state.steps.delete(step.key);
+	return [...step.groups.values()].flatMap(group => cancelRuns(state, group.slots));
+}
+
+/** Does what can be done now for all groups of a step. */
+function advanceStep(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
+	const actions = [...readRows(state, step), ...takeEarlyCalls(state, step, now)];
+	actions.push(...settleWaiters(state, step, now));
+	for (const group of step.groups.values()) {
+		actions.push(...syncGroup(state, step, group, now));
+	}
+
+	actions.push(...startRuns(state, step, now), ...hedgeStragglers(state, step, now));
+	return actions;
+}
+
+/** Does what can be done now after a change of one group. */
+function advanceGroup(state: RolloutState, step: Step, group: Group, now: Millis): RolloutAction[] {
+	return [...syncGroup(state, step, group, now), ...settleWaiters(state, step, now), ...syncGroup(state, step, group, now)];
+}
+
+function takeEarlyCalls(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
+	if (step.rows !== 'read' && state.store.isUp) {
+		return [];
+	}
+
+	const {early} = step;
+	step.early = [];
+	for (const pending of early) {
+		takeCall(step, pending, now);
+	}
+
+	return [];
+}
+
+function ownedStep(state: RolloutState, member: MemberId, step: number, now: Millis): Step {
+	const key = stepKey(member, step);
+	const known = state.steps.get(key);
+	if (known !== undefined) {
+		known.rows = known.isOwned ? known.rows : 'unread';
+		known.isOwned = true;
+		return known;
+	}
+
+	const created: Step = {
+		key, member, step, isOwned: true, rows: 'unread', groups: new Map(), waiters: [], early: [], touchedAt: now, tokens: 0, hedgedTokens: 0,
+	};
+	state.steps.set(key, created);
+	return created;
+}
+
+function receiveCall(state: RolloutState, event: Extract<RolloutEvent, {kind: 'call'}>, now: Millis): RolloutAction[] {
+	const {call, from, member, request, owner} = event;
+	if (owner !== state.self) {
+		return from === undefined
+			? forward(state, {
+				call, member, request, owner,
+			}, now)
+			: [{
+				kind: 'answer', call, to: from, answer: {kind: 'not-owner'},
+			}];
+	}
+
+	if (from !== undefined) {
+		if (state.seen.has(call)) {
+			return [];
+		}
+
+		state.seen.set(call, now + seenMs);
+	}
+
+	return serve(state, member, {call, from, request}, now);
+}
+
+function serve(state: RolloutState, member: MemberId, pending: PendingCall, now: Millis): RolloutAction[] {
+	const step = ownedStep(state, member, pending.request.step, now);
+	step.early.push(pending);
+	return advanceStep(state, step, now);
+}
+
+type Forwarded = Readonly<{call: CallId; member: MemberId; request: PendingCall['request']; owner: DaemonId | undefined}>;
+
+function forward(state: RolloutState, forwarded: Forwarded, now: Millis): RolloutAction[] {
+	const {call, member, request, owner} = forwarded;
+	state.forwards.set(call, {...forwarded, retryAt: undefined, expiresAt: now + forwardTimeoutMs});
+	return owner === undefined
+		? []
+		: [{
+			kind: 'forward', call, to: owner, member, request,
+		}];
+}
+
+function receiveForwardAnswer(state: RolloutState, event: Extract<RolloutEvent, {kind: 'forward-answer'}>, now: Millis): RolloutAction[] {
+	const known = state.forwards.get(event.call);
+	if (known === undefined) {
+		return [];
+	}
+
+	if (event.answer.kind === 'not-owner') {
+		known.retryAt = now + forwardRetryMs;
+		return [];
+	}
+
+	state.forwards.delete(event.call);
+	return [{
+		kind: 'answer', call: event.call, to: undefined, answer: event.answer,
+	}];
+}
+
+function retryForwards(state: RolloutState, now: Millis): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	for (const known of state.forwards.values()) {
+		const {call, member, request, owner} = known;
+		if (known.expiresAt <= now) {
+			state.forwards.delete(call);
+			actions.push({
+				kind: 'answer', call, to: undefined, answer: {
+					kind: 'problem', problem: {
+						kind: 'outcome-unknown',
+						detail: 'the owner of the step did not answer',
+						remedy: 'repeat the same call; a repeat has no other effect',
+						outcome: 'unknown',
+						retryAfterMs: forwardFailedRetryMs,
+					},
+				},
+			});
+		} else if (known.retryAt !== undefined && known.retryAt <= now && owner !== undefined) {
+			known.retryAt = undefined;
+			actions.push({
+				kind: 'forward', call, to: owner, member, request,
+			});
+		}
+	}
+
+	return actions;
+}
+
+function changeOwners(state: RolloutState, owners: ReadonlyMap<StepKey, DaemonId | undefined>, now: Millis): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	for (const known of state.forwards.values()) {
+		const owner = owners.get(stepKey(known.member, known.request.step));
+		if (owner === known.owner) {
+			continue;
+		}
+
+		known.owner = owner;
+		if (owner === state.self) {
+			state.forwards.delete(known.call);
+			actions.push(...serve(state, known.member, {call: known.call, from: undefined, request: known.request}, now));
+		} else {
+			known.retryAt = now;
+		}
+	}
+
+	for (const step of state.steps.values()) {
+		const owner = owners.get(step.key);
+		if (step.isOwned && owner !== undefined && owner !== state.self) {
+			actions.push(...leaveStep(state, step, owner, now));
+		}
+	}
+
+	return actions;
+}
+
+/** Hands the waiting calls of a step to its new owner, and keeps only what still has to be written. */
+function leaveStep(state: RolloutState, step: Step, owner: DaemonId, now: Millis): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	step.isOwned = false;
+	for (const {call, from, request} of [...step.early, ...step.waiters]) {
+		actions.push(...(from === undefined
+			? forward(state, {
+				call, member: step.member, request, owner,
+			}, now)
+			: [{
+				kind: 'answer' as const, call, to: from, answer: {kind: 'not-owner' as const},
+			}]));
+	}
+
+	step.early = [];
+	step.waiters = [];
+	for (const group of step.groups.values()) {
+		actions.push(...cancelRuns(state, group.slots));
+		const isKept = group.handedInMemory || group.phase === 'acked';
+		if (!isKept || !isDirty(group)) {
+			step.groups.delete(group.index);
+		}
+	}
+
+	return actions;
+}
+
+function receiveStoreAnswer(state: RolloutState, event: Extract<RolloutEvent, {kind: 'row-answer' | 'list-answer' | 'object-answer'}>, now: Millis): RolloutAction[] {
+	const pending = state.calls.get(event.call);
+	if (pending === undefined) {
+		return [];
+	}
+
+	state.calls.delete(event.call);
+	const isAnswered = event.kind === 'list-answer' ? event.rows !== undefined : event.answer.kind !== 'unavailable';
+	if (isAnswered && !state.store.isUp) {
+		markUp(state, now);
+	}
+
+	if (pending.kind === 'probe') {
+		return [];
+	}
+
+	const step = state.steps.get(pending.step);
+	if (pending.kind === 'list') {
+		const rows = event.kind === 'list-answer' ? event.rows : undefined;
+		return rows === undefined
+			? goDown(state, now)
+			: [
+				...(step?.rows === 'reading' ? receiveRows(state, step, rows, now) : []),
+				...(step === undefined ? [] : advanceStep(state, step, now)),
+			];
+	}
+
+	const group = step?.groups.get(pending.group);
+	if (step === undefined || group?.storeCall !== event.call) {
+		return [];
+	}
+
+	group.storeCall = undefined;
+	const result = receiveGroupAnswer(state, {
+		step, group, pending, event,
+	}, now);
+	if (result.isDown) {
+		return [...result.actions, ...goDown(state, now)];
+	}
+
+	const current = step.groups.get(pending.group);
+	return [
+		...result.actions,
+		...(current === undefined ? [] : advanceGroup(state, step, current, now)),
+		...(pending.kind === 'get-prompt' ? startRuns(state, step, now) : []),
+	];
+}
+
+type GroupAnswer = Readonly<{
+	step: Step;
+	group: Group;
+	pending: Extract<StoreCall, {group: number}>;
+	event: Extract<RolloutEvent, {kind: 'row-answer' | 'list-answer' | 'object-answer'}>;
+}>;
+
+function receiveGroupAnswer(state: RolloutState, {step, group, pending, event}: GroupAnswer, now: Millis): StoreResult {
+	if ('value' in pending) {
+		return event.kind === 'row-answer' ? receiveRow(state, {step, group, pending}, event.answer, now) : {actions: [], isDown: true};
+	}
+
+	return event.kind === 'object-answer' ? receiveObject(step, group, pending, event.answer) : {actions: [], isDown: true};
+}
+
+/** The store can't be reached: calls that wait for it are answered as far as memory allows. */
+function goDown(state: RolloutState, now: Millis): RolloutAction[] {
+	markDown(state, now);
+	return [...state.steps.values()].flatMap(step => advanceStep(state, step, now));
+}
+
+/** The steps whose owner this daemon has to know: those that it holds and those of forwarded calls. */
+export function stepsToOwn(state: RolloutState): ReadonlyArray<Readonly<{key: StepKey; member: MemberId; step: number}>> {
+	const held = [...state.steps.values()].map(({key, member, step}) => ({key, member, step}));
+	const forwarded = [...state.forwards.values()].map(({member, request}) => ({key: stepKey(member, request.step), member, step: request.step}));
+	return [...held, ...forwarded];
+}
--- /dev/null
+++ b/packages/rollouts/src/group-row.ts
@@ -0,0 +1,81 @@
+/** The row of a group in the table service, and the keys of its objects. */
+
+import {createHash} from 'node:crypto';
+import type {
+	FinishedGroup, GroupSubmission, MemberId, PoolId, Sample, TrainerCall,
+} from '@cicadapost/types';
+import type {StepKey} from './rollout-events.js';
+
+/** Table that holds one row for each group. */
+export const groupsTable = 'groups';
+
+export type GroupPhase = 'open' | 'complete' | 'handed' | 'acked';
+
+/** Value of the row `<member>/<step>/<index>`, as JSON. */
+export type GroupRow = Readonly<{
+	phase: GroupPhase;
+	/** SHA-256 of the submission, in hex. */
+	bodyHash: string;
+	model: PoolId;
+	samples: number;
+	maxTokens: number;
+	stalenessBound: number;
+	seed: number;
+	/** Object with the prompt; absent if the group was complete before the store could be reached. */
+	promptKey?: string;
+	/** Object with the finished samples. Its name is unique, so that two daemons that both run the group never write the same one. */
+	objectKey?: string;
+	fetchId?: string;
+}>;
+
+/** Steps of different members never share a key, since the member is encoded and the step is a number. */
+export function stepKey(member: MemberId, step: number): StepKey {
+	return `${encodeURIComponent(member)}/${step}`;
+}
+
+export function rowKey(step: StepKey, group: number): string {
+	return `${step}/${group}`;
+}
+
+export function hashOf(text: string): string {
+	return createHash('sha256').update(text).digest('hex');
+}
+
+/** Equal for equal submissions, whatever the order of their fields. */
+export function submissionHash(submission: GroupSubmission): string {
+	const {step, group, model, prompt, samples, maxTokens, stalenessBound, seed} = submission;
+	return hashOf(JSON.stringify([step, group, model, prompt, samples, maxTokens, stalenessBound, seed ?? null]));
+}
+
+/** Seed of a group whose submission names none: the same whenever the group is submitted. */
+export function groupSeed(step: StepKey, submission: GroupSubmission): number {
+	return submission.seed ?? Number.parseInt(hashOf(rowKey(step, submission.group)).slice(0, 7), 16);
+}
+
+/** Each sample has its own seed, and the same one whenever it is run. */
+export function sampleSeed(seed: number, index: number): number {
+	return Number.parseInt(hashOf(`${seed}/${index}`).slice(0, 7), 16);
+}
+
+export function parseRow(value: string): GroupRow {
+	return JSON.parse(value) as GroupRow;
+}
+
+export function parseGroup(value: string): FinishedGroup {
+	return JSON.parse(value) as FinishedGroup;
+}
+
+/** The oldest weight version that produced a part of the sample. */
+export function oldestVersion(sample: Sample): number {
+	return Math.min(...sample.versions.map(span => span.version));
+}
+
+/** A sample is too old if the trainer's weights are more than `bound` versions ahead of the oldest that produced it. */
+export function isTooOld(sample: Sample, currentVersion: number, bound: number): boolean {
+	return currentVersion - oldestVersion(sample) > bound;
+}
+
+/** The step that a call is about. */
+export function stepOfCall(member: MemberId, call: TrainerCall): StepKey {
+	return stepKey(member, call.step);
+}
--- /dev/null
+++ b/packages/rollouts/src/rollout-events.ts
@@ -0,0 +1,37 @@
+import type {
+	CallId, Chunk, DaemonId, ListedRow, MemberId, Millis, ObjectAnswer, PoolId, RequestId, RowAnswer, TrainerAnswer, TrainerCall, VersionSpan,
+} from '@cicadapost/types';
+
+/** `<member>/<step>`, with the member percent-encoded. */
+export type StepKey = string;
+
+export type RolloutEvent =
+	/** A trainer's call. `from` is the daemon that forwarded it, or undefined if the trainer is connected to this one. */
+	| Readonly<{kind: 'call'; call: CallId; from: DaemonId | undefined; member: MemberId; request: TrainerCall; owner: DaemonId | undefined}>
+	/** The owner's answer to a call that this daemon forwarded. */
+	| Readonly<{kind: 'forward-answer'; call: CallId; answer: TrainerAnswer}>
+	/** The trainer closed its connection before the answer. */
+	| Readonly<{kind: 'trainer-left'; call: CallId}>
+	| Readonly<{kind: 'sample-chunk'; requestId: RequestId; chunk: Chunk}>
+	| Readonly<{kind: 'sample-finished'; requestId: RequestId; tokens: number; versions: readonly VersionSpan[]}>
+	| Readonly<{kind: 'sample-failed'; requestId: RequestId; retryAfterMs: Millis}>
+	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
+	| Readonly<{kind: 'list-answer'; call: CallId; rows: readonly ListedRow[] | undefined}>
+	| Readonly<{kind: 'object-answer'; call: CallId; answer: ObjectAnswer}>
+	/** The present owner of each step that this daemon holds or has forwarded a call of. */
+	| Readonly<{kind: 'owners'; owners: ReadonlyMap<StepKey, DaemonId | undefined>}>
+	/** To be sent at least every 100 ms. */
+	| Readonly<{kind: 'tick'}>;
+
+export type RolloutAction =
+	/** Answers a trainer's call; `to` is the daemon that forwarded it, or undefined for a trainer connected to this one. */
+	| Readonly<{kind: 'answer'; call: CallId; to: DaemonId | undefined; answer: TrainerAnswer}>
+	| Readonly<{kind: 'forward'; call: CallId; to: DaemonId; member: MemberId; request: TrainerCall}>
+	| Readonly<{kind: 'start-sample'; requestId: RequestId; member: MemberId; pool: PoolId; prompt: string; seed: number; maxTokens: number; timeoutMs: Millis}>
+	| Readonly<{kind: 'cancel-sample'; requestId: RequestId}>
+	| Readonly<{kind: 'read-row'; call: CallId; table: string; key: string}>
+	| Readonly<{kind: 'write-row'; call: CallId; table: string; key: string; expectedVersion: number; value: string}>
+	| Readonly<{kind: 'list-rows'; call: CallId; table: string; prefix: string}>
+	| Readonly<{kind: 'get-object'; call: CallId; key: string}>
+	| Readonly<{kind: 'put-object'; call: CallId; key: string; value: string}>
+	| Readonly<{kind: 'delete-object'; call: CallId; key: string}>;
--- /dev/null
+++ b/packages/rollouts/src/rollout-state.ts
@@ -0,0 +1,179 @@
+import type {
+	CallId, DaemonId, MemberId, Millis, PoolId, RequestId, Sample, TrainerCall, VersionSpan,
+} from '@cicadapost/types';
+import type {GroupPhase, GroupRow} from './group-row.js';
+import type {StepKey} from './rollout-events.js';
+
+/** One run of a sample. A straggler may have two. */
+export type Run = {
+	readonly requestId: RequestId;
+	readonly startedAt: Millis;
+	text: string;
+	tokens: number;
+};
+
+export type Slot = {
+	readonly index: number;
+	readonly seed: number;
+	runs: Run[];
+	result: Sample | undefined;
+	/** From the start of the run that finished to its end. */
+	durationMs: Millis;
+	/** Earliest time of the next run, after a failure. */
+	retryAt: Millis;
+	failures: number;
+};
+
+/** What is known to be stored for a group. */
+export type StoredRow = Readonly<{version: number; value: string; row: GroupRow}>;
+
+export type Group = {
+	readonly index: number;
+	readonly bodyHash: string;
+	readonly model: PoolId;
+	readonly maxTokens: number;
+	readonly stalenessBound: number;
+	readonly seed: number;
+	readonly submittedAt: Millis;
+	/** Undefined until it has been read from the object store. */
+	prompt: string | undefined;
+	slots: Slot[];
+	phase: GroupPhase;
+	fetchId: string | undefined;
+	/** The group was handed over against the trainer's `received` list while the store was down, so the trainer may have it. */
+	handedInMemory: boolean;
+	stored: StoredRow | undefined;
+	promptKey: string | undefined;
+	/** Stored object with the samples in `slots`. */
+	objectKey: string | undefined;
+	/** Key under which the samples in `slots` are being stored. */
+	pendingObject: string | undefined;
+	/** Objects that nothing refers to any more. */
+	garbage: string[];
+	/** The store call in flight for this group. */
+	storeCall: CallId | undefined;
+	/** Object that has to be read before the group can go on. */
+	load: 'prompt' | 'samples' | undefined;
+	/** Its writes are left over from an outage and sent at the limited rate. */
+	isBacklog: boolean;
+};
+
+/** A call that waits for the store. */
+export type Waiter = PendingCall & {
+	/** Groups that the call is about, once they are chosen. */
+	groups: number[] | undefined;
+};
+
+export type Step = {
+	readonly key: StepKey;
+	readonly member: MemberId;
+	readonly step: number;
+	isOwned: boolean;
+	/** Whether the rows of the step have been read since this daemon became its owner. */
+	rows: 'unread' | 'reading' | 'read';
+	groups: Map<number, Group>;
+	waiters: Waiter[];
+	/** Calls that wait until the rows have been read. */
+	early: PendingCall[];
+	touchedAt: Millis;
+	/** Tokens of finished samples, and of second runs of stragglers. */
+	tokens: number;
+	hedgedTokens: number;
+};
+
+export type PendingCall = Readonly<{call: CallId; from: DaemonId | undefined; request: TrainerCall}>;
+
+export type Forward = {
+	readonly call: CallId;
+	readonly member: MemberId;
+	readonly request: TrainerCall;
+	owner: DaemonId | undefined;
+	/** Time of the next try, after the receiver said that it is not the owner. */
+	retryAt: Millis | undefined;
+	readonly expiresAt: Millis;
+};
+
+export type StoreCall =
+	| Readonly<{kind: 'probe'}>
+	| Readonly<{kind: 'list'; step: StepKey}>
+	| Readonly<{kind: 'put-prompt' | 'put-samples' | 'delete'; step: StepKey; group: number; key: string}>
+	| Readonly<{kind: 'write-row' | 'read-back'; step: StepKey; group: number; value: string}>
+	| Readonly<{kind: 'get-prompt' | 'get-samples'; step: StepKey; group: number; key: string}>;
+
+export type StoreView = {
+	isUp: boolean;
+	/** Time of the next read that finds out whether the store is back. */
+	probeAt: Millis;
+	/** The store was down and writes are left over from that time. */
+	isCatchingUp: boolean;
+	/** Writes that catching up may send now. */
+	tokens: number;
+	refilledAt: Millis;
+};
+
+export type RolloutState = {
+	readonly self: DaemonId;
+	readonly incarnation: number;
+	readonly catchUpWritesPerSecond: number;
+	counter: number;
+	steps: Map<StepKey, Step>;
+	runs: Map<RequestId, Readonly<{step: StepKey; group: number; slot: number}>>;
+	calls: Map<CallId, StoreCall>;
+	forwards: Map<CallId, Forward>;
+	/** Calls of other daemons that were taken up, with the time until which a duplicate is recognised. */
+	seen: Map<CallId, Millis>;
+	store: StoreView;
+};
+
+export type RolloutOptions = Readonly<{
+	self: DaemonId;
+	/** Grows with each start of the process; makes ids unique. */
+	incarnation: number;
+	/** Limit while writes are left over from an outage: a quarter of what the store takes. */
+	catchUpWritesPerSecond?: number;
+}>;
+
+const defaultCatchUpWritesPerSecond = 75;
+
+export function createRollouts(options: RolloutOptions): RolloutState {
+	return {
+		self: options.self,
+		incarnation: options.incarnation,
+		catchUpWritesPerSecond: options.catchUpWritesPerSecond ?? defaultCatchUpWritesPerSecond,
+		counter: 0,
+		steps: new Map(),
+		runs: new Map(),
+		calls: new Map(),
+		forwards: new Map(),
+		seen: new Map(),
+		store: {
+			isUp: true, probeAt: 0, isCatchingUp: false, tokens: 0, refilledAt: 0,
+		},
+	};
+}
+
+/** A name that no other daemon and no earlier process of this one has used. */
+export function freshName(state: RolloutState): string {
+	state.counter++;
+	return `${state.self}.${state.incarnation}.r${state.counter}`;
+}
+
+export function freshCall(state: RolloutState, call: StoreCall): CallId {
+	const id = freshName(state) as CallId;
+	state.calls.set(id, call);
+	return id;
+}
+
+/** Whether each token range from 0 to `tokens` names exactly one version. */
+export function areVersionsWhole(versions: readonly VersionSpan[], tokens: number): boolean {
+	let next = 0;
+	for (const span of versions) {
+		if (span.from !== next || span.to <= span.from) {
+			return false;
+		}
+
+		next = span.to;
+	}
+
+	return next === tokens && tokens > 0;
+}
--- /dev/null
+++ b/packages/rollouts/src/run-samples.ts
@@ -0,0 +1,215 @@
+/** Which samples run, which are repeated, and which straggler gets a second run. */
+
+import type {
+	Millis, RequestId, Sample, VersionSpan,
+} from '@cicadapost/types';
+import type {RolloutAction} from './rollout-events.js';
+import {
+	areVersionsWhole, freshName, type Group, type RolloutState, type Run, type Slot, type Step,
+} from './rollout-state.js';
+import {isTooOld} from './group-row.js';
+
+/** A run without a result for this long is given up; all samples of a step complete within 9 minutes. */
+export const sampleTimeoutMs = 540_000;
+const firstRetryMs = 500;
+const maxRetryMs = 15_000;
+/** The samples of one step at the target size, so that the limit orders only larger loads. */
+const maxRunningSamples = 4096;
+const stragglerWaitMs = 2000;
+/** A run below this share of the usual token rate of its group is on a slow engine. */
+const slowRate = 0.5;
+/** Second runs as a share of tokens, as for hedges of live calls. */
+const hedgeBudget = 0.05;
+
+function startRun(state: RolloutState, step: Step, group: Group, slot: Slot, now: Millis): RolloutAction {
+	const requestId = `rollout:${freshName(state)}` as RequestId;
+	slot.runs.push({
+		requestId, startedAt: now, text: '', tokens: 0,
+	});
+	state.runs.set(requestId, {step: step.key, group: group.index, slot: slot.index});
+	return {
+		kind: 'start-sample',
+		requestId,
+		member: step.member,
+		pool: group.model,
+		prompt: group.prompt ?? '',
+		seed: slot.seed,
+		maxTokens: group.maxTokens,
+		timeoutMs: sampleTimeoutMs,
+	};
+}
+
+/** Starts the samples that have no run. The longest expected work goes first, so that it does not end the step alone. */
+export function startRuns(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
+	if (!step.isOwned) {
+		return [];
+	}
+
+	const waiting = [...step.groups.values()].filter(group => group.phase === 'open' && group.prompt !== undefined);
+	waiting.sort((a, b) => b.maxTokens - a.maxTokens || a.index - b.index);
+	const actions: RolloutAction[] = [];
+	for (const group of waiting) {
+		for (const slot of group.slots) {
+			if (slot.result === undefined && slot.runs.length === 0 && slot.retryAt <= now && state.runs.size < maxRunningSamples) {
+				actions.push(startRun(state, step, group, slot, now));
+			}
+		}
+	}
+
+	return actions;
+}
+
+function median(values: readonly number[]): number {
+	return values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+}
+
+/** Whether the only run of the sample is slower than its group, while the rest of the group waits for it. */
+function isStraggler(group: Group, slot: Slot, now: Millis): boolean {
+	const [run] = slot.runs;
+	const finished = group.slots.filter(other => other.result !== undefined && other.durationMs > 0);
+	const unfinished = group.slots.filter(other => other.result === undefined).length;
+	if (run === undefined || slot.runs.length > 1 || unfinished > group.slots.length / 4) {
+		return false;
+	}
+
+	const usualMs = median(finished.map(other => other.durationMs));
+	const usualRate = median(finished.map(other => other.result!.tokens / other.durationMs));
+	const elapsedMs = now - run.startedAt;
+	// A long sample at the usual rate can't be overtaken by a second run with the same seed.
+	return elapsedMs >= usualMs + Math.max(stragglerWaitMs, usualMs) && run.tokens / elapsedMs < usualRate * slowRate;
+}
+
+/** Starts second runs of stragglers, within the budget of the step. */
+export function hedgeStragglers(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	for (const group of step.groups.values()) {
+		for (const slot of group.phase === 'open' && step.isOwned ? group.slots : []) {
+			const budget = Math.max(group.maxTokens, step.tokens * hedgeBudget);
+			if (slot.result === undefined && isStraggler(group, slot, now) && step.hedgedTokens + group.maxTokens <= budget) {
+				step.hedgedTokens += group.maxTokens;
+				actions.push(startRun(state, step, group, slot, now));
+			}
+		}
+	}
+
+	return actions;
+}
+
+/** Ends all runs of the samples of a group. */
+export function cancelRuns(state: RolloutState, slots: readonly Slot[]): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	for (const slot of slots) {
+		for (const {requestId} of slot.runs) {
+			state.runs.delete(requestId);
+			actions.push({kind: 'cancel-sample', requestId});
+		}
+
+		slot.runs = [];
+	}
+
+	return actions;
+}
+
+type Found = {step: Step; group: Group; slot: Slot; run: Run};
+
+function findRun(state: RolloutState, requestId: RequestId): Found | undefined {
+	const place = state.runs.get(requestId);
+	const step = place === undefined ? undefined : state.steps.get(place.step);
+	const group = place === undefined ? undefined : step?.groups.get(place.group);
+	const slot = place === undefined ? undefined : group?.slots[place.slot];
+	const run = slot?.runs.find(other => other.requestId === requestId);
+	return step === undefined || group === undefined || slot === undefined || run === undefined
+		? undefined
+		: {
+			step, group, slot, run,
+		};
+}
+
+export function addText(state: RolloutState, requestId: RequestId, text: string, tokens: number): void {
+	const found = findRun(state, requestId);
+	if (found !== undefined) {
+		found.run.text += text;
+		found.run.tokens += tokens;
+	}
+}
+
+function dropRun(state: RolloutState, found: Found): void {
+	state.runs.delete(found.run.requestId);
+	found.slot.runs = found.slot.runs.filter(other => other !== found.run);
+}
+
+/** Notes that a run ended without a result. The sample is run again after a delay that grows with each failure. */
+export function failRun(state: RolloutState, requestId: RequestId, retryAfterMs: Millis, now: Millis): Step | undefined {
+	const found = findRun(state, requestId);
+	if (found === undefined) {
+		return undefined;
+	}
+
+	dropRun(state, found);
+	const {slot} = found;
+	const backoffMs = Math.min(maxRetryMs, firstRetryMs * (2 ** Math.min(slot.failures, 10)));
+	slot.failures++;
+	slot.retryAt = now + Math.max(backoffMs, Math.min(retryAfterMs, maxRetryMs));
+	return found.step;
+}
+
+export type RunResult = Readonly<{requestId: RequestId; tokens: number; versions: readonly VersionSpan[]}>;
+
+/** Notes the result of a run, ends the other run of the sample, and completes the group with its last sample. */
+export function finishRun(state: RolloutState, result: RunResult, now: Millis): Readonly<{step: Step; group: Group; actions: RolloutAction[]}> | undefined {
+	const found = findRun(state, result.requestId);
+	if (found === undefined) {
+		return undefined;
+	}
+
+	const {step, group, slot, run} = found;
+	if (run.tokens !== result.tokens || !areVersionsWhole(result.versions, result.tokens)) {
+		failRun(state, result.requestId, 0, now);
+		return {step, group, actions: []};
+	}
+
+	dropRun(state, found);
+	slot.result = {
+		index: slot.index, seed: slot.seed, text: run.text, tokens: run.tokens, versions: [...result.versions],
+	};
+	slot.durationMs = now - run.startedAt;
+	step.tokens += run.tokens;
+	const actions = cancelRuns(state, [slot]);
+	if (group.phase === 'open' && group.slots.every(other => other.result !== undefined)) {
+		group.phase = 'complete';
+	}
+
+	return {step, group, actions};
+}
+
+/** The samples of a group that are too old for a trainer with `currentVersion`. */
+export function tooOldSlots(group: Group, currentVersion: number): Slot[] {
+	return group.slots.filter(slot => slot.result !== undefined && isTooOld(slot.result, currentVersion, group.stalenessBound));
+}
+
+/** Takes back the samples in `slots`, so that they are run again before the group is handed over. */
+export function replaceSamples(group: Group, slots: readonly Slot[]): void {
+	for (const slot of slots) {
+		slot.result = undefined;
+		slot.retryAt = 0;
+	}
+
+	group.phase = 'open';
+	group.fetchId = undefined;
+	group.handedInMemory = false;
+	group.objectKey = undefined;
+	if (group.pendingObject !== undefined) {
+		group.garbage.push(group.pendingObject);
+		group.pendingObject = undefined;
+	}
+
+	if (group.prompt === undefined) {
+		group.load = 'prompt';
+	}
+}
+
+/** The finished samples of a group, or undefined while one is missing. */
+export function finishedSamples(group: Group): Sample[] | undefined {
+	const samples = group.slots.flatMap(slot => slot.result === undefined ? [] : [slot.result]);
+	return samples.length === group.slots.length ? samples : undefined;
+}
--- /dev/null
+++ b/packages/rollouts/src/serve-trainer.ts
@@ -0,0 +1,254 @@
+/** Answers to the calls of trainers: submit, fetch and acknowledge. */
+
+import type {
+	FinishedGroup, GroupSubmission, Millis, TrainerAnswer, TrainerCall, TrainerProblem,
+} from '@cicadapost/types';
+import {groupSeed, submissionHash} from './group-row.js';
+import type {RolloutAction} from './rollout-events.js';
+import type {
+	Group, PendingCall, RolloutState, Step, Waiter,
+} from './rollout-state.js';
+import {
+	cancelRuns, finishedSamples, replaceSamples, tooOldSlots,
+} from './run-samples.js';
+import {createSlots, isStored} from './sync-store.js';
+
+const storeRetryMs = 2000;
+/** Characters of text in one answer, so that it fits into one frame between daemons. At least one group is always answered. */
+const maxAnswerLength = 2 * 1024 * 1024;
+
+function problem(options: TrainerProblem): TrainerAnswer {
+	return {kind: 'problem', problem: options};
+}
+
+const conflict = problem({
+	kind: 'idempotency-conflict',
+	field: 'group',
+	detail: 'the group has been submitted before with another body',
+	remedy: 'submit the same body again, or use another group index',
+	outcome: 'not-run',
+});
+
+function storeDown(outcome: 'not-run' | 'unknown'): TrainerAnswer {
+	return problem({
+		kind: 'store-unavailable',
+		field: 'received',
+		detail: outcome === 'not-run'
+			? 'the store that records hand-overs can\'t be reached'
+			: 'the store did not confirm the hand-over',
+		remedy: 'repeat with the same fetchId after Retry-After, or send "received" with the indices of all groups of the step that you have',
+		outcome,
+		retryAfterMs: storeRetryMs,
+	});
+}
+
+export function createGroup(step: Step, submission: GroupSubmission, now: Millis): Group {
+	const seed = groupSeed(step.key, submission);
+	return {
+		index: submission.group,
+		bodyHash: submissionHash(submission),
+		model: submission.model,
+		maxTokens: submission.maxTokens,
+		stalenessBound: submission.stalenessBound,
+		seed,
+		submittedAt: now,
+		prompt: submission.prompt,
+		slots: createSlots(seed, submission.samples),
+		phase: 'open',
+		fetchId: undefined,
+		handedInMemory: false,
+		stored: undefined,
+		promptKey: undefined,
+		objectKey: undefined,
+		pendingObject: undefined,
+		garbage: [],
+		storeCall: undefined,
+		load: undefined,
+		isBacklog: false,
+	};
+}
+
+/** Takes up a call of a trainer for a step that this daemon owns. The answer follows from `settleWaiters`. */
+export function takeCall(step: Step, pending: PendingCall, now: Millis): void {
+	const {request} = pending;
+	step.touchedAt = now;
+	if (request.kind === 'submit') {
+		const known = step.groups.get(request.group);
+		if (known === undefined) {
+			step.groups.set(request.group, createGroup(step, request, now));
+		} else if (known.load === 'prompt' && known.bodyHash === submissionHash(request)) {
+			known.prompt = request.prompt;
+			known.load = undefined;
+		}
+	}
+
+	step.waiters.push({...pending, groups: undefined});
+}
+
+/** Answers each call that need not wait any longer. */
+export function settleWaiters(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	const waiting: Waiter[] = [];
+	for (const waiter of step.waiters) {
+		const settled = settle(state, step, waiter, now);
+		actions.push(...settled.actions);
+		if (settled.answer === undefined) {
+			waiting.push(waiter);
+			continue;
+		}
+
+		actions.push({
+			kind: 'answer', call: waiter.call, to: waiter.from, answer: settled.answer,
+		});
+	}
+
+	step.waiters = waiting;
+	return actions;
+}
+
+type Settled = Readonly<{answer: TrainerAnswer | undefined; actions: readonly RolloutAction[]}>;
+
+function settle(state: RolloutState, step: Step, waiter: Waiter, now: Millis): Settled {
+	const {request} = waiter;
+	switch (request.kind) {
+		case 'submit': {
+			return {answer: settleSubmit(state, step, request), actions: []};
+		}
+
+		case 'fetch': {
+			return settleFetch(state, step, waiter, request, now);
+		}
+
+		case 'ack': {
+			return settleAck(state, step, waiter, request);
+		}
+	}
+}
+
+function settleSubmit(state: RolloutState, step: Step, request: Extract<TrainerCall, {kind: 'submit'}>): TrainerAnswer | undefined {
+	const group = step.groups.get(request.group);
+	if (group !== undefined && group.bodyHash !== submissionHash(request)) {
+		return conflict;
+	}
+
+	const isDurable = group?.stored !== undefined;
+	return isDurable || !state.store.isUp || group === undefined
+		? {
+			kind: 'submitted', step: step.step, group: request.group, durable: isDurable,
+		}
+		: undefined;
+}
+
+type Fetch = Extract<TrainerCall, {kind: 'fetch'}>;
+
+function settleFetch(state: RolloutState, step: Step, waiter: Waiter, fetch: Fetch, now: Millis): Settled {
+	const actions: RolloutAction[] = [];
+	if (!state.store.isUp && fetch.received === undefined) {
+		// Once a compare-and-set was sent, it may have taken effect.
+		return {answer: storeDown(waiter.groups === undefined ? 'not-run' : 'unknown'), actions};
+	}
+
+	waiter.groups ??= chooseGroups(state, step, fetch, actions, now);
+	const groups = waiter.groups.flatMap(index => step.groups.get(index) ?? []).filter(group => group.phase === 'handed' && group.fetchId === fetch.fetchId);
+	if (state.store.isUp && groups.some(group => !isStored(group) || group.load !== undefined)) {
+		return {answer: undefined, actions};
+	}
+
+	const handed: FinishedGroup[] = [];
+	for (const group of groups) {
+		const samples = finishedSamples(group);
+		if (samples === undefined) {
+			continue;
+		}
+
+		group.handedInMemory ||= !isStored(group);
+		handed.push({group: group.index, samples});
+	}
+
+	return {
+		answer: {
+			kind: 'fetched',
+			step: step.step,
+			fetchId: fetch.fetchId,
+			groups: handed,
+			missing: missingGroups(step, fetch),
+			open: [...step.groups.values()].filter(group => group.phase === 'open' || group.phase === 'complete').length,
+			durable: groups.every(group => !group.handedInMemory),
+		}, actions,
+	};
+}
+
+function textLength(group: Group): number {
+	return group.slots.reduce((sum, slot) => sum + (slot.result?.text.length ?? 0), 0);
+}
+
+/** The groups that belong to a fetch: those handed to it before, else those that can be handed over now. */
+function chooseGroups(state: RolloutState, step: Step, fetch: Fetch, actions: RolloutAction[], now: Millis): number[] {
+	const received = new Set(fetch.received);
+	const all = [...step.groups.values()].sort((a, b) => a.index - b.index);
+	const earlier = all.filter(group => group.fetchId === fetch.fetchId && (group.phase === 'handed' || group.phase === 'acked'));
+	if (earlier.length > 0) {
+		return earlier
+			.filter(group => group.phase === 'handed' && !received.has(group.index) && isFresh(group, fetch))
+			.map(group => group.index);
+	}
+
+	const chosen: number[] = [];
+	let length = 0;
+	for (const group of all) {
+		const isReady = group.phase === 'complete' && group.load === undefined && (isStored(group) || !state.store.isUp);
+		if (!isReady || received.has(group.index) || !isFresh(group, fetch)) {
+			continue;
+		}
+
+		length += textLength(group);
+		if (chosen.length >= fetch.max || (chosen.length > 0 && length > maxAnswerLength)) {
+			break;
+		}
+
+		group.phase = 'handed';
+		group.fetchId = fetch.fetchId;
+		chosen.push(group.index);
+	}
+
+	return chosen;
+}
+
+/** Whether no sample of the group is too old. Those that are too old are taken back and run again. */
+function isFresh(group: Group, fetch: Fetch): boolean {
+	const tooOld = tooOldSlots(group, fetch.currentVersion);
+	if (tooOld.length === 0) {
+		return true;
+	}
+
+	replaceSamples(group, tooOld);
+	return false;
+}
+
+function missingGroups(step: Step, fetch: Fetch): number[] {
+	const received = new Set(fetch.received);
+	const end = Math.max(fetch.submitted ?? 0, ...[...step.groups.keys()].map(index => index + 1));
+	return Array.from({length: end}, (_, index) => index).filter(index => !step.groups.has(index) && !received.has(index));
+}
+
+function settleAck(state: RolloutState, step: Step, waiter: Waiter, request: Extract<TrainerCall, {kind: 'ack'}>): Settled {
+	const actions: RolloutAction[] = [];
+	if (waiter.groups === undefined) {
+		const handed = [...step.groups.values()].filter(group => group.fetchId === request.fetchId && (group.phase === 'handed' || group.phase === 'acked'));
+		for (const group of handed) {
+			group.phase = 'acked';
+			actions.push(...cancelRuns(state, group.slots));
+		}
+
+		waiter.groups = handed.map(group => group.index).sort((a, b) => a - b);
+	}
+
+	const groups = waiter.groups.flatMap(index => step.groups.get(index) ?? []);
+	const isDurable = groups.every(group => isStored(group));
+	const answer: TrainerAnswer | undefined = isDurable || !state.store.isUp
+		? {
+			kind: 'acked', step: step.step, fetchId: request.fetchId, groups: waiter.groups, durable: isDurable,
+		}
+		: undefined;
+	return {answer, actions};
+}
--- /dev/null
+++ b/packages/rollouts/src/sync-store.ts
@@ -0,0 +1,446 @@
+/** Brings the rows and objects of groups up to what this daemon holds, one store call for each group at a time. */
+
+import type {
+	CallId, ListedRow, Millis, ObjectAnswer, RowAnswer, Sample,
+} from '@cicadapost/types';
+import {
+	groupsTable, parseGroup, parseRow, rowKey, type GroupRow, sampleSeed,
+} from './group-row.js';
+import type {RolloutAction} from './rollout-events.js';
+import {
+	freshCall, freshName, type Group, type RolloutState, type Slot, type Step, type StoreCall,
+} from './rollout-state.js';
+import {cancelRuns, finishedSamples, replaceSamples} from './run-samples.js';
+
+const probeIntervalMs = 1000;
+
+export function createSlots(seed: number, samples: number): Slot[] {
+	return Array.from({length: samples}, (_, index) => ({
+		index, seed: sampleSeed(seed, index), runs: [], result: undefined, durationMs: 0, retryAt: 0, failures: 0,
+	}));
+}
+
+function groupFromRow(index: number, listed: Readonly<{version: number; value: string}>, now: Millis): Group {
+	const row = parseRow(listed.value);
+	const loads = {
+		open: 'prompt', complete: 'samples', handed: 'samples', acked: undefined,
+	} as const;
+	return {
+		index,
+		bodyHash: row.bodyHash,
+		model: row.model,
+		maxTokens: row.maxTokens,
+		stalenessBound: row.stalenessBound,
+		seed: row.seed,
+		submittedAt: now,
+		prompt: undefined,
+		slots: row.phase === 'acked' ? [] : createSlots(row.seed, row.samples),
+		phase: row.phase,
+		fetchId: row.fetchId,
+		handedInMemory: false,
+		stored: {...listed, row},
+		promptKey: row.promptKey,
+		objectKey: row.objectKey,
+		pendingObject: undefined,
+		garbage: [],
+		storeCall: undefined,
+		load: loads[row.phase],
+		isBacklog: false,
+	};
+}
+
+/** The row that should be stored for the group now. */
+function rowOf(group: Group): GroupRow {
+	const isAcked = group.phase === 'acked';
+	return {
+		phase: group.phase,
+		bodyHash: group.bodyHash,
+		model: group.model,
+		samples: group.stored?.row.samples ?? group.slots.length,
+		maxTokens: group.maxTokens,
+		stalenessBound: group.stalenessBound,
+		seed: group.seed,
+		...(group.promptKey === undefined || isAcked ? {} : {promptKey: group.promptKey}),
+		...(group.objectKey === undefined || isAcked ? {} : {objectKey: group.objectKey}),
+		...(group.fetchId === undefined ? {} : {fetchId: group.fetchId}),
+	};
+}
+
+/** Whether the store has the group as this daemon holds it. While samples are replaced, the row of the old ones stays. */
+export function isStored(group: Group): boolean {
+	if (group.stored === undefined) {
+		return false;
+	}
+
+	if (group.phase === 'open') {
+		return group.stored.row.phase === 'open' || group.stored.row.phase === 'complete';
+	}
+
+	return group.stored.value === JSON.stringify(rowOf(group));
+}
+
+type Planned = Readonly<{call: StoreCall; isWrite: boolean; action: (call: CallId) => RolloutAction}>;
+
+function plan(state: RolloutState, step: Step, group: Group): Planned | undefined {
+	const place = {step: step.key, group: group.index};
+	if (group.load !== undefined) {
+		const key = group.load === 'prompt' ? group.promptKey : group.objectKey;
+		return key === undefined
+			? undefined
+			: {
+				call: {kind: group.load === 'prompt' ? 'get-prompt' : 'get-samples', ...place, key},
+				isWrite: false,
+				action: call => ({kind: 'get-object', call, key}),
+			};
+	}
+
+	const needsPrompt = group.promptKey === undefined && (group.phase === 'open' || group.phase === 'complete');
+	if (needsPrompt && group.prompt !== undefined) {
+		const key = `prompts/${rowKey(step.key, group.index)}/${group.bodyHash}`;
+		const value = group.prompt;
+		return {
+			call: {kind: 'put-prompt', ...place, key}, isWrite: true, action: call => ({
+				kind: 'put-object', call, key, value,
+			}),
+		};
+	}
+
+	const samples = finishedSamples(group);
+	const needsSamples = group.objectKey === undefined && (group.phase === 'complete' || group.phase === 'handed');
+	if (needsSamples && samples !== undefined) {
+		group.pendingObject ??= `samples/${rowKey(step.key, group.index)}/${freshName(state)}`;
+		const key = group.pendingObject;
+		return {
+			call: {kind: 'put-samples', ...place, key}, isWrite: true, action: call => ({
+				kind: 'put-object', call, key, value: JSON.stringify({group: group.index, samples}),
+			}),
+		};
+	}
+
+	if (!isStored(group)) {
+		const value = JSON.stringify(rowOf(group));
+		return {
+			call: {kind: 'write-row', ...place, value}, isWrite: true, action: call => ({
+				kind: 'write-row', call, table: groupsTable, key: rowKey(step.key, group.index), expectedVersion: group.stored?.version ?? 0, value,
+			}),
+		};
+	}
+
+	const [key] = group.garbage;
+	return key === undefined
+		? undefined
+		: {
+			call: {kind: 'delete', ...place, key}, isWrite: true, action: call => ({kind: 'delete-object', call, key}),
+		};
+}
+
+/** Whether the group still has something to write. */
+export function isDirty(group: Group): boolean {
+	return group.storeCall !== undefined || !isStored(group) || group.garbage.length > 0;
+}
+
+/** Whether a write left over from an outage may be sent now. */
+function takeToken(state: RolloutState, now: Millis): boolean {
+	const {store} = state;
+	const refill = (now - store.refilledAt) * state.catchUpWritesPerSecond / 1000;
+	// The bucket holds a tenth of a second, so that catching up never comes in a burst.
+	store.tokens = Math.min(Math.max(1, state.catchUpWritesPerSecond / 10), store.tokens + refill);
+	store.refilledAt = now;
+	if (store.tokens < 1) {
+		return false;
+	}
+
+	store.tokens--;
+	return true;
+}
+
+/** Sends the next store call of the group, unless one is in flight or the store is down. */
+export function syncGroup(state: RolloutState, step: Step, group: Group, now: Millis): RolloutAction[] {
+	if (!state.store.isUp || group.storeCall !== undefined || step.rows !== 'read') {
+		return [];
+	}
+
+	const planned = plan(state, step, group);
+	if (planned === undefined) {
+		group.isBacklog = false;
+		return [];
+	}
+
+	if (group.isBacklog && planned.isWrite && !takeToken(state, now)) {
+		return [];
+	}
+
+	const call = freshCall(state, planned.call);
+	group.storeCall = call;
+	return [planned.action(call)];
+}
+
+/** Reads the rows of a step, which its new owner does before anything else. */
+export function readRows(state: RolloutState, step: Step): RolloutAction[] {
+	if (step.rows !== 'unread' || !state.store.isUp || !step.isOwned) {
+		return [];
+	}
+
+	step.rows = 'reading';
+	const call = freshCall(state, {kind: 'list', step: step.key});
+	return [{
+		kind: 'list-rows', call, table: groupsTable, prefix: `${step.key}/`,
+	}];
+}
+
+/** Takes over the stored row of a group, which another daemon has written. */
+function adoptRow(state: RolloutState, step: Step, group: Group, listed: Readonly<{version: number; value: string}>, now: Millis): RolloutAction[] {
+	const row = parseRow(listed.value);
+	if (row.bodyHash !== group.bodyHash) {
+		const actions = cancelRuns(state, group.slots);
+		step.groups.set(group.index, groupFromRow(group.index, listed, now));
+		return actions;
+	}
+
+	const before = group.stored;
+	group.stored = {...listed, row};
+	// The trainer has what was handed over against its `received` list, so that stands against any other hand-over.
+	const isOurs = group.handedInMemory || (group.phase === 'acked' && (row.fetchId === undefined || row.fetchId === group.fetchId));
+	if (isOurs && row.phase !== 'acked') {
+		return [];
+	}
+
+	if (row.phase === 'open') {
+		group.promptKey ??= row.promptKey;
+		// Another daemon has taken the samples back because they were too old.
+		if (before !== undefined && before.row.phase !== 'open') {
+			replaceSamples(group, group.slots);
+		}
+
+		return [];
+	}
+
+	const actions = cancelRuns(state, group.slots);
+	for (const key of [group.objectKey, group.pendingObject]) {
+		if (key !== undefined && key !== row.objectKey) {
+			group.garbage.push(key);
+		}
+	}
+
+	const isSame = group.objectKey !== undefined && group.objectKey === row.objectKey;
+	group.phase = row.phase;
+	group.fetchId = row.fetchId;
+	group.handedInMemory = false;
+	group.promptKey = row.promptKey;
+	group.objectKey = row.objectKey;
+	group.pendingObject = undefined;
+	if (row.phase === 'acked') {
+		forgetSamples(group);
+		return actions;
+	}
+
+	if (!isSame) {
+		group.slots = createSlots(row.seed, row.samples);
+		group.load = 'samples';
+	}
+
+	return actions;
+}
+
+/** Frees the memory of a group that the trainer has acknowledged. */
+export function forgetSamples(group: Group): void {
+	group.slots = [];
+	group.prompt = undefined;
+	group.load = undefined;
+}
+
+/** Takes the rows of a step into memory. */
+export function receiveRows(state: RolloutState, step: Step, rows: readonly ListedRow[], now: Millis): RolloutAction[] {
+	step.rows = 'read';
+	return rows.flatMap(listed => {
+		const index = Number(listed.key.split('/').at(-1));
+		const group = step.groups.get(index);
+		if (group === undefined) {
+			step.groups.set(index, groupFromRow(index, listed, now));
+			return [];
+		}
+
+		return (group.stored?.version ?? 0) < listed.version ? adoptRow(state, step, group, listed, now) : [];
+	});
+}
+
+/** Notes that a row is stored as this daemon wrote it, and which objects it refers to no more. */
+function confirmRow(group: Group, version: number, value: string): void {
+	const before = group.stored?.row;
+	const row = parseRow(value);
+	group.stored = {version, value, row};
+	for (const [old, current] of [[before?.objectKey, row.objectKey], [before?.promptKey, row.promptKey]] as const) {
+		if (old !== undefined && old !== current && !group.garbage.includes(old)) {
+			group.garbage.push(old);
+		}
+	}
+
+	if (group.phase === 'acked' && row.phase === 'acked') {
+		for (const key of [group.objectKey, group.promptKey, group.pendingObject]) {
+			if (key !== undefined && !group.garbage.includes(key)) {
+				group.garbage.push(key);
+			}
+		}
+
+		group.objectKey = undefined;
+		group.promptKey = undefined;
+		group.pendingObject = undefined;
+		group.handedInMemory = false;
+		forgetSamples(group);
+	}
+
+	if (row.phase === 'handed' && row.fetchId === group.fetchId) {
+		group.handedInMemory = false;
+	}
+}
+
+export type StoreResult = Readonly<{actions: RolloutAction[]; isDown: boolean}>;
+
+const stillUp: StoreResult = {actions: [], isDown: false};
+const down: StoreResult = {actions: [], isDown: true};
+
+export type RowCall = Readonly<{step: Step; group: Group; pending: Extract<StoreCall, {kind: 'write-row' | 'read-back'}>}>;
+
+/** Handles the answer to a write of a row or to a read that settles one. */
+export function receiveRow(state: RolloutState, {step, group, pending}: RowCall, answer: RowAnswer, now: Millis): StoreResult {
+	switch (answer.kind) {
+		case 'written': {
+			confirmRow(group, answer.version, pending.value);
+			return stillUp;
+		}
+
+		case 'row':
+		case 'conflict': {
+			if (answer.value === pending.value) {
+				confirmRow(group, answer.version, answer.value);
+				return stillUp;
+			}
+
+			const isNews = answer.version > (group.stored?.version ?? 0);
+			return isNews ? {actions: adoptRow(state, step, group, answer, now), isDown: false} : stillUp;
+		}
+
+		case 'absent': {
+			return stillUp;
+		}
+
+		case 'unavailable': {
+			if (pending.kind === 'read-back') {
+				return down;
+			}
+
+			// The write may have taken effect although its answer was lost.
+			const call = freshCall(state, {...pending, kind: 'read-back'});
+			group.storeCall = call;
+			return {
+				actions: [{
+					kind: 'read-row', call, table: groupsTable, key: rowKey(step.key, group.index),
+				}], isDown: false,
+			};
+		}
+	}
+}
+
+function fillSlots(group: Group, samples: readonly Sample[]): void {
+	for (const sample of samples) {
+		const slot = group.slots[sample.index];
+		if (slot !== undefined) {
+			slot.result = sample;
+		}
+	}
+}
+
+type ObjectCall = Extract<StoreCall, {kind: 'put-prompt' | 'put-samples' | 'delete' | 'get-prompt' | 'get-samples'}>;
+
+/** Handles the answer of the object store to a call of one group. */
+export function receiveObject(step: Step, group: Group, pending: ObjectCall, answer: ObjectAnswer): StoreResult {
+	if (answer.kind === 'unavailable') {
+		return down;
+	}
+
+	switch (pending.kind) {
+		case 'put-prompt': {
+			group.promptKey = pending.key;
+			break;
+		}
+
+		case 'put-samples': {
+			if (group.pendingObject === pending.key) {
+				group.pendingObject = undefined;
+				group.objectKey = pending.key;
+			} else if (!group.garbage.includes(pending.key)) {
+				group.garbage.push(pending.key);
+			}
+
+			break;
+		}
+
+		case 'delete': {
+			group.garbage = group.garbage.filter(key => key !== pending.key);
+			break;
+		}
+
+		case 'get-prompt':
+		case 'get-samples': {
+			receiveLoaded(step, group, pending, answer);
+			break;
+		}
+	}
+
+	return stillUp;
+}
+
+function receiveLoaded(step: Step, group: Group, pending: ObjectCall, answer: ObjectAnswer): void {
+	const isCurrent = pending.key === (group.load === 'prompt' ? group.promptKey : group.objectKey);
+	if (group.load === undefined || !isCurrent) {
+		return;
+	}
+
+	if (answer.kind !== 'object') {
+		// Without its object the group is unknown to this daemon, so that the trainer submits it again.
+		step.groups.delete(group.index);
+		return;
+	}
+
+	if (group.load === 'prompt') {
+		group.prompt = answer.value;
+	} else {
+		fillSlots(group, parseGroup(answer.value).samples);
+	}
+
+	group.load = undefined;
+}
+
+/** Notes that the store can't be reached. */
+export function markDown(state: RolloutState, now: Millis): void {
+	state.store.isUp = false;
+	state.store.probeAt = now + probeIntervalMs;
+	for (const step of state.steps.values()) {
+		step.rows = step.rows === 'reading' ? 'unread' : step.rows;
+	}
+}
+
+/** Notes that the store answers again: what was left over is written at the limited rate. */
+export function markUp(state: RolloutState, now: Millis): void {
+	state.store.isUp = true;
+	state.store.refilledAt = now;
+	state.store.tokens = 0;
+	for (const step of state.steps.values()) {
+		for (const group of step.groups.values()) {
+			group.isBacklog = isDirty(group);
+		}
+	}
+}
+
+/** While the store is down, a read now and then finds out whether it is back. */
+export function probe(state: RolloutState, now: Millis): RolloutAction[] {
+	if (state.store.isUp || now < state.store.probeAt || state.steps.size === 0) {
+		return [];
+	}
+
+	state.store.probeAt = now + probeIntervalMs;
+	const call = freshCall(state, {kind: 'probe'});
+	return [{
+		kind: 'read-row', call, table: groupsTable, key: 'probe',
+	}];
+}
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -1,11 +1,12 @@
 /** Messages between daemons. Times in them are durations, since daemons do not share a clock. */
 
 import type {
-	AttemptId, DaemonId, DataCentreId, Millis, ShardId, UpstreamId,
+	AttemptId, CallId, DaemonId, DataCentreId, MemberId, Millis, ShardId, UpstreamId,
 } from './ids.js';
 import type {
 	AttemptFailure, Chunk, Payload, RequestSummary,
 } from './request.js';
+import type {TrainerAnswer, TrainerCall} from './rollout.js';
 
 /** Peers with another protocol version are refused at the handshake. */
 export const protocolVersion = 1;
@@ -118,6 +119,20 @@
 	haveVersion: number;
 }>;
 
+/** A trainer's call, passed on to the owner of its step. */
+export type RolloutCall = Readonly<{
+	kind: 'rollout-call';
+	call: CallId;
+	member: MemberId;
+	request: TrainerCall;
+}>;
+
+export type RolloutAnswer = Readonly<{
+	kind: 'rollout-answer';
+	call: CallId;
+	answer: TrainerAnswer;
+}>;
+
 export type PeerMessage =
 	| Heartbeat
 	| Acquire
@@ -130,7 +145,9 @@
 	| RelayFailed
 	| CancelRelay
 	| ConfigurationMessage
-	| ConfigurationPull;
+	| ConfigurationPull
+	| RolloutCall
+	| RolloutAnswer;
 
 export type Addressed = Readonly<{
 	to: DaemonId;
