--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -6,15 +6,16 @@
 import {ProblemError} from '@cicadapost/errors';
 import {type SiteConfiguration} from '@cicadapost/settings';
 import {
-	type Chunk, type Millis, type Request, type RequestId,
+	type Chunk, type MemberId, type Millis, type Request, type RequestId, type TrainerAnswer, type TrainerCall,
 } from '@cicadapost/types';
 import {App} from '@tinyhttp/app';
+import {registerAdminRoutes, type AdminHandlers} from './admin-routes.js';
 import {
 	type AnswerWriter, JsonCompletionWriter, sendProblem, StreamCompletionWriter, type CompletionResult,
 } from './answer-writer.js';
 import {KeyRing, requireRole} from './authenticate.js';
 import {parseCompletion} from './parse-completion.js';
-import {registerAdminRoutes, type AdminHandlers} from './admin-routes.js';
+import {parseTrainerCall, trainerResult, type TrainerCallKind} from './parse-trainer-call.js';
 import {readBody} from './read-body.js';
 import {sendJson} from './send-json.js';
 
@@ -22,6 +23,8 @@
 export type ApiHandlers = AdminHandlers & Readonly<{
 	startRequest: (request: Request) => void;
 	abandonRequest: (requestId: RequestId) => void;
+	/** Resolves with the answer to a trainer's call; the signal tells that the trainer has closed its connection. */
+	callTrainer: (member: MemberId, call: TrainerCall, signal: AbortSignal) => Promise<TrainerAnswer>;
 }>;
 
 export type ApiServerOptions = Readonly<{
@@ -56,6 +59,9 @@
 			},
 		});
 		app.post('/v1/completions', async (req, res) => this.complete(req, res));
+		app.post('/v1/rollouts/groups', async (req, res) => this.callTrainer('submit', req, res));
+		app.post('/v1/rollouts/fetch', async (req, res) => this.callTrainer('fetch', req, res));
+		app.post('/v1/rollouts/ack', async (req, res) => this.callTrainer('ack', req, res));
 		registerAdminRoutes(app, {keys: this.keys, handlers: options.handlers, bodyBytes: this.bodyBytes});
 		app.get('/health', (_req, res) => {
 			sendJson(res, 200, {status: 'ok'});
@@ -118,6 +124,18 @@
 		});
 		this.options.handlers.startRequest(request);
 	}
+
+	private async callTrainer(kind: TrainerCallKind, req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const principal = this.keys.authenticate(req.headers.authorization);
+		requireRole(principal, 'trainer');
+		const call = parseTrainerCall(kind, await readBody(req, this.bodyBytes));
+		const controller = new AbortController();
+		res.on('close', () => {
+			controller.abort();
+		});
+		const answer = await this.options.handlers.callTrainer(principal.member!, call, controller.signal);
+		sendJson(res, 200, trainerResult(answer));
+	}
 }
 
 function toProblem(err: unknown): ProblemError {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,10 +6,10 @@
 import {type UpstreamConnections} from '@cicadapost/engines';
 import {type Logger, type Metrics} from '@cicadapost/observability';
 import {type PeerLinks} from '@cicadapost/peers';
-import {type TableService, type VmList} from '@cicadapost/platform';
+import {type ObjectStore, type TableService, type VmList} from '@cicadapost/platform';
 import type {DaemonSettings, SiteConfiguration} from '@cicadapost/settings';
 import type {
-	AttemptId, CallId, DaemonId, DataCentreId, Millis, RegionId, RequestId,
+	AttemptId, CallId, DaemonId, DataCentreId, MemberId, Millis, ObjectAnswer, RegionId, RequestId, TrainerAnswer, TrainerCall,
 } from '@cicadapost/types';
 import {inject, injectable} from 'tsyringe';
 import {type Clock} from './clock.js';
@@ -32,6 +32,7 @@
 	private readonly api: ApiServer;
 	private readonly attempts = new Map<AttemptId, AbortController>();
 	private readonly applies = new Map<CallId, (answer: ApplyAnswer) => void>();
+	private readonly trainerCalls = new Map<CallId, (answer: TrainerAnswer) => void>();
 	private readonly queue: DaemonEvent[] = [];
 	private isDraining = false;
 	private readonly timers: NodeJS.Timeout[] = [];
@@ -48,6 +49,7 @@
 		@inject(tokens.clock) private readonly clock: Clock,
 		@inject(tokens.logger) private readonly logger: Logger,
 		@inject(tokens.tableService) private readonly tableService: TableService,
+		@inject(tokens.objectStore) private readonly objectStore: ObjectStore,
 		@inject(tokens.vmList) private readonly vmList: VmList,
 		@inject(tokens.peers) private readonly peers: PeerLinks,
 		@inject(tokens.upstreams) private readonly upstreams: UpstreamConnections,
@@ -74,6 +76,7 @@
 				abandonRequest: requestId => {
 					this.post({kind: 'caller-left', requestId});
 				},
+				callTrainer: async (member, request, signal) => this.callTrainer(member, request, signal),
 				applyConfiguration: async (expectedVersion, document) => this.applyConfiguration(expectedVersion, document),
 				currentConfiguration: () => ({version: this.state.configuration.version, document: this.state.configuration.document}),
 				configurationHistory: async () => readHistory(this.tableService),
@@ -213,6 +216,24 @@
 				break;
 			}
 
+			case 'list-rows': {
+				void this.listRows(action);
+				break;
+			}
+
+			case 'get-object':
+			case 'put-object':
+			case 'delete-object': {
+				void this.callObjectStore(action);
+				break;
+			}
+
+			case 'trainer-answer': {
+				this.trainerCalls.get(action.call)?.(action.answer);
+				this.trainerCalls.delete(action.call);
+				break;
+			}
+
 			case 'configuration-in-effect': {
 				this.useConfiguration(action.version);
 				break;
@@ -280,6 +301,31 @@
 		this.post({kind: 'row-answer', call: action.call, answer});
 	}
 
+	private async listRows(action: Extract<DaemonAction, {kind: 'list-rows'}>): Promise<void> {
+		const rows = await this.tableService.list(action.table, action.prefix);
+		this.post({kind: 'list-answer', call: action.call, rows});
+	}
+
+	private async callObjectStore(action: ObjectStoreAction): Promise<void> {
+		const answer = await objectAnswer(this.objectStore, action);
+		this.post({kind: 'object-answer', call: action.call, answer});
+	}
+
+	private async callTrainer(member: MemberId, request: TrainerCall, signal: AbortSignal): Promise<TrainerAnswer> {
+		const call = randomUUID() as CallId;
+		signal.addEventListener('abort', () => {
+			if (this.trainerCalls.delete(call)) {
+				this.post({kind: 'trainer-left', call});
+			}
+		}, {once: true});
+		return new Promise(resolve => {
+			this.trainerCalls.set(call, resolve);
+			this.post({
+				kind: 'trainer-call', call, member, request,
+			});
+		});
+	}
+
 	private async readVmList(): Promise<void> {
 		const vms = await this.vmList.read();
 		if (vms !== undefined) {
@@ -318,6 +364,17 @@
 	}
 }
 
+type ObjectStoreAction = Extract<DaemonAction, {kind: 'get-object' | 'put-object' | 'delete-object'}>;
+
+async function objectAnswer(store: ObjectStore, action: ObjectStoreAction): Promise<ObjectAnswer> {
+	if (action.kind === 'get-object') {
+		return store.get(action.key);
+	}
+
+	const isDone = action.kind === 'put-object' ? await store.put(action.key, action.value) : await store.delete(action.key);
+	return isDone ? {kind: 'done'} : {kind: 'unavailable'};
+}
+
 type Report = Parameters<Parameters<UpstreamConnections['run']>[1]>[0];
 
 function attemptEvent(attempt: AttemptId, report: Report): DaemonEvent {
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -10,6 +10,7 @@
 		leaving: state.leaving,
 		configurationVersion: state.configuration.version,
 		requestsInFlight: state.router.requests.size,
+		steps: [...state.rollouts.steps.values()].filter(step => step.isOwned).map(({member, step, groups}) => ({member, step, groups: groups.size})),
 		leavingUpstreams: [...state.membership.leavingUpstreams],
 		peers: Object.fromEntries([...state.membership.peers].map(([daemon, peer]) => [daemon, {
 			dataCentre: peer.dataCentre, leaving: peer.leaving, configurationVersion: peer.configurationVersion,
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -3,6 +3,7 @@
 } from '@cicadapost/claims';
 import {createConfiguration, type ConfigurationState} from '@cicadapost/configuration';
 import {createMembership, type MembershipState} from '@cicadapost/membership';
+import {createRollouts, type RolloutState} from '@cicadapost/rollouts';
 import {createRouter, type RouterState} from '@cicadapost/routing';
 import type {SchedulerState} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
@@ -15,7 +16,9 @@
 export type Origin =
 	| Readonly<{kind: 'caller'}>
 	/** Another daemon has asked for it. */
-	| Readonly<{kind: 'relay'; from: DaemonId; attempt: AttemptId}>;
+	| Readonly<{kind: 'relay'; from: DaemonId; attempt: AttemptId}>
+	/** A sample of a training step that this daemon owns. */
+	| Readonly<{kind: 'rollout'}>;
 
 /** An `acquire` without an answer yet. It is sent again when the shard changes its owner. */
 export type OpenAcquire = Readonly<{
@@ -36,6 +39,7 @@
 	/** Idempotency keys of idempotent requests. */
 	keys: KeyGuardState;
 	relays: RelaysState;
+	rollouts: RolloutState;
 	/** Shards that this daemon owns. */
 	schedulers: Map<ShardId, SchedulerState>;
 	origins: Map<RequestId, Origin>;
@@ -64,6 +68,7 @@
 		claims: createClaims(`${options.self}.${options.incarnation}.claim`),
 		keys: createKeyGuard(),
 		relays: createRelays(),
+		rollouts: createRollouts({self: options.self, incarnation: options.incarnation}),
 		schedulers: new Map(),
 		origins: new Map(),
 		acquires: new Map(),
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -10,6 +10,9 @@
 import {
 	decideMembership, firstGatewayPeers, liveDaemons, ownerIn, type MembershipAction, type MembershipEvent,
 } from '@cicadapost/membership';
+import {
+	decideRollouts, stepsToOwn, type RolloutAction, type RolloutEvent,
+} from '@cicadapost/rollouts';
 import {
 	decideRouting, mayHaveSent, type PoolPlaces, type RouterAction, type RouterEvent,
 } from '@cicadapost/routing';
@@ -26,6 +29,9 @@
 import {
 	addToFrame, closeRelayStream, flushFrames, openRelayStream, takeRelay,
 } from './relays.js';
+import {
+	checkTrainerCall, sampleEvent, sampleRequest, stepOwner,
+} from './rollout-steps.js';
 import {shardOf, shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
@@ -93,12 +99,19 @@
 			}
 
 			case 'row-answer': {
-				if (this.state.claims.pending.has(event.call)) {
-					this.claim({kind: 'answer', call: event.call, answer: event.answer});
-					break;
-				}
+				this.receiveRow(event);
+				break;
+			}
+
+			case 'list-answer':
+			case 'object-answer':
+			case 'trainer-left': {
+				this.rollOut(event);
+				break;
+			}
 
-				this.configure({kind: 'answer', call: event.call, answer: event.answer});
+			case 'trainer-call': {
+				this.startTrainerCall(event);
 				break;
 			}
 
@@ -126,12 +139,29 @@
 		}
 	}
 
+	/** Hands the answer of the table service to the part that waits for it. */
+	private receiveRow(event: Extract<DaemonEvent, {kind: 'row-answer'}>): void {
+		const {call, answer} = event;
+		if (this.state.claims.pending.has(call)) {
+			this.claim({kind: 'answer', call, answer});
+			return;
+		}
+
+		if (this.state.rollouts.calls.has(call)) {
+			this.rollOut(event);
+			return;
+		}
+
+		this.configure({kind: 'answer', call, answer});
+	}
+
 	private tick(): void {
 		this.updateMembership({kind: 'tick'});
 		this.configure({kind: 'tick', call: this.nextCall(), isPoller: this.owns(configurationKey)});
 		this.claim({kind: 'tick'});
 		this.route({kind: 'tick'});
 		this.sendFrames();
+		this.rollOut({kind: 'tick'});
 		for (const shard of this.state.schedulers.keys()) {
 			this.schedule(shard, {kind: 'tick'});
 		}
@@ -343,6 +373,79 @@
 				this.configure({kind: 'pulled', from, haveVersion: message.haveVersion});
 				break;
 			}
+
+			case 'rollout-call': {
+				this.rollOut({
+					...message, kind: 'call', from, owner: stepOwner(this.state, message.member, message.request.step),
+				});
+				break;
+			}
+
+			case 'rollout-answer': {
+				this.rollOut({...message, kind: 'forward-answer'});
+				break;
+			}
+		}
+	}
+
+	private startTrainerCall(event: Extract<DaemonEvent, {kind: 'trainer-call'}>): void {
+		const {call, member, request} = event;
+		const problem = checkTrainerCall(this.state, member, request);
+		if (problem !== undefined) {
+			this.actions.push({kind: 'trainer-answer', call, answer: {kind: 'problem', problem}});
+			return;
+		}
+
+		this.rollOut({
+			kind: 'call', call, from: undefined, member, request, owner: stepOwner(this.state, member, request.step),
+		});
+	}
+
+	private rollOut(event: RolloutEvent): void {
+		const outcome = decideRollouts(this.state.rollouts, event, this.now);
+		this.state.rollouts = outcome.state;
+		for (const action of outcome.actions) {
+			this.applyRollout(action);
+		}
+	}
+
+	private applyRollout(action: RolloutAction): void {
+		switch (action.kind) {
+			case 'answer': {
+				const {call, to, answer} = action;
+				this.actions.push(to === undefined ? {kind: 'trainer-answer', call, answer} : {kind: 'send', to, message: {kind: 'rollout-answer', call, answer}});
+				break;
+			}
+
+			case 'forward': {
+				const {to, ...message} = action;
+				this.actions.push({kind: 'send', to, message: {...message, kind: 'rollout-call'}});
+				break;
+			}
+
+			case 'start-sample': {
+				this.state.origins.set(action.requestId, {kind: 'rollout'});
+				this.route({kind: 'request', request: sampleRequest(action, this.now), places: this.placesOf(action.pool)});
+				break;
+			}
+
+			case 'cancel-sample': {
+				this.state.origins.delete(action.requestId);
+				this.route({kind: 'caller-left', requestId: action.requestId});
+				break;
+			}
+
+			default: {
+				this.actions.push(action);
+			}
+		}
+	}
+
+	/** Tells the rollouts which daemon owns each step now. */
+	private refreshSteps(): void {
+		const owners = new Map(stepsToOwn(this.state.rollouts).map(({key, member, step}) => [key, stepOwner(this.state, member, step)]));
+		if (owners.size > 0) {
+			this.rollOut({kind: 'owners', owners});
 		}
 	}
 
@@ -538,6 +641,10 @@
 			this.answerRelay(origin, action);
 		}
 
+		if (origin?.kind === 'rollout') {
+			this.rollOut(sampleEvent(action));
+		}
+
 		this.recordOutcome(action);
 	}
 
@@ -611,6 +718,7 @@
 
 			case 'changed': {
 				this.refreshShards();
+				this.refreshSteps();
 				break;
 			}
 		}
@@ -702,6 +810,7 @@
 					this.route({kind: 'policy', ...this.state.site.policy});
 					this.actions.push({kind: 'configuration-in-effect', version: action.version, document: action.document});
 					this.refreshShards();
+					this.refreshSteps();
 				});
 				break;
 			}
