--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -288,7 +288,7 @@
 				dataCentre: peer.dataCentre, leaving: peer.leaving, configurationVersion: peer.configurationVersion,
 			}])),
 			shards: Object.fromEntries([...state.schedulers].map(([shard, scheduler]) => [shard, {
-				waiting: scheduler.waiting.length, running: scheduler.running.size,
+				waiting: scheduler.queue.attempts.size, running: scheduler.running.size,
 			}])),
 		};
 	}
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -1,11 +1,12 @@
 import {createConfiguration, type ConfigurationState} from '@cicadapost/configuration';
 import {createMembership, type MembershipState} from '@cicadapost/membership';
 import {createRouter, type RouterState} from '@cicadapost/routing';
-import type {SchedulerState} from '@cicadapost/scheduling';
+import {createSuspectTable, type SchedulerState, type SuspectTable} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import type {
 	Acquire, AttemptId, DaemonId, DataCentreId, RegionId, RequestId, ShardId,
 } from '@cicadapost/types';
+import type {HeldGrants} from './held-grants.js';
 
 /** Where the result of a request goes. */
 export type Origin =
@@ -32,6 +33,9 @@
 	schedulers: Map<ShardId, SchedulerState>;
 	origins: Map<RequestId, Origin>;
 	acquires: Map<AttemptId, OpenAcquire>;
+	grants: HeldGrants;
+	/** Fingerprints that were on dead upstreams, shared with all daemons. */
+	suspects: SuspectTable;
 	leaving: boolean;
 	stopped: boolean;
 	/** Number of platform calls so far; makes their ids. */
@@ -56,6 +60,8 @@
 		schedulers: new Map(),
 		origins: new Map(),
 		acquires: new Map(),
+		grants: new Map(),
+		suspects: createSuspectTable(),
 		leaving: false,
 		stopped: false,
 		calls: 0,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -11,7 +11,7 @@
 	decideRouting, type PoolPlaces, type RouterAction, type RouterEvent,
 } from '@cicadapost/routing';
 import {
-	createScheduler, decideScheduling, type SchedulerAction, type SchedulerEvent,
+	allSuspects, createScheduler, decideScheduling, mergeSuspects, type SchedulerAction, type SchedulerEvent,
 } from '@cicadapost/scheduling';
 import {siteConfiguration, type ConfigurationDocument} from '@cicadapost/settings';
 import type {
@@ -19,7 +19,8 @@
 } from '@cicadapost/types';
 import type {DaemonState} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
-import {shardOwner, shardsOf} from './shards.js';
+import {moveGrants, withdrawal} from './held-grants.js';
+import {shardOwner, shardPolicy, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
 
@@ -176,6 +177,7 @@
 	private receiveMessage(from: DaemonId, message: PeerMessage): void {
 		switch (message.kind) {
 			case 'heartbeat': {
+				this.greet(from);
 				this.updateMembership({kind: 'heartbeat', from, heartbeat: message});
 				this.configure({kind: 'peer-version', from, version: message.configurationVersion});
 				break;
@@ -187,14 +189,27 @@
 			}
 
 			case 'grant': {
-				this.state.acquires.delete(message.attempt);
-				this.route({...message, kind: 'granted'});
+				this.receiveGrant(from, message);
 				break;
 			}
 
 			case 'refuse': {
-				this.state.acquires.delete(message.attempt);
-				this.route({...message, kind: 'refused'});
+				if (this.state.acquires.get(message.attempt)?.to === from) {
+					this.state.acquires.delete(message.attempt);
+					this.route({...message, kind: 'refused'});
+				}
+
+				break;
+			}
+
+			case 'running': {
+				this.schedule(message.shard, {kind: 'running', from, attempts: message.attempts});
+				break;
+			}
+
+			case 'suspects': {
+				mergeSuspects(this.state.suspects, message.entries, this.now);
+				this.tellSchedulers();
 				break;
 			}
 
@@ -242,6 +257,45 @@
 		}
 	}
 
+	/** Accepts a slot from the daemon that was asked for it. An earlier owner of the shard may answer late. */
+	private receiveGrant(from: DaemonId, message: Extract<PeerMessage, {kind: 'grant'}>): void {
+		const open = this.state.acquires.get(message.attempt);
+		if (open === undefined) {
+			return;
+		}
+
+		if (open.to !== from) {
+			this.sendOrReceive(from, withdrawal(open.acquire));
+			return;
+		}
+
+		this.state.acquires.delete(message.attempt);
+		this.state.grants.set(message.attempt, {
+			acquire: open.acquire, upstream: message.upstream, owner: from, grantedAt: this.now,
+		});
+		this.route({...message, kind: 'granted'});
+	}
+
+	/** A daemon that has just appeared gets a copy of the suspects. */
+	private greet(daemon: DaemonId): void {
+		if (this.state.membership.peers.has(daemon)) {
+			return;
+		}
+
+		const entries = allSuspects(this.state.suspects, this.now);
+		if (entries.length > 0) {
+			this.actions.push({kind: 'send', to: daemon, message: {kind: 'suspects', entries}});
+		}
+	}
+
+	private tellSchedulers(except?: ShardId): void {
+		for (const shard of this.state.schedulers.keys()) {
+			if (shard !== except) {
+				this.schedule(shard, {kind: 'suspects-changed'});
+			}
+		}
+	}
+
 	private startRelayed(from: DaemonId, relay: Relay): void {
 		const requestId = relayedRequestId(relay.attempt);
 		this.state.origins.set(requestId, {kind: 'relay', from, attempt: relay.attempt});
@@ -290,11 +344,20 @@
 		const outcome = decideScheduling(scheduler, event, this.now);
 		this.state.schedulers.set(shard, outcome.state);
 		for (const action of outcome.actions) {
-			this.applyScheduling(action);
+			this.applyScheduling(shard, action);
 		}
 	}
 
-	private applyScheduling(action: SchedulerAction): void {
+	private applyScheduling(shard: ShardId, action: SchedulerAction): void {
+		if (action.kind === 'share-suspects') {
+			for (const to of this.state.membership.peers.keys()) {
+				this.actions.push({kind: 'send', to, message: {kind: 'suspects', entries: action.entries}});
+			}
+
+			this.tellSchedulers(shard);
+			return;
+		}
+
 		const {to, ...message} = action;
 		this.sendOrReceive(to, message);
 	}
@@ -317,6 +380,7 @@
 			case 'release': {
 				const owner = shardOwner(this.state.membership, action.release.shard);
 				this.state.acquires.delete(action.release.attempt);
+				this.state.grants.delete(action.release.attempt);
 				if (owner !== undefined) {
 					this.sendOrReceive(owner, action.release);
 				}
@@ -460,13 +524,19 @@
 
 		for (const [shard, upstreams] of shards) {
 			if (shardOwner(membership, shard) === self) {
-				schedulers.set(shard, schedulers.get(shard) ?? createScheduler());
-				this.schedule(shard, {kind: 'upstreams-changed', upstreams});
+				schedulers.set(shard, schedulers.get(shard) ?? createScheduler({suspects: this.state.suspects}));
+				this.schedule(shard, {kind: 'upstreams-changed', upstreams, ...shardPolicy(site, shard)});
 			}
 		}
 
+		// New owners hear first what runs already, so that they do not grant the same slots again.
+		for (const {to, message} of moveGrants(this.state.grants, shard => shardOwner(membership, shard), this.now)) {
+			this.sendOrReceive(to, message);
+		}
+
 		for (const {acquire, to} of acquires.values()) {
 			if (shardOwner(membership, acquire.shard) !== to) {
+				this.sendOrReceive(to, withdrawal(acquire));
 				this.sendAcquire(acquire);
 			}
 		}
--- /dev/null
+++ b/packages/decision/src/held-grants.ts
@@ -0,0 +1,53 @@
+/** Slots that this daemon holds at shard owners, so that a new owner can be told about them. */
+
+import type {
+	Acquire, AttemptId, DaemonId, Millis, PeerMessage, Release, RunningAttempt, ShardId, UpstreamId,
+} from '@cicadapost/types';
+
+/** A slot that a shard owner has granted and that has not been released. */
+export type HeldGrant = Readonly<{
+	acquire: Acquire;
+	upstream: UpstreamId;
+	owner: DaemonId;
+	grantedAt: Millis;
+}>;
+
+export type HeldGrants = Map<AttemptId, HeldGrant>;
+
+/** A message for a daemon, to be sent in the order of the list. */
+export type OwnerMessage = Readonly<{to: DaemonId; message: PeerMessage}>;
+
+/** Withdraws an attempt at a daemon that is not the owner of its shard any more. */
+export function withdrawal(acquire: Acquire): Release {
+	return {
+		kind: 'release', attempt: acquire.attempt, shard: acquire.shard, result: 'cancelled', tokens: 0, generationMs: 0,
+	};
+}
+
+/**
+Messages after a change of shard owners: `running` for each new owner, and a withdrawal for each former one, which may
+still believe that it owns the shard. Records the new owners in `grants`.
+*/
+export function moveGrants(grants: HeldGrants, ownerOf: (shard: ShardId) => DaemonId | undefined, now: Millis): OwnerMessage[] {
+	const moved = new Map<ShardId, {to: DaemonId; attempts: RunningAttempt[]}>();
+	const withdrawals: OwnerMessage[] = [];
+	for (const [attempt, grant] of grants) {
+		const {acquire, upstream, owner, grantedAt} = grant;
+		const to = ownerOf(acquire.shard);
+		if (to === undefined || to === owner) {
+			continue;
+		}
+
+		const elapsedMs = now - grantedAt;
+		const target = moved.get(acquire.shard) ?? {to, attempts: []};
+		moved.set(acquire.shard, target);
+		target.attempts.push({
+			attempt, upstream, request: acquire.request, elapsedMs, remainingMs: acquire.remainingMs - elapsedMs,
+		});
+		withdrawals.push({to: owner, message: withdrawal(acquire)});
+		grants.set(attempt, {...grant, owner: to});
+	}
+
+	const reports = [...moved].map(([shard, {to, attempts}]): OwnerMessage => ({to, message: {kind: 'running', shard, attempts}}));
+	return [...reports, ...withdrawals];
+}
--- a/packages/decision/src/shards.ts
+++ b/packages/decision/src/shards.ts
@@ -2,7 +2,7 @@
 import type {ShardUpstream} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import {
-	shardId, type DataCentreId, type PoolId, type ShardId, type UpstreamId,
+	shardId, type DataCentreId, type MemberId, type PoolId, type ShardId, type UpstreamId,
 } from '@cicadapost/types';
 
 /** Above this size the decisions for one shard take more of a core than one daemon may spend on control. */
@@ -34,6 +34,13 @@
 	return shards;
 }
 
+/** Weights of the members and the training floor of the shard's pool. */
+export function shardPolicy(site: SiteConfiguration, shard: ShardId): Readonly<{weights: ReadonlyMap<MemberId, number>; trainingFloor?: number}> {
+	const weights = new Map(Object.entries(site.members).map(([name, member]) => [name as MemberId, member.weight]));
+	const trainingFloor = site.pools[shard.split('/')[1] ?? '']?.trainingFloor;
+	return trainingFloor === undefined ? {weights} : {weights, trainingFloor};
+}
+
 export function shardOwner(membership: MembershipState, shard: ShardId): ReturnType<typeof ownerIn> {
 	return ownerIn(membership, membership.dataCentre, shard);
 }
--- a/packages/peers/src/parse-message.ts
+++ b/packages/peers/src/parse-message.ts
@@ -15,6 +15,8 @@
 		'cancel-relay',
 		'configuration',
 		'configuration-pull',
+		'running',
+		'suspects',
 	]),
 });
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,3 +1,10 @@
 /** Decides which waiting request gets which upstream of a shard. */
 
-export * from './scheduler.js';
+export type * from './events.js';
+export {decideScheduling} from './scheduler.js';
+export {
+	createScheduler, waitingCount, type SchedulerOptions, type SchedulerState,
+} from './scheduler-state.js';
+export {
+	allSuspects, createSuspectTable, mergeSuspects, type SuspectTable,
+} from './suspects.js';
--- /dev/null
+++ b/packages/scheduling/src/queue.ts
@@ -0,0 +1,314 @@
+/**
+Weighted fair queue in tokens (start-time fair queueing). Each member has a virtual time that advances by the tokens
+charged to it, divided by its weight; the member that is furthest behind comes next.
+*/
+
+import type {
+	AttemptId, DaemonId, MemberId, Millis, RequestClass, RequestSummary, UpstreamId,
+} from '@cicadapost/types';
+import {IndexedHeap, type HeapItem} from './indexed-heap.js';
+
+/** Weight of the newest completion in a flow's average of generated tokens for each allowed token. */
+const ratioWeight = 0.1;
+const defaultWeight = 1;
+/** Entries of one flow that are looked through in one decision for a request that may run. */
+const scanLimit = 256;
+
+export type Waiting = {
+	readonly from: DaemonId;
+	readonly attempt: AttemptId;
+	readonly request: RequestSummary;
+	readonly since: Millis;
+	readonly deadlineAt: Millis;
+	readonly avoid: readonly UpstreamId[];
+	/** Prompt and expected completion. */
+	readonly expectedTokens: number;
+	/** Set on removal; the entry is dropped from its list later. */
+	removed: boolean;
+};
+
+/** The waiting requests of one member and class, in order of arrival. */
+export type Flow = HeapItem & {
+	readonly account: Account;
+	readonly requestClass: RequestClass;
+	fifo: Waiting[];
+	/** Index of the first entry of `fifo` that has not been taken. */
+	head: number;
+	/** Requests that could not run when they were looked at, by the constraint that they share. They arrived before those in `fifo`. */
+	held: Map<string, Waiting[]>;
+	count: number;
+	tokens: number;
+	/** Generated tokens for each allowed token, averaged over ended requests. */
+	completionRatio: number;
+	hasRatio: boolean;
+};
+
+export type Account = {
+	readonly member: MemberId;
+	weight: number;
+	/** Virtual time at which the member's next request starts. */
+	tag: number;
+	readonly live: Flow;
+	readonly training: Flow;
+};
+
+export type FairQueue = {
+	accounts: Map<MemberId, Account>;
+	weights: ReadonlyMap<MemberId, number>;
+	attempts: Map<AttemptId, Waiting>;
+	/** Flows with waiting requests, by virtual time. */
+	live: IndexedHeap<Flow>;
+	training: IndexedHeap<Flow>;
+	virtualTime: number;
+	liveTokens: number;
+	trainingTokens: number;
+	/** Sum of the weights of the members that wait. */
+	waitingWeight: number;
+};
+
+export function createFairQueue(): FairQueue {
+	return {
+		accounts: new Map(),
+		weights: new Map(),
+		attempts: new Map(),
+		live: new IndexedHeap(),
+		training: new IndexedHeap(),
+		virtualTime: 0,
+		liveTokens: 0,
+		trainingTokens: 0,
+		waitingWeight: 0,
+	};
+}
+
+function createFlow(account: Account, requestClass: RequestClass): Flow {
+	return {
+		account, requestClass, fifo: [], head: 0, held: new Map(), count: 0, tokens: 0, completionRatio: 1, hasRatio: false, heapIndex: -1, key: 0,
+	};
+}
+
+export function accountOf(queue: FairQueue, member: MemberId): Account {
+	const known = queue.accounts.get(member);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const account = {member, weight: queue.weights.get(member) ?? defaultWeight, tag: queue.virtualTime} as {-readonly [Key in keyof Account]: Account[Key]};
+	account.live = createFlow(account, 'live');
+	account.training = createFlow(account, 'training');
+	queue.accounts.set(member, account);
+	return account;
+}
+
+export function setWeights(queue: FairQueue, weights: ReadonlyMap<MemberId, number>): void {
+	queue.weights = weights;
+	queue.waitingWeight = 0;
+	for (const account of queue.accounts.values()) {
+		account.weight = weights.get(account.member) ?? defaultWeight;
+		queue.waitingWeight += isWaiting(account) ? account.weight : 0;
+	}
+}
+
+export function flowOf(account: Account, requestClass: RequestClass): Flow {
+	return requestClass === 'live' ? account.live : account.training;
+}
+
+export function isWaiting(account: Account): boolean {
+	return account.live.count + account.training.count > 0;
+}
+
+/** Prompt tokens and the completion tokens that requests of this member and class usually generate. */
+export function expectedTokens(flow: Flow, request: RequestSummary): number {
+	return request.promptTokens + Math.max(1, request.maxTokens * flow.completionRatio);
+}
+
+/** Learns how many of its allowed tokens a request has generated. */
+export function learnCompletion(flow: Flow, request: RequestSummary, tokens: number): void {
+	const ratio = Math.min(1, tokens / Math.max(1, request.maxTokens));
+	flow.completionRatio = flow.hasRatio ? flow.completionRatio + (ratioWeight * (ratio - flow.completionRatio)) : ratio;
+	flow.hasRatio = true;
+}
+
+function heapOf(queue: FairQueue, flow: Flow): IndexedHeap<Flow> {
+	return flow.requestClass === 'live' ? queue.live : queue.training;
+}
+
+function moveInHeap(queue: FairQueue, flow: Flow): void {
+	if (flow.count > 0) {
+		flow.key = flow.account.tag;
+		heapOf(queue, flow).set(flow);
+	} else {
+		heapOf(queue, flow).delete(flow);
+	}
+}
+
+function count(queue: FairQueue, flow: Flow, waiting: Waiting, sign: 1 | -1): void {
+	const before = isWaiting(flow.account);
+	const tokens = sign * waiting.expectedTokens;
+	flow.count += sign;
+	flow.tokens += tokens;
+	if (flow.requestClass === 'live') {
+		queue.liveTokens += tokens;
+	} else {
+		queue.trainingTokens += tokens;
+	}
+
+	const after = isWaiting(flow.account);
+	if (before !== after) {
+		queue.waitingWeight += sign * flow.account.weight;
+	}
+}
+
+export function enqueue(queue: FairQueue, waiting: Waiting): void {
+	const account = accountOf(queue, waiting.request.member);
+	const flow = flowOf(account, waiting.request.requestClass);
+	if (!isWaiting(account)) {
+		// A member that had nothing waiting keeps no credit for that time.
+		account.tag = Math.max(account.tag, queue.virtualTime);
+	}
+
+	flow.fifo.push(waiting);
+	queue.attempts.set(waiting.attempt, waiting);
+	count(queue, flow, waiting, 1);
+	moveInHeap(queue, flow);
+}
+
+/** Takes a request out of the queue, wherever it stands. */
+export function remove(queue: FairQueue, waiting: Waiting): void {
+	if (waiting.removed) {
+		return;
+	}
+
+	const flow = flowOf(accountOf(queue, waiting.request.member), waiting.request.requestClass);
+	waiting.removed = true;
+	queue.attempts.delete(waiting.attempt);
+	count(queue, flow, waiting, -1);
+	if (flow.count === 0) {
+		flow.fifo = [];
+		flow.head = 0;
+		flow.held.clear();
+	}
+
+	moveInHeap(queue, flow);
+}
+
+function charge(queue: FairQueue, account: Account, tokens: number): void {
+	account.tag += tokens / account.weight;
+	moveInHeap(queue, account.live);
+	moveInHeap(queue, account.training);
+}
+
+/**
+Records that a request of the account starts at its present virtual time, and charges its expected tokens. The queue's
+virtual time follows the waiting member that is furthest behind, since a member may be served out of order, and the
+member that is served if no other waits.
+*/
+export function startService(queue: FairQueue, account: Account, tokens: number): void {
+	const furthestBehind = Math.min(account.tag, queue.live.top?.key ?? account.tag, queue.training.top?.key ?? account.tag);
+	queue.virtualTime = Math.max(queue.virtualTime, furthestBehind);
+	charge(queue, account, tokens);
+}
+
+/**
+Corrects an earlier charge by `tokens`, which may be negative. A correction in the member's favour leaves it at most
+`maxCredit` of virtual time behind the queue: an estimate that was far too high has raised the queue's virtual time as
+well, and the members that started to wait at that time must not pay for it.
+*/
+export function correctCharge(queue: FairQueue, account: Account, tokens: number, maxCredit: number): void {
+	charge(queue, account, tokens);
+	const floor = Math.min(account.tag - (tokens / account.weight), queue.virtualTime - maxCredit);
+	if (account.tag < floor) {
+		charge(queue, account, (floor - account.tag) * account.weight);
+	}
+}
+
+/** What a caller of `findInFlow` says about a request: it may run, or which constraint keeps it from running now. */
+export type Verdict = Readonly<{kind: 'run'}> | Readonly<{kind: 'hold'; constraint: string}>;
+
+function firstHeld(flow: Flow, judge: (waiting: Waiting) => Verdict): Waiting | undefined {
+	let looked = 0;
+	for (const [constraint, list] of flow.held) {
+		while (list.length > 0 && list[0]!.removed) {
+			list.shift();
+		}
+
+		const [first] = list;
+		if (first === undefined) {
+			flow.held.delete(constraint);
+			continue;
+		}
+
+		if (judge(first).kind === 'run') {
+			return first;
+		}
+
+		looked++;
+		if (looked >= scanLimit) {
+			return undefined;
+		}
+	}
+
+	return undefined;
+}
+
+function hold(flow: Flow, waiting: Waiting, constraint: string): void {
+	const list = flow.held.get(constraint);
+	if (list === undefined) {
+		flow.held.set(constraint, [waiting]);
+	} else {
+		list.push(waiting);
+	}
+}
+
+function compact(flow: Flow): void {
+	if (flow.head > 64 && flow.head * 2 > flow.fifo.length) {
+		flow.fifo = flow.fifo.slice(flow.head);
+		flow.head = 0;
+	}
+}
+
+/**
+The request of the flow that comes first among those that may run. Requests that may not are set aside under their
+constraint, so that they do not block those behind them and each is moved once.
+*/
+export function findInFlow(flow: Flow, judge: (waiting: Waiting) => Verdict): Waiting | undefined {
+	const held = firstHeld(flow, judge);
+	if (held !== undefined) {
+		return held;
+	}
+
+	for (let looked = 0; flow.head < flow.fifo.length && looked < scanLimit; looked++) {
+		const waiting = flow.fifo[flow.head]!;
+		if (!waiting.removed) {
+			const verdict = judge(waiting);
+			if (verdict.kind === 'run') {
+				return waiting;
+			}
+
+			hold(flow, waiting, verdict.constraint);
+		}
+
+		flow.head++;
+	}
+
+	compact(flow);
+	return undefined;
+}
+
+/** The waiting requests of a flow, those that were set aside first. */
+export function * waitingIn(flow: Flow): Generator<Waiting> {
+	for (const list of flow.held.values()) {
+		for (const waiting of list) {
+			if (!waiting.removed) {
+				yield waiting;
+			}
+		}
+	}
+
+	for (let i = flow.head; i < flow.fifo.length; i++) {
+		const waiting = flow.fifo[i]!;
+		if (!waiting.removed) {
+			yield waiting;
+		}
+	}
+}
+
--- /dev/null
+++ b/packages/scheduling/src/scheduler-state.ts
@@ -0,0 +1,96 @@
+import type {
+	AttemptId, Fingerprint, Millis, RequestSummary, UpstreamId,
+} from '@cicadapost/types';
+import {
+	createAdmission, type Admission, type Capacity, throughput,
+} from './admission.js';
+import {createPrefixTable, type PrefixTable} from './affinity.js';
+import {createFairQueue, type FairQueue} from './queue.js';
+import {median} from './slowness.js';
+import {createSuspectTable, type SuspectTable} from './suspects.js';
+import type {RunningState, UpstreamState} from './upstream-state.js';
+
+/** Usual times of the shard's upstreams; undefined while unknown. */
+export type NormalTimes = {
+	firstMs: Millis | undefined;
+	tokenMs: Millis | undefined;
+};
+
+export type SchedulerState = {
+	upstreams: Map<UpstreamId, UpstreamState>;
+	queue: FairQueue;
+	running: Map<AttemptId, RunningState>;
+	/** Running attempts by fingerprint. */
+	runs: Map<Fingerprint, RunningState[]>;
+	prefixes: PrefixTable;
+	/** Shared by all schedulers of a daemon. */
+	suspects: SuspectTable;
+	admission: Admission;
+	trainingFloor: number;
+	/** Tokens that training has got too little of, while live requests waited. */
+	trainingDebt: number;
+	normal: NormalTimes;
+	/** Time of the last review of all waiting and running requests. */
+	reviewedAt: Millis;
+};
+
+export type SchedulerOptions = Readonly<{
+	suspects?: SuspectTable;
+	trainingFloor?: number;
+}>;
+
+const defaultTrainingFloor = 0.2;
+
+export function createScheduler(options: SchedulerOptions = {}): SchedulerState {
+	return {
+		upstreams: new Map(),
+		queue: createFairQueue(),
+		running: new Map(),
+		runs: new Map(),
+		prefixes: createPrefixTable(),
+		suspects: options.suspects ?? createSuspectTable(),
+		admission: createAdmission(0),
+		trainingFloor: options.trainingFloor ?? defaultTrainingFloor,
+		trainingDebt: 0,
+		normal: {firstMs: undefined, tokenMs: undefined},
+		reviewedAt: Number.NEGATIVE_INFINITY,
+	};
+}
+
+/** Number of requests that wait. */
+export function waitingCount(state: SchedulerState): number {
+	return state.queue.attempts.size;
+}
+
+export function isInService(upstream: UpstreamState): boolean {
+	return !upstream.settings.leaving && upstream.health.status !== 'down';
+}
+
+export function capacityOf(state: SchedulerState): Capacity {
+	let slots = 0;
+	for (const upstream of state.upstreams.values()) {
+		if (!upstream.settings.leaving && upstream.health.status === 'up') {
+			slots += Math.floor(upstream.window.window);
+		}
+	}
+
+	return {slots, rate: throughput(state.admission, slots), trainingFloor: state.trainingFloor};
+}
+
+/** Recomputes the usual times from the upstreams that are up. */
+export function refreshNormal(state: SchedulerState): void {
+	const up = [...state.upstreams.values()].filter(upstream => upstream.health.status === 'up');
+	state.normal.firstMs = median(up.flatMap(({window}) => window.firstMs ?? [])) ?? state.normal.firstMs;
+	state.normal.tokenMs = median(up.flatMap(({window}) => window.tokenMs ?? [])) ?? state.normal.tokenMs;
+}
+
+/** Time that a request takes on a usual upstream to generate `tokens`; 0 while unknown. */
+export function usualMs(state: SchedulerState, tokens: number): Millis {
+	const {firstMs, tokenMs} = state.normal;
+	return firstMs === undefined ? 0 : firstMs + ((tokenMs ?? 0) * Math.max(0, tokens - 1));
+}
+
+/** Time that a request is expected to take, from its expected tokens. */
+export function expectedMs(state: SchedulerState, request: RequestSummary, tokens: number): Millis {
+	return usualMs(state, Math.max(1, tokens - request.promptTokens));
+}
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -1,168 +1,593 @@
-/** The queue in front of one shard: who gets a slot on which upstream, and when. */
+/** The scheduler of one shard: who gets a slot on which upstream, and when. */
 
 import type {
-	Acquire, AttemptId, DaemonId, Millis, Outcome, RefusalReason, Release, RequestSummary, UpstreamId,
+	AttemptId, DaemonId, Fingerprint, Millis, Outcome, RefusalReason, Release, RequestClass,
 } from '@cicadapost/types';
+import {
+	acceptableWait, advanceAdmission, expectedWait, expireSlots, handOutSlot, maxWaiting, recordEnd, takeSlot, type Capacity,
+} from './admission.js';
+import {recordPrefix} from './affinity.js';
+import type {SchedulerAction, SchedulerEvent, ShardUpstream} from './events.js';
+import {
+	findSlowUpstreams, judgeEnd, takeOutOfService,
+} from './health.js';
+import type {IndexedHeap} from './indexed-heap.js';
+import {
+	isOpenFor, openingsOf, place, type Opening,
+} from './placement.js';
+import {
+	accountOf, correctCharge, enqueue, expectedTokens, findInFlow, flowOf, learnCompletion, remove, setWeights, startService, waitingIn, type Flow, type Waiting,
+} from './queue.js';
+import {
+	capacityOf, expectedMs, refreshNormal, usualMs, waitingCount, type SchedulerState,
+} from './scheduler-state.js';
+import {endProgress, startProgress} from './slowness.js';
+import {
+	blockedForMs, deathsOf, expireSuspects, recordDeath, recordFinish,
+} from './suspects.js';
+import {
+	advanceArea, changeRunning, createUpstream, type RunningState, type UpstreamState,
+} from './upstream-state.js';
+import {learnWindow} from './windows.js';
 
-/** An upstream of the shard as configuration and health checks know it. */
-export type ShardUpstream = Readonly<{
-	upstream: UpstreamId;
-	/** A leaving upstream gets no new grant. */
-	leaving: boolean;
-	initialWindow: number;
-	maxWindow: number;
-}>;
-
-export type SchedulerEvent =
-	| Readonly<{kind: 'acquire'; from: DaemonId; acquire: Acquire}>
-	| Readonly<{kind: 'release'; release: Release}>
-	| Readonly<{kind: 'upstreams-changed'; upstreams: readonly ShardUpstream[]}>
-	/** The grants of a dead entry daemon return to the shard. */
-	| Readonly<{kind: 'daemon-lost'; daemon: DaemonId}>
-	| Readonly<{kind: 'tick'}>;
-
-export type SchedulerAction =
-	| Readonly<{kind: 'grant'; to: DaemonId; attempt: AttemptId; upstream: UpstreamId}>
-	| Readonly<{kind: 'refuse'; to: DaemonId; attempt: AttemptId; reason: RefusalReason; retryAfterMs: Millis}>;
-
-type Waiting = Readonly<{
-	from: DaemonId;
-	attempt: AttemptId;
-	request: RequestSummary;
-	deadlineAt: Millis;
-	avoid: readonly UpstreamId[];
-}>;
-
-type Running = Readonly<{
-	from: DaemonId;
-	upstream: UpstreamId;
-}>;
-
-export type SchedulerState = {
-	upstreams: Map<UpstreamId, ShardUpstream>;
-	waiting: Waiting[];
-	running: Map<AttemptId, Running>;
-};
-
+/** Live requests may be served this much ahead of their member's fair share before training requests of others. */
+const liveLeadMs = 250;
+/** Service that a member may catch up on after its requests have used less than they were charged. */
+const maxCreditMs = 1000;
+/** Interval of the review of all waiting and running requests. */
+const reviewMs = 50;
+/** A waiting request is refused when its expected wait exceeds the time left by this factor; estimates vary by less. */
+const waitTolerance = 1.25;
+/** Longest time that a request waits for an upstream to come back when none is in service. */
+const maxOutageWaitMs = 2000;
+const maxOutageWaiting = 64;
 const retryAfterNoUpstreamMs = 2000;
-const retryAfterOverloadMs = 1000;
+/** A slot is taken back this long after its request's deadline. */
+const lostReleaseMs = 3000;
 
-export function createScheduler(): SchedulerState {
-	return {upstreams: new Map(), waiting: [], running: new Map()};
+function refusal(waiting: Readonly<{from: DaemonId; attempt: AttemptId}>, reason: RefusalReason, retryAfterMs: Millis): SchedulerAction {
+	return {
+		kind: 'refuse', to: waiting.from, attempt: waiting.attempt, reason, retryAfterMs: Math.ceil(retryAfterMs),
+	};
 }
 
-function load(state: SchedulerState, upstream: UpstreamId): number {
-	let count = 0;
-	for (const running of state.running.values()) {
-		if (running.upstream === upstream) {
-			count++;
+/** Takes a request out of the queue and tells its caller when to come back. */
+function refuseWaiting(state: SchedulerState, waiting: Waiting, refused: Readonly<{reason: RefusalReason; waitMs: Millis}>, capacity: Capacity, now: Millis): SchedulerAction {
+	remove(state.queue, waiting);
+	const {request} = waiting;
+	const retryAfterMs = handOutSlot(state.admission, state.queue, {
+		account: accountOf(state.queue, request.member), fingerprint: request.fingerprint, tokens: waiting.expectedTokens, waitMs: refused.waitMs,
+	}, capacity, now);
+	return refusal(waiting, refused.reason, retryAfterMs);
+}
+
+type Choice = Readonly<{waiting: Waiting; opening: Opening}>;
+
+function findInClass(state: SchedulerState, heap: IndexedHeap<Flow>, openings: readonly Opening[], now: Millis): Choice | undefined {
+	const skipped: Flow[] = [];
+	let choice: Choice | undefined;
+	for (let flow = heap.top; flow !== undefined && choice === undefined; flow = heap.top) {
+		let opening: Opening | undefined;
+		const waiting = findInFlow(flow, candidate => {
+			const placement = place(state, candidate, openings, now);
+			if ('hold' in placement) {
+				return {kind: 'hold', constraint: placement.hold};
+			}
+
+			opening = placement.opening;
+			return {kind: 'run'};
+		});
+		if (waiting === undefined) {
+			heap.delete(flow);
+			skipped.push(flow);
+		} else {
+			choice = {waiting, opening: opening!};
 		}
 	}
 
-	return count;
+	for (const flow of skipped) {
+		heap.set(flow);
+	}
+
+	return choice;
+}
+
+/** Live requests go first unless training is owed its floor or the live member is ahead of its fair share. */
+function preferredClass(state: SchedulerState): RequestClass {
+	const live = state.queue.live.top;
+	const training = state.queue.training.top;
+	if (live === undefined || training === undefined) {
+		return live === undefined ? 'training' : 'live';
+	}
+
+	if (state.trainingDebt > 0) {
+		return 'training';
+	}
+
+	const {rate} = capacityOf(state);
+	return rate === undefined || live.key <= training.key + (liveLeadMs * rate / live.account.weight) ? 'live' : 'training';
 }
 
-function freeUpstream(state: SchedulerState, avoid: readonly UpstreamId[]): UpstreamId | undefined {
-	let best: UpstreamId | undefined;
-	let bestLoad = Number.POSITIVE_INFINITY;
-	for (const candidate of state.upstreams.values()) {
-		const current = load(state, candidate.upstream);
-		const usable = !candidate.leaving && !avoid.includes(candidate.upstream) && current < candidate.initialWindow;
-		if (usable && current < bestLoad) {
-			best = candidate.upstream;
-			bestLoad = current;
+function chooseNext(state: SchedulerState, openings: readonly Opening[], now: Millis): Choice | undefined {
+	const preferred = preferredClass(state);
+	const order: RequestClass[] = preferred === 'live' ? ['live', 'training'] : ['training', 'live'];
+	for (const requestClass of order) {
+		const usable = openings.filter(opening => isOpenFor(opening, requestClass));
+		const heap = requestClass === 'live' ? state.queue.live : state.queue.training;
+		const choice = usable.length === 0 ? undefined : findInClass(state, heap, usable, now);
+		if (choice !== undefined) {
+			return choice;
 		}
 	}
 
-	return best;
+	return undefined;
+}
+
+/** Keeps account of the share that training gets while both classes wait. */
+function updateTrainingDebt(state: SchedulerState, waiting: Waiting): void {
+	if (state.queue.live.size === 0 || state.queue.training.size === 0) {
+		state.trainingDebt = Math.min(0, state.trainingDebt);
+		return;
+	}
+
+	const tokens = waiting.expectedTokens;
+	const isTraining = waiting.request.requestClass === 'training';
+	state.trainingDebt += (state.trainingFloor * tokens) - (isTraining ? tokens : 0);
+	state.trainingDebt = Math.max(state.trainingDebt, -tokens);
+}
+
+function addRun(state: SchedulerState, running: RunningState, now: Millis): void {
+	const {upstream, request: {fingerprint}} = running;
+	state.running.set(running.attempt, running);
+	const runs = state.runs.get(fingerprint);
+	if (runs === undefined) {
+		state.runs.set(fingerprint, [running]);
+	} else {
+		runs.push(running);
+	}
+
+	if (deathsOf(state.suspects, fingerprint, now) > 0) {
+		upstream.suspects.set(fingerprint, (upstream.suspects.get(fingerprint) ?? 0) + 1);
+	}
+
+	changeRunning(upstream, 1, now);
+	startProgress(upstream.progress, running.expectedMs, now);
+}
+
+function grant(state: SchedulerState, choice: Choice, now: Millis): SchedulerAction {
+	const {waiting, opening: {upstream, isProbe}} = choice;
+	const {request, attempt, from} = waiting;
+	const account = accountOf(state.queue, request.member);
+	// More may be known about the member's completions now than when the request was queued.
+	const charged = expectedTokens(flowOf(account, request.requestClass), request);
+	updateTrainingDebt(state, waiting);
+	remove(state.queue, waiting);
+	startService(state.queue, account, charged);
+	advanceArea(upstream, now);
+	addRun(state, {
+		from,
+		attempt,
+		request,
+		upstream,
+		account,
+		grantedAt: now,
+		deadlineAt: waiting.deadlineAt,
+		charged,
+		expectedMs: expectedMs(state, request, charged),
+		longestMs: usualMs(state, request.maxTokens),
+		areaAtGrant: upstream.area,
+		isProbe,
+		isDead: false,
+	}, now);
+	if (isProbe) {
+		upstream.health.probe = attempt;
+	}
+
+	recordPrefix(state.prefixes, request.prefixKey, upstream.settings.upstream, now);
+	return {
+		kind: 'grant', to: from, attempt, upstream: upstream.settings.upstream,
+	};
 }
 
 function grantWaiting(state: SchedulerState, now: Millis): SchedulerAction[] {
 	const actions: SchedulerAction[] = [];
-	const stillWaiting: Waiting[] = [];
-	for (const waiting of state.waiting) {
-		if (waiting.deadlineAt <= now) {
-			actions.push({
-				kind: 'refuse', to: waiting.from, attempt: waiting.attempt, reason: 'overloaded', retryAfterMs: retryAfterOverloadMs,
-			});
-			continue;
+	while (waitingCount(state) > 0) {
+		const openings = openingsOf(state, now);
+		const choice = openings.length === 0 ? undefined : chooseNext(state, openings, now);
+		if (choice === undefined) {
+			break;
 		}
 
-		const upstream = freeUpstream(state, waiting.avoid);
-		if (upstream === undefined) {
-			stillWaiting.push(waiting);
-			continue;
+		actions.push(grant(state, choice, now));
+	}
+
+	return actions;
+}
+
+/** Tokens of the same member that are served before a new request of the flow. */
+function tokensAhead(flow: Flow): number {
+	const {live, training} = flow.account;
+	return flow.requestClass === 'live' ? live.tokens : live.tokens + training.tokens;
+}
+
+/** Time until an upstream that is out of service is probed next; undefined if there is none. */
+function nextProbeMs(state: SchedulerState, now: Millis): Millis | undefined {
+	let next: Millis | undefined;
+	for (const {settings, health} of state.upstreams.values()) {
+		if (!settings.leaving) {
+			const wait = health.probe === undefined ? Math.max(0, health.nextProbeAt - now) : health.backoffMs;
+			next = Math.min(next ?? wait, wait);
 		}
+	}
 
-		state.running.set(waiting.attempt, {from: waiting.from, upstream});
-		actions.push({
-			kind: 'grant', to: waiting.from, attempt: waiting.attempt, upstream,
-		});
+	return next;
+}
+
+/** Refuses a request that waits although no upstream is in service, unless one may be back soon. */
+function reviewOutage(state: SchedulerState, waiting: Waiting, capacity: Capacity, now: Millis): SchedulerAction[] {
+	const probeMs = nextProbeMs(state, now) ?? retryAfterNoUpstreamMs;
+	const isShort = now - waiting.since + probeMs <= maxOutageWaitMs && waitingCount(state) <= maxOutageWaiting;
+	return isShort && now + probeMs < waiting.deadlineAt ? [] : [refuseWaiting(state, waiting, {reason: 'no-upstream', waitMs: probeMs}, capacity, now)];
+}
+
+/** Refuses a request that has just been queued if it is not expected to start in time. */
+function admit(state: SchedulerState, waiting: Waiting, now: Millis): SchedulerAction[] {
+	const capacity = capacityOf(state);
+	if (capacity.slots === 0) {
+		return reviewOutage(state, waiting, capacity, now);
 	}
 
-	state.waiting = stillWaiting;
-	return actions;
+	const {request} = waiting;
+	const flow = flowOf(accountOf(state.queue, request.member), request.requestClass);
+	const waitMs = expectedWait(state.queue, flow, tokensAhead(flow) - waiting.expectedTokens, capacity);
+	const slackMs = waiting.deadlineAt - now - expectedMs(state, request, waiting.expectedTokens);
+	const isReturning = takeSlot(state.admission, request.fingerprint, now);
+	const limitMs = acceptableWait(slackMs, isReturning);
+	return waitMs <= limitMs ? [] : [refuseWaiting(state, waiting, {reason: 'overloaded', waitMs: waitMs - Math.max(0, limitMs)}, capacity, now)];
 }
 
-function accept(state: SchedulerState, event: Extract<SchedulerEvent, {kind: 'acquire'}>, now: Millis): SchedulerAction[] {
-	const {acquire, from} = event;
-	const hasUpstream = [...state.upstreams.values()].some(upstream => !upstream.leaving);
-	if (!hasUpstream) {
+function acquire(state: SchedulerState, event: Extract<SchedulerEvent, {kind: 'acquire'}>, now: Millis): SchedulerAction[] {
+	const {acquire: {attempt, request, remainingMs, avoid}, from} = event;
+	const running = state.running.get(attempt);
+	if (running !== undefined) {
 		return [{
-			kind: 'refuse', to: from, attempt: acquire.attempt, reason: 'no-upstream', retryAfterMs: retryAfterNoUpstreamMs,
+			kind: 'grant', to: from, attempt, upstream: running.upstream.settings.upstream,
 		}];
 	}
 
-	const known = state.running.has(acquire.attempt) || state.waiting.some(waiting => waiting.attempt === acquire.attempt);
-	if (!known) {
-		state.waiting.push({
-			from,
-			attempt: acquire.attempt,
-			request: acquire.request,
-			deadlineAt: now + acquire.remainingMs,
-			avoid: acquire.avoid,
-		});
+	if (state.queue.attempts.has(attempt)) {
+		return [];
+	}
+
+	const blockedMs = blockedForMs(state.suspects, request.fingerprint, now);
+	if (blockedMs > 0) {
+		return [refusal({from, attempt}, 'blocked', blockedMs)];
+	}
+
+	if ([...state.upstreams.values()].every(upstream => upstream.settings.leaving)) {
+		return [refusal({from, attempt}, 'no-upstream', retryAfterNoUpstreamMs)];
+	}
+
+	const flow = flowOf(accountOf(state.queue, request.member), request.requestClass);
+	const waiting: Waiting = {
+		from, attempt, request, since: now, deadlineAt: now + remainingMs, avoid, expectedTokens: expectedTokens(flow, request), removed: false,
+	};
+	enqueue(state.queue, waiting);
+	if (remainingMs <= 0 || waitingCount(state) > maxWaiting) {
+		const capacity = capacityOf(state);
+		const waitMs = expectedWait(state.queue, flow, tokensAhead(flow), capacity);
+		return [refuseWaiting(state, waiting, {reason: 'overloaded', waitMs}, capacity, now)];
+	}
+
+	const actions = grantWaiting(state, now);
+	return waiting.removed ? actions : [...actions, ...admit(state, waiting, now)];
+}
+
+function refreshSuspects(state: SchedulerState, now: Millis): SchedulerAction[] {
+	for (const upstream of state.upstreams.values()) {
+		upstream.suspects.clear();
+	}
+
+	for (const {upstream, request: {fingerprint}} of state.running.values()) {
+		if (deathsOf(state.suspects, fingerprint, now) > 0) {
+			upstream.suspects.set(fingerprint, (upstream.suspects.get(fingerprint) ?? 0) + 1);
+		}
+	}
+
+	const actions: SchedulerAction[] = [];
+	for (const waiting of state.queue.attempts.values()) {
+		const blockedMs = blockedForMs(state.suspects, waiting.request.fingerprint, now);
+		if (blockedMs > 0) {
+			remove(state.queue, waiting);
+			actions.push(refusal(waiting, 'blocked', blockedMs));
+		}
+	}
+
+	return actions;
+}
+
+/** Takes a dead upstream out of service. Each request that runs on it becomes a suspect. */
+function recordUpstreamDeath(state: SchedulerState, upstream: UpstreamState, reportedBy: AttemptId, now: Millis): SchedulerAction[] {
+	const fingerprints = new Set<Fingerprint>();
+	for (const running of state.running.values()) {
+		if (running.upstream === upstream && !running.isDead) {
+			running.isDead = true;
+			fingerprints.add(running.request.fingerprint);
+		}
+	}
+
+	takeOutOfService(upstream, now);
+	upstream.reservedFor = undefined;
+	const entries = recordDeath(state.suspects, fingerprints, `${upstream.settings.upstream}/${reportedBy}`, now);
+	return [{kind: 'share-suspects', entries}, ...refreshSuspects(state, now)];
+}
+
+function removeRun(state: SchedulerState, running: RunningState, now: Millis): void {
+	const {upstream, attempt, request: {fingerprint}} = running;
+	state.running.delete(attempt);
+	const runs = (state.runs.get(fingerprint) ?? []).filter(run => run !== running);
+	if (runs.length === 0) {
+		state.runs.delete(fingerprint);
+	} else {
+		state.runs.set(fingerprint, runs);
+	}
+
+	const suspectRuns = (upstream.suspects.get(fingerprint) ?? 0) - 1;
+	if (suspectRuns > 0) {
+		upstream.suspects.set(fingerprint, suspectRuns);
+	} else {
+		upstream.suspects.delete(fingerprint);
+	}
+
+	if (upstream.reservedFor === fingerprint && runs.length === 0) {
+		upstream.reservedFor = undefined;
 	}
 
-	return grantWaiting(state, now);
+	changeRunning(upstream, -1, now);
 }
 
-function forget(state: SchedulerState, daemon: DaemonId): void {
-	state.waiting = state.waiting.filter(waiting => waiting.from !== daemon);
-	for (const [attempt, running] of state.running) {
+/** Prompt and completion tokens that an attempt has used. */
+function usedTokens(running: RunningState, release: Release): number {
+	const hasRun = release.result === 'finished' || release.firstTokenMs !== undefined;
+	return hasRun ? running.request.promptTokens + release.tokens : 0;
+}
+
+function learnFromEnd(state: SchedulerState, running: RunningState, release: Release, now: Millis): void {
+	const {upstream, account, request, grantedAt} = running;
+	const elapsedMs = Math.max(1, now - grantedAt);
+	const isFinished = release.result === 'finished';
+	const used = usedTokens(running, release);
+	const maxCredit = (capacityOf(state).rate ?? 0) * maxCreditMs / Math.max(1, state.queue.waitingWeight);
+	correctCharge(state.queue, account, used - running.charged, maxCredit);
+	recordEnd(state.admission, waitingCount(state) > 0, used, elapsedMs);
+	endProgress(upstream.progress, {expectedMs: running.expectedMs, elapsedMs, isFinished}, now);
+	if (!isFinished) {
+		return;
+	}
+
+	learnCompletion(flowOf(account, request.requestClass), request, release.tokens);
+	if (release.firstTokenMs !== undefined && upstream.health.status === 'up' && grantedAt >= upstream.health.since) {
+		const concurrency = (upstream.area - running.areaAtGrant) / elapsedMs;
+		learnWindow(upstream.window, {
+			concurrency, tokens: release.tokens, firstTokenMs: release.firstTokenMs, generationMs: release.generationMs,
+		}, upstream.settings);
+		if (state.normal.tokenMs === undefined) {
+			refreshNormal(state);
+		}
+	}
+}
+
+function release(state: SchedulerState, ended: Release, now: Millis): SchedulerAction[] {
+	const running = state.running.get(ended.attempt);
+	if (running === undefined) {
+		const waiting = state.queue.attempts.get(ended.attempt);
+		if (waiting !== undefined) {
+			remove(state.queue, waiting);
+		}
+
+		return [];
+	}
+
+	const {upstream, request: {fingerprint}} = running;
+	const actions = ended.result === 'upstream-died' && !running.isDead ? recordUpstreamDeath(state, upstream, ended.attempt, now) : [];
+	advanceArea(upstream, now);
+	learnFromEnd(state, running, ended, now);
+	judgeEnd(state, {
+		running, result: ended.result, tokens: ended.tokens, firstTokenMs: ended.firstTokenMs, generationMs: ended.generationMs,
+	}, now);
+	removeRun(state, running, now);
+	const cleared = ended.result === 'finished' ? recordFinish(state.suspects, fingerprint, now) : [];
+	if (cleared.length > 0) {
+		actions.push({kind: 'share-suspects', entries: cleared}, ...refreshSuspects(state, now));
+	}
+
+	return actions;
+}
+
+function changeUpstreams(state: SchedulerState, upstreams: readonly ShardUpstream[], now: Millis): void {
+	const known = state.upstreams;
+	state.upstreams = new Map(upstreams.map(settings => {
+		const upstream = known.get(settings.upstream) ?? createUpstream(settings, now);
+		upstream.settings = settings;
+		upstream.window.window = Math.min(settings.maxWindow, Math.max(upstream.window.window, Math.min(settings.initialWindow, settings.maxWindow)));
+		return [settings.upstream, upstream];
+	}));
+}
+
+/** Takes back a slot without a release. */
+function reclaim(state: SchedulerState, running: RunningState, now: Millis): void {
+	const {upstream} = running;
+	endProgress(upstream.progress, {expectedMs: running.expectedMs, elapsedMs: 0, isFinished: false}, now);
+	if (upstream.health.probe === running.attempt) {
+		upstream.health.probe = undefined;
+	}
+
+	removeRun(state, running, now);
+}
+
+/** The grants and waiting requests of a dead entry daemon return. */
+function forgetDaemon(state: SchedulerState, daemon: DaemonId, now: Millis): void {
+	for (const waiting of state.queue.attempts.values()) {
+		if (waiting.from === daemon) {
+			remove(state.queue, waiting);
+		}
+	}
+
+	for (const running of state.running.values()) {
 		if (running.from === daemon) {
-			state.running.delete(attempt);
+			reclaim(state, running, now);
+		}
+	}
+}
+
+/** An entry daemon ends each attempt at its deadline, so a slot that is held for longer has lost its release. */
+function reclaimOverdue(state: SchedulerState, now: Millis): void {
+	for (const running of state.running.values()) {
+		if (now > running.deadlineAt + lostReleaseMs) {
+			reclaim(state, running, now);
+		}
+	}
+}
+
+/** Counts what an entry daemon already runs here, so that a new owner does not grant the same slots again. */
+function adoptRunning(state: SchedulerState, event: Extract<SchedulerEvent, {kind: 'running'}>, now: Millis): void {
+	for (const {attempt, upstream: name, request, elapsedMs, remainingMs} of event.attempts) {
+		const upstream = state.upstreams.get(name);
+		if (upstream === undefined || state.running.has(attempt)) {
+			continue;
+		}
+
+		const waiting = state.queue.attempts.get(attempt);
+		if (waiting !== undefined) {
+			remove(state.queue, waiting);
+		}
+
+		const account = accountOf(state.queue, request.member);
+		const charged = expectedTokens(flowOf(account, request.requestClass), request);
+		advanceArea(upstream, now);
+		addRun(state, {
+			from: event.from,
+			attempt,
+			request,
+			upstream,
+			account,
+			grantedAt: now - elapsedMs,
+			deadlineAt: now + remainingMs,
+			charged,
+			expectedMs: expectedMs(state, request, charged),
+			longestMs: usualMs(state, request.maxTokens),
+			areaAtGrant: upstream.area - (upstream.running * elapsedMs),
+			isProbe: false,
+			isDead: false,
+		}, now);
+	}
+}
+
+/** Refuses the requests of a flow that can't be finished in time any more. */
+function reviewFlow(state: SchedulerState, flow: Flow, capacity: Capacity, now: Millis): SchedulerAction[] {
+	const actions: SchedulerAction[] = [];
+	let ahead = flow.requestClass === 'live' ? 0 : flow.account.live.tokens;
+	for (const waiting of waitingIn(flow)) {
+		if (capacity.slots === 0) {
+			actions.push(...reviewOutage(state, waiting, capacity, now));
+			continue;
+		}
+
+		const slackMs = waiting.deadlineAt - now - expectedMs(state, waiting.request, waiting.expectedTokens);
+		const waitMs = expectedWait(state.queue, flow, ahead, capacity);
+		if (slackMs < 0 || (Number.isFinite(waitMs) && waitMs > slackMs * waitTolerance)) {
+			actions.push(refuseWaiting(state, waiting, {reason: 'overloaded', waitMs: Number.isFinite(waitMs) ? waitMs : 0}, capacity, now));
+		} else {
+			ahead += waiting.expectedTokens;
+		}
+	}
+
+	return actions;
+}
+
+/** A reserved upstream returns when nothing waits or runs for its suspect any more. */
+function dropReservations(state: SchedulerState): void {
+	for (const upstream of state.upstreams.values()) {
+		const {reservedFor} = upstream;
+		if (reservedFor === undefined || state.runs.has(reservedFor)) {
+			continue;
+		}
+
+		const isAwaited = [...state.queue.attempts.values()].some(waiting => waiting.request.fingerprint === reservedFor);
+		if (!isAwaited || upstream.health.status !== 'up' || upstream.settings.leaving) {
+			upstream.reservedFor = undefined;
 		}
 	}
 }
 
+function review(state: SchedulerState, now: Millis): SchedulerAction[] {
+	if (now - state.reviewedAt < reviewMs) {
+		return [];
+	}
+
+	state.reviewedAt = now;
+	expireSuspects(state.suspects, now);
+	expireSlots(state.admission, now);
+	refreshNormal(state);
+	reclaimOverdue(state, now);
+	findSlowUpstreams(state, now);
+	dropReservations(state);
+	const capacity = capacityOf(state);
+	const actions: SchedulerAction[] = [];
+	for (const account of state.queue.accounts.values()) {
+		for (const flow of [account.live, account.training]) {
+			if (flow.count > 0) {
+				actions.push(...reviewFlow(state, flow, capacity, now));
+			}
+		}
+	}
+
+	return actions;
+}
+
 /** Decides for one shard. Updates `state` in place and returns it. */
 export function decideScheduling(state: SchedulerState, event: SchedulerEvent, now: Millis): Outcome<SchedulerState, SchedulerAction> {
+	advanceAdmission(state.admission, waitingCount(state) > 0, now);
+	const actions = apply(state, event, now);
+	return {state, actions: event.kind === 'acquire' ? actions : [...actions, ...grantWaiting(state, now)]};
+}
+
+function apply(state: SchedulerState, event: SchedulerEvent, now: Millis): SchedulerAction[] {
 	switch (event.kind) {
 		case 'acquire': {
-			return {state, actions: accept(state, event, now)};
+			return acquire(state, event, now);
 		}
 
 		case 'release': {
-			state.running.delete(event.release.attempt);
-			state.waiting = state.waiting.filter(waiting => waiting.attempt !== event.release.attempt);
-			break;
+			return release(state, event.release, now);
 		}
 
 		case 'upstreams-changed': {
-			state.upstreams = new Map(event.upstreams.map(upstream => [upstream.upstream, upstream]));
-			break;
+			state.trainingFloor = event.trainingFloor ?? state.trainingFloor;
+			if (event.weights !== undefined) {
+				setWeights(state.queue, event.weights);
+			}
+
+			changeUpstreams(state, event.upstreams, now);
+			return [];
 		}
 
 		case 'daemon-lost': {
-			forget(state, event.daemon);
-			break;
+			forgetDaemon(state, event.daemon, now);
+			return [];
+		}
+
+		case 'running': {
+			adoptRunning(state, event, now);
+			return [];
+		}
+
+		case 'suspects-changed': {
+			return refreshSuspects(state, now);
 		}
 
 		case 'tick': {
-			break;
+			return review(state, now);
 		}
 	}
-
-	return {state, actions: grantWaiting(state, now)};
 }
--- /dev/null
+++ b/packages/scheduling/src/suspects.ts
@@ -0,0 +1,181 @@
+/** Request fingerprints that were on upstreams when these died. One table serves all shards of a daemon. */
+
+import type {Fingerprint, Millis, SuspectEntry} from '@cicadapost/types';
+
+/** A fingerprint with this many deaths runs alone on an upstream. */
+export const deathsBeforeAlone = 2;
+/** A fingerprint with this many deaths is blocked. */
+export const deathsBeforeBlock = 3;
+/** An unproven fingerprint runs on at most this many upstreams at a time. */
+export const unprovenUpstreams = 2;
+export const blockMs = 10 * 60_000;
+/** A suspicion without a further death ends after this time. */
+const suspicionMs = 30 * 60_000;
+const provenMs = 10 * 60_000;
+/** Bounds of the table. A suspect takes about 300 bytes, a proven fingerprint about 100. */
+const maxSuspects = 4096;
+const maxProven = 8192;
+
+type Suspect = {
+	/** Ids of the deaths that the fingerprint was present at. A set, so that a repeated message counts once. */
+	deaths: Set<string>;
+	expiresAt: Millis;
+	blockedUntil: Millis;
+};
+
+export type SuspectTable = {
+	suspects: Map<Fingerprint, Suspect>;
+	/** Fingerprints that have finished, with the time at which the entry expires; oldest first. */
+	proven: Map<Fingerprint, Millis>;
+};
+
+export function createSuspectTable(): SuspectTable {
+	return {suspects: new Map(), proven: new Map()};
+}
+
+/** Number of upstream deaths that the fingerprint was present at. */
+export function deathsOf(table: SuspectTable, fingerprint: Fingerprint, now: Millis): number {
+	const suspect = table.suspects.get(fingerprint);
+	return suspect === undefined || suspect.expiresAt <= now ? 0 : suspect.deaths.size;
+}
+
+/** Time for which the fingerprint is still blocked; 0 if it is not. */
+export function blockedForMs(table: SuspectTable, fingerprint: Fingerprint, now: Millis): Millis {
+	const suspect = table.suspects.get(fingerprint);
+	return suspect === undefined ? 0 : Math.max(0, suspect.blockedUntil - now);
+}
+
+export function isProven(table: SuspectTable, fingerprint: Fingerprint, now: Millis): boolean {
+	return (table.proven.get(fingerprint) ?? 0) > now;
+}
+
+/** Distinct upstreams that the fingerprint may run on at a time, so that at most `deathsBeforeBlock` upstreams die of it. */
+export function upstreamLimit(table: SuspectTable, fingerprint: Fingerprint, now: Millis): number {
+	const deaths = deathsOf(table, fingerprint, now);
+	if (deaths > 0) {
+		return Math.min(unprovenUpstreams, deathsBeforeBlock - deaths);
+	}
+
+	return isProven(table, fingerprint, now) ? Number.POSITIVE_INFINITY : unprovenUpstreams;
+}
+
+function toEntry(fingerprint: Fingerprint, suspect: Suspect, now: Millis): SuspectEntry {
+	return {
+		fingerprint, deaths: [...suspect.deaths], blockedForMs: Math.max(0, suspect.blockedUntil - now), cleared: false,
+	};
+}
+
+/** Drops the suspect that has been quiet for longest, and a blocked one only if all are blocked. */
+function makeRoom(table: SuspectTable, now: Millis): void {
+	if (table.suspects.size < maxSuspects) {
+		return;
+	}
+
+	let victim: Fingerprint | undefined;
+	for (const [fingerprint, suspect] of table.suspects) {
+		victim ??= fingerprint;
+		if (suspect.blockedUntil <= now) {
+			victim = fingerprint;
+			break;
+		}
+	}
+
+	table.suspects.delete(victim!);
+}
+
+function addDeaths(table: SuspectTable, fingerprint: Fingerprint, deaths: readonly string[], now: Millis): Suspect {
+	const known = table.suspects.get(fingerprint);
+	const suspect = known !== undefined && known.expiresAt > now ? known : {deaths: new Set<string>(), expiresAt: 0, blockedUntil: 0};
+	for (const death of deaths) {
+		if (suspect.deaths.size < deathsBeforeBlock) {
+			suspect.deaths.add(death);
+		}
+	}
+
+	suspect.expiresAt = now + suspicionMs;
+	table.suspects.delete(fingerprint);
+	makeRoom(table, now);
+	table.suspects.set(fingerprint, suspect);
+	table.proven.delete(fingerprint);
+	return suspect;
+}
+
+/** Records that an upstream died under these fingerprints. Returns what the other daemons have to be told. */
+export function recordDeath(table: SuspectTable, fingerprints: Iterable<Fingerprint>, deathId: string, now: Millis): SuspectEntry[] {
+	return [...new Set(fingerprints)].map(fingerprint => {
+		const suspect = addDeaths(table, fingerprint, [deathId], now);
+		if (suspect.deaths.size >= deathsBeforeBlock && suspect.blockedUntil <= now) {
+			suspect.blockedUntil = now + blockMs;
+		}
+
+		return toEntry(fingerprint, suspect, now);
+	});
+}
+
+/** Records that a request with the fingerprint has finished. Returns what the other daemons have to be told. */
+export function recordFinish(table: SuspectTable, fingerprint: Fingerprint, now: Millis): SuspectEntry[] {
+	addProven(table, fingerprint, now);
+	return table.suspects.delete(fingerprint)
+		? [{
+			fingerprint, deaths: [], blockedForMs: 0, cleared: true,
+		}]
+		: [];
+}
+
+function addProven(table: SuspectTable, fingerprint: Fingerprint, now: Millis): void {
+	table.proven.delete(fingerprint);
+	table.proven.set(fingerprint, now + provenMs);
+	if (table.proven.size > maxProven) {
+		const [oldest] = table.proven.keys();
+		table.proven.delete(oldest!);
+	}
+}
+
+/** Merges what another daemon knows. Order and repetition of messages do not matter, except for `cleared`. */
+export function mergeSuspects(table: SuspectTable, entries: readonly SuspectEntry[], now: Millis): void {
+	for (const entry of entries) {
+		if (entry.cleared) {
+			table.suspects.delete(entry.fingerprint);
+			addProven(table, entry.fingerprint, now);
+			continue;
+		}
+
+		const suspect = addDeaths(table, entry.fingerprint, entry.deaths, now);
+		const blockedForMs = Math.min(entry.blockedForMs, blockMs);
+		suspect.blockedUntil = Math.max(suspect.blockedUntil, blockedForMs > 0 ? now + blockedForMs : 0);
+		if (suspect.deaths.size >= deathsBeforeBlock && suspect.blockedUntil === 0) {
+			suspect.blockedUntil = now + blockMs;
+		}
+	}
+}
+
+/** All suspects, for a daemon that has just started. */
+export function allSuspects(table: SuspectTable, now: Millis): SuspectEntry[] {
+	return [...table.suspects].filter(([, suspect]) => suspect.expiresAt > now).map(([fingerprint, suspect]) => toEntry(fingerprint, suspect, now));
+}
+
+/**
+Removes what has expired. A fingerprint whose block has ended keeps two deaths, so that its next run is alone on an
+upstream and the next death blocks it again.
+*/
+export function expireSuspects(table: SuspectTable, now: Millis): void {
+	for (const [fingerprint, suspect] of table.suspects) {
+		if (suspect.expiresAt <= now) {
+			table.suspects.delete(fingerprint);
+			continue;
+		}
+
+		if (suspect.blockedUntil > 0 && suspect.blockedUntil <= now) {
+			suspect.blockedUntil = 0;
+			suspect.deaths = new Set([...suspect.deaths].slice(0, deathsBeforeAlone));
+		}
+	}
+
+	for (const [fingerprint, expiresAt] of table.proven) {
+		if (expiresAt > now) {
+			break;
+		}
+
+		table.proven.delete(fingerprint);
+	}
+}
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between daemons. Times in them are durations, since daemons do not share a clock. */
 
 import type {
-	AttemptId, DaemonId, DataCentreId, Millis, ShardId, UpstreamId,
+	AttemptId, DaemonId, DataCentreId, Fingerprint, Millis, ShardId, UpstreamId,
 } from './ids.js';
 import type {
 	AttemptFailure, Chunk, Payload, RequestSummary,
@@ -118,6 +118,41 @@
 	haveVersion: number;
 }>;
 
+/** An attempt that an entry daemon runs on a shard whose owner has changed. */
+export type RunningAttempt = Readonly<{
+	attempt: AttemptId;
+	upstream: UpstreamId;
+	request: RequestSummary;
+	/** Since the grant. */
+	elapsedMs: Millis;
+	/** Until the deadline. */
+	remainingMs: Millis;
+}>;
+
+/** Tells the new owner of `shard` what the sender runs there, so that it counts these slots as taken. */
+export type Running = Readonly<{
+	kind: 'running';
+	shard: ShardId;
+	attempts: readonly RunningAttempt[];
+}>;
+
+/** What a daemon knows about a request fingerprint that was on dead upstreams. */
+export type SuspectEntry = Readonly<{
+	fingerprint: Fingerprint;
+	/** Ids of the deaths; receivers merge them as sets. */
+	deaths: readonly string[];
+	/** 0 if the fingerprint is not blocked. */
+	blockedForMs: Millis;
+	/** A request with the fingerprint has finished, which ends the suspicion. */
+	cleared: boolean;
+}>;
+
+/** Sent to each daemon of each data centre on a change, and with all entries to a daemon that has just appeared. */
+export type Suspects = Readonly<{
+	kind: 'suspects';
+	entries: readonly SuspectEntry[];
+}>;
+
 export type PeerMessage =
 	| Heartbeat
 	| Acquire
@@ -130,7 +165,9 @@
 	| RelayFailed
 	| CancelRelay
 	| ConfigurationMessage
-	| ConfigurationPull;
+	| ConfigurationPull
+	| Running
+	| Suspects;
 
 export type Addressed = Readonly<{
 	to: DaemonId;
