--- a/packages/cli/src/commands/status/index.ts
+++ b/packages/cli/src/commands/status/index.ts
@@ -9,7 +9,7 @@
 	configurationVersion: number;
 	requestsInFlight: number;
 	peers: Readonly<Record<string, {dataCentre: string; leaving: boolean; configurationVersion: number}>>;
-	shards: Readonly<Record<string, {waiting: number; upstreams: Readonly<Record<string, {running: number; leaving: boolean}>>}>>;
+	shards: Readonly<Record<string, {waiting: number; upstreams: Readonly<Record<string, {running: number; window: number; leaving: boolean; health: string}>>}>>;
 	histograms: ReadonlyArray<{name: string; member: string; requestClass: string; count: number; p50: number; p99: number; max: number}>;
 }>;
 
@@ -36,7 +36,7 @@
 		daemon, peer.dataCentre, peer.configurationVersion, peer.leaving ? 'leaving' : 'live',
 	]));
 	printLine('');
-	printTable(['shard', 'waiting', 'upstream', 'running', 'state'], shardRows(status));
+	printTable(['shard', 'waiting', 'upstream', 'running', 'window', 'state'], shardRows(status));
 	printLine('');
 	printTable(['histogram', 'member', 'class', 'count', 'p50', 'p99', 'max'], status.histograms.map(row => [
 		row.name, row.member, row.requestClass, row.count, row.p50, row.p99, row.max,
@@ -44,7 +44,7 @@
 }
 
 function shardRows(status: Status): unknown[][] {
-	return Object.entries(status.shards).flatMap(([shard, {waiting, upstreams}]) => Object.entries(upstreams).map(([upstream, {running, leaving}]) => [
-		shard, waiting, upstream, running, leaving ? 'leaving' : 'in service',
+	return Object.entries(status.shards).flatMap(([shard, {waiting, upstreams}]) => Object.entries(upstreams).map(([upstream, {running, window, leaving, health}]) => [
+		shard, waiting, upstream, running, window, leaving ? 'leaving' : health,
 	]));
 }
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -20,14 +20,16 @@
 	};
 }
 
-function shardStatus(scheduler: DaemonState['schedulers'] extends Map<unknown, infer Scheduler> ? Scheduler : never): Record<string, unknown> {
-	const running = new Map<string, number>();
-	for (const {upstream} of scheduler.running.values()) {
-		running.set(upstream, (running.get(upstream) ?? 0) + 1);
-	}
+type Scheduler = DaemonState['schedulers'] extends Map<unknown, infer Value> ? Value : never;
 
+function shardStatus(scheduler: Scheduler): Record<string, unknown> {
 	return {
-		waiting: scheduler.waiting.length,
-		upstreams: Object.fromEntries([...scheduler.upstreams.values()].map(({upstream, leaving}) => [upstream, {running: running.get(upstream) ?? 0, leaving}])),
+		waiting: scheduler.queue.attempts.size,
+		upstreams: Object.fromEntries([...scheduler.upstreams].map(([name, upstream]) => [name, {
+			running: upstream.running,
+			window: Math.floor(upstream.window.window),
+			leaving: upstream.settings.leaving,
+			health: upstream.health.status,
+		}])),
 	};
 }
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -17,7 +17,7 @@
 	decideRouting, mayHaveSent, type PoolPlaces, type RouterAction, type RouterEvent,
 } from '@cicadapost/routing';
 import {
-	createScheduler, decideScheduling, type SchedulerAction, type SchedulerEvent,
+	allSuspects, createScheduler, decideScheduling, mergeSuspects, type SchedulerAction, type SchedulerEvent,
 } from '@cicadapost/scheduling';
 import {siteConfiguration} from '@cicadapost/settings';
 import type {
@@ -25,6 +25,7 @@
 } from '@cicadapost/types';
 import type {DaemonState, Origin} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
+import {moveGrants, withdrawal} from './held-grants.js';
 import {documentFault, parseDocument} from './parse-document.js';
 import {
 	addToFrame, closeRelayStream, flushFrames, openRelayStream, takeRelay,
@@ -32,7 +33,9 @@
 import {
 	checkTrainerCall, sampleEvent, sampleRequest, stepOwner,
 } from './rollout-steps.js';
-import {shardOf, shardOwner, shardsOf} from './shards.js';
+import {
+	shardOf, shardOwner, shardPolicy, shardsOf,
+} from './shards.js';
 
 const notOwnerRetryMs = 200;
 
@@ -313,6 +316,7 @@
 	private receiveMessage(from: DaemonId, message: PeerMessage): void {
 		switch (message.kind) {
 			case 'heartbeat': {
+				this.greet(from);
 				this.updateMembership({kind: 'heartbeat', from, heartbeat: message});
 				this.configure({kind: 'peer-version', from, version: message.configurationVersion});
 				break;
@@ -329,8 +333,22 @@
 			}
 
 			case 'refuse': {
-				this.state.acquires.delete(message.attempt);
-				this.route({...message, kind: 'refused'});
+				if (this.state.acquires.get(message.attempt)?.to === from) {
+					this.state.acquires.delete(message.attempt);
+					this.route({...message, kind: 'refused'});
+				}
+
+				break;
+			}
+
+			case 'running': {
+				this.schedule(message.shard, {kind: 'running', from, attempts: message.attempts});
+				break;
+			}
+
+			case 'suspects': {
+				mergeSuspects(this.state.suspects, message.entries, this.now);
+				this.tellSchedulers();
 				break;
 			}
 
@@ -449,15 +467,19 @@
 		}
 	}
 
-	/** A grant for an attempt that has ended goes back to its owner, or the slot would stay taken. */
-	private receiveGrant(from: DaemonId, grant: Extract<PeerMessage, {kind: 'grant'}>): void {
-		this.state.acquires.delete(grant.attempt);
-		if (this.state.router.attempts.has(grant.attempt)) {
-			this.route({...grant, kind: 'granted'});
-			return;
-		}
+	private cancelRelayed(attempt: Relay['attempt']): void {
+		// A cancel may overtake its relay, which must not run then.
+		takeRelay(this.state.relays, attempt, this.now);
+		const requestId = relayedRequestId(attempt);
+		closeRelayStream(this.state.relays, requestId, this.now);
+		this.state.origins.delete(requestId);
+		this.route({kind: 'caller-left', requestId});
+	}
 
-		const shard = this.state.site === undefined ? undefined : shardOf(this.state.site, this.state.dataCentre, grant.upstream);
+	/** A grant for an attempt that has ended goes back to its owner, or the slot would stay taken. */
+	private returnGrant(from: DaemonId, grant: Extract<PeerMessage, {kind: 'grant'}>): void {
+		const {site, dataCentre, grants} = this.state;
+		const shard = site === undefined || grants.has(grant.attempt) ? undefined : shardOf(site, dataCentre, grant.upstream);
 		if (shard !== undefined) {
 			this.sendOrReceive(from, {
 				kind: 'release', attempt: grant.attempt, shard, result: 'cancelled', tokens: 0, generationMs: 0,
@@ -465,13 +487,44 @@
 		}
 	}
 
-	private cancelRelayed(attempt: Relay['attempt']): void {
-		// A cancel may overtake its relay, which must not run then.
-		takeRelay(this.state.relays, attempt, this.now);
-		const requestId = relayedRequestId(attempt);
-		closeRelayStream(this.state.relays, requestId, this.now);
-		this.state.origins.delete(requestId);
-		this.route({kind: 'caller-left', requestId});
+	/** Accepts a slot from the daemon that was asked for it. An earlier owner of the shard may answer late. */
+	private receiveGrant(from: DaemonId, message: Extract<PeerMessage, {kind: 'grant'}>): void {
+		const open = this.state.acquires.get(message.attempt);
+		if (open === undefined) {
+			this.returnGrant(from, message);
+			return;
+		}
+
+		if (open.to !== from) {
+			this.sendOrReceive(from, withdrawal(open.acquire));
+			return;
+		}
+
+		this.state.acquires.delete(message.attempt);
+		this.state.grants.set(message.attempt, {
+			acquire: open.acquire, upstream: message.upstream, owner: from, grantedAt: this.now,
+		});
+		this.route({...message, kind: 'granted'});
+	}
+
+	/** A daemon that has just appeared gets a copy of the suspects. */
+	private greet(daemon: DaemonId): void {
+		if (this.state.membership.peers.has(daemon)) {
+			return;
+		}
+
+		const entries = allSuspects(this.state.suspects, this.now);
+		if (entries.length > 0) {
+			this.actions.push({kind: 'send', to: daemon, message: {kind: 'suspects', entries}});
+		}
+	}
+
+	private tellSchedulers(except?: ShardId): void {
+		for (const shard of this.state.schedulers.keys()) {
+			if (shard !== except) {
+				this.schedule(shard, {kind: 'suspects-changed'});
+			}
+		}
 	}
 
 	private startRelayed(from: DaemonId, relay: Relay): void {
@@ -527,11 +580,20 @@
 		const outcome = decideScheduling(scheduler, event, this.now);
 		this.state.schedulers.set(shard, outcome.state);
 		for (const action of outcome.actions) {
-			this.applyScheduling(action);
+			this.applyScheduling(shard, action);
 		}
 	}
 
-	private applyScheduling(action: SchedulerAction): void {
+	private applyScheduling(shard: ShardId, action: SchedulerAction): void {
+		if (action.kind === 'share-suspects') {
+			for (const to of this.state.membership.peers.keys()) {
+				this.actions.push({kind: 'send', to, message: {kind: 'suspects', entries: action.entries}});
+			}
+
+			this.tellSchedulers(shard);
+			return;
+		}
+
 		const {to, ...message} = action;
 		this.sendOrReceive(to, message);
 	}
@@ -554,6 +616,7 @@
 			case 'release': {
 				const owner = shardOwner(this.state.membership, action.release.shard);
 				this.state.acquires.delete(action.release.attempt);
+				this.state.grants.delete(action.release.attempt);
 				if (owner !== undefined) {
 					this.sendOrReceive(owner, action.release);
 				}
@@ -759,13 +822,19 @@
 
 		for (const [shard, upstreams] of shards) {
 			if (shardOwner(membership, shard) === self) {
-				schedulers.set(shard, schedulers.get(shard) ?? createScheduler());
-				this.schedule(shard, {kind: 'upstreams-changed', upstreams});
+				schedulers.set(shard, schedulers.get(shard) ?? createScheduler({suspects: this.state.suspects}));
+				this.schedule(shard, {kind: 'upstreams-changed', upstreams, ...shardPolicy(site, shard)});
 			}
 		}
 
+		// New owners hear first what runs already, so that they do not grant the same slots again.
+		for (const {to, message} of moveGrants(this.state.grants, shard => shardOwner(membership, shard), this.now)) {
+			this.sendOrReceive(to, message);
+		}
+
 		for (const {acquire, to} of acquires.values()) {
 			if (shardOwner(membership, acquire.shard) !== to) {
+				this.sendOrReceive(to, withdrawal(acquire));
 				this.sendAcquire(acquire);
 			}
 		}
--- a/packages/peers/src/parse-message.ts
+++ b/packages/peers/src/parse-message.ts
@@ -17,6 +17,8 @@
 		'configuration-pull',
 		'rollout-call',
 		'rollout-answer',
+		'running',
+		'suspects',
 	]),
 });
 
