Hedge late first tokens and find lost answers between daemons

Cause: an acquire whose answer was lost waited for its deadline, a lost relay closed its whole data centre to the request, and a slow engine held a live request although others were free.

Change: an unanswered acquire is sent again after 1 s, 2 s, 4 s, 8 s with the time that is left; a lost relay may be repeated at another daemon of the same data centre; a live idempotent request whose first token is later than twice the 0.8 quantile of the last 128 gets a second attempt on another upstream or data centre, within policy.hedgeBudget of the tokens. The first attempt with a token goes on alone.

Ruled out: the 0.95 quantile for hedges. With one slow engine of six the slow sixth of the requests would set it.

Not done: the shard owner does not repeat a lost grant when it is asked again; that is a change in packages/scheduling.

--- /dev/null
+++ b/packages/decision/src/bench.test-helper.ts
@@ -0,0 +1,126 @@
+/** A daemon for tests of its decisions, without sockets. */
+
+import {documentSchema} from '@cicadapost/settings';
+import type {
+	DaemonId, DataCentreId, Fingerprint, MemberId, PeerMessage, PoolId, RegionId, Request, RequestId, RowAnswer,
+} from '@cicadapost/types';
+import {createDaemonState, type DaemonState} from './daemon-state.js';
+import {decide} from './decide.js';
+import type {DaemonAction, DaemonEvent} from './events.js';
+
+const home = 'home' as DataCentreId;
+const away = 'away' as DataCentreId;
+export const self = 'self' as DaemonId;
+export const peer = 'peer' as DaemonId;
+
+function documentOf(upstreams: Readonly<Record<string, readonly string[]>>): string {
+	return JSON.stringify(documentSchema.parse({
+		base: {members: {}, pools: {model: {kind: 'engine'}}, dataCentres: {home: {region: 'r'}, away: {region: 'r'}}},
+		overlays: Object.fromEntries(Object.entries(upstreams).map(([name, list]) => [name, {
+			upstreams: Object.fromEntries(list.map(upstream => [upstream, {pool: 'model', url: 'http://127.0.0.1:1'}])),
+		}])),
+	}));
+}
+
+export function requestOf(options: Partial<Request> = {}): Request {
+	return {
+		requestId: 'r' as RequestId,
+		member: 'm' as MemberId,
+		requestClass: 'live',
+		pool: 'model' as PoolId,
+		promptTokens: 1,
+		maxTokens: 4,
+		idempotent: true,
+		fingerprint: 'f' as Fingerprint,
+		prefixKey: 'p',
+		payload: {
+			method: 'POST', path: '/', contentType: 'text/plain', body: '',
+		},
+		deadlineAt: 30_000,
+		bodyHash: 'h',
+		mixedVersions: false,
+		...options,
+	};
+}
+
+const twoAtHome = {home: ['u1', 'u2']};
+export const once = {idempotent: false, idempotencyKey: 'k'} as const;
+
+/** One daemon whose actions are collected. Store calls wait until the test answers them. */
+export class Bench {
+	readonly actions: DaemonAction[] = [];
+	now = 1000;
+	private state: DaemonState;
+
+	constructor(upstreams: Readonly<Record<string, readonly string[]>> = twoAtHome) {
+		this.state = createDaemonState({
+			self, dataCentre: home, region: 'r' as RegionId, incarnation: 1,
+		});
+		this.message({kind: 'configuration', version: 1, document: documentOf(upstreams)});
+		if (upstreams.away !== undefined) {
+			this.message({
+				kind: 'heartbeat', dataCentre: away, incarnation: 1, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+			});
+		}
+	}
+
+	post(event: DaemonEvent): void {
+		const outcome = decide(this.state, event, this.now);
+		this.state = outcome.state;
+		this.actions.push(...outcome.actions);
+	}
+
+	message(message: PeerMessage): void {
+		this.post({kind: 'message', from: peer, message});
+	}
+
+	/** Lets a peer of the own data centre own the shards, so that this daemon has to ask it. */
+	becomeClient(): void {
+		this.heartbeatAtHome();
+		this.state.membership.leaving = true;
+	}
+
+	heartbeatAtHome(): void {
+		this.message({
+			kind: 'heartbeat', dataCentre: home, incarnation: 1, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+		});
+	}
+
+	heartbeat(): void {
+		this.message({
+			kind: 'heartbeat', dataCentre: away, incarnation: 1, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+		});
+	}
+
+	of<Kind extends DaemonAction['kind']>(kind: Kind): Array<Extract<DaemonAction, {kind: Kind}>> {
+		return this.actions.filter(action => action.kind === kind) as Array<Extract<DaemonAction, {kind: Kind}>>;
+	}
+
+	sent<Kind extends PeerMessage['kind']>(kind: Kind): Array<Extract<PeerMessage, {kind: Kind}>> {
+		return this.of('send').map(({message}) => message).filter(message => message.kind === kind) as Array<Extract<PeerMessage, {kind: Kind}>>;
+	}
+
+	/** Answers the last call to the claims table. */
+	store(answer: RowAnswer): void {
+		const call = this.actions.findLast(action => (action.kind === 'write-row' || action.kind === 'read-row') && action.table === 'claims');
+		this.post({kind: 'row-answer', call: (call as Extract<DaemonAction, {kind: 'read-row'}>).call, answer});
+	}
+
+	get opened() {
+		return this.of('open-attempt');
+	}
+
+	get attempt() {
+		return this.opened.at(-1)!.attempt;
+	}
+
+	get failure() {
+		const failures = this.of('fail');
+		if (failures.length !== 1) {
+			throw new Error(`expected one failure and got ${failures.length}`);
+		}
+
+		return failures[0]!.problem;
+	}
+}
+
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -7,7 +7,7 @@
 import type {SchedulerState} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, DaemonId, DataCentreId, RegionId, RequestId, ShardId,
+	Acquire, AttemptId, DaemonId, DataCentreId, Millis, RegionId, RequestId, ShardId,
 } from '@cicadapost/types';
 import {createRelays, type RelaysState} from './relays.js';
 
@@ -21,6 +21,10 @@
 export type OpenAcquire = Readonly<{
 	acquire: Acquire;
 	to: DaemonId;
+	deadlineAt: Millis;
+	/** Time at which the owner is asked again if it has not answered. */
+	askAgainAt: Millis;
+	waitMs: Millis;
 }>;
 
 export type DaemonState = {
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -28,6 +28,9 @@
 import {shardOf, shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
+/** First wait before an unanswered acquire is repeated. It doubles, since a long wait is mostly a place in a queue. */
+const askAgainMs: Millis = 1000;
+const maxAskAgainMs: Millis = 8000;
 
 /** Decides for one daemon. Updates `state` in place and returns it with the actions to carry out, in order. */
 export function decide(state: DaemonState, event: DaemonEvent, now: Millis): Outcome<DaemonState, DaemonAction> {
@@ -130,6 +133,7 @@
 		this.configure({kind: 'tick', call: this.nextCall()});
 		this.claim({kind: 'tick'});
 		this.route({kind: 'tick'});
+		this.askAgain();
 		this.sendFrames();
 		for (const shard of this.state.schedulers.keys()) {
 			this.schedule(shard, {kind: 'tick'});
@@ -496,7 +500,7 @@
 		}
 	}
 
-	private sendAcquire(acquire: Extract<PeerMessage, {kind: 'acquire'}>): void {
+	private sendAcquire(acquire: Extract<PeerMessage, {kind: 'acquire'}>, deadlineAt: Millis = this.now + acquire.remainingMs, waitMs: Millis = askAgainMs): void {
 		const owner = shardOwner(this.state.membership, acquire.shard);
 		if (owner === undefined) {
 			this.route({
@@ -505,8 +509,10 @@
 			return;
 		}
 
-		this.state.acquires.set(acquire.attempt, {acquire, to: owner});
-		this.sendOrReceive(owner, acquire);
+		this.state.acquires.set(acquire.attempt, {
+			acquire, to: owner, deadlineAt, askAgainAt: this.now + waitMs, waitMs,
+		});
+		this.sendOrReceive(owner, {...acquire, remainingMs: deadlineAt - this.now});
 	}
 
 	private sendRelay(dataCentre: DataCentreId, relay: Relay): void {
@@ -655,9 +661,18 @@
 			}
 		}
 
-		for (const {acquire, to} of acquires.values()) {
-			if (shardOwner(membership, acquire.shard) !== to) {
-				this.sendAcquire(acquire);
+		for (const open of acquires.values()) {
+			if (shardOwner(membership, open.acquire.shard) !== open.to) {
+				this.sendAcquire(open.acquire, open.deadlineAt);
+			}
+		}
+	}
+
+	/** An answer may have been lost. The owner knows the attempt, so that asking again changes no place in its queue. */
+	private askAgain(): void {
+		for (const open of this.state.acquires.values()) {
+			if (open.askAgainAt <= this.now) {
+				this.sendAcquire(open.acquire, open.deadlineAt, Math.min(maxAskAgainMs, 2 * open.waitMs));
 			}
 		}
 	}
--- a/packages/routing/src/attempts.ts
+++ b/packages/routing/src/attempts.ts
@@ -17,9 +17,10 @@
 
 function homePlace(entry: Entry): Place | undefined {
 	const {shards} = entry.places;
+	const running = new Set(entry.attempts.map(attempt => attempt.upstream));
 	for (let index = 0; index < shards.length; index++) {
 		const home = shards[(entry.firstShard + index) % shards.length]!;
-		const isUsable = !entry.refusedShards.has(home.shard) && home.upstreams.some(upstream => !entry.avoid.has(upstream));
+		const isUsable = !entry.refusedShards.has(home.shard) && home.upstreams.some(upstream => !entry.avoid.has(upstream) && !running.has(upstream));
 		if (isUsable) {
 			return {kind: 'shard', shard: home.shard};
 		}
@@ -50,7 +51,7 @@
 	return homePlace(entry);
 }
 
-export function startAttempt(state: RouterState, entry: Entry, place: Place, now: Millis): RouterAction[] {
+export function startAttempt(state: RouterState, entry: Entry, place: Place, now: Millis, hedgeCost = 0): RouterAction[] {
 	const {request} = entry;
 	const attempt = `${request.requestId}.${entry.starts}` as AttemptId;
 	entry.starts++;
@@ -61,6 +62,7 @@
 		upstream: undefined,
 		mayHaveSent: place.kind === 'data-centre',
 		written: false,
+		hedgeCost,
 		openedAt: now,
 		firstTokenAt: undefined,
 		progressAt: now,
@@ -112,6 +114,10 @@
 export function endAttempt(state: RouterState, entry: Entry, attempt: Attempt, result: ReleaseResult, now: Millis): RouterAction[] {
 	entry.mayHaveSent ||= attempt.mayHaveSent;
 	entry.written ||= attempt.written;
+	if (!attempt.mayHaveSent) {
+		state.hedges.available += attempt.hedgeCost;
+	}
+
 	entry.attempts = entry.attempts.filter(other => other !== attempt);
 	state.attempts.delete(attempt.attempt);
 	const release = releaseOf(attempt, result, now);
--- /dev/null
+++ b/packages/routing/src/hedges.ts
@@ -0,0 +1,57 @@
+/** A second attempt of a live request whose first token is late, on another upstream. */
+
+import type {Millis, PoolId} from '@cicadapost/types';
+import {endAttempt, nextPlace, startAttempt} from './attempts.js';
+import {earn, spend} from './budget.js';
+import {addFirstToken, createFirstTokens} from './first-tokens.js';
+import type {Attempt, Entry, RouterState} from './router-state.js';
+import type {RouterAction} from './router.js';
+
+/** Tokens that the losing engine may generate until its cancellation arrives, beside its work on the prompt. */
+const cancelTokens = 8;
+
+/** Times of relayed attempts hold the link's latency, so they tell nothing about the home engines. */
+export function noteFirstToken(state: RouterState, entry: Entry, attempt: Attempt, now: Millis): void {
+	if (attempt.place.kind === 'shard' && entry.request.requestClass === 'live') {
+		const times = state.firstTokens.get(entry.request.pool) ?? createFirstTokens();
+		state.firstTokens.set(entry.request.pool, times);
+		addFirstToken(times, now - attempt.openedAt);
+	}
+}
+
+function lateAfterMs(state: RouterState, pool: PoolId): Millis | undefined {
+	return state.firstTokens.get(pool)?.lateAfterMs;
+}
+
+function isLate(state: RouterState, entry: Entry, now: Millis): boolean {
+	const [attempt, other] = entry.attempts;
+	const {idempotent, requestClass, pool} = entry.request;
+	const isRunning = attempt !== undefined && other === undefined && attempt.mayHaveSent && attempt.firstTokenAt === undefined;
+	const limit = lateAfterMs(state, pool);
+	return idempotent && requestClass === 'live' && !entry.isHedged && isRunning && limit !== undefined && now - attempt.openedAt > limit;
+}
+
+/** Starts a second attempt if the first token is late and the budget covers the extra tokens. */
+export function hedgeIfLate(state: RouterState, entry: Entry, now: Millis): RouterAction[] {
+	if (!isLate(state, entry, now)) {
+		return [];
+	}
+
+	const place = nextPlace(state, entry, now);
+	const cost = entry.request.promptTokens + cancelTokens;
+	if (place === undefined || !spend(state.hedges, cost)) {
+		return [];
+	}
+
+	entry.isHedged = true;
+	return startAttempt(state, entry, place, now, cost);
+}
+
+/** The first attempt with a token goes on alone. */
+export function cancelLosers(state: RouterState, entry: Entry, winner: Attempt, now: Millis): RouterAction[] {
+	return entry.attempts.filter(attempt => attempt !== winner).flatMap(loser => endAttempt(state, entry, loser, 'cancelled', now));
+}
+
+export function earnHedges(state: RouterState, entry: Entry): void {
+	earn(state.hedges, entry.request.promptTokens + entry.stream.delivered);
+}
--- a/packages/routing/src/router-state.ts
+++ b/packages/routing/src/router-state.ts
@@ -1,8 +1,9 @@
 import type {
-	AttemptId, DataCentreId, Millis, Request, RequestId, ShardId, UpstreamId,
+	AttemptId, DataCentreId, Millis, PoolId, Request, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
 import type {StreamState} from './assemble-stream.js';
 import {createBudget, type Budget} from './budget.js';
+import type {FirstTokens} from './first-tokens.js';
 
 /** A shard of the own data centre with the upstreams that are not leaving. */
 export type HomeShard = Readonly<{shard: ShardId; upstreams: readonly UpstreamId[]}>;
@@ -24,6 +25,8 @@
 	mayHaveSent: boolean;
 	/** Whether the edge has reported that it writes to a connection. */
 	written: boolean;
+	/** Tokens taken from the hedge budget; 0 for an attempt that is no hedge. */
+	readonly hedgeCost: number;
 	openedAt: Millis;
 	firstTokenAt: Millis | undefined;
 	/** Last frame of a relayed attempt. */
@@ -53,6 +56,7 @@
 	avoid: Map<UpstreamId, 'soft' | 'hard'>;
 	refusedShards: Set<ShardId>;
 	triedDataCentres: Set<DataCentreId>;
+	isHedged: boolean;
 	/** Time of the next attempt while none is running. */
 	retryAt: Millis | undefined;
 };
@@ -64,6 +68,9 @@
 	rotation: number;
 	/** Retries as a share of first attempts. */
 	retries: Budget;
+	/** Tokens of hedges as a share of all tokens. */
+	hedges: Budget;
+	firstTokens: Map<PoolId, FirstTokens>;
 	/** Data centres that refused a relay, until a later try is likely to succeed. */
 	closedUntil: Map<DataCentreId, Millis>;
 };
@@ -71,6 +78,9 @@
 const defaultRetryShare = 0.1;
 /** A crashed engine leaves up to a window of streams to one daemon; the bucket covers such a burst. */
 const retryBurst = 64;
+const defaultHedgeShare = 0.05;
+/** Covers a few hedges with long prompts at once; more would be load that the slow engine's neighbours feel. */
+const hedgeBurstTokens = 16_384;
 
 export function createRouter(): RouterState {
 	return {
@@ -78,6 +88,8 @@
 		attempts: new Map(),
 		rotation: 0,
 		retries: createBudget({share: defaultRetryShare, initial: retryBurst / 2, burst: retryBurst}),
+		hedges: createBudget({share: defaultHedgeShare, initial: 0, burst: hedgeBurstTokens}),
+		firstTokens: new Map(),
 		closedUntil: new Map(),
 	};
 }
--- /dev/null
+++ b/packages/routing/src/router.test.ts
@@ -0,0 +1,210 @@
+import type {
+	AttemptId, DataCentreId, Fingerprint, MemberId, PoolId, Request, RequestId, ShardId, UpstreamId,
+} from '@cicadapost/types';
+import {describe, expect, it} from 'vitest';
+import {createRouter, type PoolPlaces} from './router-state.js';
+import {decideRouting, type RouterAction, type RouterEvent} from './router.js';
+
+const [u1, u2] = ['u1', 'u2'] as UpstreamId[];
+const shard = 'home/model/0' as ShardId;
+const away = 'away' as DataCentreId;
+const home: PoolPlaces = {shards: [{shard, upstreams: [u1!, u2!]}], dataCentres: []};
+
+function requestOf(name: string, options: Partial<Request> = {}): Request {
+	return {
+		requestId: name as RequestId,
+		member: 'm' as MemberId,
+		requestClass: 'live',
+		pool: 'model' as PoolId,
+		promptTokens: 10,
+		maxTokens: 100,
+		idempotent: true,
+		fingerprint: 'f' as Fingerprint,
+		prefixKey: 'p',
+		payload: {
+			method: 'POST', path: '/', contentType: 'text/plain', body: '',
+		},
+		deadlineAt: 1_000_000,
+		bodyHash: 'h',
+		mixedVersions: false,
+		...options,
+	};
+}
+
+class Bench {
+	readonly actions: RouterAction[] = [];
+	now = 0;
+	readonly state = createRouter();
+
+	post(event: RouterEvent): RouterAction[] {
+		const {actions} = decideRouting(this.state, event, this.now);
+		this.actions.push(...actions);
+		return [...actions];
+	}
+
+	/** Starts a request and grants its first attempt. */
+	start(name: string, options: Partial<Request> = {}, places = home): AttemptId {
+		this.post({kind: 'request', request: requestOf(name, options), places});
+		const attempt = `${name}.0` as AttemptId;
+		this.post({kind: 'granted', attempt, upstream: u1!});
+		return attempt;
+	}
+
+	/** Runs a request of `tokens` tokens whose first one takes `firstTokenMs`. */
+	run(name: string, firstTokenMs: number, tokens = 100): void {
+		const attempt = this.start(name);
+		this.now += firstTokenMs;
+		this.post({
+			kind: 'chunk', attempt, chunk: {
+				offset: 0, tokens, text: 'x', version: 1,
+			},
+		});
+		this.post({
+			kind: 'finished', attempt, tokens, status: 200, contentType: 'text/event-stream',
+		});
+	}
+
+	of<Kind extends RouterAction['kind']>(kind: Kind): Array<Extract<RouterAction, {kind: Kind}>> {
+		return this.actions.filter(action => action.kind === kind) as Array<Extract<RouterAction, {kind: Kind}>>;
+	}
+}
+
+describe('retries', () => {
+	it('stay within the budget when each attempt fails, so that a fault does not multiply the load', () => {
+		const bench = new Bench();
+		const requests = 2000;
+		for (let index = 0; index < requests; index++) {
+			bench.post({kind: 'request', request: requestOf(`r${index}`), places: home});
+			for (let attempt = 0; attempt < 6; attempt++) {
+				const id = `r${index}.${attempt}` as AttemptId;
+				bench.post({kind: 'granted', attempt: id, upstream: attempt % 2 === 0 ? u1! : u2!});
+				bench.post({
+					kind: 'failed', attempt: id, failure: 'upstream-died', sent: true,
+				});
+			}
+		}
+
+		expect(bench.of('fail')).toHaveLength(requests);
+		// A tenth of the requests and the initial burst.
+		expect(bench.of('open').length).toBeLessThanOrEqual((requests * 1.1) + 32);
+	});
+
+	it('are none with a budget of 0', () => {
+		const bench = new Bench();
+		bench.post({kind: 'policy', retryBudget: 0, hedgeBudget: 0});
+		bench.post({
+			kind: 'failed', attempt: bench.start('r'), failure: 'upstream-died', sent: true,
+		});
+		expect([bench.of('acquire').length, bench.of('fail').length]).toEqual([1, 1]);
+	});
+
+	it('pass on what is left of the deadline and avoid the upstream that failed', () => {
+		const bench = new Bench();
+		const attempt = bench.start('r', {deadlineAt: 1000});
+		bench.now = 400;
+		bench.post({
+			kind: 'failed', attempt, failure: 'upstream-died', sent: true,
+		});
+		expect(bench.of('acquire').map(({acquire: {remainingMs, avoid}}) => [remainingMs, avoid])).toEqual([[1000, []], [600, ['u1']]]);
+	});
+});
+
+describe('a shard that moves', () => {
+	it('is asked again later without a cost, instead of in a loop', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf('r'), places: home});
+		const actions = bench.post({
+			kind: 'refused', attempt: 'r.0' as AttemptId, reason: 'not-owner', retryAfterMs: 200,
+		});
+		expect(actions.map(({kind}) => kind)).toEqual(['release']);
+		bench.now = 200;
+		expect(bench.post({kind: 'tick'}).map(({kind}) => kind)).toEqual(['acquire']);
+	});
+});
+
+describe('hedges', () => {
+	function warm(): Bench {
+		const bench = new Bench();
+		for (let index = 0; index < 40; index++) {
+			bench.run(`w${index}`, 50);
+		}
+
+		return bench;
+	}
+
+	function late(bench: Bench, options: Partial<Request> = {}, places = home): AttemptId {
+		const attempt = bench.start('late', options, places);
+		bench.now += 101;
+		bench.post({kind: 'tick'});
+		return attempt;
+	}
+
+	it('start on another upstream when the first token is late, and the loser is cancelled', () => {
+		const bench = warm();
+		const first = late(bench);
+		const {acquire} = bench.of('acquire').at(-1)!;
+		expect([acquire.attempt, acquire.avoid]).toEqual(['late.1', ['u1']]);
+		bench.post({kind: 'granted', attempt: acquire.attempt, upstream: u2!});
+		const actions = bench.post({
+			kind: 'chunk', attempt: acquire.attempt, chunk: {
+				offset: 0, tokens: 1, text: 'y', version: 1,
+			},
+		});
+		expect(actions.map(({kind}) => kind)).toEqual(['cancel', 'release', 'deliver']);
+		expect(bench.post({
+			kind: 'chunk', attempt: first, chunk: {
+				offset: 0, tokens: 1, text: 'x', version: 1,
+			},
+		})).toEqual([]);
+	});
+
+	it('go to another data centre when there is no other upstream at home', () => {
+		const bench = warm();
+		late(bench, {}, {shards: [{shard, upstreams: [u1!]}], dataCentres: [away]});
+		expect(bench.of('relay').map(({dataCentre}) => dataCentre)).toEqual([away]);
+	});
+
+	it.each([['a non-idempotent request', {idempotent: false}], ['training', {requestClass: 'training' as const}]])('do not start for %s', (_name, options) => {
+		const bench = warm();
+		late(bench, options);
+		expect(bench.state.requests.get('late' as RequestId)?.attempts).toHaveLength(1);
+	});
+
+	it('stay within a twentieth of the tokens when more requests are late than the budget covers', () => {
+		const bench = new Bench();
+		const promptTokens = 1000;
+		const requests = 2000;
+		for (let index = 0; index < requests; index++) {
+			const attempt = bench.start(`r${index}`, {promptTokens});
+			bench.now += index % 8 === 7 ? 500 : 50;
+			bench.post({kind: 'tick'});
+			// A hedge without a slot costs nothing, so each gets one.
+			bench.post({kind: 'granted', attempt: `r${index}.1` as AttemptId, upstream: u2!});
+			bench.post({
+				kind: 'chunk', attempt, chunk: {
+					offset: 0, tokens: 10, text: 'x', version: 1,
+				},
+			});
+			bench.post({
+				kind: 'finished', attempt, tokens: 10, status: 200, contentType: 'text/event-stream',
+			});
+		}
+
+		const hedges = bench.of('acquire').filter(({acquire}) => acquire.attempt.endsWith('.1')).length;
+		const extraTokens = hedges * (promptTokens + 8);
+		expect(hedges).toBeGreaterThan(80);
+		expect(hedges).toBeLessThan(requests / 8);
+		expect(extraTokens).toBeLessThanOrEqual(0.05 * requests * (promptTokens + 10));
+	});
+
+	it('cost nothing when they are refused a slot', () => {
+		const bench = warm();
+		late(bench);
+		const before = bench.state.hedges.available;
+		bench.post({
+			kind: 'refused', attempt: 'late.1' as AttemptId, reason: 'overloaded', retryAfterMs: 100,
+		});
+		expect(bench.state.hedges.available).toBe(before + 18);
+		expect(bench.of('fail')).toEqual([]);
+	});
+});
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -11,6 +11,9 @@
 	endAttempt, endRequest, isSafeToSend, nextPlace, startAttempt,
 } from './attempts.js';
 import {earn, spend} from './budget.js';
+import {
+	cancelLosers, earnHedges, hedgeIfLate, noteFirstToken,
+} from './hedges.js';
 import {failureProblem, isRefusal, type FailureCause} from './problems.js';
 import {
 	mayHaveSent, type Attempt, type Entry, type PoolPlaces, type RouterState,
@@ -95,6 +98,7 @@
 		avoid: new Map(),
 		refusedShards: new Set(),
 		triedDataCentres: new Set(),
+		isHedged: false,
 		retryAt: undefined,
 	};
 	state.rotation++;
@@ -110,6 +114,11 @@
 		return;
 	}
 
+	// The daemon was lost, not its data centre: another daemon there may run the request.
+	if (event.failure === 'relay-lost' && event.sent && attempt.place.kind === 'data-centre') {
+		entry.triedDataCentres.delete(attempt.place.dataCentre);
+	}
+
 	const isPlaceClosed = event.failure === 'overloaded' || event.failure === 'no-upstream';
 	if (isPlaceClosed && attempt.place.kind === 'shard') {
 		entry.refusedShards.add(attempt.place.shard);
@@ -129,7 +138,10 @@
 	const {entry, attempt} = found;
 	// A report that nothing was sent is about this attempt alone.
 	attempt.mayHaveSent = event.sent || attempt.firstTokenAt !== undefined;
-	note(state, entry, attempt, event, now);
+	if (attempt.hedgeCost === 0) {
+		note(state, entry, attempt, event, now);
+	}
+
 	const ended = endAttempt(state, entry, attempt, releaseResultOf(event.failure), now);
 	if (entry.attempts.length > 0) {
 		return ended;
@@ -206,6 +218,7 @@
 		return [];
 	}
 
+	earnHedges(state, entry);
 	const complete: RouterAction = {
 		kind: 'complete',
 		requestId: entry.request.requestId,
@@ -230,12 +243,17 @@
 	}
 
 	attempt.mayHaveSent = true;
-	attempt.firstTokenAt ??= now;
 	attempt.tokens += event.chunk.tokens;
+	const losers = cancelLosers(state, entry, attempt, now);
+	if (attempt.firstTokenAt === undefined) {
+		attempt.firstTokenAt = now;
+		noteFirstToken(state, entry, attempt, now);
+	}
+
 	const added = addChunk(entry.stream, event.chunk, entry.request.mixedVersions);
 	const deliveries = added.ready.map((chunk): RouterAction => ({kind: 'deliver', requestId: entry.request.requestId, chunk}));
 	const rest = added.fault === undefined ? completeIfWhole(state, entry, attempt, now) : receiveFailure(state, streamFailure(attempt, added.fault), now);
-	return [...deliveries, ...rest];
+	return [...losers, ...deliveries, ...rest];
 }
 
 function streamFailure(attempt: Attempt, fault: StreamFault): FailedEvent {
@@ -287,9 +305,10 @@
 	}
 
 	const silent = entry.attempts.filter(attempt => attempt.place.kind === 'data-centre' && attempt.progressAt + relaySilenceMs <= now);
-	return silent.flatMap(attempt => receiveFailure(state, {
+	const failed = silent.flatMap(attempt => receiveFailure(state, {
 		kind: 'failed', attempt: attempt.attempt, failure: 'relay-lost', sent: true,
 	}, now));
+	return [...failed, ...hedgeIfLate(state, entry, now)];
 }
 
 /** Decides about requests. Updates `state` in place and returns it. */
@@ -342,6 +361,7 @@
 
 		case 'policy': {
 			state.retries.share = event.retryBudget;
+			state.hedges.share = event.hedgeBudget;
 			return [];
 		}
 
