Route to plain services and tell apart how an upstream fails

Cause: there was no route to plain services; a body that is no UTF-8 text would have been damaged; 429 and 503 with Retry-After counted as a run that failed; a faulty answer of a living engine counted as its death.

Change: ANY /services/<pool>/<path> passes method, path, query, content type and each byte on. Pools with "idempotent": false claim each call unless the caller sends X-Non-Idempotent: false. A stand-in of a plain service counts what it executes. Engines: an attempt that undici has not announced sent nothing; an overloaded upstream ran nothing; malformed, truncated or wrong answers are server errors; only a broken connection means a dead upstream. A server error of a service call that must not be repeated is passed on as its answer, since it is the only one there is.

Ruled out: a retry of a non-idempotent call that the service declined with 503 and Retry-After. The caller is told "not-run" and may repeat it with the same key; the daemon itself writes such a request only once.

--- a/packages/api/src/answer-writer.ts
+++ b/packages/api/src/answer-writer.ts
@@ -108,17 +108,21 @@
 	}
 }
 
-/** The answer of a plain service, passed on as it came. */
+/** The answer of a plain service, passed on as it came. Its chunks hold one character for each byte. */
 export class ServiceWriter extends AnswerWriter {
 	private text = '';
 
+	constructor(res: ServerResponse, private readonly requestId: RequestId) {
+		super(res);
+	}
+
 	override chunk(chunk: Chunk): void {
 		this.text += chunk.text;
 	}
 
 	override complete(result: CompletionResult): void {
-		this.res.writeHead(result.status, {'content-type': result.contentType});
-		this.res.end(this.text);
+		this.res.writeHead(result.status, {'content-type': result.contentType, 'x-request-id': this.requestId});
+		this.res.end(Buffer.from(this.text, 'latin1'));
 	}
 
 	override fail(problem: ProblemError): void {
--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -10,10 +10,11 @@
 } from '@cicadapost/types';
 import {App} from '@tinyhttp/app';
 import {
-	type AnswerWriter, JsonCompletionWriter, sendProblem, StreamCompletionWriter, type CompletionResult,
+	type AnswerWriter, JsonCompletionWriter, sendProblem, ServiceWriter, StreamCompletionWriter, type CompletionResult,
 } from './answer-writer.js';
 import {KeyRing, requireRole} from './authenticate.js';
 import {parseCompletion} from './parse-completion.js';
+import {parseService} from './parse-service.js';
 import {readBody} from './read-body.js';
 
 /** Answer to an operator's change of the configuration. */
@@ -47,6 +48,7 @@
 	private readonly writers = new Map<RequestId, AnswerWriter>();
 	private readonly server: Server;
 	private readonly bodyBytes: number;
+	private pools: SiteConfiguration['pools'] = {};
 
 	constructor(private readonly options: ApiServerOptions) {
 		this.keys = new KeyRing(options.operatorKeyHashes ?? []);
@@ -60,6 +62,7 @@
 			},
 		});
 		app.post('/v1/completions', async (req, res) => this.complete(req, res));
+		app.all('/services/*', async (req, res) => this.callService(req, res));
 		app.get('/admin/configuration', (req, res) => {
 			this.requireOperator(req);
 			const {version, document} = this.options.handlers.currentConfiguration();
@@ -98,6 +101,7 @@
 
 	useConfiguration(site: SiteConfiguration): void {
 		this.keys.update(site.members);
+		this.pools = site.pools;
 	}
 
 	deliver(requestId: RequestId, chunk: Chunk): void {
@@ -124,9 +128,29 @@
 		const body = await readBody(req, this.bodyBytes);
 		const requestId = randomUUID() as RequestId;
 		const {request, stream, model} = parseCompletion({
-			headers: req.headers, body, member: principal.member!, requestId,
+			headers: req.headers,
+			body,
+			member: principal.member!,
+			requestId,
+			nonIdempotentPools: new Set(Object.keys(this.pools).filter(name => !this.pools[name]!.idempotent)),
 		}, this.options.now());
 		const writer = stream ? new StreamCompletionWriter(res, {requestId, model}) : new JsonCompletionWriter(res, {requestId, model});
+		this.start(request, writer, res);
+	}
+
+	private async callService(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const principal = this.keys.authenticate(req.headers.authorization);
+		requireRole(principal, 'caller', 'trainer');
+		const body = await readBody(req, this.bodyBytes, 'latin1');
+		const requestId = randomUUID() as RequestId;
+		const request = parseService({
+			method: req.method ?? 'GET', url: req.url ?? '/', headers: req.headers, body, member: principal.member!, requestId, pools: this.pools,
+		}, this.options.now());
+		this.start(request, new ServiceWriter(res, requestId), res);
+	}
+
+	private start(request: Request, writer: AnswerWriter, res: ServerResponse): void {
+		const {requestId} = request;
 		this.writers.set(requestId, writer);
 		res.on('close', () => {
 			if (this.writers.delete(requestId)) {
--- a/packages/api/src/index.ts
+++ b/packages/api/src/index.ts
@@ -4,3 +4,5 @@
 export * from './api-server.js';
 export * from './authenticate.js';
 export * from './parse-completion.js';
+export * from './parse-headers.js';
+export * from './parse-service.js';
--- a/packages/api/src/parse-completion.ts
+++ b/packages/api/src/parse-completion.ts
@@ -1,9 +1,9 @@
 import {createHash} from 'node:crypto';
-import {ProblemError} from '@cicadapost/errors';
 import type {
 	Fingerprint, MemberId, Millis, PoolId, Request, RequestId,
 } from '@cicadapost/types';
 import {z} from 'zod';
+import {invalid, parseDeadline, parseIdempotency} from './parse-headers.js';
 
 const completionSchema = z.looseObject({
 	model: z.string().min(1),
@@ -18,50 +18,15 @@
 	body: string;
 	member: MemberId;
 	requestId: RequestId;
+	/** Pools whose requests must run at most once unless the caller says otherwise. */
+	nonIdempotentPools?: ReadonlySet<string>;
 }>;
 
 export type ParsedCompletion = Readonly<{request: Request; stream: boolean; model: string}>;
 
 const bytesPerToken = 4;
-const maxIdempotencyKeyLength = 255;
 const prefixLength = 512;
 
-function invalid(field: string, detail: string, remedy: string): ProblemError {
-	return new ProblemError({
-		kind: 'invalid-request', field, detail, remedy,
-	});
-}
-
-/** The deadline in milliseconds left, from the header `X-Deadline-Ms`. */
-export function parseDeadline(value: string | string[] | undefined): Millis {
-	if (value === undefined) {
-		throw invalid('X-Deadline-Ms', 'the header X-Deadline-Ms is missing', 'send the number of milliseconds that you are willing to wait');
-	}
-
-	const remaining = Number(value);
-	if (!Number.isFinite(remaining)) {
-		throw invalid('X-Deadline-Ms', 'X-Deadline-Ms is not a number', 'send a whole number of milliseconds');
-	}
-
-	if (remaining <= 0) {
-		throw invalid('X-Deadline-Ms', 'the deadline has passed', 'send a number of milliseconds above 0');
-	}
-
-	return remaining;
-}
-
-export function parseIdempotencyKey(value: string | string[] | undefined): string | undefined {
-	if (value === undefined) {
-		return undefined;
-	}
-
-	if (typeof value !== 'string' || value.length === 0 || value.length > maxIdempotencyKeyLength) {
-		throw invalid('Idempotency-Key', `Idempotency-Key must have 1 to ${maxIdempotencyKeyLength} characters`, 'use a UUID');
-	}
-
-	return value;
-}
-
 function parseJson(body: string): unknown {
 	try {
 		return JSON.parse(body);
@@ -73,12 +38,6 @@
 /** Checks a completion call and makes a request of it. Throws `ProblemError` with the faulty field. */
 export function parseCompletion(call: CompletionCall, now: Millis): ParsedCompletion {
 	const deadlineAt = now + parseDeadline(call.headers['x-deadline-ms']);
-	const idempotencyKey = parseIdempotencyKey(call.headers['idempotency-key']);
-	const nonIdempotent = call.headers['x-non-idempotent'] === 'true';
-	if (nonIdempotent && idempotencyKey === undefined) {
-		throw invalid('Idempotency-Key', 'a non-idempotent request needs an Idempotency-Key', 'send one, so that a repeat is recognised');
-	}
-
 	const parsed = completionSchema.safeParse(parseJson(call.body));
 	if (!parsed.success) {
 		const issue = parsed.error.issues[0];
@@ -87,6 +46,7 @@
 	}
 
 	const body = parsed.data;
+	const {idempotent, idempotencyKey} = parseIdempotency(call.headers, !(call.nonIdempotentPools?.has(body.model) ?? false));
 	const bodyHash = createHash('sha256').update(call.body).digest('hex');
 	const fingerprint = createHash('sha256').update(`${call.member}\n${body.model}\n${body.prompt}`).digest('hex').slice(0, 32);
 	return {
@@ -99,7 +59,7 @@
 			pool: body.model as PoolId,
 			promptTokens: Math.ceil(body.prompt.length / bytesPerToken),
 			maxTokens: body.max_tokens,
-			idempotent: !nonIdempotent,
+			idempotent,
 			fingerprint: fingerprint as Fingerprint,
 			prefixKey: createHash('sha256').update(body.prompt.slice(0, prefixLength)).digest('hex').slice(0, 16),
 			payload: {
--- /dev/null
+++ b/packages/api/src/parse-headers.ts
@@ -0,0 +1,62 @@
+import {ProblemError} from '@cicadapost/errors';
+import type {Millis} from '@cicadapost/types';
+
+export type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+const maxIdempotencyKeyLength = 255;
+/** Longer waits are not useful to a live caller, and the sum with the clock must stay exact. */
+const maxDeadlineMs: Millis = 86_400_000;
+
+export function invalid(field: string, detail: string, remedy: string): ProblemError {
+	return new ProblemError({
+		kind: 'invalid-request', field, detail, remedy,
+	});
+}
+
+/** The deadline in milliseconds left, from the header `X-Deadline-Ms`. */
+export function parseDeadline(value: string | string[] | undefined): Millis {
+	if (value === undefined) {
+		throw invalid('X-Deadline-Ms', 'the header X-Deadline-Ms is missing', 'send the number of milliseconds that you are willing to wait');
+	}
+
+	const remaining = Number(value);
+	if (!Number.isFinite(remaining)) {
+		throw invalid('X-Deadline-Ms', 'X-Deadline-Ms is not a number', 'send a whole number of milliseconds');
+	}
+
+	if (remaining <= 0) {
+		throw invalid('X-Deadline-Ms', 'the deadline has passed', 'send a number of milliseconds above 0');
+	}
+
+	return Math.min(remaining, maxDeadlineMs);
+}
+
+export function parseIdempotencyKey(value: string | string[] | undefined): string | undefined {
+	if (value === undefined) {
+		return undefined;
+	}
+
+	if (typeof value !== 'string' || value.length === 0 || value.length > maxIdempotencyKeyLength) {
+		throw invalid('Idempotency-Key', `Idempotency-Key must have 1 to ${maxIdempotencyKeyLength} characters`, 'use a UUID');
+	}
+
+	return value;
+}
+
+export type Idempotency = Readonly<{idempotent: boolean; idempotencyKey: string | undefined}>;
+
+/** Whether the request may run more than once: what the caller says, or else what its pool says. */
+export function parseIdempotency(headers: Headers, isPoolIdempotent: boolean): Idempotency {
+	const idempotencyKey = parseIdempotencyKey(headers['idempotency-key']);
+	const mark = headers['x-non-idempotent'];
+	if (mark !== undefined && mark !== 'true' && mark !== 'false') {
+		throw invalid('X-Non-Idempotent', 'X-Non-Idempotent must be "true" or "false"', 'send "true" for a request that must run at most once');
+	}
+
+	const idempotent = mark === undefined ? isPoolIdempotent : mark === 'false';
+	if (!idempotent && idempotencyKey === undefined) {
+		throw invalid('Idempotency-Key', 'a non-idempotent request needs an Idempotency-Key', 'send one, so that a repeat is recognised');
+	}
+
+	return {idempotent, idempotencyKey};
+}
--- a/packages/api/src/read-body.ts
+++ b/packages/api/src/read-body.ts
@@ -1,8 +1,8 @@
 import {type IncomingMessage} from 'node:http';
 import {ProblemError} from '@cicadapost/errors';
 
-/** The whole body as text. Throws `body-too-large` as soon as it passes `limitBytes`. */
-export async function readBody(req: IncomingMessage, limitBytes: number): Promise<string> {
+/** The whole body as text; with `latin1` one character for each byte. Throws `body-too-large` as soon as it passes `limitBytes`. */
+export async function readBody(req: IncomingMessage, limitBytes: number, encoding: 'utf8' | 'latin1' = 'utf8'): Promise<string> {
 	const parts: Uint8Array[] = [];
 	let size = 0;
 	for await (const part of req as AsyncIterable<Uint8Array>) {
@@ -16,5 +16,5 @@
 		parts.push(part);
 	}
 
-	return Buffer.concat(parts).toString('utf8');
+	return Buffer.concat(parts).toString(encoding);
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -234,11 +234,14 @@
 
 		const controller = new AbortController();
 		this.attempts.set(attempt, controller);
+		const pool = this.site?.pools[upstream.pool];
 		void this.upstreams.run({
 			...payload,
 			url: upstream.url,
+			kind: pool?.kind ?? 'engine',
+			idempotent: action.idempotent,
 			resumeFrom,
-			silenceMs: this.site?.pools[upstream.pool]?.silenceMs ?? 5000,
+			silenceMs: pool?.silenceMs ?? 5000,
 			maySend: () => this.clock.now() < notAfter,
 			signal: controller.signal,
 		}, report => {
--- /dev/null
+++ b/packages/daemon/src/plain-services.test.ts
@@ -0,0 +1,200 @@
+import {createHash, randomUUID} from 'node:crypto';
+import {PlatformStandIn, ServiceStandIn} from '@cicadapost/stand-ins';
+import {daemonSettingsSchema} from '@cicadapost/settings';
+import {
+	afterAll, beforeAll, beforeEach, describe, expect, it,
+} from 'vitest';
+import {createContainer} from './container.js';
+import {Daemon} from './daemon.js';
+
+const hash = (text: string): string => createHash('sha256').update(text).digest('hex');
+const platform = new PlatformStandIn();
+const service = new ServiceStandIn({name: 'callout-1'});
+const daemons: Daemon[] = [];
+const urls: string[] = [];
+let platformUrl = '';
+let serviceUrl = '';
+
+async function control(url: string, faults: Record<string, unknown>): Promise<void> {
+	await fetch(`${url}/control`, {method: 'POST', body: JSON.stringify(faults)});
+}
+
+async function start(name: string): Promise<void> {
+	const daemon = createContainer(daemonSettingsSchema.parse({
+		daemon: name,
+		dataCentre: 'home',
+		region: 'r',
+		listen: {api: {port: 0}, peers: {port: 0}},
+		platform: {tableService: platformUrl, objectStore: platformUrl, vmList: platformUrl},
+		operatorKeyHashes: [hash('operator')],
+		peerSecret: 'peer-secret',
+		log: {level: 'error'},
+	})).resolve(Daemon);
+	const {apiPort} = await daemon.start();
+	daemons.push(daemon);
+	urls.push(`http://127.0.0.1:${apiPort}`);
+}
+
+type Call = {daemon?: number; key?: string; body?: string | Uint8Array; headers?: Record<string, string>; path?: string; method?: string};
+
+async function call(options: Call): Promise<Response> {
+	return fetch(`${urls[options.daemon ?? 0]}/services/${options.path ?? 'callout/crew?x=1'}`, {
+		method: options.method ?? 'POST',
+		headers: {
+			authorization: 'Bearer caller',
+			'x-deadline-ms': '5000',
+			'content-type': 'image/jpeg',
+			...(options.key === undefined ? {} : {'idempotency-key': options.key}),
+			...options.headers,
+		},
+		...(options.method === 'GET' ? {} : {body: options.body ?? 'crew 7'}),
+	});
+}
+
+async function statusOf(options: Call): Promise<number> {
+	const res = await call(options);
+	await res.arrayBuffer();
+	return res.status;
+}
+
+async function problemOf(res: Response): Promise<{status: number; outcome: string; type: string; retryAfter: string | undefined}> {
+	const body = await res.json() as {outcome: string; type: string};
+	return {
+		status: res.status, outcome: body.outcome, type: body.type.split(':').at(-1)!, retryAfter: res.headers.get('retry-after') ?? undefined,
+	};
+}
+
+beforeAll(async () => {
+	platformUrl = `http://127.0.0.1:${await platform.listen()}`;
+	serviceUrl = `http://127.0.0.1:${await service.listen()}`;
+	await start('a');
+	const document = {
+		base: {
+			members: {crew: {keys: [{sha256: hash('caller'), role: 'caller'}]}},
+			pools: {callout: {kind: 'service', idempotent: false, silenceMs: 1000}, lookup: {kind: 'service'}, model: {kind: 'engine'}},
+			dataCentres: {home: {region: 'r'}},
+		},
+		overlays: {home: {upstreams: {'callout-1': {pool: 'callout', url: serviceUrl}, 'lookup-1': {pool: 'lookup', url: serviceUrl}}}},
+	};
+	const applied = await fetch(`${urls[0]}/admin/configuration`, {method: 'PUT', headers: {authorization: 'Bearer operator', 'if-match': '0'}, body: JSON.stringify(document)});
+	expect(applied.status).toBe(200);
+	await start('b');
+	// The second daemon reads the configuration from the store.
+	while (await statusOf({daemon: 1, path: 'lookup/ready', method: 'GET'}) !== 200) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+});
+
+afterAll(async () => {
+	await control(platformUrl, {down: false});
+	await Promise.all(daemons.map(async daemon => daemon.shutDown()));
+	service.close();
+	platform.close();
+});
+
+beforeEach(async () => {
+	await control(platformUrl, {down: false, loseAnswers: 0});
+	await control(serviceUrl, {
+		status: 200, retryAfter: '', loseAnswers: 0, silent: false, delayMs: 0,
+	});
+	service.executions.length = 0;
+});
+
+describe('a call of a plain service', () => {
+	it('is passed on with method, path, content type and each byte, and so is its answer', async () => {
+		const bytes = Uint8Array.from([0, 200, 255, 13]);
+		const res = await call({path: 'lookup/photos/7?size=2', method: 'PUT', body: bytes});
+		expect(service.executions).toEqual([{
+			method: 'PUT', path: '/photos/7?size=2', contentType: 'image/jpeg', body: Buffer.from(bytes).toString('latin1'),
+		}]);
+		expect([res.status, res.headers.get('content-type'), Buffer.from(await res.arrayBuffer())]).toEqual([200, 'image/jpeg', Buffer.from(bytes)]);
+	});
+
+	it('can not leave its pool through the path', async () => {
+		const res = await call({path: 'lookup/%2e%2e/callout/crew', key: randomUUID()});
+		expect([res.status, service.executions[0]?.path]).toEqual([200, '/crew']);
+	});
+
+	it.each(['model/x', 'nothing/x', ''])('is refused for "%s", which is no pool of plain services', async path => {
+		expect(await problemOf(await call({path}))).toMatchObject({status: 404, outcome: 'not-run', type: 'not-found'});
+	});
+});
+
+describe('a call that must not be repeated', () => {
+	it('runs once when it comes again through another daemon, and gives the recorded answer', async () => {
+		const key = randomUUID();
+		const first = await call({key});
+		let second = await call({key, daemon: 1});
+		// The outcome is stored after the answer has been given.
+		while (second.status !== 200) {
+			expect(await problemOf(second)).toMatchObject({outcome: 'unknown', retryAfter: '1'});
+			second = await call({key, daemon: 1});
+		}
+
+		expect([await first.text(), await second.text()]).toEqual(['crew 7', 'crew 7']);
+		expect(service.executions).toHaveLength(1);
+	});
+
+	it('is refused with another body', async () => {
+		const key = randomUUID();
+		await call({key});
+		expect(await problemOf(await call({key, daemon: 1, body: 'crew 8'}))).toMatchObject({status: 409, type: 'idempotency-conflict'});
+		expect(service.executions).toHaveLength(1);
+	});
+
+	it('needs a key', async () => {
+		expect(await problemOf(await call({}))).toMatchObject({status: 400, outcome: 'not-run'});
+		expect(service.executions).toEqual([]);
+	});
+
+	it('ends as unknown when its answer is lost, and so does a repeat', async () => {
+		const key = randomUUID();
+		await control(serviceUrl, {loseAnswers: 1});
+		expect(await problemOf(await call({key}))).toMatchObject({status: 502, outcome: 'unknown', retryAfter: undefined});
+		expect(await problemOf(await call({key, daemon: 1}))).toMatchObject({outcome: 'unknown'});
+		expect(service.executions).toHaveLength(1);
+	});
+
+	it('ends as unknown when the service goes silent, and runs once', async () => {
+		await control(serviceUrl, {silent: true});
+		expect(await problemOf(await call({key: randomUUID()}))).toMatchObject({outcome: 'unknown'});
+		expect(service.executions).toHaveLength(1);
+	});
+
+	it('is refused as not-run while the store is down, and runs once it is back', async () => {
+		const key = randomUUID();
+		await control(platformUrl, {down: true});
+		expect(await problemOf(await call({key}))).toMatchObject({status: 503, outcome: 'not-run', retryAfter: '2'});
+		expect(service.executions).toEqual([]);
+		await control(platformUrl, {down: false});
+		while (await statusOf({key}) !== 200) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		expect(service.executions).toHaveLength(1);
+	});
+
+	it('runs once when the store loses the answer to the claim', async () => {
+		await control(platformUrl, {loseAnswers: 1});
+		expect(await statusOf({key: randomUUID()})).toBe(200);
+		expect(service.executions).toHaveLength(1);
+	});
+
+	it('may be sent again after the service declined it', async () => {
+		const key = randomUUID();
+		await control(serviceUrl, {status: 503, retryAfter: '4'});
+		expect(await problemOf(await call({key}))).toMatchObject({status: 503, outcome: 'not-run', retryAfter: '4'});
+		await control(serviceUrl, {status: 200, retryAfter: ''});
+		while (await statusOf({key}) !== 200) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		expect(service.executions).toHaveLength(1);
+	});
+});
--- a/packages/decision/src/events.ts
+++ b/packages/decision/src/events.ts
@@ -31,7 +31,7 @@
 	| Readonly<{kind: 'connect'; daemon: DaemonId; address: string}>
 	| Readonly<{kind: 'disconnect'; daemon: DaemonId}>
 	/** The edge checks `notAfter` again right before the first byte is written, and reports `late` if it has passed. */
-	| Readonly<{kind: 'open-attempt'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis; notAfter: Millis}>
+	| Readonly<{kind: 'open-attempt'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; idempotent: boolean; resumeFrom: number; deadlineAt: Millis; notAfter: Millis}>
 	| Readonly<{kind: 'cancel-attempt'; attempt: AttemptId}>
 	| Readonly<{kind: 'deliver'; requestId: RequestId; chunk: Chunk}>
 	| Readonly<{kind: 'complete'; requestId: RequestId; tokens: number; status: number; contentType: string; versions: readonly VersionSpan[]}>
--- /dev/null
+++ b/packages/engines/src/attempt-failure.ts
@@ -0,0 +1,89 @@
+import type {
+	AttemptFailure, Chunk, Millis, RefusalReason,
+} from '@cicadapost/types';
+import {errors} from 'undici';
+import {MalformedStreamError, TruncatedStreamError} from './read-events.js';
+
+/** What an attempt reports while it runs. */
+export type AttemptReport =
+	| Readonly<{kind: 'sent'}>
+	| Readonly<{kind: 'chunk'; chunk: Chunk}>
+	| Readonly<{kind: 'finished'; tokens: number; status: number; contentType: string}>
+	/** `sent` is false if no byte was written, or if the upstream itself declined to run the request. */
+	| Readonly<{kind: 'failed'; failure: AttemptFailure | RefusalReason; sent: boolean; retryAfterMs?: Millis; detail?: string}>;
+
+export type FailureReport = Extract<AttemptReport, {kind: 'failed'}>;
+
+/** `maySend` was false when a connection was ready. */
+export class LateError extends Error {}
+
+const maxRetryAfterMs: Millis = 60_000;
+
+/** Milliseconds from a `Retry-After` header in seconds; a date counts as one second, since clocks differ. */
+function parseRetryAfter(header: string | string[] | undefined): Millis | undefined {
+	if (typeof header !== 'string') {
+		return undefined;
+	}
+
+	const seconds = Number(header);
+	return Number.isFinite(seconds) && seconds >= 0 ? Math.min(maxRetryAfterMs, seconds * 1000) : 1000;
+}
+
+export type AnswerStatus = Readonly<{
+	status: number;
+	retryAfter: string | string[] | undefined;
+	isService: boolean;
+	idempotent: boolean;
+}>;
+
+/** The failure that an answer with this status stands for, or undefined if it is to be passed on. */
+export function answerFailure(answer: AnswerStatus): FailureReport | undefined {
+	const {status, isService} = answer;
+	const retryAfterMs = parseRetryAfter(answer.retryAfter);
+	const detail = `the upstream answered with status ${status}`;
+	if ((status === 429 || status === 503) && retryAfterMs !== undefined) {
+		return {
+			kind: 'failed', failure: 'overloaded', sent: false, retryAfterMs, detail,
+		};
+	}
+
+	// The server error of a call that must not be repeated is the only answer that its caller can get.
+	const isAnswer = isService && (status < 500 || !answer.idempotent);
+	if (status < 400 || isAnswer) {
+		return undefined;
+	}
+
+	return {
+		kind: 'failed', failure: status >= 500 ? 'server-error' : 'rejected', sent: true, detail,
+	};
+}
+
+/** The failure that an exception of an attempt stands for. `isSent`: whether the request was handed to a connection. */
+export function failureOf(err: unknown, isSent: boolean): FailureReport {
+	const detail = err instanceof Error ? err.message : String(err);
+	if (err instanceof LateError) {
+		return {
+			kind: 'failed', failure: 'late', sent: false, detail,
+		};
+	}
+
+	// Undici announces a request before it writes, so without the announcement there was no connection.
+	if (!isSent) {
+		return {
+			kind: 'failed', failure: 'unreachable', sent: false, detail,
+		};
+	}
+
+	const isFaultyAnswer = err instanceof MalformedStreamError || err instanceof TruncatedStreamError || err instanceof errors.ResponseExceededMaxSizeError;
+	// The process that sent a faulty answer lives; one that broke off the connection may not.
+	if (isFaultyAnswer) {
+		return {
+			kind: 'failed', failure: 'server-error', sent: true, detail,
+		};
+	}
+
+	const isSilent = err instanceof errors.HeadersTimeoutError || err instanceof errors.BodyTimeoutError;
+	return {
+		kind: 'failed', failure: isSilent ? 'silent' : 'upstream-died', sent: true, detail,
+	};
+}
--- /dev/null
+++ b/packages/engines/src/completion-stream.test.ts
@@ -0,0 +1,207 @@
+import {
+	createServer as createHttpServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {createServer as createTcpServer, type AddressInfo, type Server as TcpServer} from 'node:net';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import type {AttemptReport} from './attempt-failure.js';
+import {UpstreamConnections, type AttemptOptions} from './completion-stream.js';
+
+const open: Array<Readonly<{close: () => unknown}>> = [];
+
+afterEach(async () => {
+	for (const part of open.splice(0)) {
+		await part.close();
+	}
+});
+
+async function listen(server: Server | TcpServer): Promise<string> {
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function upstream(answer: (res: ServerResponse, req: IncomingMessage) => void): Promise<string> {
+	const server = createHttpServer((req, res) => {
+		req.resume();
+		req.on('end', () => {
+			answer(res, req);
+		});
+	});
+	open.push({
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	});
+	return listen(server);
+}
+
+async function run(url: string, options: Partial<AttemptOptions> = {}): Promise<AttemptReport[]> {
+	const connections = new UpstreamConnections();
+	open.push(connections);
+	const reports: AttemptReport[] = [];
+	await connections.run({
+		url, method: 'POST', path: '/v1/completions', contentType: 'application/json', body: '{}', signal: new AbortController().signal, ...options,
+	}, report => {
+		reports.push(report);
+	});
+	return reports;
+}
+
+async function lastOf(url: string, options: Partial<AttemptOptions> = {}): Promise<AttemptReport | undefined> {
+	const reports = await run(url, options);
+	return reports.at(-1);
+}
+
+function stream(res: ServerResponse, ...events: string[]): void {
+	res.writeHead(200, {'content-type': 'text/event-stream'});
+	for (const event of events) {
+		res.write(`data: ${event}\n\n`);
+	}
+}
+
+const event = (offset: number) => JSON.stringify({
+	text: 'a', tokens: 1, version: 1, offset,
+});
+
+/** The reports without texts that depend on the platform. */
+function kinds(reports: readonly AttemptReport[]): unknown[] {
+	return reports.map(report => (report.kind === 'failed' ? [report.failure, report.sent] : report.kind));
+}
+
+describe('UpstreamConnections', () => {
+	describe('when the request is sent', () => {
+		it('says so before the first byte leaves, or "not-run" could be told of a request that ran', async () => {
+			const order: string[] = [];
+			const url = await upstream(res => {
+				order.push('received');
+				stream(res, '[DONE]');
+				res.end();
+			});
+			const connections = new UpstreamConnections();
+			open.push(connections);
+			await connections.run({
+				url, method: 'POST', path: '/', contentType: 'text/plain', body: 'x', signal: new AbortController().signal,
+			}, report => {
+				order.push(report.kind);
+			});
+			expect(order).toEqual(['sent', 'received', 'finished']);
+		});
+
+		it('sends nothing after the time for it has passed', async () => {
+			let received = 0;
+			const url = await upstream(res => {
+				received++;
+				res.end();
+			});
+			expect(kinds(await run(url, {maySend: () => false}))).toEqual([['late', false]]);
+			expect(received).toBe(0);
+		});
+	});
+
+	describe('when no connection can be made', () => {
+		it('reports that nothing was sent, so that the request may be sent elsewhere', async () => {
+			const server = createTcpServer();
+			const url = await listen(server);
+			await new Promise(resolve => {
+				server.close(resolve);
+			});
+			expect(kinds(await run(url))).toEqual([['unreachable', false]]);
+		});
+	});
+
+	describe('when the connection breaks off', () => {
+		it('takes the upstream for dead, before the answer and in mid-stream', async () => {
+			const before = await upstream(res => {
+				res.destroy();
+			});
+			expect(kinds(await run(before))).toEqual(['sent', ['upstream-died', true]]);
+			const midStream = await upstream(res => {
+				stream(res, event(0));
+				setImmediate(() => {
+					res.destroy();
+				});
+			});
+			expect(kinds(await run(midStream)).at(-1)).toEqual(['upstream-died', true]);
+		});
+	});
+
+	describe('when the connection goes silent', () => {
+		it('reports only the connection, before the answer and in mid-stream', async () => {
+			const before = await upstream(() => undefined);
+			expect(kinds(await run(before, {silenceMs: 50}))).toEqual(['sent', ['silent', true]]);
+			const midStream = await upstream(res => {
+				stream(res, event(0));
+			});
+			expect(kinds(await run(midStream, {silenceMs: 50}))).toEqual(['sent', 'chunk', ['silent', true]]);
+		});
+	});
+
+	describe('when the answer is faulty', () => {
+		it.each([
+			['a stream without its end', [event(0)]],
+			['an event that is not JSON', ['{']],
+			['an event without a version', [JSON.stringify({text: 'a', tokens: 1, offset: 0})]],
+		])('reports a server error for %s, since the process lives', async (_name, events) => {
+			const url = await upstream(res => {
+				stream(res, ...events);
+				res.end();
+			});
+			expect(kinds(await run(url)).at(-1)).toEqual(['server-error', true]);
+		});
+
+		it('reports a server error for a document in place of a stream', async () => {
+			const url = await upstream(res => {
+				res.writeHead(200, {'content-type': 'application/json'}).end('{}');
+			});
+			expect(kinds(await run(url))).toEqual(['sent', ['server-error', true]]);
+		});
+	});
+
+	describe('when the upstream answers with an error', () => {
+		it.each([429, 503])('takes status %i with Retry-After for overload that ran nothing', async status => {
+			const url = await upstream(res => {
+				res.writeHead(status, {'retry-after': '3'}).end();
+			});
+			expect(await lastOf(url)).toMatchObject({failure: 'overloaded', sent: false, retryAfterMs: 3000});
+		});
+
+		it.each([[503, 'server-error'], [500, 'server-error'], [400, 'rejected'], [404, 'rejected']])('takes status %i for "%s"', async (status, failure) => {
+			const url = await upstream(res => {
+				res.writeHead(status).end();
+			});
+			expect(kinds(await run(url))).toEqual(['sent', [failure, true]]);
+		});
+	});
+
+	describe('with a plain service', () => {
+		it('passes method, content type and each byte on, both ways', async () => {
+			const bytes = Buffer.from([0, 128, 255, 10]).toString('latin1');
+			const url = await upstream((res, req) => {
+				res.writeHead(201, {'content-type': `${req.method} ${req.headers['content-type']}`});
+				res.end(Buffer.from(bytes, 'latin1'));
+			});
+			const reports = await run(url, {
+				kind: 'service', method: 'PUT', contentType: 'image/jpeg', body: bytes, encoding: 'latin1',
+			});
+			expect(reports.slice(1)).toMatchObject([{chunk: {text: bytes}}, {status: 201, contentType: 'PUT image/jpeg'}]);
+		});
+
+		it('passes client errors on as its answer', async () => {
+			const url = await upstream(res => {
+				res.writeHead(422).end('no');
+			});
+			expect(await lastOf(url, {kind: 'service'})).toMatchObject({kind: 'finished', status: 422});
+		});
+
+		it.each([[true, {kind: 'failed', failure: 'server-error'}], [false, {kind: 'finished', status: 500}]])('with idempotent %s, a server error is %o', async (idempotent, expected) => {
+			const url = await upstream(res => {
+				res.writeHead(500).end('broken');
+			});
+			expect(await lastOf(url, {kind: 'service', idempotent})).toMatchObject(expected);
+		});
+	});
+});
--- a/packages/engines/src/completion-stream.ts
+++ b/packages/engines/src/completion-stream.ts
@@ -1,16 +1,13 @@
-import type {AttemptFailure, Chunk} from '@cicadapost/types';
-import {createParser} from 'eventsource-parser';
+import type {Chunk, Millis} from '@cicadapost/types';
 import {
-	Agent, DecoratorHandler, errors, request, type Dispatcher,
+	Agent, DecoratorHandler, request, type Dispatcher,
 } from 'undici';
-import {z} from 'zod';
+import {
+	answerFailure, failureOf, LateError, type AttemptReport,
+} from './attempt-failure.js';
+import {MalformedStreamError, readEvents} from './read-events.js';
 
-/** What an attempt reports while it runs. */
-export type AttemptReport =
-	| Readonly<{kind: 'sent'}>
-	| Readonly<{kind: 'chunk'; chunk: Chunk}>
-	| Readonly<{kind: 'finished'; tokens: number; status: number; contentType: string}>
-	| Readonly<{kind: 'failed'; failure: AttemptFailure; sent: boolean; detail?: string}>;
+export type {AttemptReport} from './attempt-failure.js';
 
 export type AttemptOptions = Readonly<{
 	url: string;
@@ -18,62 +15,46 @@
 	path: string;
 	contentType: string;
 	body: string;
+	/** `latin1`: `body` and the text of the answer hold one character for each byte. */
+	encoding?: 'utf8' | 'latin1';
+	/** An engine answers with a stream of tokens; the answer of a plain service is passed on whole. */
+	kind?: 'engine' | 'service';
+	/** The server error of a plain service is an answer if the request must not be repeated, and a failure otherwise. */
+	idempotent?: boolean;
 	/** Tokens that the caller already has; the engine continues after them. */
 	resumeFrom?: number;
-	/** Without a byte for this long the connection counts as silent, in milliseconds. */
-	silenceMs?: number;
+	/** Without a byte for this long the connection counts as silent. */
+	silenceMs?: Millis;
 	/** Asked right before the first byte is written; false ends the attempt as `late` with nothing sent. */
 	maySend?: () => boolean;
 	signal: AbortSignal;
 }>;
 
-const defaultSilenceMs = 5000;
-const connectTimeoutMs = 1000;
+type Report = (report: AttemptReport) => void;
 
-const eventSchema = z.object({
-	text: z.string(), tokens: z.int().min(0), version: z.int(), offset: z.int().min(0),
-});
+const defaultSilenceMs: Millis = 5000;
+const connectTimeoutMs: Millis = 1000;
+/** Longer answers of plain services are refused, so that one answer can't exhaust the memory of the daemon. */
+const maxAnswerBytes = 16 * 1024 * 1024;
 
 /** Connections to upstreams. A silent connection is closed, and the next attempt opens a new one. */
 export class UpstreamConnections {
 	private readonly agent = new Agent({
-		connect: {timeout: connectTimeoutMs}, pipelining: 1, keepAliveTimeout: 10_000, connections: 256,
+		connect: {timeout: connectTimeoutMs}, pipelining: 1, keepAliveTimeout: 10_000, connections: 256, maxResponseSize: maxAnswerBytes,
 	});
 
 	/** Runs one attempt and reports its course. It always ends with `finished` or `failed`, unless the signal aborts it. */
-	async run(options: AttemptOptions, report: (report: AttemptReport) => void): Promise<void> {
-		const silenceMs = options.silenceMs ?? defaultSilenceMs;
-		const progress: Progress = {received: options.resumeFrom ?? 0};
-		const dispatcher = this.agent.compose(dispatch => (options_, handler) => dispatch(options_, new SentHandler(handler, () => {
-			if (!(options.maySend?.() ?? true)) {
-				throw new LateError('the time to send the request has passed');
-			}
-
-			report({kind: 'sent'});
-		})));
+	async run(options: AttemptOptions, report: Report): Promise<void> {
+		const progress: Progress = {isSent: false};
 		try {
-			const res = await request(`${options.url}${options.path}`, {
-				method: options.method as 'POST',
-				headers: {'content-type': options.contentType, 'x-resume-from': String(options.resumeFrom ?? 0)},
-				...(options.body === '' ? {} : {body: options.body}),
-				dispatcher,
-				signal: options.signal,
-				headersTimeout: silenceMs,
-				bodyTimeout: silenceMs,
+			const res = await this.send(options, () => {
+				progress.isSent = true;
+				report({kind: 'sent'});
 			});
-			const contentType = String(res.headers['content-type'] ?? 'application/octet-stream');
-			if (contentType.startsWith('text/event-stream')) {
-				await readEvents(res.body, progress, report);
-				report({
-					kind: 'finished', tokens: progress.received, status: res.statusCode, contentType,
-				});
-				return;
-			}
-
-			readWhole(res.statusCode, contentType, await res.body.text(), report);
+			await readAnswer(res, options, report);
 		} catch (err) {
 			if (!options.signal.aborted) {
-				report(failureOf(err));
+				report(failureOf(err, progress.isSent));
 			}
 		}
 	}
@@ -81,102 +62,82 @@
 	async close(): Promise<void> {
 		await this.agent.destroy();
 	}
+
+	private async send(options: AttemptOptions, onSent: () => void): Promise<Dispatcher.ResponseData> {
+		const silenceMs = options.silenceMs ?? defaultSilenceMs;
+		const maySend = options.maySend ?? (() => true);
+		const dispatcher = this.agent.compose(dispatch => (options_, handler) => dispatch(options_, new SentHandler(handler, {maySend, onSent})));
+		return request(`${options.url}${options.path}`, {
+			method: options.method as 'POST',
+			headers: {'content-type': options.contentType, 'x-resume-from': String(options.resumeFrom ?? 0)},
+			...(options.body === '' ? {} : {body: Buffer.from(options.body, options.encoding ?? 'utf8')}),
+			dispatcher,
+			signal: options.signal,
+			headersTimeout: silenceMs,
+			bodyTimeout: silenceMs,
+		});
+	}
 }
 
-/** Tells when the request is about to be written to a connection: from then on the upstream may have seen a byte. */
+type Progress = {isSent: boolean};
+
+type Gate = Readonly<{maySend: () => boolean; onSent: () => void}>;
+
+/** Called when the request is about to be written to a connection: from then on the upstream may have seen a byte. */
 class SentHandler extends DecoratorHandler {
-	constructor(private readonly inner: Dispatcher.DispatchHandler, private readonly onSent: () => void) {
+	constructor(private readonly inner: Dispatcher.DispatchHandler, private readonly gate: Gate) {
 		super(inner);
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
-		try {
-			this.onSent();
-		} catch (err) {
+		if (this.gate.maySend()) {
+			this.gate.onSent();
 			this.inner.onRequestStart?.(controller, context);
-			controller.abort(err as Error);
 			return;
 		}
 
 		this.inner.onRequestStart?.(controller, context);
+		controller.abort(new LateError('the time to send the request has passed'));
 	}
 }
 
-class LateError extends Error {}
-
-type Progress = {received: number};
-
-async function readEvents(body: AsyncIterable<Uint8Array>, progress: Progress, report: (report: AttemptReport) => void): Promise<void> {
-	let isDone = false;
-	const parser = createParser({
-		onEvent(event) {
-			if (event.data === '[DONE]') {
-				isDone = true;
-				return;
-			}
-
-			const chunk = eventSchema.parse(JSON.parse(event.data));
-			progress.received = chunk.offset + chunk.tokens;
-			report({kind: 'chunk', chunk});
-		},
+async function readAnswer(res: Dispatcher.ResponseData, options: AttemptOptions, report: Report): Promise<void> {
+	const contentType = String(res.headers['content-type'] ?? 'application/octet-stream');
+	const {statusCode} = res;
+	const isService = options.kind === 'service';
+	const failure = answerFailure({
+		status: statusCode, retryAfter: res.headers['retry-after'], isService, idempotent: options.idempotent ?? true,
 	});
-	const decoder = new TextDecoder();
-	for await (const part of body) {
-		parser.feed(decoder.decode(part, {stream: true}));
-	}
-
-	if (!isDone) {
-		throw new TruncatedStreamError('the stream ended before its end marker');
+	if (failure !== undefined) {
+		const text = await res.body.text();
+		report({...failure, detail: `${failure.detail ?? ''}: ${text.slice(0, 200)}`});
+		return;
 	}
-}
 
-class TruncatedStreamError extends Error {}
-
-function readWhole(status: number, contentType: string, text: string, report: (report: AttemptReport) => void): void {
-	if (status >= 500) {
+	if (isService) {
+		const text = Buffer.from(await res.body.arrayBuffer()).toString(options.encoding ?? 'utf8');
+		report({kind: 'chunk', chunk: wholeAnswer(text)});
 		report({
-			kind: 'failed', failure: 'server-error', sent: true, detail: `the upstream answered with status ${status}`,
+			kind: 'finished', tokens: 1, status: statusCode, contentType,
 		});
 		return;
 	}
 
-	if (status >= 400 && status !== 404) {
-		report({
-			kind: 'failed', failure: 'rejected', sent: true, detail: `the upstream answered with status ${status}: ${text.slice(0, 200)}`,
-		});
-		return;
+	if (!contentType.startsWith('text/event-stream')) {
+		throw new MalformedStreamError(`the upstream answered with "${contentType}" in place of a stream of events`);
 	}
 
-	// The answer of a plain service is one piece.
-	report({
-		kind: 'chunk', chunk: {
-			offset: 0, tokens: 1, text, version: 0,
-		},
+	const tokens = await readEvents(res.body, options.resumeFrom ?? 0, chunk => {
+		report({kind: 'chunk', chunk});
 	});
 	report({
-		kind: 'finished', tokens: 1, status, contentType,
+		kind: 'finished', tokens, status: statusCode, contentType,
 	});
 }
 
-const unsentCodes: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
-
-function failureOf(err: unknown): AttemptReport {
-	const code = err instanceof Error && 'code' in err ? err.code : undefined;
-	const detail = err instanceof Error ? err.message : String(err);
-	if (unsentCodes.has(code)) {
-		return {
-			kind: 'failed', failure: 'unreachable', sent: false, detail,
-		};
-	}
-
-	if (err instanceof LateError) {
-		return {
-			kind: 'failed', failure: 'late', sent: false, detail,
-		};
-	}
-
-	const isSilent = err instanceof errors.HeadersTimeoutError || err instanceof errors.BodyTimeoutError;
+/** The answer of a plain service is one piece that counts as one token. */
+function wholeAnswer(text: string): Chunk {
 	return {
-		kind: 'failed', failure: isSilent ? 'silent' : 'upstream-died', sent: true, detail,
+		offset: 0, tokens: 1, text, version: 0,
 	};
 }
--- a/packages/engines/src/index.ts
+++ b/packages/engines/src/index.ts
@@ -1,3 +1,5 @@
 /** Clients of model engines and plain services. */
 
+export * from './attempt-failure.js';
 export * from './completion-stream.js';
+export * from './read-events.js';
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -39,7 +39,7 @@
 	| Readonly<{kind: 'acquire'; acquire: Acquire}>
 	| Readonly<{kind: 'release'; release: Release}>
 	/** The edge sends no byte after `notAfter`. */
-	| Readonly<{kind: 'open'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis; notAfter: Millis}>
+	| Readonly<{kind: 'open'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; idempotent: boolean; resumeFrom: number; deadlineAt: Millis; notAfter: Millis}>
 	| Readonly<{kind: 'cancel'; attempt: AttemptId}>
 	| Readonly<{kind: 'relay'; dataCentre: DataCentreId; relay: Relay}>
 	| Readonly<{kind: 'cancel-relay'; attempt: AttemptId}>
@@ -207,6 +207,7 @@
 		attempt: event.attempt,
 		upstream: event.upstream,
 		payload: entry.request.payload,
+		idempotent: entry.request.idempotent,
 		resumeFrom: entry.stream.delivered,
 		deadlineAt: entry.request.deadlineAt,
 		notAfter: entry.notAfter,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
-/** Small stand-ins of the platform and of a model engine. */
+/** Small stand-ins of the platform, a model engine and a plain service. */
 
 export * from './engine.js';
 export * from './platform.js';
+export * from './service.js';
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -4,6 +4,7 @@
 import {hideBin} from 'yargs/helpers';
 import {EngineStandIn} from './engine.js';
 import {PlatformStandIn} from './platform.js';
+import {ServiceStandIn} from './service.js';
 
 const parser = yargs(hideBin(process.argv))
 	.option('port', {type: 'number', default: 0, describe: '0 takes a free port'})
@@ -16,5 +17,9 @@
 		const port = await new EngineStandIn({port: args.port, name: args.name}).listen();
 		process.stdout.write(`${JSON.stringify({port})}\n`);
 	})
+	.command('service', 'A plain service', builder => builder, async args => {
+		const port = await new ServiceStandIn({port: args.port, name: args.name}).listen();
+		process.stdout.write(`${JSON.stringify({port})}\n`);
+	})
 	.demandCommand(1);
 void parser.parseAsync();
--- /dev/null
+++ b/packages/stand-ins/src/service.ts
@@ -0,0 +1,86 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {JsonServer, sendJson} from './json-server.js';
+
+export type ServiceOptions = Readonly<{
+	name: string;
+	port?: number;
+}>;
+
+/** Faults that a test can ask for with `POST /control`. */
+export type ServiceFaults = {
+	/** Time until the answer, in milliseconds. */
+	delayMs: number;
+	/** Status of each answer. */
+	status: number;
+	/** Value of the `Retry-After` header; empty for none. A call that is answered with it is not executed. */
+	retryAfter: string;
+	/** Number of calls that are executed and whose answer is lost. */
+	loseAnswers: number;
+	/** Executes and never answers. */
+	silent: boolean;
+};
+
+/** One call that was executed. */
+export type Execution = Readonly<{method: string; path: string; contentType: string; body: string}>;
+
+/** A small stand-in of a plain service. It echoes the body and counts what it executed. */
+export class ServiceStandIn extends JsonServer {
+	readonly executions: Execution[] = [];
+	private readonly faults: ServiceFaults = {
+		delayMs: 0, status: 200, retryAfter: '', loseAnswers: 0, silent: false,
+	};
+
+	constructor(private readonly options: ServiceOptions) {
+		super(options.port ?? 0);
+	}
+
+	protected override async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const body = await readBytes(req);
+		if (req.url === '/control') {
+			Object.assign(this.faults, JSON.parse(new TextDecoder().decode(body)));
+			sendJson(res, 200, this.faults);
+			return;
+		}
+
+		if (req.url === '/executions') {
+			sendJson(res, 200, {name: this.options.name, count: this.executions.length, executions: this.executions});
+			return;
+		}
+
+		if (this.faults.retryAfter !== '') {
+			res.writeHead(this.faults.status, {'retry-after': this.faults.retryAfter});
+			res.end();
+			return;
+		}
+
+		this.executions.push({
+			method: req.method ?? '', path: req.url ?? '', contentType: req.headers['content-type'] ?? '', body: Buffer.from(body).toString('latin1'),
+		});
+		await new Promise(resolve => {
+			setTimeout(resolve, this.faults.delayMs);
+		});
+		this.answer(res, req.headers['content-type'] ?? 'application/octet-stream', body);
+	}
+
+	private answer(res: ServerResponse, contentType: string, body: Uint8Array): void {
+		if (this.faults.loseAnswers > 0) {
+			this.faults.loseAnswers--;
+			res.destroy();
+			return;
+		}
+
+		if (!this.faults.silent) {
+			res.writeHead(this.faults.status, {'content-type': contentType});
+			res.end(body);
+		}
+	}
+}
+
+async function readBytes(req: IncomingMessage): Promise<Uint8Array> {
+	const parts: Uint8Array[] = [];
+	for await (const part of req as AsyncIterable<Uint8Array>) {
+		parts.push(part);
+	}
+
+	return Buffer.concat(parts);
+}
--- a/packages/types/src/request.ts
+++ b/packages/types/src/request.ts
@@ -25,6 +25,8 @@
 	path: string;
 	contentType: string;
 	body: string;
+	/** `latin1`: `body`, and the text of the answer, hold one character for each byte, so that any content passes unchanged. */
+	encoding?: 'utf8' | 'latin1';
 }>;
 
 export type Request = RequestSummary & Readonly<{
