--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -11,10 +11,11 @@
 import {App} from '@tinyhttp/app';
 import {registerAdminRoutes, type AdminHandlers} from './admin-routes.js';
 import {
-	type AnswerWriter, JsonCompletionWriter, sendProblem, StreamCompletionWriter, type CompletionResult,
+	type AnswerWriter, JsonCompletionWriter, sendProblem, ServiceWriter, StreamCompletionWriter, type CompletionResult,
 } from './answer-writer.js';
 import {KeyRing, requireRole} from './authenticate.js';
 import {parseCompletion} from './parse-completion.js';
+import {parseService} from './parse-service.js';
 import {parseTrainerCall, trainerResult, type TrainerCallKind} from './parse-trainer-call.js';
 import {readBody} from './read-body.js';
 import {sendJson} from './send-json.js';
@@ -46,6 +47,7 @@
 	private readonly writers = new Map<RequestId, AnswerWriter>();
 	private readonly server: Server;
 	private readonly bodyBytes: number;
+	private pools: SiteConfiguration['pools'] = {};
 
 	constructor(private readonly options: ApiServerOptions) {
 		this.keys = new KeyRing(options.operatorKeyHashes ?? []);
@@ -62,6 +64,7 @@
 		app.post('/v1/rollouts/groups', async (req, res) => this.callTrainer('submit', req, res));
 		app.post('/v1/rollouts/fetch', async (req, res) => this.callTrainer('fetch', req, res));
 		app.post('/v1/rollouts/ack', async (req, res) => this.callTrainer('ack', req, res));
+		app.all('/services/*', async (req, res) => this.callService(req, res));
 		registerAdminRoutes(app, {keys: this.keys, handlers: options.handlers, bodyBytes: this.bodyBytes});
 		app.get('/health', (_req, res) => {
 			sendJson(res, 200, {status: 'ok'});
@@ -91,6 +94,7 @@
 
 	useConfiguration(site: SiteConfiguration): void {
 		this.keys.update(site.members);
+		this.pools = site.pools;
 	}
 
 	deliver(requestId: RequestId, chunk: Chunk): void {
@@ -113,9 +117,29 @@
 		const body = await readBody(req, this.bodyBytes);
 		const requestId = `${this.options.daemon}-${randomUUID()}` as RequestId;
 		const {request, stream, model} = parseCompletion({
-			headers: req.headers, body, member: principal.member!, requestId,
+			headers: req.headers,
+			body,
+			member: principal.member!,
+			requestId,
+			nonIdempotentPools: new Set(Object.keys(this.pools).filter(name => !this.pools[name]!.idempotent)),
 		}, this.options.now());
 		const writer = stream ? new StreamCompletionWriter(res, {requestId, model}) : new JsonCompletionWriter(res, {requestId, model});
+		this.start(request, writer, res);
+	}
+
+	private async callService(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const principal = this.keys.authenticate(req.headers.authorization);
+		requireRole(principal, 'caller', 'trainer');
+		const body = await readBody(req, this.bodyBytes, 'latin1');
+		const requestId = randomUUID() as RequestId;
+		const request = parseService({
+			method: req.method ?? 'GET', url: req.url ?? '/', headers: req.headers, body, member: principal.member!, requestId, pools: this.pools,
+		}, this.options.now());
+		this.start(request, new ServiceWriter(res, requestId), res);
+	}
+
+	private start(request: Request, writer: AnswerWriter, res: ServerResponse): void {
+		const {requestId} = request;
 		this.writers.set(requestId, writer);
 		res.on('close', () => {
 			if (this.writers.delete(requestId)) {
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -38,6 +38,9 @@
 } from './shards.js';
 
 const notOwnerRetryMs = 200;
+/** First wait before an unanswered acquire is repeated. It doubles, since a long wait is mostly a place in a queue. */
+const askAgainMs: Millis = 1000;
+const maxAskAgainMs: Millis = 8000;
 
 /** Decides for one daemon. Updates `state` in place and returns it with the actions to carry out, in order. */
 export function decide(state: DaemonState, event: DaemonEvent, now: Millis): Outcome<DaemonState, DaemonAction> {
@@ -163,6 +166,7 @@
 		this.configure({kind: 'tick', call: this.nextCall(), isPoller: this.owns(configurationKey)});
 		this.claim({kind: 'tick'});
 		this.route({kind: 'tick'});
+		this.askAgain();
 		this.sendFrames();
 		this.rollOut({kind: 'tick'});
 		for (const shard of this.state.schedulers.keys()) {
@@ -663,7 +667,7 @@
 		}
 	}
 
-	private sendAcquire(acquire: Extract<PeerMessage, {kind: 'acquire'}>): void {
+	private sendAcquire(acquire: Extract<PeerMessage, {kind: 'acquire'}>, deadlineAt: Millis = this.now + acquire.remainingMs, waitMs: Millis = askAgainMs): void {
 		const owner = shardOwner(this.state.membership, acquire.shard);
 		if (owner === undefined) {
 			this.route({
@@ -672,8 +676,10 @@
 			return;
 		}
 
-		this.state.acquires.set(acquire.attempt, {acquire, to: owner});
-		this.sendOrReceive(owner, acquire);
+		this.state.acquires.set(acquire.attempt, {
+			acquire, to: owner, deadlineAt, askAgainAt: this.now + waitMs, waitMs,
+		});
+		this.sendOrReceive(owner, {...acquire, remainingMs: deadlineAt - this.now});
 	}
 
 	private sendRelay(dataCentre: DataCentreId, relay: Relay): void {
@@ -832,10 +838,19 @@
 			this.sendOrReceive(to, message);
 		}
 
-		for (const {acquire, to} of acquires.values()) {
-			if (shardOwner(membership, acquire.shard) !== to) {
-				this.sendOrReceive(to, withdrawal(acquire));
-				this.sendAcquire(acquire);
+		for (const open of acquires.values()) {
+			if (shardOwner(membership, open.acquire.shard) !== open.to) {
+				this.sendOrReceive(open.to, withdrawal(open.acquire));
+				this.sendAcquire(open.acquire, open.deadlineAt);
+			}
+		}
+	}
+
+	/** An answer may have been lost. The owner knows the attempt, so that asking again changes no place in its queue. */
+	private askAgain(): void {
+		for (const open of this.state.acquires.values()) {
+			if (open.askAgainAt <= this.now) {
+				this.sendAcquire(open.acquire, open.deadlineAt, Math.min(maxAskAgainMs, 2 * open.waitMs));
 			}
 		}
 	}
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -159,6 +159,10 @@
 	return false;
 }
 
+function isAnyInService(state: SchedulerState): boolean {
+	return [...state.upstreams.values()].some(upstream => isInService(upstream));
+}
+
 /** Keeps new requests off the least loaded upstream, so that the fingerprint can run there alone. */
 function reserve(state: SchedulerState, fingerprint: Fingerprint): void {
 	let best: UpstreamState | undefined;
@@ -184,7 +188,8 @@
 	const {request} = waiting;
 	const constraint = constraintOf(state, request.fingerprint, now);
 	const usesAvoid = waiting.avoid.length > 0 && canAvoid(state, waiting);
-	const isProbeFit = request.idempotent && !constraint.isSuspect;
+	// Where all upstreams are out of service, waiting for a better probe would keep the shard closed for good.
+	const isProbeFit = (request.idempotent && !constraint.isSuspect) || !isAnyInService(state);
 	const allowed = openings.filter(opening => isOpenFor(opening, request.requestClass)
 		&& (!opening.isProbe || isProbeFit)
 		&& !(usesAvoid && waiting.avoid.includes(opening.upstream.settings.upstream))
--- a/packages/scheduling/src/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler.test.ts
@@ -337,6 +337,16 @@
 		expect(bench.running('u1')).toBeGreaterThan(2);
 	});
 
+	it('return through a non-idempotent request where there is no other, or the shard would stay closed', () => {
+		const bench = new Bench(['u1']);
+		bench.ask({name: 'r1', idempotent: false, fingerprint: 'call-out'});
+		bench.end('r1', 'upstream-died');
+		bench.run(5000);
+		bench.ask({name: 'r2', idempotent: false, fingerprint: 'call-out'});
+		bench.run(1000);
+		expect(bench.granted.map(({name}) => name)).toEqual(['r1', 'r2']);
+	});
+
 	it('are not assumed because a connection has gone silent', () => {
 		const bench = new Bench(['u1', 'u2']);
 		bench.ask({name: 'r'});
