--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -45,8 +45,11 @@
 export class ApiServer {
 	private readonly keys: KeyRing;
 	private readonly writers = new Map<RequestId, AnswerWriter>();
+	private readonly open = new Set<ServerResponse>();
 	private readonly server: Server;
 	private readonly bodyBytes: number;
+	private isAccepting = true;
+	private onIdle: () => void = () => undefined;
 
 	constructor(private readonly options: ApiServerOptions) {
 		this.keys = new KeyRing(options.operatorKeyHashes ?? []);
@@ -74,6 +77,7 @@
 			sendJson(res, 200, {status: 'ok'});
 		});
 		this.server = createServer((req, res) => {
+			this.track(res);
 			app.handler(req as never, res as never);
 		});
 	}
@@ -86,11 +90,27 @@
 		return (this.server.address() as AddressInfo).port;
 	}
 
-	/** Stops accepting connections; open answers go on. */
+	/** Stops accepting connections; open answers go on, and each ends its connection. */
 	stopAccepting(): void {
+		this.isAccepting = false;
+		for (const res of this.open) {
+			if (!res.headersSent) {
+				res.setHeader('connection', 'close');
+			}
+		}
+
 		this.server.close();
 	}
 
+	/** Resolves once each request that has begun has got its whole answer. */
+	async whenIdle(): Promise<void> {
+		if (this.open.size > 0) {
+			await new Promise<void>(resolve => {
+				this.onIdle = resolve;
+			});
+		}
+	}
+
 	close(): void {
 		this.server.close();
 		this.server.closeAllConnections();
@@ -114,6 +134,20 @@
 		this.writers.delete(requestId);
 	}
 
+	private track(res: ServerResponse): void {
+		if (!this.isAccepting) {
+			res.setHeader('connection', 'close');
+		}
+
+		this.open.add(res);
+		res.on('close', () => {
+			this.open.delete(res);
+			if (this.open.size === 0) {
+				this.onIdle();
+			}
+		});
+	}
+
 	private requireOperator(req: IncomingMessage): void {
 		requireRole(this.keys.authenticate(req.headers.authorization), 'operator');
 	}
--- a/packages/cli/src/commands/serve/index.ts
+++ b/packages/cli/src/commands/serve/index.ts
@@ -16,7 +16,11 @@
 		const settings = readSettingsFile(args.settings, daemonSettingsSchema);
 		const daemon = createContainer(settings).resolve(Daemon);
 		await daemon.start();
-		const shutDown = once(async () => daemon.shutDown());
+		const shutDown = once(async () => {
+			await daemon.shutDown();
+			// Idle connections of the HTTP clients would keep the process for some seconds.
+			process.exit(0);
+		});
 		process.on('SIGTERM', shutDown);
 		process.on('SIGINT', shutDown);
 	},
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,20 +3,19 @@
 import {
 	createDaemonState, decide, type DaemonAction, type DaemonEvent, type DaemonState,
 } from '@cicadapost/decision';
-import {type UpstreamConnections} from '@cicadapost/engines';
+import {readEngineState, type UpstreamConnections} from '@cicadapost/engines';
 import {type Logger} from '@cicadapost/observability';
 import {type PeerLinks} from '@cicadapost/peers';
 import {type TableService, type VmList} from '@cicadapost/platform';
 import type {DaemonSettings, SiteConfiguration} from '@cicadapost/settings';
 import type {
-	AttemptId, CallId, DaemonId, DataCentreId, RegionId,
+	AttemptId, CallId, DaemonId, DataCentreId, RegionId, UpstreamId,
 } from '@cicadapost/types';
 import {inject, injectable} from 'tsyringe';
 import {type Clock} from './clock.js';
 import {tokens} from './tokens.js';
 
 const tickMs = 50;
-const vmListIntervalMs = 1000;
 
 /** One daemon: hands events to the decision code and carries out its actions. */
 @injectable()
@@ -75,6 +74,12 @@
 		this.peers.on('message', (from, message) => {
 			this.post({kind: 'message', from, message});
 		});
+		this.peers.on('connected', daemon => {
+			this.post({kind: 'peer-connected', daemon});
+		});
+		this.peers.on('unsent', (to, message) => {
+			this.post({kind: 'message-unsent', to, message});
+		});
 		this.peers.on('rejected', detail => {
 			this.logger.warn({event: 'peer-rejected', detail}, 'peer rejected');
 		});
@@ -86,10 +91,7 @@
 
 		this.timers.push(setInterval(() => {
 			this.post({kind: 'tick'});
-		}, tickMs), setInterval(() => {
-			void this.readVmList();
-		}, vmListIntervalMs));
-		void this.readVmList();
+		}, tickMs));
 		this.logger.info({event: 'started', apiPort, peerPort}, 'daemon started');
 		return {apiPort, peerPort};
 	}
@@ -97,15 +99,16 @@
 	/** Stops accepting work, waits until nothing is in flight, and closes. */
 	async shutDown(): Promise<void> {
 		this.logger.info({event: 'shutting-down'}, 'daemon is shutting down');
-		this.post({kind: 'shut-down'});
 		this.api.stopAccepting();
-		await this.stopped;
+		this.post({kind: 'shut-down'});
+		// A request whose body is still being read is in flight, although no decision has been made about it yet.
+		await Promise.all([this.api.whenIdle(), this.stopped]);
 		for (const timer of this.timers) {
 			clearInterval(timer);
 		}
 
 		this.api.close();
-		this.peers.close();
+		await this.peers.close();
 		await this.upstreams.close();
 		this.logger.info({event: 'stopped'}, 'daemon stopped');
 	}
@@ -139,11 +142,22 @@
 			}
 
 			case 'connect': {
-				this.peers.connect(action.address);
+				this.peers.connect(action.address, action.daemon);
 				break;
 			}
 
 			case 'disconnect': {
+				this.peers.disconnect(action.daemon);
+				break;
+			}
+
+			case 'read-vm-list': {
+				void this.readVmList();
+				break;
+			}
+
+			case 'read-state': {
+				void this.readState(action.upstream);
 				break;
 			}
 
@@ -259,6 +273,12 @@
 		}
 	}
 
+	private async readState(upstream: UpstreamId): Promise<void> {
+		const url = this.site?.upstreams[upstream]?.url;
+		const status = url === undefined ? undefined : await readEngineState(url);
+		this.post({kind: 'upstream-state', upstream, status});
+	}
+
 	private useConfiguration(version: number): void {
 		this.site = this.state.site;
 		if (this.site !== undefined) {
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -4,7 +4,7 @@
 import type {SchedulerState} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, DaemonId, DataCentreId, RegionId, RequestId, ShardId,
+	Acquire, AttemptId, DaemonId, DataCentreId, Millis, RegionId, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
 
 /** Where the result of a request goes. */
@@ -16,7 +16,10 @@
 /** An `acquire` without an answer yet. It is sent again when the shard changes its owner. */
 export type OpenAcquire = Readonly<{
 	acquire: Acquire;
-	to: DaemonId;
+	to: DaemonId | undefined;
+	sentAt: Millis;
+	/** Set after a refusal by a daemon that is not the owner, or while no owner is known. */
+	retryAt?: Millis;
 }>;
 
 export type DaemonState = {
@@ -32,6 +35,10 @@
 	schedulers: Map<ShardId, SchedulerState>;
 	origins: Map<RequestId, Origin>;
 	acquires: Map<AttemptId, OpenAcquire>;
+	/** Attempts that run in another data centre, with the daemon that runs them. */
+	relays: Map<AttemptId, DaemonId>;
+	/** When the state of each upstream of an owned shard is read next. */
+	stateReads: Map<UpstreamId, Millis>;
 	leaving: boolean;
 	stopped: boolean;
 	/** Number of platform calls so far; makes their ids. */
@@ -56,6 +63,8 @@
 		schedulers: new Map(),
 		origins: new Map(),
 		acquires: new Map(),
+		relays: new Map(),
+		stateReads: new Map(),
 		leaving: false,
 		stopped: false,
 		calls: 0,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -5,7 +5,7 @@
 } from '@cicadapost/configuration';
 import {ProblemError} from '@cicadapost/errors';
 import {
-	decideMembership, firstGatewayPeers, liveDaemons, ownerIn, type MembershipAction, type MembershipEvent,
+	decideMembership, firstGatewayPeers, isReachable, isSettled, ownsInDataCentre, relayTarget, type MembershipAction, type MembershipEvent,
 } from '@cicadapost/membership';
 import {
 	decideRouting, type PoolPlaces, type RouterAction, type RouterEvent,
@@ -15,14 +15,16 @@
 } from '@cicadapost/scheduling';
 import {siteConfiguration} from '@cicadapost/settings';
 import type {
-	CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId,
+	Acquire, AttemptId, CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
-import type {DaemonState} from './daemon-state.js';
+import type {DaemonState, OpenAcquire} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
 import {documentFault, parseDocument} from './parse-document.js';
 import {shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
+/** The VM list lags, so an upstream is asked itself whether it is leaving. */
+const stateReadIntervalMs = 1000;
 
 /** Decides for one daemon. Updates `state` in place and returns it with the actions to carry out, in order. */
 export function decide(state: DaemonState, event: DaemonEvent, now: Millis): Outcome<DaemonState, DaemonAction> {
@@ -38,6 +40,8 @@
 	constructor(private readonly state: DaemonState, private readonly now: Millis) {}
 
 	receive(event: DaemonEvent): void {
+		// A process that was paused drops the views that have become old before it decides anything by them.
+		this.updateMembership({kind: 'time'});
 		switch (event.kind) {
 			case 'request': {
 				this.startRequest(event.request);
@@ -75,6 +79,24 @@
 				break;
 			}
 
+			case 'peer-connected': {
+				this.updateMembership({kind: 'connected', daemon: event.daemon});
+				break;
+			}
+
+			case 'message-unsent': {
+				this.receiveUnsent(event.to, event.message);
+				break;
+			}
+
+			case 'upstream-state': {
+				if (event.status !== undefined && this.state.stateReads.has(event.upstream)) {
+					this.updateMembership({kind: 'upstream-state', upstream: event.upstream, leaving: event.status.leaving});
+				}
+
+				break;
+			}
+
 			case 'vm-list': {
 				this.updateMembership({kind: 'vm-list', vms: event.vms});
 				break;
@@ -105,8 +127,12 @@
 	}
 
 	private tick(): void {
-		this.updateMembership({kind: 'tick'});
-		this.configure({kind: 'tick', call: this.nextCall(), isPoller: this.owns(configurationKey)});
+		const relayedFor = [...this.state.origins.values()].map(origin => (origin.kind === 'relay' ? origin.from : undefined));
+		const inUse = new Set([...this.state.relays.values(), ...relayedFor.filter(daemon => daemon !== undefined)]);
+		this.updateMembership({kind: 'tick', inUse});
+		this.configure({kind: 'tick', call: this.nextCall(), isPoller: ownsInDataCentre(this.state.membership, configurationKey)});
+		this.readStates();
+		this.repeatAcquires();
 		this.route({kind: 'tick'});
 		for (const shard of this.state.schedulers.keys()) {
 			this.schedule(shard, {kind: 'tick'});
@@ -168,7 +194,7 @@
 		const shards = [...shardsOf(site, dataCentre, membership.leavingUpstreams).keys()].filter(shard => shard.split('/')[1] === pool);
 		const homeRegion = site.dataCentres[dataCentre]?.region;
 		const dataCentres = Object.entries(site.poolsByDataCentre)
-			.filter(([name, pools]) => name !== dataCentre && pools.includes(pool) && liveDaemons(membership, name as DataCentreId).length > 0)
+			.filter(([name, pools]) => name !== dataCentre && pools.includes(pool) && isReachable(membership, name as DataCentreId))
 			.map(([name]) => name as DataCentreId)
 			.sort((a, b) => Number(site.dataCentres[b]?.region === homeRegion) - Number(site.dataCentres[a]?.region === homeRegion));
 		return {shards, dataCentres};
@@ -194,6 +220,10 @@
 			}
 
 			case 'refuse': {
+				if (message.reason === 'not-owner' && this.retryAcquire(from, message.attempt)) {
+					break;
+				}
+
 				this.state.acquires.delete(message.attempt);
 				this.route({...message, kind: 'refused'});
 				break;
@@ -215,11 +245,13 @@
 			}
 
 			case 'relay-finished': {
+				this.state.relays.delete(message.attempt);
 				this.route({...message, kind: 'finished'});
 				break;
 			}
 
 			case 'relay-failed': {
+				this.state.relays.delete(message.attempt);
 				this.route({...message, kind: 'failed'});
 				break;
 			}
@@ -244,6 +276,15 @@
 	}
 
 	private startRelayed(from: DaemonId, relay: Relay): void {
+		if (this.state.leaving) {
+			this.actions.push({
+				kind: 'send', to: from, message: {
+					kind: 'relay-failed', attempt: relay.attempt, failure: 'leaving', sent: false, retryAfterMs: notOwnerRetryMs,
+				},
+			});
+			return;
+		}
+
 		const requestId = relayedRequestId(relay.attempt);
 		this.state.origins.set(requestId, {kind: 'relay', from, attempt: relay.attempt});
 		const request: Request = {
@@ -262,6 +303,7 @@
 	}
 
 	private acquire(from: DaemonId, acquire: Extract<PeerMessage, {kind: 'acquire'}>): void {
+		this.updateMembership({kind: 'contacted', from});
 		if (this.state.schedulers.has(acquire.shard)) {
 			this.schedule(acquire.shard, {kind: 'acquire', from, acquire});
 			return;
@@ -341,13 +383,7 @@
 			}
 
 			case 'cancel-relay': {
-				// Any daemon of the other data centre may run it; a cancel for an unknown attempt is ignored.
-				for (const [daemon, peer] of this.state.membership.peers) {
-					if (peer.dataCentre !== this.state.dataCentre) {
-						this.actions.push({kind: 'send', to: daemon, message: {kind: 'cancel-relay', attempt: action.attempt}});
-					}
-				}
-
+				this.cancelRelay(action.attempt);
 				break;
 			}
 
@@ -360,21 +396,60 @@
 		}
 	}
 
-	private sendAcquire(acquire: Extract<PeerMessage, {kind: 'acquire'}>): void {
-		const owner = shardOwner(this.state.membership, acquire.shard);
-		if (owner === undefined) {
+	private sendAcquire(acquire: Acquire): void {
+		const {membership, acquires} = this.state;
+		const owner = shardOwner(membership, acquire.shard);
+		if (owner === undefined && isSettled(membership)) {
+			acquires.delete(acquire.attempt);
 			this.route({
 				kind: 'refused', attempt: acquire.attempt, reason: 'no-upstream', retryAfterMs: notOwnerRetryMs,
 			});
 			return;
 		}
 
-		this.state.acquires.set(acquire.attempt, {acquire, to: owner});
-		this.sendOrReceive(owner, acquire);
+		const open = {acquire, to: owner, sentAt: this.now};
+		acquires.set(acquire.attempt, owner === undefined ? {...open, retryAt: this.now + notOwnerRetryMs} : open);
+		if (owner !== undefined) {
+			this.sendOrReceive(owner, acquire);
+		}
+	}
+
+	private resendAcquire({acquire, sentAt}: OpenAcquire): void {
+		this.sendAcquire({...acquire, remainingMs: acquire.remainingMs - (this.now - sentAt)});
+	}
+
+	/** Asks again after `from` turned out not to be the owner. False if the refusal is final. */
+	private retryAcquire(from: DaemonId, attempt: AttemptId): boolean {
+		const open = this.state.acquires.get(attempt);
+		if (open?.to !== from) {
+			return open !== undefined;
+		}
+
+		if (!this.placesOf(open.acquire.request.pool).shards.includes(open.acquire.shard)) {
+			return false;
+		}
+
+		if (shardOwner(this.state.membership, open.acquire.shard) === from) {
+			// Views differ for a moment while a shard moves.
+			this.state.acquires.set(attempt, {...open, retryAt: this.now + notOwnerRetryMs});
+		} else {
+			this.resendAcquire(open);
+		}
+
+		return true;
+	}
+
+	private repeatAcquires(): void {
+		for (const open of this.state.acquires.values()) {
+			if (open.retryAt !== undefined && this.now >= open.retryAt) {
+				this.resendAcquire(open);
+			}
+		}
 	}
 
 	private sendRelay(dataCentre: DataCentreId, relay: Relay): void {
-		const to = ownerIn(this.state.membership, dataCentre, relay.attempt);
+		this.updateMembership({kind: 'relay-to', dataCentre});
+		const to = relayTarget(this.state.membership, dataCentre);
 		if (to === undefined) {
 			this.route({
 				kind: 'failed', attempt: relay.attempt, failure: 'relay-lost', sent: false,
@@ -382,9 +457,77 @@
 			return;
 		}
 
+		this.state.relays.set(relay.attempt, to);
 		this.actions.push({kind: 'send', to, message: relay});
 	}
 
+	private cancelRelay(attempt: AttemptId): void {
+		const to = this.state.relays.get(attempt);
+		this.state.relays.delete(attempt);
+		if (to !== undefined) {
+			this.actions.push({kind: 'send', to, message: {kind: 'cancel-relay', attempt}});
+		}
+	}
+
+	private receiveUnsent(to: DaemonId, message: PeerMessage): void {
+		this.updateMembership({kind: 'unreachable', daemon: to});
+		if (message.kind === 'relay') {
+			this.state.relays.delete(message.attempt);
+			this.route({
+				kind: 'failed', attempt: message.attempt, failure: 'relay-lost', sent: false,
+			});
+		}
+	}
+
+	/** Ends what a lost daemon ran for this one, and what this one ran for it. */
+	private loseDaemon(daemon: DaemonId): void {
+		for (const shard of this.state.schedulers.keys()) {
+			this.schedule(shard, {kind: 'daemon-lost', daemon});
+		}
+
+		for (const [attempt, to] of this.state.relays) {
+			if (to === daemon) {
+				this.state.relays.delete(attempt);
+				this.route({
+					kind: 'failed', attempt, failure: 'relay-lost', sent: true,
+				});
+			}
+		}
+
+		for (const [requestId, origin] of this.state.origins) {
+			if (origin.kind === 'relay' && origin.from === daemon) {
+				this.state.origins.delete(requestId);
+				this.route({kind: 'caller-left', requestId});
+			}
+		}
+	}
+
+	/** Reads the state of each engine of the owned shards about once a second. */
+	private readStates(): void {
+		for (const [upstream, readAt] of this.state.stateReads) {
+			if (this.now >= readAt) {
+				this.state.stateReads.set(upstream, this.now + stateReadIntervalMs);
+				this.actions.push({kind: 'read-state', upstream});
+			}
+		}
+	}
+
+	private useOwnedUpstreams(upstreams: ReadonlySet<UpstreamId>): void {
+		const {stateReads} = this.state;
+		this.updateMembership({kind: 'upstreams-owned', upstreams});
+		for (const upstream of stateReads.keys()) {
+			if (!upstreams.has(upstream)) {
+				stateReads.delete(upstream);
+			}
+		}
+
+		for (const upstream of upstreams) {
+			if (!stateReads.has(upstream)) {
+				stateReads.set(upstream, this.now);
+			}
+		}
+	}
+
 	private answer(action: Extract<RouterAction, {kind: 'deliver' | 'complete' | 'fail'}>): void {
 		const origin = this.state.origins.get(action.requestId);
 		if (action.kind !== 'deliver') {
@@ -417,24 +560,20 @@
 			}
 
 			case 'send-heartbeat': {
+				const {incarnation, configuration} = this.state;
 				this.actions.push({
-					kind: 'send', to: action.to, message: {
-						kind: 'heartbeat',
-						dataCentre: this.state.dataCentre,
-						incarnation: this.state.incarnation,
-						configurationVersion: this.state.configuration.version,
-						leaving: action.leaving,
-						leavingUpstreams: action.leavingUpstreams,
-					},
+					kind: 'send', to: action.to, message: {...action.heartbeat, incarnation, configurationVersion: configuration.version},
 				});
 				break;
 			}
 
-			case 'daemon-lost': {
-				for (const shard of this.state.schedulers.keys()) {
-					this.schedule(shard, {kind: 'daemon-lost', daemon: action.daemon});
-				}
+			case 'read-vm-list': {
+				this.actions.push(action);
+				break;
+			}
 
+			case 'daemon-lost': {
+				this.loseDaemon(action.daemon);
 				break;
 			}
 
@@ -459,25 +598,26 @@
 			}
 		}
 
+		const owned = new Set<UpstreamId>();
 		for (const [shard, upstreams] of shards) {
 			if (shardOwner(membership, shard) === self) {
+				for (const {upstream} of upstreams.filter(({upstream}) => site.pools[site.upstreams[upstream]?.pool ?? '']?.kind === 'engine')) {
+					owned.add(upstream);
+				}
+
 				schedulers.set(shard, schedulers.get(shard) ?? createScheduler());
 				this.schedule(shard, {kind: 'upstreams-changed', upstreams});
 			}
 		}
 
-		for (const {acquire, to} of acquires.values()) {
-			if (shardOwner(membership, acquire.shard) !== to) {
-				this.sendAcquire(acquire);
+		this.useOwnedUpstreams(owned);
+		for (const open of acquires.values()) {
+			if (shardOwner(membership, open.acquire.shard) !== open.to) {
+				this.resendAcquire(open);
 			}
 		}
 	}
 
-	/** Whether this daemon does the work named `key` for its data centre. */
-	private owns(key: string): boolean {
-		return ownerIn(this.state.membership, this.state.dataCentre, key) === this.state.self;
-	}
-
 	private receiveConfiguration(from: DaemonId, message: ConfigurationMessage): void {
 		const {kind, passOn, ...configuration} = message;
 		const isLocal = this.state.membership.peers.get(from)?.dataCentre === this.state.dataCentre;
--- a/packages/decision/src/events.ts
+++ b/packages/decision/src/events.ts
@@ -2,7 +2,7 @@
 
 import type {ProblemError} from '@cicadapost/errors';
 import type {
-	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, Millis, Payload, PeerMessage, RefusalReason, Request, RequestId, RowAnswer, UpstreamId, VersionSpan, VmRecord,
+	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, Millis, Payload, PeerMessage, RefusalReason, Request, RequestId, RowAnswer, UpstreamId, UpstreamStatus, VersionSpan, VmRecord,
 } from '@cicadapost/types';
 
 export type DaemonEvent =
@@ -15,6 +15,12 @@
 	| Readonly<{kind: 'attempt-finished'; attempt: AttemptId; tokens: number; status: number; contentType: string}>
 	| Readonly<{kind: 'attempt-failed'; attempt: AttemptId; failure: AttemptFailure; sent: boolean; detail?: string}>
 	| Readonly<{kind: 'message'; from: DaemonId; message: PeerMessage}>
+	/** A connection to `daemon` is open. */
+	| Readonly<{kind: 'peer-connected'; daemon: DaemonId}>
+	/** No connection could be opened in time to send `message`. */
+	| Readonly<{kind: 'message-unsent'; to: DaemonId; message: PeerMessage}>
+	/** Answer to `read-state`; undefined if the upstream gave none. */
+	| Readonly<{kind: 'upstream-state'; upstream: UpstreamId; status: UpstreamStatus | undefined}>
 	| Readonly<{kind: 'vm-list'; vms: readonly VmRecord[]}>
 	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
 	| Readonly<{kind: 'apply-configuration'; call: CallId; expectedVersion: number; document: string}>
@@ -26,6 +32,10 @@
 	| Readonly<{kind: 'send'; to: DaemonId; message: PeerMessage}>
 	| Readonly<{kind: 'connect'; daemon: DaemonId; address: string}>
 	| Readonly<{kind: 'disconnect'; daemon: DaemonId}>
+	/** The answer comes as `vm-list`. */
+	| Readonly<{kind: 'read-vm-list'}>
+	/** `GET /state` of an upstream. The answer comes as `upstream-state`. */
+	| Readonly<{kind: 'read-state'; upstream: UpstreamId}>
 	| Readonly<{kind: 'open-attempt'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; resumeFrom: number; deadlineAt: Millis}>
 	| Readonly<{kind: 'cancel-attempt'; attempt: AttemptId}>
 	| Readonly<{kind: 'deliver'; requestId: RequestId; chunk: Chunk}>
--- /dev/null
+++ b/packages/decision/src/membership.test.ts
@@ -0,0 +1,247 @@
+import {isReachable} from '@cicadapost/membership';
+import type {
+	CallId, DaemonId, DataCentreId, Request, RequestId, UpstreamId, VmRecord,
+} from '@cicadapost/types';
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
+import {shardOwner} from './shards.js';
+import {Bench} from './test-bench.js';
+
+const upstreams = ['e1', 'e2'];
+const document = JSON.stringify({
+	base: {members: {acme: {}}, pools: {lm: {kind: 'engine', initialWindow: 1}}, dataCentres: {a: {region: 'a'}, b: {region: 'b'}}},
+	overlays: {
+		a: {upstreams: Object.fromEntries(upstreams.map(name => [name, {pool: 'lm', url: `http://${name}:1`}]))},
+		b: {upstreams: {f1: {pool: 'lm', url: 'http://f1:1'}}},
+	},
+});
+
+let bench: Bench;
+
+function vm(upstream: string, state: VmRecord['state']): VmRecord {
+	return {
+		id: upstream as UpstreamId, role: 'upstream', dataCentre: 'a' as DataCentreId, state,
+	};
+}
+
+function call(daemon: string, name: string): void {
+	const request = {
+		requestId: name as RequestId,
+		member: 'acme',
+		requestClass: 'live',
+		pool: 'lm',
+		promptTokens: 1,
+		maxTokens: 1,
+		idempotent: true,
+		fingerprint: name,
+		prefixKey: name,
+		payload: {
+			method: 'POST', path: '/', contentType: 'application/json', body: '',
+		},
+		deadlineAt: bench.now + 60_000,
+		bodyHash: name,
+		mixedVersions: true,
+	} as Request;
+	bench.post(daemon, {kind: 'request', request});
+}
+
+function owner(viewedBy = 'a1'): DaemonId {
+	return shardOwner(bench.state(viewedBy).membership, 'a/lm/0' as never)!;
+}
+
+function otherThan(...daemons: string[]): string {
+	return ['a1', 'a2', 'a3'].find(daemon => !daemons.includes(daemon))!;
+}
+
+beforeEach(() => {
+	bench = new Bench();
+	for (const daemon of ['a1', 'a2', 'a3', 'b1', 'b2']) {
+		bench.start(daemon, daemon.slice(0, 1));
+	}
+
+	bench.listVms(upstreams.map(name => vm(name, 'live')));
+	bench.run(2000);
+	bench.post('a1', {
+		kind: 'apply-configuration', call: 'first' as CallId, expectedVersion: 0, document,
+	});
+	bench.run(2000);
+});
+
+describe('a leaving upstream', () => {
+	it('of the VM list gets no grant until the list says that it is live again, so that a returned engine is used', () => {
+		bench.listVms([vm('e1', 'leaving'), vm('e2', 'leaving')]);
+		bench.run(1500);
+		call('a1', 'r1');
+		expect(bench.actions('open-attempt').map(({upstream}) => upstream)).not.toContain('e1');
+		bench.listVms(upstreams.map(name => vm(name, 'live')));
+		bench.run(5000);
+		expect([...bench.state('a2').membership.leavingUpstreams]).toEqual([]);
+		call('a2', 'r2');
+		expect(bench.actions('open-attempt', 'a2')).toHaveLength(1);
+	});
+
+	it('that says so itself gets no grant although the list calls it live, so that a lagging list does no harm', () => {
+		bench.statuses.set('e1', {
+			leaving: true, version: 1, swapping: false, fence: 0,
+		});
+		bench.run(2500);
+		const before = bench.actions('read-state').length;
+		bench.run(10_000);
+		expect(bench.actions('read-state').length - before).toBeLessThanOrEqual(33);
+		for (const name of ['r1', 'r2', 'r3']) {
+			call('a1', name);
+		}
+
+		expect(bench.actions('open-attempt').map(({upstream}) => upstream)).toEqual(['e2']);
+		bench.statuses.clear();
+		bench.run(5000);
+		expect(bench.actions('open-attempt').map(({upstream}) => upstream)).toEqual(['e2', 'e1']);
+	});
+
+	it('gets no grant from the next owner of its shard either, which has not read it yet', () => {
+		bench.statuses.set('e1', {
+			leaving: true, version: 1, swapping: false, fence: 0,
+		});
+		bench.run(2500);
+		bench.answersStates = false;
+		bench.post(owner(), {kind: 'shut-down'});
+		const entry = otherThan(owner());
+		call(entry, 'r1');
+		call(entry, 'r2');
+		bench.run(2000);
+		expect(bench.actions('open-attempt').map(({upstream}) => upstream)).toEqual(['e2']);
+	});
+});
+
+describe('a daemon of another data centre', () => {
+	it('gets relays over one connection that is opened for them, so that a daemon keeps few connections', () => {
+		bench.listVms(upstreams.map(name => vm(name, 'leaving')));
+		bench.run(2000);
+		for (const name of ['r1', 'r2', 'r3', 'r4']) {
+			call('a1', name);
+		}
+
+		const relays = bench.recorded.filter(({daemon, action}) => daemon === 'a1' && action.kind === 'send' && action.message.kind === 'relay');
+		const targets = new Set(relays.map(({action}) => (action as {to: DaemonId}).to));
+		expect(relays).toHaveLength(4);
+		expect(targets.size).toBe(1);
+		bench.run(40_000);
+		expect(bench.actions('disconnect', 'a1').filter(({daemon}) => targets.has(daemon))).toEqual([]);
+	});
+
+	it('that is leaving gets no relay, and the request runs at another one', () => {
+		bench.daemons.get('b1' as DaemonId)!.leaving = true;
+		bench.daemons.get('b2' as DaemonId)!.leaving = true;
+		bench.post('b1', {
+			kind: 'message', from: 'a1' as DaemonId, message: {
+				kind: 'relay', attempt: 'x.0' as never, request: {pool: 'lm'} as never, payload: {} as never, remainingMs: 1000, resumeFrom: 0,
+			},
+		});
+		expect(bench.actions('send', 'b1').at(-1)?.message).toMatchObject({kind: 'relay-failed', failure: 'leaving', sent: false});
+	});
+
+	it('that ends while it runs a relay fails the attempt, so that the request is repeated at once', () => {
+		bench.state('a1').relays.set('x.0' as never, 'b1' as DaemonId);
+		bench.daemons.delete('b1' as DaemonId);
+		bench.run(5000);
+		expect(bench.state('a1').relays.size).toBe(0);
+	});
+});
+
+describe('the plan of connections', () => {
+	it('has two gateways for each ordered pair of data centres and no other connection across', () => {
+		bench.run(5000);
+		const across = ['a1', 'a2', 'a3'].flatMap(from => ['b1', 'b2'].filter(to => bench.isLinked(from as DaemonId, to as DaemonId)).map(to => `${from}-${to}`));
+		expect(across.length).toBeGreaterThanOrEqual(2);
+		expect(across.length).toBeLessThanOrEqual(4);
+		expect(isReachable(bench.state('a1').membership, 'b' as DataCentreId)).toBe(true);
+		expect(isReachable(bench.state('a2').membership, 'b' as DataCentreId)).toBe(true);
+	});
+});
+
+describe('a paused daemon that wakes', () => {
+	it('grants nothing by its old view, so that it does not act as an owner beside the new one', () => {
+		const paused = owner();
+		bench.paused.add(paused);
+		bench.run(10_000);
+		const entry = otherThan(paused, owner(otherThan(paused)));
+		const grantsBefore = bench.actions('send', paused).filter(({message}) => message.kind === 'grant').length;
+		bench.isCut = (from, to) => from === paused || to === paused;
+		bench.paused.delete(paused);
+		const summary = {
+			requestId: 'late', member: 'acme', requestClass: 'live', pool: 'lm', promptTokens: 1, maxTokens: 1, idempotent: true, fingerprint: 'f', prefixKey: 'p',
+		};
+		bench.post(paused, {
+			kind: 'message', from: entry as DaemonId, message: {
+				kind: 'acquire', attempt: 'late.0' as never, shard: 'a/lm/0' as never, request: summary as never, remainingMs: 1000, avoid: [],
+			},
+		});
+		expect(bench.actions('send', paused).filter(({message}) => message.kind === 'grant').length).toBe(grantsBefore);
+	});
+});
+
+describe('heartbeats', () => {
+	const heartbeat = (incarnation: number, sequence: number, leaving: boolean) => ({
+		kind: 'message' as const, from: 'a9' as DaemonId, message: {
+			kind: 'heartbeat' as const, dataCentre: 'a' as DataCentreId, incarnation, sequence, configurationVersion: 0, leaving, leavingUpstreams: [],
+		},
+	});
+
+	it('that come late do not undo a later one, so that a leaving daemon gets no work', () => {
+		bench.post('a1', heartbeat(9, 2, true));
+		bench.post('a1', heartbeat(9, 1, false));
+		expect(bench.state('a1').membership.peers.get('a9' as DaemonId)?.leaving).toBe(true);
+	});
+
+	it('of an earlier process are ignored after the daemon was given up, so that a dead process is not taken for alive', () => {
+		bench.post('a1', heartbeat(9, 1, false));
+		bench.run(5000);
+		bench.post('a1', heartbeat(8, 7, false));
+		bench.post('a1', heartbeat(9, 1, false));
+		expect(bench.state('a1').membership.peers.has('a9' as DaemonId)).toBe(false);
+		bench.post('a1', heartbeat(10, 1, false));
+		expect(bench.state('a1').membership.peers.get('a9' as DaemonId)?.incarnation).toBe(10);
+	});
+
+	it('that carry the own id are ignored, so that a daemon never counts itself as a peer', () => {
+		bench.post('a1', {...heartbeat(9, 1, false), from: 'a1' as DaemonId});
+		expect(bench.state('a1').membership.peers.has('a1' as DaemonId)).toBe(false);
+	});
+});
+
+describe('a daemon that shuts down', () => {
+	it('passes waiting acquires on, so that their callers notice nothing', () => {
+		const leaving = owner();
+		const entry = otherThan(leaving);
+		for (const name of ['r1', 'r2', 'r3']) {
+			call(entry, name);
+		}
+
+		expect(bench.actions('open-attempt', entry)).toHaveLength(2);
+		bench.post(leaving, {kind: 'shut-down'});
+		bench.run(1000);
+		expect(bench.actions('open-attempt', entry)).toHaveLength(3);
+		expect(bench.actions('fail')).toEqual([]);
+		expect(bench.state(leaving).schedulers.size).toBe(0);
+	});
+
+	it('keeps its shards while no other daemon is there, so that its own last requests get a slot', () => {
+		for (const daemon of ['a2', 'a3']) {
+			bench.daemons.delete(daemon as DaemonId);
+		}
+
+		bench.run(5000);
+		for (const name of ['r1', 'r2', 'r3']) {
+			call('a1', name);
+		}
+
+		bench.post('a1', {kind: 'shut-down'});
+		const {attempt} = bench.actions('open-attempt', 'a1')[0]!;
+		bench.post('a1', {
+			kind: 'attempt-finished', attempt, tokens: 0, status: 200, contentType: 'text/event-stream',
+		});
+		expect(bench.actions('open-attempt', 'a1')).toHaveLength(3);
+		expect(bench.actions('fail')).toEqual([]);
+	});
+});
--- a/packages/decision/src/test-bench.ts
+++ b/packages/decision/src/test-bench.ts
@@ -1,7 +1,7 @@
 /** Daemons in virtual time around one table service, for the tests of this package. No sockets, no clock. */
 
 import type {
-	DaemonId, DataCentreId, Millis, RegionId, RowAnswer, VmRecord,
+	DaemonId, DataCentreId, Millis, PeerMessage, RegionId, RowAnswer, UpstreamStatus, VmRecord,
 } from '@cicadapost/types';
 import {createDaemonState, type DaemonState} from './daemon-state.js';
 import {decide} from './decide.js';
@@ -27,6 +27,12 @@
 	loseWrites = 0;
 	/** Whether a message from the first daemon to the second is lost. */
 	isCut: (from: DaemonId, to: DaemonId) => boolean = () => false;
+	vms: readonly VmRecord[] = [];
+	/** What upstreams tell about themselves; those that are not here are live. */
+	readonly statuses = new Map<string, UpstreamStatus>();
+	/** Whether upstreams answer `read-state` at all. */
+	answersStates = true;
+	private readonly dials = new Set<string>();
 	private incarnations = 0;
 	private queue: Array<Readonly<{daemon: DaemonId; event: DaemonEvent}>> = [];
 
@@ -47,8 +53,9 @@
 		const entries = [...this.daemons.values()].map((state): VmRecord => ({
 			id: state.self, role: 'entry', dataCentre: state.dataCentre, state: 'live', peerAddress: `${state.self}:1`,
 		}));
+		this.vms = [...entries, ...upstreams];
 		for (const daemon of this.daemons.keys()) {
-			this.post(daemon, {kind: 'vm-list', vms: [...entries, ...upstreams]});
+			this.post(daemon, {kind: 'vm-list', vms: this.vms});
 		}
 	}
 
@@ -103,8 +110,40 @@
 
 	private carryOut(daemon: DaemonId, action: DaemonAction): void {
 		this.recorded.push({daemon, at: this.now, action});
-		if (action.kind === 'send' && !this.isCut(daemon, action.to)) {
-			this.queue.push({daemon: action.to, event: {kind: 'message', from: daemon, message: structuredClone(action.message)}});
+		switch (action.kind) {
+			case 'send': {
+				this.send(daemon, action.to, action.message);
+				break;
+			}
+
+			case 'connect': {
+				this.dials.add(`${daemon}>${action.daemon}`);
+				this.queue.push({daemon, event: {kind: 'peer-connected', daemon: action.daemon}}, {daemon: action.daemon, event: {kind: 'peer-connected', daemon}});
+				break;
+			}
+
+			case 'disconnect': {
+				this.dials.delete(`${daemon}>${action.daemon}`);
+				break;
+			}
+
+			case 'read-vm-list': {
+				this.queue.push({daemon, event: {kind: 'vm-list', vms: this.vms}});
+				break;
+			}
+
+			case 'read-state': {
+				const live = {
+					leaving: false, version: 1, swapping: false, fence: 0,
+				};
+				const status = this.answersStates ? this.statuses.get(action.upstream) ?? live : undefined;
+				this.queue.push({daemon, event: {kind: 'upstream-state', upstream: action.upstream, status}});
+				break;
+			}
+
+			default: {
+				break;
+			}
 		}
 
 		if (action.kind === 'read-row' || action.kind === 'write-row') {
@@ -112,6 +151,19 @@
 		}
 	}
 
+	/** Whether a connection between two daemons is open, whichever of them has asked for it. */
+	isLinked(one: DaemonId, other: DaemonId): boolean {
+		return this.dials.has(`${one}>${other}`) || this.dials.has(`${other}>${one}`);
+	}
+
+	private send(from: DaemonId, to: DaemonId, message: PeerMessage): void {
+		if (!this.isLinked(from, to) || !this.daemons.has(to)) {
+			this.queue.push({daemon: from, event: {kind: 'message-unsent', to, message}});
+		} else if (!this.isCut(from, to)) {
+			this.queue.push({daemon: to, event: {kind: 'message', from, message: structuredClone(message)}});
+		}
+	}
+
 	private answer(action: RowAction): RowAnswer {
 		const key = `${action.table}/${action.key}`;
 		const row = this.rows.get(key);
--- a/packages/engines/src/index.ts
+++ b/packages/engines/src/index.ts
@@ -1,3 +1,4 @@
 /** Clients of model engines and plain services. */
 
 export * from './completion-stream.js';
+export * from './engine-state.js';
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,137 +1,172 @@
-/** Which daemons are alive, what they own, and which peers to be connected to. */
+/** Which daemons are alive, which upstreams are leaving, and which peers to be connected to. */
 
 import type {
 	DaemonId, DataCentreId, Heartbeat, Millis, Outcome, UpstreamId, VmRecord,
 } from '@cicadapost/types';
-import {ownerOf} from './ownership.js';
+import {applyPlan, type ConnectionAction} from './connections.js';
+import {
+	daemonTimeoutMs, heartbeatIntervalMs, type MembershipState, type PeerView,
+} from './state.js';
+import {
+	gatewayRank, isSettled, liveDaemons, otherDataCentres, ownsInDataCentre, vmListKey,
+} from './views.js';
 
-export const heartbeatIntervalMs = 1000;
-/** A daemon that has not been heard from for this long is considered not alive. */
-export const daemonTimeoutMs = 3000;
+/** The VM list is read this often by one daemon of each data centre. */
+const listIntervalMs = 1000;
+/** The others read it for the addresses of new daemons, which connect to them on their own anyway. */
+const addressIntervalMs = 10_000;
+/** A longer gap between two decisions means that the process was paused; ticks come every 50 ms. */
+const pauseMs = 1000;
+/** After a pause: one heartbeat interval and some, so that each live peer has been heard. */
+const settleMs = 1500;
+/** A connection for relays is kept this long after the last relay. */
+const relayIdleMs = 30_000;
+/** A daemon of another data centre that did not answer is left out of the plan for this long. */
+const unreachableMs = 5000;
+/** Number of daemons whose last heartbeat is remembered; ids of replaced VMs are not used again. */
+const maxLastHeard = 2048;
 
 export type MembershipEvent =
 	| Readonly<{kind: 'heartbeat'; from: DaemonId; heartbeat: Heartbeat}>
+	/** A daemon that has sent no heartbeat yet asks for work in this data centre. */
+	| Readonly<{kind: 'contacted'; from: DaemonId}>
+	/** A connection to `daemon` is open. */
+	| Readonly<{kind: 'connected'; daemon: DaemonId}>
 	| Readonly<{kind: 'vm-list'; vms: readonly VmRecord[]}>
+	/** An upstream of an owned shard has told its state. */
+	| Readonly<{kind: 'upstream-state'; upstream: UpstreamId; leaving: boolean}>
+	/** This daemon owns the shards of these upstreams and no others. */
+	| Readonly<{kind: 'upstreams-owned'; upstreams: ReadonlySet<UpstreamId>}>
+	/** A request is about to be relayed. */
+	| Readonly<{kind: 'relay-to'; dataCentre: DataCentreId}>
+	/** A message to `daemon` could not be sent. */
+	| Readonly<{kind: 'unreachable'; daemon: DaemonId}>
 	| Readonly<{kind: 'leave'}>
-	| Readonly<{kind: 'tick'}>;
+	/** Sent before any other event of a decision, so that an old view is dropped before it is used. */
+	| Readonly<{kind: 'time'}>
+	/** `inUse`: daemons that run a relayed request for this one, or this one for them. */
+	| Readonly<{kind: 'tick'; inUse: ReadonlySet<DaemonId>}>;
 
 export type MembershipAction =
-	| Readonly<{kind: 'connect'; daemon: DaemonId; address: string}>
-	| Readonly<{kind: 'disconnect'; daemon: DaemonId}>
-	| Readonly<{kind: 'send-heartbeat'; to: DaemonId; leaving: boolean; leavingUpstreams: readonly UpstreamId[]}>
+	| ConnectionAction
+	| Readonly<{kind: 'send-heartbeat'; to: DaemonId; heartbeat: Omit<Heartbeat, 'configurationVersion' | 'incarnation'>}>
 	| Readonly<{kind: 'daemon-lost'; daemon: DaemonId}>
+	| Readonly<{kind: 'read-vm-list'}>
 	/** The set of live daemons or of leaving upstreams has changed. */
 	| Readonly<{kind: 'changed'}>;
 
-export type PeerView = {
-	dataCentre: DataCentreId;
-	incarnation: number;
-	heardAt: Millis;
-	leaving: boolean;
-	configurationVersion: number;
-};
-
-export type MembershipState = {
-	readonly self: DaemonId;
-	readonly dataCentre: DataCentreId;
-	leaving: boolean;
-	peers: Map<DaemonId, PeerView>;
-	leavingUpstreams: Set<UpstreamId>;
-	/** Peers that this daemon has asked the edge to be connected to. */
-	connections: Set<DaemonId>;
-	nextHeartbeatAt: Millis;
-};
-
-export type MembershipOptions = Readonly<{
-	self: DaemonId;
-	dataCentre: DataCentreId;
-}>;
-
-export function createMembership(options: MembershipOptions): MembershipState {
-	return {
-		...options, leaving: false, peers: new Map(), leavingUpstreams: new Set(), connections: new Set(), nextHeartbeatAt: 0,
-	};
+const changed: MembershipAction = {kind: 'changed'};
+
+/** Marks the views as changed. */
+function change(state: MembershipState): MembershipAction[] {
+	state.owners.clear();
+	return [changed];
 }
 
-/** Live daemons of `dataCentre` that accept work, this one included. */
-export function liveDaemons(state: MembershipState, dataCentre: DataCentreId): DaemonId[] {
-	const live = [...state.peers].filter(([, peer]) => peer.dataCentre === dataCentre && !peer.leaving).map(([daemon]) => daemon);
-	if (dataCentre === state.dataCentre && !state.leaving) {
-		live.push(state.self);
-	}
+/** What this daemon itself has read. Only this is sent on: daemons that repeat each other would never forget. */
+function ownLeaving(state: MembershipState): UpstreamId[] {
+	const listed = ownsInDataCentre(state, vmListKey) ? state.listedLeaving : [];
+	return [...new Set([...listed, ...state.statedLeaving])];
+}
 
-	return live.sort((a, b) => (a < b ? -1 : 1));
+function refreshLeaving(state: MembershipState): MembershipAction[] {
+	const local = [...state.peers.values()].filter(peer => peer.dataCentre === state.dataCentre);
+	const leaving = new Set([...ownLeaving(state), ...state.inheritedLeaving.keys(), ...local.flatMap(peer => [...peer.leavingUpstreams])]);
+	const isSame = leaving.size === state.leavingUpstreams.size && [...leaving].every(upstream => state.leavingUpstreams.has(upstream));
+	state.leavingUpstreams = leaving;
+	return isSame ? [] : [changed];
 }
 
-/** The live daemon of `dataCentre` that owns `key`. */
-export function ownerIn(state: MembershipState, dataCentre: DataCentreId, key: string): DaemonId | undefined {
-	return ownerOf(key, liveDaemons(state, dataCentre));
+function isOld(state: MembershipState, from: DaemonId, heartbeat: Heartbeat): boolean {
+	const last = state.lastHeard.get(from);
+	if (last === undefined || heartbeat.incarnation > last.incarnation) {
+		return false;
+	}
+
+	return heartbeat.incarnation < last.incarnation || (heartbeat.sequence !== undefined && heartbeat.sequence <= last.sequence);
 }
 
-/** The peers that this daemon is the first gateway towards: one in each other data centre for which it is. */
-export function firstGatewayPeers(state: MembershipState): DaemonId[] {
-	const others = new Set([...state.peers.values()].map(peer => peer.dataCentre).filter(dataCentre => dataCentre !== state.dataCentre));
-	return [...others]
-		.filter(other => ownerIn(state, state.dataCentre, `gateway/${state.dataCentre}/${other}`) === state.self)
-		.map(other => ownerIn(state, other, `gateway/${other}/${state.dataCentre}`))
-		.filter(daemon => daemon !== undefined);
+function remember(state: MembershipState, from: DaemonId, heartbeat: Heartbeat): void {
+	// Deleting first keeps the map in the order of the last heartbeat.
+	state.lastHeard.delete(from);
+	state.lastHeard.set(from, {incarnation: heartbeat.incarnation, sequence: heartbeat.sequence ?? 0});
+	const [oldest] = state.lastHeard.keys();
+	if (state.lastHeard.size > maxLastHeard && oldest !== undefined) {
+		state.lastHeard.delete(oldest);
+	}
 }
 
 function receiveHeartbeat(state: MembershipState, event: Extract<MembershipEvent, {kind: 'heartbeat'}>, now: Millis): MembershipAction[] {
 	const {from, heartbeat} = event;
 	const known = state.peers.get(from);
-	if (known !== undefined && heartbeat.incarnation < known.incarnation) {
+	const hasMoved = known?.incarnation === heartbeat.incarnation && known.dataCentre !== heartbeat.dataCentre;
+	if (from === state.self || isOld(state, from, heartbeat) || hasMoved) {
 		return [];
 	}
 
-	const actions: MembershipAction[] = [];
-	if (known !== undefined && heartbeat.incarnation > known.incarnation) {
-		actions.push({kind: 'daemon-lost', daemon: from});
+	const isRestarted = known !== undefined && known.incarnation !== 0 && heartbeat.incarnation > known.incarnation;
+	remember(state, from, heartbeat);
+	inherit(state, known, new Set(heartbeat.leavingUpstreams), now);
+	state.unreachable.delete(from);
+	state.peers.set(from, viewOf(heartbeat, now));
+	const isChanged = isRestarted || known?.leaving !== heartbeat.leaving || known.dataCentre !== heartbeat.dataCentre;
+	return [
+		...(isRestarted ? [{kind: 'daemon-lost' as const, daemon: from}] : []),
+		...(isChanged ? change(state) : []),
+		...refreshLeaving(state),
+	];
+}
+
+/** Keeps what a peer no longer says until the next owner of the shard has read the upstream itself. */
+function inherit(state: MembershipState, known: PeerView | undefined, stillLeaving: ReadonlySet<UpstreamId>, now: Millis): void {
+	for (const upstream of known?.dataCentre === state.dataCentre ? known.leavingUpstreams : []) {
+		if (!stillLeaving.has(upstream)) {
+			state.inheritedLeaving.set(upstream, now + daemonTimeoutMs);
+		}
 	}
+}
 
-	state.peers.set(from, {
+function viewOf(heartbeat: Heartbeat, now: Millis): PeerView {
+	return {
 		dataCentre: heartbeat.dataCentre,
 		incarnation: heartbeat.incarnation,
+		sequence: heartbeat.sequence ?? 0,
 		heardAt: now,
 		leaving: heartbeat.leaving,
 		configurationVersion: heartbeat.configurationVersion,
-	});
-	const before = state.leavingUpstreams.size;
-	if (heartbeat.dataCentre === state.dataCentre) {
-		for (const upstream of heartbeat.leavingUpstreams) {
-			state.leavingUpstreams.add(upstream);
-		}
-	}
+		leavingUpstreams: new Set(heartbeat.leavingUpstreams),
+		live: heartbeat.live,
+		reaches: heartbeat.reaches ?? [],
+	};
+}
 
-	if (known?.leaving !== heartbeat.leaving || state.leavingUpstreams.size !== before || actions.length > 0) {
-		actions.push({kind: 'changed'});
+/** Keeps a view of a daemon that has asked for work, so that what it holds is returned when it falls silent. */
+function receiveContact(state: MembershipState, from: DaemonId, now: Millis): MembershipAction[] {
+	if (from === state.self || state.peers.has(from)) {
+		return [];
 	}
 
-	return actions;
+	state.peers.set(from, {
+		dataCentre: state.dataCentre, incarnation: 0, sequence: 0, heardAt: now, leaving: true, configurationVersion: 0, leavingUpstreams: new Set(), live: undefined, reaches: [],
+	});
+	return change(state);
 }
 
-function readVmList(state: MembershipState, vms: readonly VmRecord[]): MembershipAction[] {
-	const actions: MembershipAction[] = [];
+function readVmList(state: MembershipState, vms: readonly VmRecord[], now: Millis): MembershipAction[] {
+	state.listed.clear();
+	const leaving = new Set<UpstreamId>();
 	for (const vm of vms) {
-		if (vm.role === 'upstream') {
-			const isNew = vm.dataCentre === state.dataCentre && vm.state === 'leaving' && !state.leavingUpstreams.has(vm.id as UpstreamId);
-			if (isNew) {
-				state.leavingUpstreams.add(vm.id as UpstreamId);
-				actions.push({kind: 'changed'});
-			}
-
-			continue;
+		if (vm.role === 'upstream' && vm.dataCentre === state.dataCentre && vm.state === 'leaving') {
+			leaving.add(vm.id as UpstreamId);
 		}
 
-		const daemon = vm.id as DaemonId;
-		// The daemon with the lower id dials, so that two daemons share one connection.
-		if (vm.peerAddress !== undefined && state.self < daemon && !state.connections.has(daemon)) {
-			state.connections.add(daemon);
-			actions.push({kind: 'connect', daemon, address: vm.peerAddress});
+		if (vm.role === 'entry' && vm.peerAddress !== undefined) {
+			state.listed.set(vm.id as DaemonId, {dataCentre: vm.dataCentre, address: vm.peerAddress, leaving: vm.state === 'leaving'});
 		}
 	}
 
-	return actions;
+	state.listedLeaving = leaving;
+	return [...refreshLeaving(state), ...applyPlan(state, now)];
 }
 
 function dropSilentPeers(state: MembershipState, now: Millis): MembershipAction[] {
@@ -140,43 +175,162 @@
 		if (now - peer.heardAt > daemonTimeoutMs) {
 			state.peers.delete(daemon);
 			actions.push({kind: 'daemon-lost', daemon});
+			inherit(state, peer, new Set(), now);
 		}
 	}
 
-	return actions.length > 0 ? [...actions, {kind: 'changed'}] : actions;
+	return actions.length > 0 ? [...actions, ...change(state)] : actions;
 }
 
-function sendHeartbeats(state: MembershipState, peers: Iterable<DaemonId>): MembershipAction[] {
-	const leavingUpstreams = [...state.leavingUpstreams];
-	return [...peers].map(to => ({
-		kind: 'send-heartbeat', to, leaving: state.leaving, leavingUpstreams,
-	}));
+/** Drops views that were not renewed while the process was paused, and with them the right to own anything for a while. */
+function noticeTime(state: MembershipState, now: Millis): MembershipAction[] {
+	const gap = now - (state.decidedAt ?? now);
+	const wasSettled = isSettled(state);
+	const hadPeers = [...state.peers.values()].some(peer => peer.dataCentre === state.dataCentre);
+	state.decidedAt = now;
+	if (gap > daemonTimeoutMs && hadPeers) {
+		state.settledAt = now + settleMs;
+	}
+
+	const actions = gap > pauseMs ? dropSilentPeers(state, now) : [];
+	return wasSettled === isSettled(state) ? actions : [...actions, ...change(state)];
 }
 
-/** Decides about membership. Updates `state` in place and returns it. */
-export function decideMembership(state: MembershipState, event: MembershipEvent, now: Millis): Outcome<MembershipState, MembershipAction> {
+function heartbeatTo(state: MembershipState, to: DaemonId): Extract<MembershipAction, {kind: 'send-heartbeat'}>['heartbeat'] {
+	const dataCentre = state.peers.get(to)?.dataCentre ?? state.listed.get(to)?.dataCentre;
+	const base = {
+		kind: 'heartbeat' as const, dataCentre: state.dataCentre, sequence: state.sequence, leaving: state.leaving,
+	};
+	if (dataCentre !== undefined && dataCentre !== state.dataCentre) {
+		const isGateway = gatewayRank(state, dataCentre) !== -1;
+		return {...base, leavingUpstreams: [], ...(isGateway ? {live: liveDaemons(state, state.dataCentre)} : {})};
+	}
+
+	const heard = new Set([...state.peers.values()].map(peer => peer.dataCentre));
+	const reaches = otherDataCentres(state).filter(other => heard.has(other) && gatewayRank(state, other) !== -1);
+	return {...base, leavingUpstreams: ownLeaving(state), ...(reaches.length > 0 ? {reaches} : {})};
+}
+
+function sendHeartbeats(state: MembershipState): MembershipAction[] {
+	state.sequence++;
+	const local = new Map<string, ReturnType<typeof heartbeatTo>>();
+	return [...new Set([...state.peers.keys(), ...state.connections.keys()])].map(to => {
+		const key = state.peers.get(to)?.dataCentre ?? state.listed.get(to)?.dataCentre ?? state.dataCentre;
+		const heartbeat = local.get(key) ?? heartbeatTo(state, to);
+		local.set(key, heartbeat);
+		return {kind: 'send-heartbeat', to, heartbeat};
+	});
+}
+
+/** Leaves daemons of other data centres that do not answer out of the plan, so that it names others. */
+function noticeUnreachable(state: MembershipState, now: Millis): void {
+	for (const [daemon, until] of state.unreachable) {
+		if (now >= until) {
+			state.unreachable.delete(daemon);
+		}
+	}
+
+	for (const [daemon, since] of state.connections) {
+		const isRemote = state.listed.get(daemon)?.dataCentre !== state.dataCentre;
+		if (isRemote && !state.peers.has(daemon) && now - since > daemonTimeoutMs) {
+			state.unreachable.set(daemon, now + unreachableMs);
+		}
+	}
+}
+
+function forgetExpired(state: MembershipState, now: Millis): void {
+	for (const [upstream, until] of state.inheritedLeaving) {
+		if (now >= until) {
+			state.inheritedLeaving.delete(upstream);
+		}
+	}
+
+	for (const [dataCentre, until] of state.relaysTo) {
+		if (now >= until) {
+			state.relaysTo.delete(dataCentre);
+		}
+	}
+}
+
+function tick(state: MembershipState, now: Millis): MembershipAction[] {
+	const actions = dropSilentPeers(state, now);
+	const isReader = ownsInDataCentre(state, vmListKey);
+	if (now >= state.nextListAt || (isReader && state.nextListAt - now > listIntervalMs)) {
+		state.nextListAt = now + (isReader ? listIntervalMs : addressIntervalMs);
+		actions.push({kind: 'read-vm-list'});
+	}
+
+	if (now >= state.nextHeartbeatAt) {
+		state.nextHeartbeatAt = now + heartbeatIntervalMs;
+		noticeUnreachable(state, now);
+		forgetExpired(state, now);
+		actions.push(...refreshLeaving(state), ...applyPlan(state, now), ...sendHeartbeats(state));
+	}
+
+	return actions;
+}
+
+function decideActions(state: MembershipState, event: MembershipEvent, now: Millis): MembershipAction[] {
 	switch (event.kind) {
 		case 'heartbeat': {
-			return {state, actions: receiveHeartbeat(state, event, now)};
+			return receiveHeartbeat(state, event, now);
+		}
+
+		case 'contacted': {
+			return receiveContact(state, event.from, now);
+		}
+
+		case 'connected': {
+			return [{kind: 'send-heartbeat', to: event.daemon, heartbeat: {...heartbeatTo(state, event.daemon), sequence: ++state.sequence}}];
 		}
 
 		case 'vm-list': {
-			return {state, actions: readVmList(state, event.vms)};
+			return readVmList(state, event.vms, now);
+		}
+
+		case 'upstream-state': {
+			state.statedLeaving[event.leaving ? 'add' : 'delete'](event.upstream);
+			return refreshLeaving(state);
+		}
+
+		case 'upstreams-owned': {
+			for (const upstream of state.statedLeaving) {
+				if (!event.upstreams.has(upstream)) {
+					state.statedLeaving.delete(upstream);
+				}
+			}
+
+			return [];
+		}
+
+		case 'relay-to': {
+			const isNew = !state.relaysTo.has(event.dataCentre);
+			state.relaysTo.set(event.dataCentre, now + relayIdleMs);
+			return isNew ? applyPlan(state, now) : [];
+		}
+
+		case 'unreachable': {
+			state.unreachable.set(event.daemon, now + unreachableMs);
+			return applyPlan(state, now);
 		}
 
 		case 'leave': {
 			state.leaving = true;
-			return {state, actions: [...sendHeartbeats(state, state.peers.keys()), {kind: 'changed'}]};
+			return [...change(state), ...sendHeartbeats(state)];
 		}
 
-		case 'tick': {
-			const actions = dropSilentPeers(state, now);
-			if (now >= state.nextHeartbeatAt) {
-				state.nextHeartbeatAt = now + heartbeatIntervalMs;
-				actions.push(...sendHeartbeats(state, new Set([...state.peers.keys(), ...state.connections])));
-			}
+		case 'time': {
+			return noticeTime(state, now);
+		}
 
-			return {state, actions};
+		case 'tick': {
+			state.inUse = event.inUse;
+			return tick(state, now);
 		}
 	}
 }
+
+/** Decides about membership. Updates `state` in place and returns it. */
+export function decideMembership(state: MembershipState, event: MembershipEvent, now: Millis): Outcome<MembershipState, MembershipAction> {
+	return {state, actions: decideActions(state, event, now)};
+}
--- a/packages/membership/src/ownership.ts
+++ b/packages/membership/src/ownership.ts
@@ -5,20 +5,19 @@
 	return createHash('sha1').update(`${key}\n${daemon}`).digest().readBigUInt64BE(0);
 }
 
+/** The `count` candidates with the highest rendezvous scores for `key`, highest first. */
+export function rankedFor(key: string, candidates: readonly DaemonId[], count: number): DaemonId[] {
+	return candidates
+		.map(daemon => ({daemon, score: score(key, daemon)}))
+		.sort((a, b) => (a.score === b.score ? (a.daemon < b.daemon ? -1 : 1) : (a.score > b.score ? -1 : 1)))
+		.slice(0, count)
+		.map(({daemon}) => daemon);
+}
+
 /**
 Rendezvous hashing: the owner of `key` is the candidate with the highest score.
 When a daemon joins or leaves, only the keys that it owns change their owner.
 */
 export function ownerOf(key: string, candidates: readonly DaemonId[]): DaemonId | undefined {
-	let best: DaemonId | undefined;
-	let bestScore = -1n;
-	for (const candidate of candidates) {
-		const current = score(key, candidate);
-		if (current > bestScore || (current === bestScore && best !== undefined && candidate < best)) {
-			best = candidate;
-			bestScore = current;
-		}
-	}
-
-	return best;
+	return rankedFor(key, candidates, 1)[0];
 }
--- /dev/null
+++ b/packages/membership/src/state.ts
@@ -0,0 +1,94 @@
+import type {
+	DaemonId, DataCentreId, Millis, UpstreamId,
+} from '@cicadapost/types';
+
+export const heartbeatIntervalMs = 1000;
+/** A daemon that has not been heard from for this long is considered not alive. */
+export const daemonTimeoutMs = 3000;
+
+export type PeerView = {
+	dataCentre: DataCentreId;
+	incarnation: number;
+	sequence: number;
+	heardAt: Millis;
+	leaving: boolean;
+	configurationVersion: number;
+	/** Upstreams of its data centre that it knows at first hand to be leaving. */
+	leavingUpstreams: ReadonlySet<UpstreamId>;
+	/** Live daemons of its data centre, if it is a gateway of another one. */
+	live: readonly DaemonId[] | undefined;
+	/** Data centres that it has a connection to, if it is a gateway of this one. */
+	reaches: readonly DataCentreId[];
+};
+
+/** An entry VM of the last VM list. */
+export type ListedDaemon = Readonly<{
+	dataCentre: DataCentreId;
+	/** `host:port` of the peer listener. */
+	address: string;
+	leaving: boolean;
+}>;
+
+export type MembershipState = {
+	readonly self: DaemonId;
+	readonly dataCentre: DataCentreId;
+	leaving: boolean;
+	peers: Map<DaemonId, PeerView>;
+	/** Upstreams of this data centre that must get no new work, by all that is known. */
+	leavingUpstreams: ReadonlySet<UpstreamId>;
+	listed: Map<DaemonId, ListedDaemon>;
+	/** Leaving upstreams of the last VM list. */
+	listedLeaving: ReadonlySet<UpstreamId>;
+	/** Leaving upstreams by their own `GET /state`, of shards that this daemon owns. */
+	statedLeaving: Set<UpstreamId>;
+	/** What a daemon that was lost knew to be leaving, until its successor has read it anew. */
+	inheritedLeaving: Map<UpstreamId, Millis>;
+	/** Connections that this daemon has asked the edge for, with the time since when. */
+	connections: Map<DaemonId, Millis>;
+	/** Data centres that requests are relayed to, with the time until which the connection is kept. */
+	relaysTo: Map<DataCentreId, Millis>;
+	/** Daemons that run a relayed request for this one, or this one for them. Their connections are kept. */
+	inUse: ReadonlySet<DaemonId>;
+	/** Daemons of other data centres that did not answer, with the time from which they are tried again. */
+	unreachable: Map<DaemonId, Millis>;
+	/** The last heartbeat of each daemon, kept after the daemon is lost, so that older ones are recognised. */
+	lastHeard: Map<DaemonId, Readonly<{incarnation: number; sequence: number}>>;
+	sequence: number;
+	nextHeartbeatAt: Millis;
+	nextListAt: Millis;
+	/** Time of the last decision; undefined before the first. A gap tells that the process was paused. */
+	decidedAt: Millis | undefined;
+	/** After a pause the daemon owns nothing until it has heard from its peers again. */
+	settledAt: Millis;
+	/** Owners that were computed since the views changed last. */
+	owners: Map<string, DaemonId | undefined>;
+};
+
+export type MembershipOptions = Readonly<{
+	self: DaemonId;
+	dataCentre: DataCentreId;
+}>;
+
+export function createMembership(options: MembershipOptions): MembershipState {
+	return {
+		...options,
+		leaving: false,
+		peers: new Map(),
+		leavingUpstreams: new Set(),
+		listed: new Map(),
+		listedLeaving: new Set(),
+		statedLeaving: new Set(),
+		inheritedLeaving: new Map(),
+		connections: new Map(),
+		relaysTo: new Map(),
+		inUse: new Set(),
+		unreachable: new Map(),
+		lastHeard: new Map(),
+		sequence: 0,
+		nextHeartbeatAt: 0,
+		nextListAt: 0,
+		decidedAt: undefined,
+		settledAt: Number.NEGATIVE_INFINITY,
+		owners: new Map(),
+	};
+}
--- a/packages/peers/src/peer-links.ts
+++ b/packages/peers/src/peer-links.ts
@@ -20,19 +20,40 @@
 type Events = {
 	message: [from: DaemonId, message: PeerMessage];
 	connected: [daemon: DaemonId];
+	/** No connection to `to` was open, and none opened in time. */
+	unsent: [to: DaemonId, message: PeerMessage];
 	/** A frame or a handshake that was not accepted. */
 	rejected: [detail: string];
 };
 
+/** A connection that this daemon keeps open, by dialling unless the peer has dialled. */
+type Wanted = {
+	readonly address: string;
+	/** Absent for a seed until its handshake has told it. */
+	daemon: DaemonId | undefined;
+	timer: NodeJS.Timeout | undefined;
+	dialling: WebSocket | undefined;
+};
+
+type Link = Readonly<{socket: WebSocket; dialledBy: DaemonId}>;
+type Held = Readonly<{message: PeerMessage; timer: NodeJS.Timeout}>;
+
 const defaultSilenceMs = 4000;
 const redialMs = 500;
+const handshakeTimeoutMs = 2000;
+/** A message waits this long for a connection that is being opened: several round trips between regions. */
+const holdMs = 1000;
+const maxHeld = 1024;
+const closeTimeoutMs = 1000;
 const maxFrameBytes = 8 * 1024 * 1024;
 
 /** Connections to other daemons. Owns their sockets. */
 export class PeerLinks extends EventEmitter<Events> {
 	private readonly packr = new Packr({useRecords: false});
-	private readonly links = new Map<DaemonId, WebSocket>();
-	private readonly dialled = new Map<string, NodeJS.Timeout | undefined>();
+	private readonly links = new Map<DaemonId, Link>();
+	/** By daemon, or by address for a seed. */
+	private readonly wanted = new Map<string, Wanted>();
+	private readonly held = new Map<DaemonId, Held[]>();
 	private readonly server: Server;
 	private readonly sockets: WebSocketServer;
 	private isClosed = false;
@@ -55,7 +76,8 @@
 			}
 
 			this.sockets.handleUpgrade(req, socket, head, link => {
-				this.adopt(String(req.headers['x-cicadapost-daemon']) as DaemonId, link);
+				const daemon = String(req.headers['x-cicadapost-daemon']) as DaemonId;
+				this.adopt(daemon, {socket: link, dialledBy: daemon});
 			});
 		});
 	}
@@ -69,42 +91,90 @@
 		return (this.server.address() as AddressInfo).port;
 	}
 
-	/** Keeps a connection to `host:port` until `disconnect`. */
-	connect(address: string): void {
-		if (!this.dialled.has(address)) {
-			this.dialled.set(address, undefined);
-			this.dial(address);
+	/** Keeps a connection to `host:port` until `disconnect`. `daemon` is unknown for a seed. */
+	connect(address: string, daemon?: DaemonId): void {
+		const key = daemon ?? address;
+		const known = this.wanted.get(key);
+		if (known?.address === address) {
+			return;
+		}
+
+		this.forget(key);
+		const wanted: Wanted = {
+			address, daemon, timer: undefined, dialling: undefined,
+		};
+		this.wanted.set(key, wanted);
+		// The daemon with the lower id dials first, so that two that want each other seldom open two connections.
+		if (daemon === undefined || this.options.self < daemon || this.isOpen(daemon)) {
+			this.dial(wanted);
+		} else {
+			this.dialLater(wanted);
 		}
 	}
 
-	disconnect(address: string): void {
-		clearTimeout(this.dialled.get(address));
-		this.dialled.delete(address);
+	/** Gives up the connection to `daemon`. If the peer wants it as well, it dials. */
+	disconnect(daemon: DaemonId): void {
+		this.forget(daemon);
+		const link = this.links.get(daemon);
+		if (link?.dialledBy === this.options.self) {
+			link.socket.close();
+		}
 	}
 
-	/** Sends if there is an open connection; otherwise the message is lost, as on any network. */
+	/** Sends at once, or as soon as a connection that is being opened is there. Otherwise `unsent` is emitted. */
 	send(to: DaemonId, message: PeerMessage): void {
 		const link = this.links.get(to);
-		if (link?.readyState === WebSocket.OPEN) {
-			link.send(this.packr.pack(message));
+		if (link?.socket.readyState === WebSocket.OPEN) {
+			link.socket.send(this.packr.pack(message));
+			return;
 		}
+
+		const held = this.held.get(to) ?? [];
+		// A heartbeat that waited would make the sender look alive later than it was.
+		if (message.kind === 'heartbeat') {
+			return;
+		}
+
+		if (!this.wanted.has(to) || held.length >= maxHeld) {
+			this.emit('unsent', to, message);
+			return;
+		}
+
+		const timer = setTimeout(() => {
+			this.held.set(to, (this.held.get(to) ?? []).filter(other => other.message !== message));
+			this.emit('unsent', to, message);
+		}, holdMs);
+		this.held.set(to, [...held, {message, timer}]);
 	}
 
-	close(): void {
+	/** Closes all connections after what has been sent has left. */
+	async close(): Promise<void> {
 		this.isClosed = true;
-		for (const timer of this.dialled.values()) {
-			clearTimeout(timer);
+		for (const key of this.wanted.keys()) {
+			this.forget(key);
 		}
 
-		for (const link of this.links.values()) {
-			link.terminate();
+		for (const {timer} of [...this.held.values()].flat()) {
+			clearTimeout(timer);
 		}
 
-		this.sockets.close();
 		this.server.close();
+		await Promise.all([...this.links.values()].map(async ({socket}) => closeSocket(socket)));
+		this.sockets.close();
 		this.server.closeAllConnections();
 	}
 
+	private isOpen(daemon: DaemonId): boolean {
+		return this.links.get(daemon)?.socket.readyState === WebSocket.OPEN;
+	}
+
+	private forget(key: string): void {
+		const wanted = this.wanted.get(key);
+		clearTimeout(wanted?.timer);
+		wanted?.dialling?.terminate();
+		this.wanted.delete(key);
+	}
+
 	private checkHandshake(req: IncomingMessage): string | undefined {
 		if (req.headers['x-cicadapost-protocol'] !== String(protocolVersion)) {
 			return `peer speaks protocol ${String(req.headers['x-cicadapost-protocol'])}, this daemon ${protocolVersion}; run the same release on both`;
@@ -114,63 +184,120 @@
 			return 'peer presented another peerSecret; use the same one in the settings of each daemon';
 		}
 
+		const daemon = req.headers['x-cicadapost-daemon'];
+		if (daemon === undefined || daemon === this.options.self) {
+			return `peer presented the id "${String(daemon)}"; give each daemon an id of its own`;
+		}
+
 		return undefined;
 	}
 
-	private dial(address: string): void {
-		if (this.isClosed || !this.dialled.has(address)) {
+	private isWanted(wanted: Wanted): boolean {
+		return !this.isClosed && this.wanted.get(wanted.daemon ?? wanted.address) === wanted;
+	}
+
+	private dialLater(wanted: Wanted): void {
+		wanted.timer = setTimeout(() => {
+			this.dial(wanted);
+		}, redialMs);
+	}
+
+	private dial(wanted: Wanted): void {
+		if (!this.isWanted(wanted)) {
 			return;
 		}
 
-		const link = new WebSocket(`ws://${address}/peer`, {
+		if (wanted.daemon !== undefined && this.isOpen(wanted.daemon)) {
+			this.dialLater(wanted);
+			return;
+		}
+
+		const link = new WebSocket(`ws://${wanted.address}/peer`, {
 			headers: {
 				'x-cicadapost-protocol': String(protocolVersion),
 				'x-cicadapost-daemon': this.options.self,
 				authorization: `Bearer ${this.options.secret}`,
 			},
-			handshakeTimeout: 2000,
+			handshakeTimeout: handshakeTimeoutMs,
 			maxPayload: maxFrameBytes,
 			perMessageDeflate: false,
 		});
+		wanted.dialling = link;
 		let daemon: DaemonId | undefined;
 		link.on('upgrade', res => {
 			daemon = String(res.headers['x-cicadapost-daemon']) as DaemonId;
 		});
 		link.on('open', () => {
-			if (daemon !== undefined) {
-				this.adopt(daemon, link);
-			}
+			wanted.dialling = undefined;
+			this.opened(wanted, daemon, link);
 		});
 		link.on('error', () => {
 			// The close event follows and dials again.
 		});
 		link.on('close', () => {
-			if (this.dialled.has(address)) {
-				this.dialled.set(address, setTimeout(() => {
-					this.dial(address);
-				}, redialMs));
+			wanted.dialling = undefined;
+			if (this.isWanted(wanted)) {
+				this.dialLater(wanted);
 			}
 		});
 	}
 
-	private adopt(daemon: DaemonId, link: WebSocket): void {
+	private opened(wanted: Wanted, daemon: DaemonId | undefined, link: WebSocket): void {
+		if (daemon === undefined || (wanted.daemon !== undefined && daemon !== wanted.daemon)) {
+			this.emit('rejected', `${wanted.address} answered as ${String(daemon)}, not as ${String(wanted.daemon)}; the VM list may lag`);
+			link.terminate();
+			return;
+		}
+
+		if (wanted.daemon === undefined) {
+			this.wanted.delete(wanted.address);
+			wanted.daemon = daemon;
+			if (!this.wanted.has(daemon)) {
+				this.wanted.set(daemon, wanted);
+			}
+		}
+
+		this.adopt(daemon, {socket: link, dialledBy: this.options.self});
+	}
+
+	/** Uses a new connection. Of two that were dialled at once, both ends keep the one of the lower id. */
+	private adopt(daemon: DaemonId, link: Link): void {
+		const old = this.links.get(daemon);
+		const preferred = this.options.self < daemon ? this.options.self : daemon;
+		const keepsOld = old?.socket.readyState === WebSocket.OPEN && old.dialledBy === preferred && link.dialledBy !== preferred;
+		this.listenTo(daemon, link.socket);
+		if (keepsOld) {
+			link.socket.close();
+			return;
+		}
+
 		this.links.set(daemon, link);
-		let timer = this.watch(link);
-		link.on('message', (data: Uint8Array) => {
+		old?.socket.close();
+		this.emit('connected', daemon);
+		for (const {message, timer} of this.held.get(daemon) ?? []) {
+			clearTimeout(timer);
+			this.send(daemon, message);
+		}
+
+		this.held.delete(daemon);
+	}
+
+	private listenTo(daemon: DaemonId, socket: WebSocket): void {
+		let timer = this.watch(socket);
+		socket.on('message', (data: Uint8Array) => {
 			clearTimeout(timer);
-			timer = this.watch(link);
+			timer = this.watch(socket);
 			this.receive(daemon, data);
 		});
-		link.on('error', () => {
+		socket.on('error', () => {
 			// The close event follows.
 		});
-		link.on('close', () => {
+		socket.on('close', () => {
 			clearTimeout(timer);
-			if (this.links.get(daemon) === link) {
+			if (this.links.get(daemon)?.socket === socket) {
 				this.links.delete(daemon);
 			}
 		});
-		this.emit('connected', daemon);
 	}
 
 	/** A connection that went silent is cut; heartbeats keep a good one from ever being silent for so long. */
@@ -198,3 +325,22 @@
 		this.emit('message', from, message);
 	}
 }
+
+/** Closes after the frames that wait have been written, or after a time limit. */
+async function closeSocket(socket: WebSocket): Promise<void> {
+	if (socket.readyState === WebSocket.CLOSED) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		const timer = setTimeout(() => {
+			socket.terminate();
+			resolve();
+		}, closeTimeoutMs);
+		socket.once('close', () => {
+			clearTimeout(timer);
+			resolve();
+		});
+		socket.close();
+	});
+}
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -25,7 +25,9 @@
 	private isStepping = false;
 	private version: number;
 	/** Faults that a test can ask for with `POST /control`. */
-	private readonly faults = {slowness: 1, silent: false, poison: ''};
+	private readonly faults = {
+		slowness: 1, silent: false, poison: '', leaving: false,
+	};
 
 	constructor(private readonly options: EngineOptions) {
 		super(options.port ?? 0);
@@ -48,7 +50,9 @@
 			}
 
 			case 'GET /state': {
-				sendJson(res, 200, {name: this.options.name, version: this.version, running: this.sequences.size});
+				sendJson(res, 200, {
+					name: this.options.name, version: this.version, running: this.sequences.size, leaving: this.faults.leaving,
+				});
 				break;
 			}
 
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -18,8 +18,14 @@
 	configurationVersion: number;
 	/** The daemon is shutting down and takes no new work. */
 	leaving: boolean;
-	/** Upstreams of the sender's data centre that must get no new work. */
+	/** Upstreams of the sender's data centre that must get no new work, as the sender itself has read. */
 	leavingUpstreams: readonly UpstreamId[];
+	/** Grows with each heartbeat of one incarnation, so that a late or repeated one is recognised. */
+	sequence?: number;
+	/** Live daemons of the sender's data centre, from its gateways to other data centres. */
+	live?: readonly DaemonId[];
+	/** Other data centres that the sender has a connection to, from a gateway to its own data centre. */
+	reaches?: readonly DataCentreId[];
 }>;
 
 /** Asks the owner of `shard` for a slot on one of its upstreams. */
--- a/packages/types/src/vm.ts
+++ b/packages/types/src/vm.ts
@@ -10,3 +10,15 @@
 	/** `host:port` of the peer listener, for entry VMs. */
 	peerAddress?: string;
 }>;
+
+/** What an upstream tells about itself. */
+export type UpstreamStatus = Readonly<{
+	/** It is being taken out of service and must get no new work. */
+	leaving: boolean;
+	/** Weight version that it runs. */
+	version: number;
+	/** It is loading another version. */
+	swapping: boolean;
+	/** Highest fencing number of an order that it has carried out; 0 if none. */
+	fence: number;
+}>;
