Shutdown on real processes, control traffic at 370 daemons

Cause: found by the new tests. (1) A late "not-owner" refusal of an acquire that had been granted elsewhere failed the granted attempt, so the request waited until its deadline and the process did not end. (2) An acquire was lost when its owner gave a shard up and got it back between two heartbeats. (3) The last daemons of a data centre ended while they still held waiting requests of each other.

Ruled out: message loss as the cause of (1).

An acquire whose grant is lost is not granted again, since the scheduler treats the repeat as known.

--- /dev/null
+++ b/packages/decision/src/control-traffic.test.ts
@@ -0,0 +1,46 @@
+import {encodeMessage} from '@cicadapost/peers';
+import type {DaemonId} from '@cicadapost/types';
+import {describe, expect, it} from 'vitest';
+import {Bench} from './test-bench.js';
+
+const dataCentres = 8;
+const daemons = 370;
+const secondsMeasured = 5;
+const stepMs = 250;
+/** Of a WebSocket frame below 64 KiB from a client; one from a server is shorter. */
+const frameHeaderBytes = 8;
+const limitBytesPerSecond = 16_384;
+
+describe('control traffic at the size to design for', () => {
+	it('stays within 16 KB/s and few connections for each daemon, sent and received together', () => {
+		const bench = new Bench();
+		for (let index = 0; index < daemons; index++) {
+			const number = index % dataCentres;
+			const dataCentre = `region-${number % 3}-dc-${number}`;
+			bench.start(`${dataCentre}-entry-${String(index).padStart(3, '0')}`, dataCentre);
+		}
+
+		bench.listVms();
+		bench.run(2000, stepMs);
+		bench.recorded.length = 0;
+		bench.run(secondsMeasured * 1000, stepMs);
+		const bytes = new Map<DaemonId, number>();
+		const peers = new Map<DaemonId, Set<DaemonId>>();
+		for (const {daemon, action} of bench.recorded) {
+			if (action.kind === 'send') {
+				const size = encodeMessage(action.message).length + frameHeaderBytes;
+				for (const [one, other] of [[daemon, action.to], [action.to, daemon]] as const) {
+					bytes.set(one, (bytes.get(one) ?? 0) + size);
+					peers.set(one, (peers.get(one) ?? new Set()).add(other));
+				}
+			}
+		}
+
+		const most = Math.max(...bytes.values()) / secondsMeasured;
+		const connections = Math.max(...[...peers.values()].map(set => set.size));
+		console.log(`control traffic: at most ${Math.round(most)} bytes/s and ${connections} connections for one daemon`);
+		expect(bytes.size).toBe(daemons);
+		expect(most).toBeLessThan(limitBytesPerSecond);
+		expect(connections).toBeLessThan(70);
+	});
+});
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -18,8 +18,8 @@
 	acquire: Acquire;
 	to: DaemonId | undefined;
 	sentAt: Millis;
-	/** Set after a refusal by a daemon that is not the owner, or while no owner is known. */
-	retryAt?: Millis;
+	/** When it is sent again if there is no answer: sooner after a refusal by a daemon that is not the owner. */
+	retryAt: Millis;
 }>;
 
 export type DaemonState = {
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -23,6 +23,8 @@
 import {shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
+/** An `acquire` is repeated while it waits: it may have been lost, or the owner may have passed the shard on and got it back. */
+const acquireRepeatMs = 1000;
 /** The VM list lags, so an upstream is asked itself whether it is leaving. */
 const stateReadIntervalMs = 1000;
 
@@ -142,7 +144,11 @@
 	}
 
 	private stopIfIdle(): void {
-		if (this.state.leaving && !this.state.stopped && this.state.router.requests.size === 0 && this.state.configuration.applies.size === 0) {
+		const {leaving, stopped, router, configuration, schedulers} = this.state;
+		// The last daemons of a data centre keep shards, and other daemons' requests in them, until those have ended.
+		const isIdle = router.requests.size === 0 && configuration.applies.size === 0
+			&& [...schedulers.values()].every(scheduler => scheduler.waiting.length === 0 && scheduler.running.size === 0);
+		if (leaving && !stopped && isIdle) {
 			this.state.stopped = true;
 			this.actions.push({kind: 'stopped'});
 		}
@@ -407,8 +413,10 @@
 			return;
 		}
 
-		const open = {acquire, to: owner, sentAt: this.now};
-		acquires.set(acquire.attempt, owner === undefined ? {...open, retryAt: this.now + notOwnerRetryMs} : open);
+		const retryAt = this.now + (owner === undefined ? notOwnerRetryMs : acquireRepeatMs);
+		acquires.set(acquire.attempt, {
+			acquire, to: owner, sentAt: this.now, retryAt,
+		});
 		if (owner !== undefined) {
 			this.sendOrReceive(owner, acquire);
 		}
@@ -422,7 +430,8 @@
 	private retryAcquire(from: DaemonId, attempt: AttemptId): boolean {
 		const open = this.state.acquires.get(attempt);
 		if (open?.to !== from) {
-			return open !== undefined;
+			// The refusal is late: the acquire has been granted, or has been sent to another daemon since.
+			return true;
 		}
 
 		if (!this.placesOf(open.acquire.request.pool).shards.includes(open.acquire.shard)) {
@@ -441,7 +450,7 @@
 
 	private repeatAcquires(): void {
 		for (const open of this.state.acquires.values()) {
-			if (open.retryAt !== undefined && this.now >= open.retryAt) {
+			if (this.now >= open.retryAt) {
 				this.resendAcquire(open);
 			}
 		}
--- a/packages/decision/src/membership.test.ts
+++ b/packages/decision/src/membership.test.ts
@@ -226,6 +226,45 @@
 		expect(bench.state(leaving).schedulers.size).toBe(0);
 	});
 
+	it('does not fail a granted request by a refusal that comes late, so that the request is not repeated in vain', () => {
+		call('a1', 'r1');
+		const {attempt} = bench.actions('open-attempt', 'a1')[0]!;
+		bench.post('a1', {
+			kind: 'message', from: otherThan('a1', owner()) as DaemonId, message: {
+				kind: 'refuse', attempt, reason: 'not-owner', retryAfterMs: 0,
+			},
+		});
+		expect(bench.actions('cancel-attempt')).toEqual([]);
+	});
+
+	it('at the same time as all others still grants what waits, so that the last requests end', () => {
+		bench.daemons.delete('a3' as DaemonId);
+		bench.run(5000);
+		for (const name of ['r1', 'r2', 'r3', 'r4']) {
+			call(name === 'r1' ? 'a2' : 'a1', name);
+		}
+
+		bench.isCut = () => true;
+		bench.post('a1', {kind: 'shut-down'});
+		bench.post('a2', {kind: 'shut-down'});
+		bench.isCut = () => false;
+		bench.run(2000);
+		for (let round = 0; round < 2; round++) {
+			for (const daemon of ['a1', 'a2']) {
+				for (const {attempt} of bench.actions('open-attempt', daemon)) {
+					bench.post(daemon, {
+						kind: 'attempt-finished', attempt, tokens: 0, status: 200, contentType: 'text/event-stream',
+					});
+				}
+			}
+
+			bench.run(1000);
+		}
+
+		expect(bench.actions('complete')).toHaveLength(4);
+		expect(bench.actions('stopped')).toHaveLength(2);
+	});
+
 	it('keeps its shards while no other daemon is there, so that its own last requests get a slot', () => {
 		for (const daemon of ['a2', 'a3']) {
 			bench.daemons.delete(daemon as DaemonId);
--- a/packages/decision/src/test-bench.ts
+++ b/packages/decision/src/test-bench.ts
@@ -11,7 +11,7 @@
 type RowAction = Extract<DaemonAction, {kind: 'read-row' | 'write-row'}>;
 type Recorded = Readonly<{daemon: DaemonId; at: Millis; action: DaemonAction}>;
 
-const stepMs = 50;
+const defaultStepMs = 50;
 
 export class Bench {
 	now: Millis = 0;
@@ -64,8 +64,8 @@
 		this.drain();
 	}
 
-	/** Lets `ms` pass with a tick for each daemon every 50 ms. */
-	run(ms: Millis): void {
+	/** Lets `ms` pass with a tick for each daemon every `stepMs`. */
+	run(ms: Millis, stepMs = defaultStepMs): void {
 		for (const end = this.now + ms; this.now < end;) {
 			this.now += stepMs;
 			for (const daemon of this.daemons.keys()) {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -8,7 +8,7 @@
 	daemonTimeoutMs, heartbeatIntervalMs, type MembershipState, type PeerView,
 } from './state.js';
 import {
-	gatewayRank, isSettled, liveDaemons, otherDataCentres, ownsInDataCentre, vmListKey,
+	gatewayRank, isSettled, liveDaemons, liveIntervalMs, otherDataCentres, ownsInDataCentre, vmListKey,
 } from './views.js';
 
 /** The VM list is read this often by one daemon of each data centre. */
@@ -60,6 +60,7 @@
 /** Marks the views as changed. */
 function change(state: MembershipState): MembershipAction[] {
 	state.owners.clear();
+	state.gatewayRanks.clear();
 	return [changed];
 }
 
@@ -108,12 +109,13 @@
 	remember(state, from, heartbeat);
 	inherit(state, known, new Set(heartbeat.leavingUpstreams), now);
 	state.unreachable.delete(from);
-	state.peers.set(from, viewOf(heartbeat, now));
+	state.peers.set(from, viewOf(heartbeat, isRestarted ? undefined : known, now));
 	const isChanged = isRestarted || known?.leaving !== heartbeat.leaving || known.dataCentre !== heartbeat.dataCentre;
+	const namesUpstreams = heartbeat.leavingUpstreams.length > 0 || (known?.leavingUpstreams.size ?? 0) > 0;
 	return [
 		...(isRestarted ? [{kind: 'daemon-lost' as const, daemon: from}] : []),
 		...(isChanged ? change(state) : []),
-		...refreshLeaving(state),
+		...(namesUpstreams ? refreshLeaving(state) : []),
 	];
 }
 
@@ -126,7 +128,7 @@
 	}
 }
 
-function viewOf(heartbeat: Heartbeat, now: Millis): PeerView {
+function viewOf(heartbeat: Heartbeat, known: PeerView | undefined, now: Millis): PeerView {
 	return {
 		dataCentre: heartbeat.dataCentre,
 		incarnation: heartbeat.incarnation,
@@ -135,7 +137,8 @@
 		leaving: heartbeat.leaving,
 		configurationVersion: heartbeat.configurationVersion,
 		leavingUpstreams: new Set(heartbeat.leavingUpstreams),
-		live: heartbeat.live,
+		live: heartbeat.live ?? known?.live,
+		liveAt: heartbeat.live === undefined ? known?.liveAt ?? now : now,
 		reaches: heartbeat.reaches ?? [],
 	};
 }
@@ -147,7 +150,7 @@
 	}
 
 	state.peers.set(from, {
-		dataCentre: state.dataCentre, incarnation: 0, sequence: 0, heardAt: now, leaving: true, configurationVersion: 0, leavingUpstreams: new Set(), live: undefined, reaches: [],
+		dataCentre: state.dataCentre, incarnation: 0, sequence: 0, heardAt: now, leaving: true, configurationVersion: 0, leavingUpstreams: new Set(), live: undefined, liveAt: now, reaches: [],
 	});
 	return change(state);
 }
@@ -186,9 +189,8 @@
 function noticeTime(state: MembershipState, now: Millis): MembershipAction[] {
 	const gap = now - (state.decidedAt ?? now);
 	const wasSettled = isSettled(state);
-	const hadPeers = [...state.peers.values()].some(peer => peer.dataCentre === state.dataCentre);
 	state.decidedAt = now;
-	if (gap > daemonTimeoutMs && hadPeers) {
+	if (gap > daemonTimeoutMs && [...state.peers.values()].some(peer => peer.dataCentre === state.dataCentre)) {
 		state.settledAt = now + settleMs;
 	}
 
@@ -196,14 +198,31 @@
 	return wasSettled === isSettled(state) ? actions : [...actions, ...change(state)];
 }
 
+/** The list of live daemons, if this daemon is a gateway and the list is due: it is most of the traffic between data centres. */
+function liveFor(state: MembershipState, to: DaemonId, dataCentre: DataCentreId): {live?: DaemonId[]} {
+	if (gatewayRank(state, dataCentre) === -1) {
+		state.liveSent.delete(to);
+		return {};
+	}
+
+	const live = liveDaemons(state, state.dataCentre);
+	const now = state.decidedAt ?? 0;
+	const last = state.liveSent.get(to);
+	if (last?.live === live.join(' ') && now - last.at < liveIntervalMs) {
+		return {};
+	}
+
+	state.liveSent.set(to, {live: live.join(' '), at: now});
+	return {live};
+}
+
 function heartbeatTo(state: MembershipState, to: DaemonId): Extract<MembershipAction, {kind: 'send-heartbeat'}>['heartbeat'] {
 	const dataCentre = state.peers.get(to)?.dataCentre ?? state.listed.get(to)?.dataCentre;
 	const base = {
 		kind: 'heartbeat' as const, dataCentre: state.dataCentre, sequence: state.sequence, leaving: state.leaving,
 	};
 	if (dataCentre !== undefined && dataCentre !== state.dataCentre) {
-		const isGateway = gatewayRank(state, dataCentre) !== -1;
-		return {...base, leavingUpstreams: [], ...(isGateway ? {live: liveDaemons(state, state.dataCentre)} : {})};
+		return {...base, leavingUpstreams: [], ...liveFor(state, to, dataCentre)};
 	}
 
 	const heard = new Set([...state.peers.values()].map(peer => peer.dataCentre));
@@ -213,11 +232,11 @@
 
 function sendHeartbeats(state: MembershipState): MembershipAction[] {
 	state.sequence++;
-	const local = new Map<string, ReturnType<typeof heartbeatTo>>();
+	let local: ReturnType<typeof heartbeatTo> | undefined;
 	return [...new Set([...state.peers.keys(), ...state.connections.keys()])].map(to => {
-		const key = state.peers.get(to)?.dataCentre ?? state.listed.get(to)?.dataCentre ?? state.dataCentre;
-		const heartbeat = local.get(key) ?? heartbeatTo(state, to);
-		local.set(key, heartbeat);
+		const isLocal = (state.peers.get(to) ?? state.listed.get(to))?.dataCentre === state.dataCentre;
+		const heartbeat = isLocal ? local ?? heartbeatTo(state, to) : heartbeatTo(state, to);
+		local = isLocal ? heartbeat : local;
 		return {kind: 'send-heartbeat', to, heartbeat};
 	});
 }
@@ -281,6 +300,7 @@
 		}
 
 		case 'connected': {
+			state.liveSent.delete(event.daemon);
 			return [{kind: 'send-heartbeat', to: event.daemon, heartbeat: {...heartbeatTo(state, event.daemon), sequence: ++state.sequence}}];
 		}
 
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -17,6 +17,7 @@
 	leavingUpstreams: ReadonlySet<UpstreamId>;
 	/** Live daemons of its data centre, if it is a gateway of another one. */
 	live: readonly DaemonId[] | undefined;
+	liveAt: Millis;
 	/** Data centres that it has a connection to, if it is a gateway of this one. */
 	reaches: readonly DataCentreId[];
 };
@@ -53,6 +54,8 @@
 	unreachable: Map<DaemonId, Millis>;
 	/** The last heartbeat of each daemon, kept after the daemon is lost, so that older ones are recognised. */
 	lastHeard: Map<DaemonId, Readonly<{incarnation: number; sequence: number}>>;
+	/** The list of live daemons that was sent last to each daemon of another data centre. */
+	liveSent: Map<DaemonId, Readonly<{live: string; at: Millis}>>;
 	sequence: number;
 	nextHeartbeatAt: Millis;
 	nextListAt: Millis;
@@ -62,6 +65,8 @@
 	settledAt: Millis;
 	/** Owners that were computed since the views changed last. */
 	owners: Map<string, DaemonId | undefined>;
+	/** Likewise the rank of this daemon among the gateways towards each other data centre. */
+	gatewayRanks: Map<DataCentreId, number>;
 };
 
 export type MembershipOptions = Readonly<{
@@ -84,11 +89,13 @@
 		inUse: new Set(),
 		unreachable: new Map(),
 		lastHeard: new Map(),
+		liveSent: new Map(),
 		sequence: 0,
 		nextHeartbeatAt: 0,
 		nextListAt: 0,
 		decidedAt: undefined,
 		settledAt: Number.NEGATIVE_INFINITY,
 		owners: new Map(),
+		gatewayRanks: new Map(),
 	};
 }
--- a/packages/membership/src/views.ts
+++ b/packages/membership/src/views.ts
@@ -6,6 +6,10 @@
 
 /** Gateways for each ordered pair of data centres. Two, so that the loss of one is not noticed. */
 export const gatewaysPerPair = 2;
+/** A gateway repeats the list of live daemons this often; it sends it at once when it changes. */
+export const liveIntervalMs = 5000;
+/** Two repeats may be lost before a list counts as old. */
+const liveLifetimeMs = 3 * liveIntervalMs;
 /** Key of the daemon that reads the VM list for its data centre. */
 export const vmListKey = 'vm-list';
 
@@ -58,7 +62,10 @@
 /** Daemons of another data centre that are likely to accept a connection, by summaries if there are any, else by the VM list. */
 export function reachableDaemons(state: MembershipState, dataCentre: DataCentreId): DaemonId[] {
 	const heard = [...state.peers].filter(([, peer]) => peer.dataCentre === dataCentre);
-	const summaries = heard.map(([, peer]) => peer.live).filter(live => live !== undefined);
+	const summaries = heard
+		.filter(([, peer]) => (state.decidedAt ?? 0) - peer.liveAt < liveLifetimeMs)
+		.map(([, peer]) => peer.live)
+		.filter(live => live !== undefined);
 	const listed = [...state.listed].filter(([, vm]) => vm.dataCentre === dataCentre && !vm.leaving).map(([daemon]) => daemon);
 	const known = new Set([...(summaries.length > 0 ? summaries.flat() : listed), ...heard.map(([daemon]) => daemon)]);
 	const accepting = sorted(known).filter(daemon => state.peers.get(daemon)?.leaving !== true);
@@ -73,7 +80,14 @@
 
 /** Position of this daemon among the gateways of its data centre towards `other`, or -1. */
 export function gatewayRank(state: MembershipState, other: DataCentreId): number {
-	return rankedFor(gatewayKey(state.dataCentre, other), liveDaemons(state, state.dataCentre), gatewaysPerPair).indexOf(state.self);
+	const known = state.gatewayRanks.get(other);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const rank = rankedFor(gatewayKey(state.dataCentre, other), liveDaemons(state, state.dataCentre), gatewaysPerPair).indexOf(state.self);
+	state.gatewayRanks.set(other, rank);
+	return rank;
 }
 
 /** The daemon of `other` that the gateway of rank `rank` exchanges summaries with. */
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -2,3 +2,4 @@
 
 export * from './parse-message.js';
 export * from './peer-links.js';
+export * from './encode-message.js';
--- a/packages/peers/src/parse-message.ts
+++ b/packages/peers/src/parse-message.ts
@@ -1,9 +1,20 @@
 import type {PeerMessage} from '@cicadapost/types';
 import {z} from 'zod';
 
-const messageSchema = z.looseObject({
+const heartbeatSchema = z.object({
+	kind: z.literal('heartbeat'),
+	dataCentre: z.string(),
+	incarnation: z.number(),
+	sequence: z.int().optional(),
+	configurationVersion: z.int(),
+	leaving: z.boolean(),
+	leavingUpstreams: z.array(z.string()),
+	live: z.array(z.string()).optional(),
+	reaches: z.array(z.string()).optional(),
+});
+
+const otherSchema = z.looseObject({
 	kind: z.enum([
-		'heartbeat',
 		'acquire',
 		'grant',
 		'refuse',
@@ -18,6 +29,8 @@
 	]),
 });
 
+const messageSchema = z.discriminatedUnion('kind', [heartbeatSchema, otherSchema]);
+
 /** The message in `frame`, or undefined if it is none. */
 export function parsePeerMessage(frame: unknown): PeerMessage | undefined {
 	const parsed = messageSchema.safeParse(frame);
--- a/packages/peers/src/peer-links.ts
+++ b/packages/peers/src/peer-links.ts
@@ -4,9 +4,8 @@
 import {
 	protocolVersion, type DaemonId, type PeerMessage,
 } from '@cicadapost/types';
-import {Packr} from 'msgpackr';
 import {WebSocket, WebSocketServer} from 'ws';
-import {parsePeerMessage} from './parse-message.js';
+import {decodeMessage, encodeMessage} from './encode-message.js';
 
 export type PeerLinksOptions = Readonly<{
 	self: DaemonId;
@@ -49,7 +48,6 @@
 
 /** Connections to other daemons. Owns their sockets. */
 export class PeerLinks extends EventEmitter<Events> {
-	private readonly packr = new Packr({useRecords: false});
 	private readonly links = new Map<DaemonId, Link>();
 	/** By daemon, or by address for a seed. */
 	private readonly wanted = new Map<string, Wanted>();
@@ -125,7 +123,7 @@
 	send(to: DaemonId, message: PeerMessage): void {
 		const link = this.links.get(to);
 		if (link?.socket.readyState === WebSocket.OPEN) {
-			link.socket.send(this.packr.pack(message));
+			link.socket.send(encodeMessage(message));
 			return;
 		}
 
@@ -308,15 +306,14 @@
 	}
 
 	private receive(from: DaemonId, data: Uint8Array): void {
-		let frame: unknown;
+		let message: PeerMessage | undefined;
 		try {
-			frame = this.packr.unpack(data);
+			message = decodeMessage(data);
 		} catch {
 			this.emit('rejected', `frame from ${from} is not MessagePack`);
 			return;
 		}
 
-		const message = parsePeerMessage(frame);
 		if (message === undefined) {
 			this.emit('rejected', `frame from ${from} is not a known message`);
 			return;
