--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -8,7 +8,7 @@
 import {createSuspectTable, type SchedulerState, type SuspectTable} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, DaemonId, DataCentreId, Millis, RegionId, RequestId, ShardId,
+	Acquire, AttemptId, DaemonId, DataCentreId, Millis, RegionId, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
 import type {HeldGrants} from './held-grants.js';
 import {createRelays, type RelaysState} from './relays.js';
@@ -24,7 +24,8 @@
 /** An `acquire` without an answer yet. It is sent again when the shard changes its owner. */
 export type OpenAcquire = Readonly<{
 	acquire: Acquire;
-	to: DaemonId;
+	/** Undefined while the shard has no owner. */
+	to: DaemonId | undefined;
 	deadlineAt: Millis;
 	/** Time at which the owner is asked again if it has not answered. */
 	askAgainAt: Millis;
@@ -52,6 +53,8 @@
 	grants: HeldGrants;
 	/** Fingerprints that were on dead upstreams, shared with all daemons. */
 	suspects: SuspectTable;
+	/** When the state of each upstream of an owned shard is read next. */
+	stateReads: Map<UpstreamId, Millis>;
 	leaving: boolean;
 	stopped: boolean;
 	/** Number of platform calls so far; makes their ids. */
@@ -82,6 +85,7 @@
 		acquires: new Map(),
 		grants: new Map(),
 		suspects: createSuspectTable(),
+		stateReads: new Map(),
 		leaving: false,
 		stopped: false,
 		calls: 0,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -8,7 +8,7 @@
 } from '@cicadapost/configuration';
 import {ProblemError} from '@cicadapost/errors';
 import {
-	decideMembership, firstGatewayPeers, liveDaemons, ownerIn, type MembershipAction, type MembershipEvent,
+	decideMembership, firstGatewayPeers, isReachable, isSettled, ownsInDataCentre, relayTarget, type MembershipAction, type MembershipEvent,
 } from '@cicadapost/membership';
 import {
 	decideRollouts, stepsToOwn, type RolloutAction, type RolloutEvent,
@@ -17,13 +17,13 @@
 	decideRouting, mayHaveSent, type PoolPlaces, type RouterAction, type RouterEvent,
 } from '@cicadapost/routing';
 import {
-	allSuspects, createScheduler, decideScheduling, mergeSuspects, type SchedulerAction, type SchedulerEvent,
+	allSuspects, createScheduler, decideScheduling, mergeSuspects, waitingCount, type SchedulerAction, type SchedulerEvent,
 } from '@cicadapost/scheduling';
 import {siteConfiguration} from '@cicadapost/settings';
 import type {
-	CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId,
+	Acquire, AttemptId, CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
-import type {DaemonState, Origin} from './daemon-state.js';
+import type {DaemonState, OpenAcquire, Origin} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
 import {moveGrants, withdrawal} from './held-grants.js';
 import {documentFault, parseDocument} from './parse-document.js';
@@ -41,6 +41,8 @@
 /** First wait before an unanswered acquire is repeated. It doubles, since a long wait is mostly a place in a queue. */
 const askAgainMs: Millis = 1000;
 const maxAskAgainMs: Millis = 8000;
+/** The VM list lags, so an upstream is asked itself whether it is leaving. */
+const stateReadIntervalMs = 1000;
 
 /** Decides for one daemon. Updates `state` in place and returns it with the actions to carry out, in order. */
 export function decide(state: DaemonState, event: DaemonEvent, now: Millis): Outcome<DaemonState, DaemonAction> {
@@ -56,6 +58,8 @@
 	constructor(private readonly state: DaemonState, private readonly now: Millis) {}
 
 	receive(event: DaemonEvent): void {
+		// A process that was paused drops the views that have become old before it decides anything by them.
+		this.updateMembership({kind: 'time'});
 		switch (event.kind) {
 			case 'request': {
 				this.startRequest(event.request);
@@ -67,13 +71,6 @@
 				break;
 			}
 
-			case 'relay-unsent': {
-				this.route({
-					kind: 'failed', attempt: event.attempt, failure: 'relay-lost', sent: false,
-				});
-				break;
-			}
-
 			case 'attempt-sent': {
 				this.route({kind: 'sent', attempt: event.attempt});
 				break;
@@ -99,6 +96,24 @@
 				break;
 			}
 
+			case 'peer-connected': {
+				this.updateMembership({kind: 'connected', daemon: event.daemon});
+				break;
+			}
+
+			case 'message-unsent': {
+				this.receiveUnsent(event.to, event.message);
+				break;
+			}
+
+			case 'upstream-state': {
+				if (event.status !== undefined && this.state.stateReads.has(event.upstream)) {
+					this.updateMembership({kind: 'upstream-state', upstream: event.upstream, leaving: event.status.leaving});
+				}
+
+				break;
+			}
+
 			case 'vm-list': {
 				this.updateMembership({kind: 'vm-list', vms: event.vms});
 				break;
@@ -162,9 +177,12 @@
 	}
 
 	private tick(): void {
-		this.updateMembership({kind: 'tick'});
-		this.configure({kind: 'tick', call: this.nextCall(), isPoller: this.owns(configurationKey)});
+		const {relays} = this.state;
+		const inUse = new Set([...relays.sentTo.values(), ...[...relays.streams.values()].map(stream => stream.to)]);
+		this.updateMembership({kind: 'tick', inUse});
+		this.configure({kind: 'tick', call: this.nextCall(), isPoller: ownsInDataCentre(this.state.membership, configurationKey)});
 		this.claim({kind: 'tick'});
+		this.readStates();
 		this.route({kind: 'tick'});
 		this.askAgain();
 		this.sendFrames();
@@ -177,8 +195,11 @@
 	}
 
 	private stopIfIdle(): void {
-		const isIdle = this.state.router.requests.size === 0 && isClaimsIdle(this.state.claims) && this.state.configuration.applies.size === 0;
-		if (this.state.leaving && !this.state.stopped && isIdle) {
+		const {leaving, stopped, router, claims, configuration, schedulers} = this.state;
+		// The last daemons of a data centre keep shards, and other daemons' requests in them, until those have ended.
+		const isIdle = router.requests.size === 0 && isClaimsIdle(claims) && configuration.applies.size === 0
+			&& [...schedulers.values()].every(scheduler => waitingCount(scheduler) === 0 && scheduler.running.size === 0);
+		if (leaving && !stopped && isIdle) {
 			this.state.stopped = true;
 			this.actions.push({kind: 'stopped'});
 		}
@@ -311,7 +332,7 @@
 			.map(([shard, upstreams]) => ({shard, upstreams: upstreams.filter(({leaving}) => !leaving).map(({upstream}) => upstream)}));
 		const homeRegion = site.dataCentres[dataCentre]?.region;
 		const dataCentres = Object.entries(site.poolsByDataCentre)
-			.filter(([name, pools]) => name !== dataCentre && pools.includes(pool) && liveDaemons(membership, name as DataCentreId).length > 0)
+			.filter(([name, pools]) => name !== dataCentre && pools.includes(pool) && isReachable(membership, name as DataCentreId))
 			.map(([name]) => name as DataCentreId)
 			.sort((a, b) => Number(site.dataCentres[b]?.region === homeRegion) - Number(site.dataCentres[a]?.region === homeRegion));
 		return {shards, dataCentres};
@@ -337,11 +358,7 @@
 			}
 
 			case 'refuse': {
-				if (this.state.acquires.get(message.attempt)?.to === from) {
-					this.state.acquires.delete(message.attempt);
-					this.route({...message, kind: 'refused'});
-				}
-
+				this.receiveRefusal(from, message);
 				break;
 			}
 
@@ -532,6 +549,15 @@
 	}
 
 	private startRelayed(from: DaemonId, relay: Relay): void {
+		if (this.state.leaving) {
+			this.actions.push({
+				kind: 'send', to: from, message: {
+					kind: 'relay-failed', attempt: relay.attempt, failure: 'leaving', sent: false, retryAfterMs: notOwnerRetryMs,
+				},
+			});
+			return;
+		}
+
 		if (!takeRelay(this.state.relays, relay.attempt, this.now)) {
 			return;
 		}
@@ -555,6 +581,7 @@
 	}
 
 	private acquire(from: DaemonId, acquire: Extract<PeerMessage, {kind: 'acquire'}>): void {
+		this.updateMembership({kind: 'contacted', from});
 		if (this.state.schedulers.has(acquire.shard)) {
 			this.schedule(acquire.shard, {kind: 'acquire', from, acquire});
 			return;
@@ -667,23 +694,60 @@
 		}
 	}
 
-	private sendAcquire(acquire: Extract<PeerMessage, {kind: 'acquire'}>, deadlineAt: Millis = this.now + acquire.remainingMs, waitMs: Millis = askAgainMs): void {
-		const owner = shardOwner(this.state.membership, acquire.shard);
-		if (owner === undefined) {
+	private sendAcquire(acquire: Acquire, deadlineAt: Millis = this.now + acquire.remainingMs, waitMs: Millis = askAgainMs): void {
+		const {membership, acquires} = this.state;
+		const owner = shardOwner(membership, acquire.shard);
+		if (owner === undefined && isSettled(membership)) {
+			acquires.delete(acquire.attempt);
 			this.route({
 				kind: 'refused', attempt: acquire.attempt, reason: 'no-upstream', retryAfterMs: notOwnerRetryMs,
 			});
 			return;
 		}
 
-		this.state.acquires.set(acquire.attempt, {
-			acquire, to: owner, deadlineAt, askAgainAt: this.now + waitMs, waitMs,
+		acquires.set(acquire.attempt, {
+			acquire, to: owner, deadlineAt, askAgainAt: this.now + (owner === undefined ? notOwnerRetryMs : waitMs), waitMs,
 		});
-		this.sendOrReceive(owner, {...acquire, remainingMs: deadlineAt - this.now});
+		if (owner !== undefined) {
+			this.sendOrReceive(owner, {...acquire, remainingMs: deadlineAt - this.now});
+		}
+	}
+
+	private receiveRefusal(from: DaemonId, refusal: Extract<PeerMessage, {kind: 'refuse'}>): void {
+		const open = this.state.acquires.get(refusal.attempt);
+		if (open?.to !== from) {
+			// The refusal is late: the acquire has been granted, or has been sent to another daemon since.
+			return;
+		}
+
+		if (refusal.reason === 'not-owner' && this.retryAcquire(from, open)) {
+			return;
+		}
+
+		this.state.acquires.delete(refusal.attempt);
+		this.route({...refusal, kind: 'refused'});
+	}
+
+	/** Asks again after `from` turned out not to be the owner. False if the shard does not exist any more. */
+	private retryAcquire(from: DaemonId, open: OpenAcquire): boolean {
+		const {acquire, deadlineAt} = open;
+		if (!this.placesOf(acquire.request.pool).shards.some(({shard}) => shard === acquire.shard)) {
+			return false;
+		}
+
+		if (shardOwner(this.state.membership, acquire.shard) === from) {
+			// Views differ for a moment while a shard moves.
+			this.state.acquires.set(acquire.attempt, {...open, askAgainAt: this.now + notOwnerRetryMs});
+		} else {
+			this.sendAcquire(acquire, deadlineAt);
+		}
+
+		return true;
 	}
 
 	private sendRelay(dataCentre: DataCentreId, relay: Relay): void {
-		const to = ownerIn(this.state.membership, dataCentre, relay.attempt);
+		this.updateMembership({kind: 'relay-to', dataCentre});
+		const to = relayTarget(this.state.membership, dataCentre);
 		if (to === undefined) {
 			this.route({
 				kind: 'failed', attempt: relay.attempt, failure: 'relay-lost', sent: false,
@@ -695,6 +759,42 @@
 		this.actions.push({kind: 'send', to, message: relay});
 	}
 
+	private receiveUnsent(to: DaemonId, message: PeerMessage): void {
+		this.updateMembership({kind: 'unreachable', daemon: to});
+		if (message.kind === 'relay') {
+			this.state.relays.sentTo.delete(message.attempt);
+			this.route({
+				kind: 'failed', attempt: message.attempt, failure: 'relay-lost', sent: false,
+			});
+		}
+	}
+
+	/** Reads the state of each engine of the owned shards about once a second. */
+	private readStates(): void {
+		for (const [upstream, readAt] of this.state.stateReads) {
+			if (this.now >= readAt) {
+				this.state.stateReads.set(upstream, this.now + stateReadIntervalMs);
+				this.actions.push({kind: 'read-state', upstream});
+			}
+		}
+	}
+
+	private useOwnedUpstreams(upstreams: ReadonlySet<UpstreamId>): void {
+		const {stateReads} = this.state;
+		this.updateMembership({kind: 'upstreams-owned', upstreams});
+		for (const upstream of stateReads.keys()) {
+			if (!upstreams.has(upstream)) {
+				stateReads.delete(upstream);
+			}
+		}
+
+		for (const upstream of upstreams) {
+			if (!stateReads.has(upstream)) {
+				stateReads.set(upstream, this.now);
+			}
+		}
+	}
+
 	private answer(action: AnswerAction): void {
 		const origin = this.state.origins.get(action.requestId);
 		if (action.kind !== 'deliver') {
@@ -763,25 +863,20 @@
 			}
 
 			case 'send-heartbeat': {
+				const {incarnation, configuration} = this.state;
 				this.actions.push({
-					kind: 'send', to: action.to, message: {
-						kind: 'heartbeat',
-						dataCentre: this.state.dataCentre,
-						incarnation: this.state.incarnation,
-						configurationVersion: this.state.configuration.version,
-						leaving: action.leaving,
-						leavingUpstreams: action.leavingUpstreams,
-					},
+					kind: 'send', to: action.to, message: {...action.heartbeat, incarnation, configurationVersion: configuration.version},
 				});
 				break;
 			}
 
-			case 'daemon-lost': {
-				for (const shard of this.state.schedulers.keys()) {
-					this.schedule(shard, {kind: 'daemon-lost', daemon: action.daemon});
-				}
+			case 'read-vm-list': {
+				this.actions.push(action);
+				break;
+			}
 
-				this.loseRelays(action.daemon);
+			case 'daemon-lost': {
+				this.loseDaemon(action.daemon);
 				break;
 			}
 
@@ -794,9 +889,14 @@
 	}
 
 	/** Relays that ran on a lost daemon have failed; those that ran for it have no reader any more. */
-	private loseRelays(daemon: DaemonId): void {
+	private loseDaemon(daemon: DaemonId): void {
+		for (const shard of this.state.schedulers.keys()) {
+			this.schedule(shard, {kind: 'daemon-lost', daemon});
+		}
+
 		for (const [attempt, to] of this.state.relays.sentTo) {
 			if (to === daemon) {
+				this.state.relays.sentTo.delete(attempt);
 				this.route({
 					kind: 'failed', attempt, failure: 'relay-lost', sent: true,
 				});
@@ -826,13 +926,19 @@
 			}
 		}
 
+		const owned = new Set<UpstreamId>();
 		for (const [shard, upstreams] of shards) {
 			if (shardOwner(membership, shard) === self) {
+				for (const {upstream} of upstreams.filter(({upstream}) => site.pools[site.upstreams[upstream]?.pool ?? '']?.kind === 'engine')) {
+					owned.add(upstream);
+				}
+
 				schedulers.set(shard, schedulers.get(shard) ?? createScheduler({suspects: this.state.suspects}));
 				this.schedule(shard, {kind: 'upstreams-changed', upstreams, ...shardPolicy(site, shard)});
 			}
 		}
 
+		this.useOwnedUpstreams(owned);
 		// New owners hear first what runs already, so that they do not grant the same slots again.
 		for (const {to, message} of moveGrants(this.state.grants, shard => shardOwner(membership, shard), this.now)) {
 			this.sendOrReceive(to, message);
@@ -840,7 +946,10 @@
 
 		for (const open of acquires.values()) {
 			if (shardOwner(membership, open.acquire.shard) !== open.to) {
-				this.sendOrReceive(open.to, withdrawal(open.acquire));
+				if (open.to !== undefined) {
+					this.sendOrReceive(open.to, withdrawal(open.acquire));
+				}
+
 				this.sendAcquire(open.acquire, open.deadlineAt);
 			}
 		}
@@ -855,11 +964,6 @@
 		}
 	}
 
-	/** Whether this daemon does the work named `key` for its data centre. */
-	private owns(key: string): boolean {
-		return ownerIn(this.state.membership, this.state.dataCentre, key) === this.state.self;
-	}
-
 	private receiveConfiguration(from: DaemonId, message: ConfigurationMessage): void {
 		const {kind, passOn, ...configuration} = message;
 		const isLocal = this.state.membership.peers.get(from)?.dataCentre === this.state.dataCentre;
--- a/packages/decision/src/events.ts
+++ b/packages/decision/src/events.ts
@@ -3,7 +3,7 @@
 import type {ProblemError} from '@cicadapost/errors';
 import type {
 	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, ListedRow, MemberId, Millis, ObjectAnswer, Payload, PeerMessage, RefusalReason, Request, RequestId, RowAnswer,
-	TrainerAnswer, TrainerCall, UpstreamId, VersionSpan, VmRecord,
+	TrainerAnswer, TrainerCall, UpstreamId, UpstreamStatus, VersionSpan, VmRecord,
 } from '@cicadapost/types';
 
 export type DaemonEvent =
@@ -15,9 +15,13 @@
 	| Readonly<{kind: 'attempt-chunk'; attempt: AttemptId; chunk: Chunk}>
 	| Readonly<{kind: 'attempt-finished'; attempt: AttemptId; tokens: number; status: number; contentType: string}>
 	| Readonly<{kind: 'attempt-failed'; attempt: AttemptId; failure: AttemptFailure | RefusalReason; sent: boolean; retryAfterMs?: Millis; detail?: string}>
-	/** A relay was not handed to a connection, so no byte of it left. */
-	| Readonly<{kind: 'relay-unsent'; attempt: AttemptId}>
 	| Readonly<{kind: 'message'; from: DaemonId; message: PeerMessage}>
+	/** A connection to `daemon` is open. */
+	| Readonly<{kind: 'peer-connected'; daemon: DaemonId}>
+	/** No connection could be opened in time to send `message`. */
+	| Readonly<{kind: 'message-unsent'; to: DaemonId; message: PeerMessage}>
+	/** Answer to `read-state`; undefined if the upstream gave none. */
+	| Readonly<{kind: 'upstream-state'; upstream: UpstreamId; status: UpstreamStatus | undefined}>
 	| Readonly<{kind: 'vm-list'; vms: readonly VmRecord[]}>
 	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
 	| Readonly<{kind: 'list-answer'; call: CallId; rows: readonly ListedRow[] | undefined}>
@@ -36,6 +40,10 @@
 	| Readonly<{kind: 'send'; to: DaemonId; message: PeerMessage}>
 	| Readonly<{kind: 'connect'; daemon: DaemonId; address: string}>
 	| Readonly<{kind: 'disconnect'; daemon: DaemonId}>
+	/** The answer comes as `vm-list`. */
+	| Readonly<{kind: 'read-vm-list'}>
+	/** `GET /state` of an upstream. The answer comes as `upstream-state`. */
+	| Readonly<{kind: 'read-state'; upstream: UpstreamId}>
 	/** The edge checks `notAfter` again right before the first byte is written, and reports `late` if it has passed. */
 	| Readonly<{kind: 'open-attempt'; attempt: AttemptId; upstream: UpstreamId; payload: Payload; idempotent: boolean; resumeFrom: number; deadlineAt: Millis; notAfter: Millis}>
 	| Readonly<{kind: 'cancel-attempt'; attempt: AttemptId}>
--- a/packages/engines/src/index.ts
+++ b/packages/engines/src/index.ts
@@ -2,4 +2,5 @@
 
 export * from './attempt-failure.js';
 export * from './completion-stream.js';
+export * from './engine-state.js';
 export * from './read-events.js';
