Test exactly-once delivery of samples, and close four gaps

Cause: the hand-over had no tests.

Thinking through a paused owner showed two losses. A hand-over that takes effect after the new owner has answered the same fetchId left its group with a fetch that the trainer never repeats. A hand-over from memory that was recorded after an outage did the same.

Ruled out: a row for each fetch (one more write for each fetch and a second place for the truth); letting any later fetch take back a group (a late duplicate would then take one that the trainer has).

Change: ack may name the groups that came with the fetchId, and the acked rows keep that list; a group handed to a closed fetchId is acked if it is in the list and returns to the others if not. A hand-over from memory is recorded only when the trainer acknowledges or repeats it. "received" settles groups that the trainer has and fetches that were answered. A fetch waits until the samples of finished groups have been read.

Not caught by any test yet: release of a group by way of an answered fetch (received list).

--- a/packages/api/src/parse-trainer-call.ts
+++ b/packages/api/src/parse-trainer-call.ts
@@ -36,7 +36,7 @@
 		received: z.array(group).max(maxGroups).optional(),
 		submitted: z.int().min(0).max(maxGroups).optional(),
 	}),
-	ack: z.strictObject({step, fetchId}),
+	ack: z.strictObject({step, fetchId, groups: z.array(group).max(maxGroups).optional()}),
 } as const;
 
 const remedies: Readonly<Record<string, string>> = {
@@ -52,6 +52,7 @@
 	max: 'send the largest number of groups that you want, from 1',
 	currentVersion: 'send the weight version that the trainer has now, so that samples that are too old can be replaced',
 	received: 'send the indices of all groups of the step that you have, or leave the field out',
+	groups: 'send the indices of the groups that came with this fetchId, or leave the field out',
 	submitted: 'send the number of groups that you have submitted, or leave the field out',
 };
 
--- /dev/null
+++ b/packages/rollouts/src/decide-rollouts.test.ts
@@ -0,0 +1,421 @@
+import type {DaemonId, MemberId} from '@cicadapost/types';
+import {describe, expect, it} from 'vitest';
+import {
+	ack, fetch, groupsOf, RolloutBench, submission,
+} from './rollout-bench.js';
+
+const a = 'a' as DaemonId;
+const b = 'b' as DaemonId;
+const c = 'c' as DaemonId;
+
+/** A bench on which `count` groups are submitted and finished. */
+function finishedStep(count: number): RolloutBench {
+	const bench = new RolloutBench();
+	for (let group = 0; group < count; group++) {
+		bench.ask(a, submission(group));
+	}
+
+	bench.finishAll();
+	return bench;
+}
+
+describe('submit', () => {
+	it('answers only when the group is durable, so that the loss of its owner loses nothing', () => {
+		const bench = new RolloutBench();
+		const call = bench.send(b, submission(0));
+		expect(bench.answers.get(call)).toBeUndefined();
+		bench.settle();
+		expect(bench.answers.get(call)).toMatchObject({kind: 'submitted', durable: true});
+		expect([...bench.store.rows.keys()]).toEqual(['sfax/1/0']);
+		expect([...bench.store.objects.values()]).toEqual(['rota 0']);
+	});
+
+	it('runs a group once that is submitted twice at two daemons', () => {
+		const bench = new RolloutBench();
+		bench.ask(b, submission(0));
+		bench.ask(c, submission(0));
+		expect(bench.runs.size).toBe(2);
+	});
+
+	it('refuses the same group with another body, before and after the loss of the owner', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0));
+		const changed = submission(0, {prompt: 'another rota'});
+		expect(bench.ask(b, changed)).toMatchObject({problem: {kind: 'idempotency-conflict', outcome: 'not-run'}});
+		bench.kill(a);
+		expect(bench.ask(c, changed)).toMatchObject({problem: {kind: 'idempotency-conflict'}});
+	});
+
+	it('accepts a group that is not durable while the store is down, and writes it later', () => {
+		const bench = new RolloutBench();
+		bench.fault = () => 'down';
+		expect(bench.ask(b, submission(0))).toMatchObject({kind: 'submitted', durable: false});
+		bench.fault = () => 'none';
+		bench.run(1500);
+		expect(bench.ask(b, submission(0))).toMatchObject({kind: 'submitted', durable: true});
+	});
+
+	it('never lets a member see or change a group of another member', () => {
+		const bench = finishedStep(1);
+		const other = 'sfax/1' as MemberId;
+		expect(groupsOf(bench.ask(a, fetch('f'), other))).toEqual([]);
+		expect(bench.ask(a, submission(0, {prompt: 'mine'}), other)).toMatchObject({kind: 'submitted'});
+		expect(groupsOf(bench.ask(a, fetch('f')))).toEqual([0]);
+	});
+});
+
+describe('samples', () => {
+	it('gives each sample its own seed, and the same one after the loss of the owner', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0));
+		const before = [...bench.runs.values()].map(run => run.seed);
+		bench.kill(a);
+		bench.ask(b, fetch('f'));
+		expect(new Set(before).size).toBe(2);
+		expect([...bench.runs.values()].map(run => run.seed)).toEqual(before);
+	});
+
+	it('runs a failed sample again after a delay that grows', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0, {samples: 1}));
+		bench.fail([...bench.runs.keys()][0]!);
+		bench.advance(400);
+		expect(bench.runs.size).toBe(0);
+		bench.advance(200);
+		expect(bench.runs.size).toBe(1);
+		bench.fail([...bench.runs.keys()][0]!);
+		bench.advance(600);
+		expect(bench.runs.size).toBe(0);
+	});
+
+	it('does not accept a sample whose tokens do not all name a version', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0, {samples: 1}));
+		bench.finish([...bench.runs.keys()][0]!, [{from: 0, to: 2, version: 1}, {from: 3, to: 4, version: 1}]);
+		bench.settle();
+		expect(groupsOf(bench.ask(a, fetch('f')))).toEqual([]);
+	});
+
+	it('names each version of a sample whose weights changed in the middle', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0, {samples: 1}));
+		const versions = [{from: 0, to: 2, version: 1}, {from: 2, to: 4, version: 2}];
+		bench.finish([...bench.runs.keys()][0]!, versions);
+		bench.settle();
+		expect(bench.ask(b, fetch('f', {currentVersion: 2}))).toMatchObject({groups: [{samples: [{tokens: 4, versions}]}]});
+	});
+
+	describe('stragglers', () => {
+		function withStraggler(tokens: number): RolloutBench {
+			const bench = new RolloutBench(['a']);
+			bench.ask(a, submission(0, {samples: 4, maxTokens: 100}));
+			bench.advance(1000);
+			const [straggler, ...others] = [...bench.runs.keys()];
+			bench.feed(a, {
+				kind: 'sample-chunk', requestId: straggler!, chunk: {
+					offset: 0, tokens, version: 1, text: 'slow;',
+				},
+			});
+			for (const requestId of others) {
+				bench.finish(requestId, [{from: 0, to: 100, version: 1}]);
+			}
+
+			bench.settle();
+			bench.run(3000);
+			return bench;
+		}
+
+		it('counts whichever run finishes first, and cancels the other, never both', () => {
+			const bench = withStraggler(1);
+			const [first, second] = [...bench.runs.keys()];
+			expect(bench.runs.size).toBe(2);
+			expect(bench.runs.get(second!)?.seed).toBe(bench.runs.get(first!)?.seed);
+			bench.finish(second!, [{from: 0, to: 100, version: 1}]);
+			expect(bench.runs.size).toBe(0);
+			bench.feed(a, {
+				kind: 'sample-finished', requestId: first!, tokens: 1, versions: [{from: 0, to: 1, version: 1}],
+			});
+			bench.settle();
+			const answer = bench.ask(a, fetch('f'));
+			expect(answer).toMatchObject({groups: [{samples: [{text: `${second!}@1;`}, {}, {}, {}]}]});
+		});
+
+		it('does not run a sample twice that is long and not slow, since a second run could not overtake it', () => {
+			expect(withStraggler(400).runs.size).toBe(1);
+		});
+	});
+});
+
+describe('fetch', () => {
+	it('hands over whole groups only', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0));
+		bench.finish([...bench.runs.keys()][0]!);
+		expect(bench.ask(a, fetch('f'))).toMatchObject({groups: [], open: 1});
+	});
+
+	it('gives a repeat the same groups at any daemon, and another fetchId none of them', () => {
+		const bench = finishedStep(3);
+		const first = bench.ask(a, fetch('f', {max: 2}));
+		expect(groupsOf(first)).toEqual([0, 1]);
+		expect(bench.ask(b, fetch('f', {max: 2}))).toEqual(first);
+		expect(groupsOf(bench.ask(c, fetch('g')))).toEqual([2]);
+		bench.kill(a);
+		expect(bench.ask(c, fetch('f', {max: 2}))).toEqual({...first, open: 0});
+		expect(groupsOf(bench.ask(c, fetch('h')))).toEqual([]);
+	});
+
+	it('gives two concurrent fetches different groups', () => {
+		const bench = finishedStep(2);
+		const calls = [bench.send(a, fetch('f', {max: 1})), bench.send(b, fetch('g', {max: 1}))];
+		bench.settle();
+		expect(calls.map(call => groupsOf(bench.answers.get(call)))).toEqual([[0], [1]]);
+	});
+
+	it('hands a group over once when two daemons both believe that they own the step', () => {
+		const bench = finishedStep(1);
+		bench.ownerSeenBy = daemon => daemon;
+		bench.ask(b, fetch('other', {step: 2}));
+		const calls = [bench.send(a, fetch('f')), bench.send(b, fetch('g'))];
+		bench.settle();
+		expect(calls.flatMap(call => groupsOf(bench.answers.get(call)))).toEqual([0]);
+	});
+
+	it('keeps the samples of the daemon whose row was written first when two daemons run a group', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0));
+		bench.ownerSeenBy = daemon => daemon;
+		bench.ask(b, fetch('f'));
+		expect(bench.runs.size).toBe(4);
+		const [own, others] = [[...bench.runs.values()].filter(run => run.daemon === a), [...bench.runs.values()].filter(run => run.daemon === b)];
+		for (const run of [...others, ...own]) {
+			bench.finish(run.requestId);
+			bench.settle();
+		}
+
+		expect(bench.ask(a, fetch('f'))).toEqual(bench.ask(b, fetch('f')));
+		expect([...bench.store.objects.keys()].filter(key => key.startsWith('samples/'))).toHaveLength(1);
+	});
+
+	it('settles a hand-over whose answer was lost by reading back', () => {
+		const bench = finishedStep(1);
+		bench.fault = action => (action.kind === 'write-row' ? 'lost-answer' : 'none');
+		expect(bench.ask(b, fetch('f'))).toMatchObject({groups: [{group: 0}], durable: true});
+		bench.fault = () => 'none';
+		expect(groupsOf(bench.ask(b, fetch('g')))).toEqual([]);
+	});
+
+	it('replaces a sample that is too old, by its oldest tokens, and never delivers it', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0));
+		const [first, second] = [...bench.runs.keys()];
+		bench.finish(first!, [{from: 0, to: 1, version: 1}, {from: 1, to: 4, version: 3}]);
+		bench.finish(second!, [{from: 0, to: 4, version: 2}]);
+		bench.settle();
+		expect(groupsOf(bench.ask(a, fetch('f', {currentVersion: 3})))).toEqual([]);
+		expect(bench.runs.size).toBe(1);
+		bench.finishAll(3);
+		expect(bench.ask(a, fetch('f', {currentVersion: 3}))).toMatchObject({groups: [{samples: [{versions: [{version: 3}]}, {versions: [{version: 2}]}]}]});
+	});
+
+	it('checks a repeat against the weights that the trainer has by then', () => {
+		const bench = finishedStep(1);
+		expect(groupsOf(bench.ask(a, fetch('f')))).toEqual([0]);
+		expect(groupsOf(bench.ask(a, fetch('f', {currentVersion: 3})))).toEqual([]);
+		bench.finishAll(3);
+		expect(groupsOf(bench.ask(a, fetch('f', {currentVersion: 3})))).toEqual([0]);
+	});
+
+	it('replaces too old samples with the prompt from the store after the loss of the owner', () => {
+		const bench = finishedStep(1);
+		bench.kill(a);
+		expect(groupsOf(bench.ask(b, fetch('f', {currentVersion: 9})))).toEqual([]);
+		expect([...bench.runs.values()].map(run => run.prompt)).toEqual(['rota 0', 'rota 0']);
+	});
+
+	it('lists groups that the owner does not know, so that the trainer submits them again', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(2));
+		expect(bench.ask(a, fetch('f', {received: [0], submitted: 5}))).toMatchObject({missing: [1, 3, 4]});
+	});
+
+	it('ignores a duplicate of a forwarded fetch that arrives after the trainer went on', () => {
+		const bench = new RolloutBench();
+		bench.send(b, fetch('f'));
+		const copy = bench.parcels[0]!;
+		bench.settle();
+		bench.ask(a, submission(0));
+		bench.finishAll();
+		bench.parcels.push(copy);
+		bench.settle();
+		expect(groupsOf(bench.ask(a, fetch('g')))).toEqual([0]);
+	});
+});
+
+describe('ack', () => {
+	it('deletes the objects, frees the memory and closes the fetchId', () => {
+		const bench = finishedStep(2);
+		bench.ask(a, fetch('f', {max: 1}));
+		expect(bench.ask(b, ack('f'))).toMatchObject({groups: [0], durable: true});
+		expect(bench.store.rows.get('sfax/1/0')?.value).toContain('"acked"');
+		expect([...bench.store.objects.keys()].filter(key => key.includes('/1/0/'))).toEqual([]);
+		expect(bench.daemons.get(a)?.steps.get('sfax/1')?.groups.get(0)).toMatchObject({slots: [], prompt: undefined});
+		expect(groupsOf(bench.ask(a, fetch('f')))).toEqual([]);
+		expect(groupsOf(bench.ask(a, fetch('g')))).toEqual([1]);
+	});
+
+	it('keeps a group from being delivered again when the owner dies between hand-over and ack', () => {
+		const bench = finishedStep(1);
+		bench.ask(a, fetch('f'));
+		bench.kill(a);
+		expect(bench.ask(b, ack('f'))).toMatchObject({groups: [0]});
+		expect(groupsOf(bench.ask(b, fetch('g')))).toEqual([]);
+		expect(bench.runs.size).toBe(0);
+	});
+});
+
+describe('a hand-over that takes effect late', () => {
+	/** A daemon that lost its ownership hands group 1 to `f` after the new owner has answered `f` with group 0. */
+	function lateHandOver(): RolloutBench {
+		const bench = finishedStep(2);
+		bench.send(a, fetch('f'));
+		bench.parcels.reverse();
+		const late = bench.parcels.shift()!;
+		bench.settle();
+		bench.ownerSeenBy = () => b;
+		bench.refreshOwners();
+		expect(groupsOf(bench.ask(b, fetch('f')))).toEqual([0]);
+		bench.ask(b, ack('f', [0]));
+		bench.parcels.push(late);
+		bench.settle();
+		expect(bench.store.rows.get('sfax/1/1')?.value).toContain('"fetchId":"f"');
+		return bench;
+	}
+
+	it('does not lose the group, at the same owner and at the next one', () => {
+		const bench = lateHandOver();
+		bench.ask(b, fetch('g'));
+		expect(groupsOf(bench.ask(b, fetch('g')))).toEqual([1]);
+		const other = lateHandOver();
+		other.kill(b);
+		other.ownerSeenBy = () => c;
+		other.refreshOwners();
+		other.ask(c, fetch('g'));
+		other.run(100);
+		expect(groupsOf(other.ask(c, fetch('g')))).toEqual([1]);
+	});
+
+	it('does not take back a group whose acknowledgement was interrupted', () => {
+		const bench = finishedStep(2);
+		bench.ask(a, fetch('f'));
+		bench.send(a, ack('f', [0, 1]));
+		bench.deliver(0);
+		bench.kill(a);
+		bench.settle();
+		expect(groupsOf(bench.ask(b, fetch('g')))).toEqual([]);
+		expect(bench.store.rows.get('sfax/1/1')?.value).toContain('"acked"');
+	});
+});
+
+describe('loss of the owner', () => {
+	it('answers the calls in flight from the new owner, which runs only what is missing', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0));
+		bench.finishAll();
+		bench.ask(a, submission(1));
+		const call = bench.send(c, fetch('f'));
+		bench.kill(a);
+		bench.run(300);
+		expect(groupsOf(bench.answers.get(call))).toEqual([0]);
+		expect([...bench.runs.values()].map(run => [run.daemon, run.prompt])).toEqual([[b, 'rota 1'], [b, 'rota 1']]);
+	});
+});
+
+describe('store down', () => {
+	it('hands over only against the list of received groups', () => {
+		const bench = finishedStep(2);
+		bench.fault = () => 'down';
+		bench.ask(a, submission(9));
+		expect(bench.ask(a, fetch('f'))).toMatchObject({problem: {kind: 'store-unavailable', outcome: 'not-run', retryAfterMs: 2000}});
+		expect(bench.ask(b, fetch('f', {received: [0]}))).toMatchObject({groups: [{group: 1}], durable: false});
+		expect(groupsOf(bench.ask(c, fetch('g', {received: [0, 1]})))).toEqual([]);
+	});
+
+	it('says unknown when the store goes down after a hand-over was sent to it', () => {
+		const bench = finishedStep(1);
+		bench.fault = () => 'down';
+		expect(bench.ask(a, fetch('f'))).toMatchObject({problem: {kind: 'store-unavailable', outcome: 'unknown'}});
+		bench.fault = () => 'none';
+		bench.run(1500);
+		expect(groupsOf(bench.ask(a, fetch('f')))).toEqual([0]);
+	});
+
+	/** Group 0 is handed to `f` from memory, and the store is back. */
+	function handedFromMemory(): RolloutBench {
+		const bench = finishedStep(2);
+		bench.fault = () => 'down';
+		bench.ask(a, submission(9));
+		expect(groupsOf(bench.ask(a, fetch('f', {received: [], max: 1})))).toEqual([0]);
+		bench.fault = () => 'none';
+		bench.run(1500);
+		return bench;
+	}
+
+	it('keeps what was handed over from memory away from another fetchId once the store is back', () => {
+		const bench = handedFromMemory();
+		expect(groupsOf(bench.ask(a, fetch('g')))).toEqual([1]);
+		expect(groupsOf(bench.ask(a, fetch('f')))).toEqual([0]);
+		expect(bench.store.rows.get('sfax/1/0')?.value).toContain('"fetchId":"f"');
+	});
+
+	it('records what the trainer says it has, so that a new owner neither runs nor delivers it', () => {
+		const bench = handedFromMemory();
+		bench.kill(a);
+		expect(groupsOf(bench.ask(b, fetch('g', {received: [0]})))).toEqual([1]);
+		bench.run(100);
+		expect(bench.store.rows.get('sfax/1/0')?.value).toContain('"acked"');
+		bench.kill(b);
+		expect(groupsOf(bench.ask(c, fetch('h')))).toEqual([]);
+		expect(bench.runs.size).toBe(2);
+	});
+
+	it('does not lose a group that a partitioned owner handed over in an answer that nobody took', () => {
+		const bench = handedFromMemory();
+		bench.ownerSeenBy = () => b;
+		bench.refreshOwners();
+		expect(groupsOf(bench.ask(b, fetch('f', {received: [0]})))).toEqual([1]);
+	});
+
+	it('catches up at no more than the set rate of writes', () => {
+		const bench = new RolloutBench(['a']);
+		bench.fault = () => 'down';
+		for (let group = 0; group < 100; group++) {
+			bench.ask(a, submission(group));
+		}
+
+		bench.finishAll();
+		bench.fault = () => 'none';
+		bench.run(1100);
+		const before = bench.store.writes;
+		bench.run(1000);
+		expect(bench.store.writes - before).toBeLessThanOrEqual(75 + 7);
+		expect(bench.store.writes - before).toBeGreaterThan(60);
+		bench.run(5000);
+		expect(bench.store.rows.size).toBe(100);
+	});
+});
+
+describe('bounds', () => {
+	it('takes about four row writes for a group, and drops a step from memory after an hour', () => {
+		const bench = finishedStep(1);
+		bench.ask(a, fetch('f'));
+		bench.ask(a, ack('f'));
+		expect(bench.store.rows.get('sfax/1/0')?.version).toBe(4);
+		expect(bench.store.writes).toBe(8);
+		bench.advance(3_600_000);
+		bench.advance(100);
+		expect(bench.daemons.get(a)?.steps.size).toBe(0);
+		expect(bench.daemons.get(a)?.calls.size).toBe(0);
+		expect(bench.store.rows.size).toBe(1);
+	});
+});
--- a/packages/rollouts/src/group-row.ts
+++ b/packages/rollouts/src/group-row.ts
@@ -26,6 +26,8 @@
 	/** Object with the finished samples. Its name is unique, so that two daemons that both run the group never write the same one. */
 	objectKey?: string;
 	fetchId?: string;
+	/** In an acknowledged row: all groups that the trainer got with the fetchId, if it named them. */
+	ackedWith?: readonly number[];
 }>;
 
 /** Steps of different members never share a key, since the member is encoded and the step is a number. */
--- /dev/null
+++ b/packages/rollouts/src/rollout-bench.ts
@@ -0,0 +1,332 @@
+/** Test aid: several daemons' rollouts, a tiny store, a network and a trainer, in virtual time. */
+
+import type {
+	CallId, DaemonId, MemberId, Millis, PoolId, RequestId, RowAnswer, TrainerAnswer, TrainerCall, VersionSpan,
+} from '@cicadapost/types';
+import {decideRollouts, stepsToOwn} from './decide-rollouts.js';
+import type {RolloutAction, RolloutEvent} from './rollout-events.js';
+import {createRollouts, type RolloutState} from './rollout-state.js';
+
+type StoreAction = Extract<RolloutAction, {kind: 'read-row' | 'write-row' | 'list-rows' | 'get-object' | 'put-object' | 'delete-object'}>;
+type StartSample = Extract<RolloutAction, {kind: 'start-sample'}>;
+
+type StartedSample = StartSample & {daemon: DaemonId};
+
+/** What happens to one store call. A late write takes effect after its caller has given up. */
+export type StoreFault = 'none' | 'down' | 'lost-answer' | 'late';
+
+export class TinyStore {
+	readonly rows = new Map<string, {version: number; value: string}>();
+	readonly objects = new Map<string, string>();
+	writes = 0;
+
+	/** Carries out a call and returns the answer of the healthy store. */
+	apply(action: StoreAction): RolloutEvent {
+		const {call} = action;
+		switch (action.kind) {
+			case 'read-row': {
+				const row = this.rows.get(action.key);
+				return {kind: 'row-answer', call, answer: row === undefined ? {kind: 'absent'} : {kind: 'row', ...row}};
+			}
+
+			case 'write-row': {
+				return {kind: 'row-answer', call, answer: this.write(action)};
+			}
+
+			case 'list-rows': {
+				const rows = [...this.rows].filter(([key]) => key.startsWith(action.prefix)).map(([key, row]) => ({key, ...row}));
+				return {kind: 'list-answer', call, rows};
+			}
+
+			case 'get-object': {
+				const value = this.objects.get(action.key);
+				return {kind: 'object-answer', call, answer: value === undefined ? {kind: 'absent'} : {kind: 'object', value}};
+			}
+
+			case 'put-object': {
+				this.writes++;
+				this.objects.set(action.key, action.value);
+				return {kind: 'object-answer', call, answer: {kind: 'done'}};
+			}
+
+			case 'delete-object': {
+				this.writes++;
+				this.objects.delete(action.key);
+				return {kind: 'object-answer', call, answer: {kind: 'done'}};
+			}
+		}
+	}
+
+	private write(action: Extract<StoreAction, {kind: 'write-row'}>): RowAnswer {
+		const row = this.rows.get(action.key);
+		if ((row?.version ?? 0) !== action.expectedVersion) {
+			return {kind: 'conflict', version: row?.version ?? 0, value: row?.value ?? ''};
+		}
+
+		this.writes++;
+		const version = action.expectedVersion + 1;
+		this.rows.set(action.key, {version, value: action.value});
+		return {kind: 'written', version};
+	}
+}
+
+function unavailable(action: StoreAction): RolloutEvent {
+	const {call} = action;
+	switch (action.kind) {
+		case 'list-rows': {
+			return {kind: 'list-answer', call, rows: undefined};
+		}
+
+		case 'read-row':
+		case 'write-row': {
+			return {kind: 'row-answer', call, answer: {kind: 'unavailable'}};
+		}
+
+		default: {
+			return {kind: 'object-answer', call, answer: {kind: 'unavailable'}};
+		}
+	}
+}
+
+/** Something on its way: a message between daemons, or a call to the store. */
+type Parcel =
+	| Readonly<{kind: 'message'; from: DaemonId; to: DaemonId; event: (owner: DaemonId | undefined) => RolloutEvent; member: MemberId; step: number}>
+	| Readonly<{kind: 'store'; daemon: DaemonId; incarnation: number; action: StoreAction}>;
+
+export const member = 'sfax' as MemberId;
+
+export class RolloutBench {
+	now: Millis = 0;
+	readonly store = new TinyStore();
+	readonly daemons = new Map<DaemonId, RolloutState>();
+	/** Samples that run. */
+	readonly runs = new Map<RequestId, StartedSample>();
+	readonly cancelled: StartedSample[] = [];
+	readonly answers = new Map<CallId, TrainerAnswer>();
+	parcels: Parcel[] = [];
+	/** Applied to each store call. */
+	fault: (action: StoreAction, daemon: DaemonId) => StoreFault = () => 'none';
+	/** What a daemon takes for the owner; by default the live daemon with the lowest name. */
+	ownerSeenBy: (daemon: DaemonId) => DaemonId | undefined = () => this.liveDaemons()[0];
+	private calls = 0;
+	private incarnation = 0;
+
+	constructor(names: readonly string[] = ['a', 'b', 'c']) {
+		for (const name of names) {
+			this.start(name as DaemonId);
+		}
+	}
+
+	liveDaemons(): DaemonId[] {
+		return [...this.daemons.keys()].sort((a, b) => (a < b ? -1 : 1));
+	}
+
+	start(daemon: DaemonId): void {
+		this.incarnation++;
+		this.daemons.set(daemon, createRollouts({self: daemon, incarnation: this.incarnation}));
+		this.refreshOwners();
+	}
+
+	/** The process is gone: its memory, its runs, and the answers that it would have got. */
+	kill(daemon: DaemonId): void {
+		this.daemons.delete(daemon);
+		for (const [requestId, run] of this.runs) {
+			if (run.daemon === daemon) {
+				this.runs.delete(requestId);
+			}
+		}
+
+		this.refreshOwners();
+	}
+
+	refreshOwners(): void {
+		for (const [daemon, state] of this.daemons) {
+			const owner = this.ownerSeenBy(daemon);
+			this.feed(daemon, {kind: 'owners', owners: new Map(stepsToOwn(state).map(({key}) => [key, owner]))});
+		}
+	}
+
+	/** Sends a trainer's call to a daemon and returns its id. */
+	send(daemon: DaemonId, request: TrainerCall, from: MemberId = member): CallId {
+		this.calls++;
+		const call = `call-${this.calls}` as CallId;
+		this.feed(daemon, {
+			kind: 'call', call, from: undefined, member: from, request, owner: this.ownerSeenBy(daemon),
+		});
+		return call;
+	}
+
+	/** Sends a call, lets everything in flight arrive, and returns the answer. */
+	ask(daemon: DaemonId, request: TrainerCall, from: MemberId = member): TrainerAnswer | undefined {
+		const call = this.send(daemon, request, from);
+		this.settle();
+		return this.answers.get(call);
+	}
+
+	feed(daemon: DaemonId, event: RolloutEvent): void {
+		const state = this.daemons.get(daemon);
+		if (state === undefined) {
+			return;
+		}
+
+		for (const action of decideRollouts(state, event, this.now).actions) {
+			this.apply(daemon, state, action);
+		}
+	}
+
+	/** Delivers the parcel at `index`. */
+	deliver(index: number): void {
+		const [parcel] = this.parcels.splice(index, 1);
+		if (parcel === undefined) {
+			return;
+		}
+
+		if (parcel.kind === 'message') {
+			this.feed(parcel.to, parcel.event(this.ownerSeenBy(parcel.to)));
+			return;
+		}
+
+		this.callStore(parcel);
+	}
+
+	/** Delivers everything, in order, until nothing is in flight. */
+	settle(): void {
+		while (this.parcels.length > 0) {
+			this.deliver(0);
+		}
+	}
+
+	advance(ms: Millis): void {
+		this.now += ms;
+		for (const daemon of this.daemons.keys()) {
+			this.feed(daemon, {kind: 'tick'});
+		}
+	}
+
+	/** Advances in ticks of 100 ms and delivers everything after each. */
+	run(ms: Millis): void {
+		for (let passed = 0; passed < ms; passed += 100) {
+			this.advance(100);
+			this.settle();
+		}
+	}
+
+	finish(requestId: RequestId, versions: readonly VersionSpan[] = [{from: 0, to: 4, version: 1}]): void {
+		const run = this.runs.get(requestId);
+		if (run === undefined) {
+			return;
+		}
+
+		this.runs.delete(requestId);
+		for (const span of versions) {
+			this.feed(run.daemon, {
+				kind: 'sample-chunk', requestId, chunk: {
+					offset: span.from, tokens: span.to - span.from, version: span.version, text: `${requestId}@${span.version};`,
+				},
+			});
+		}
+
+		this.feed(run.daemon, {
+			kind: 'sample-finished', requestId, tokens: versions.at(-1)?.to ?? 0, versions,
+		});
+	}
+
+	fail(requestId: RequestId): void {
+		const run = this.runs.get(requestId);
+		this.runs.delete(requestId);
+		if (run !== undefined) {
+			this.feed(run.daemon, {kind: 'sample-failed', requestId, retryAfterMs: 0});
+		}
+	}
+
+	/** Finishes all samples that run now, and lets the store calls that follow arrive. */
+	finishAll(version = 1): void {
+		for (const requestId of this.runs.keys()) {
+			this.finish(requestId, [{from: 0, to: 4, version}]);
+		}
+
+		this.settle();
+	}
+
+	private callStore(parcel: Extract<Parcel, {kind: 'store'}>): void {
+		const {action, daemon} = parcel;
+		const fault = this.fault(action, daemon);
+		const isSame = this.daemons.get(daemon)?.incarnation === parcel.incarnation;
+		const answer = fault === 'down' || fault === 'late' ? unavailable(action) : this.store.apply(action);
+		if (fault === 'late') {
+			this.parcels.push({...parcel, incarnation: -1});
+		}
+
+		if (isSame) {
+			this.feed(daemon, fault === 'lost-answer' ? unavailable(action) : answer);
+		}
+	}
+
+	private apply(daemon: DaemonId, state: RolloutState, action: RolloutAction): void {
+		switch (action.kind) {
+			case 'answer': {
+				const {call, to, answer} = action;
+				if (to === undefined) {
+					this.answers.set(call, answer);
+					break;
+				}
+
+				this.parcels.push({
+					kind: 'message', from: daemon, to, member, step: 0, event: () => ({kind: 'forward-answer', call, answer}),
+				});
+				break;
+			}
+
+			case 'forward': {
+				const {call, to, request} = action;
+				this.parcels.push({
+					kind: 'message', from: daemon, to, member: action.member, step: request.step, event: owner => ({
+						kind: 'call', call, from: daemon, member: action.member, request, owner,
+					}),
+				});
+				break;
+			}
+
+			case 'start-sample': {
+				this.runs.set(action.requestId, {...action, daemon});
+				break;
+			}
+
+			case 'cancel-sample': {
+				const run = this.runs.get(action.requestId);
+				this.cancelled.push(...(run === undefined ? [] : [run]));
+				this.runs.delete(action.requestId);
+				break;
+			}
+
+			default: {
+				this.parcels.push({
+					kind: 'store', daemon, incarnation: state.incarnation, action,
+				});
+			}
+		}
+	}
+}
+
+export function submission(group: number, change: Partial<Extract<TrainerCall, {kind: 'submit'}>> = {}): Extract<TrainerCall, {kind: 'submit'}> {
+	return {
+		kind: 'submit', step: 1, group, model: 'rota-lm' as PoolId, prompt: `rota ${group}`, samples: 2, maxTokens: 4, stalenessBound: 1, ...change,
+	};
+}
+
+export function fetch(fetchId: string, change: Partial<Extract<TrainerCall, {kind: 'fetch'}>> = {}): Extract<TrainerCall, {kind: 'fetch'}> {
+	return {
+		kind: 'fetch', step: 1, fetchId, max: 10, currentVersion: 1, ...change,
+	};
+}
+
+export function ack(fetchId: string, groups?: readonly number[]): TrainerCall {
+	return {
+		kind: 'ack', step: 1, fetchId, ...(groups === undefined ? {} : {groups}),
+	};
+}
+
+/** The indices of the groups in an answer to a fetch; undefined for any other answer. */
+export function groupsOf(answer: TrainerAnswer | undefined): number[] | undefined {
+	return answer?.kind === 'fetched' ? answer.groups.map(group => group.group) : undefined;
+}
--- a/packages/rollouts/src/rollout-state.ts
+++ b/packages/rollouts/src/rollout-state.ts
@@ -40,7 +40,12 @@
 	slots: Slot[];
 	phase: GroupPhase;
 	fetchId: string | undefined;
-	/** The group was handed over against the trainer's `received` list while the store was down, so the trainer may have it. */
+	/** All groups that the trainer named when it acknowledged this one. */
+	ackedWith: readonly number[] | undefined;
+	/**
+	Handed over against the trainer's `received` list while the store was down. The row says so only once the trainer has
+	acknowledged or repeated the fetch, since it may have got another answer to it from another daemon.
+	*/
 	handedInMemory: boolean;
 	stored: StoredRow | undefined;
 	promptKey: string | undefined;
--- a/packages/rollouts/src/serve-trainer.ts
+++ b/packages/rollouts/src/serve-trainer.ts
@@ -11,7 +11,9 @@
 import {
 	cancelRuns, finishedSamples, replaceSamples, tooOldSlots,
 } from './run-samples.js';
-import {createSlots, isStored} from './sync-store.js';
+import {
+	createSlots, isStored, releaseGroup, settleClosed,
+} from './sync-store.js';
 
 const storeRetryMs = 2000;
 /** Characters of text in one answer, so that it fits into one frame between daemons. At least one group is always answered. */
@@ -56,6 +58,7 @@
 		slots: createSlots(seed, submission.samples),
 		phase: 'open',
 		fetchId: undefined,
+		ackedWith: undefined,
 		handedInMemory: false,
 		stored: undefined,
 		promptKey: undefined,
@@ -148,6 +151,11 @@
 		return {answer: storeDown(waiter.groups === undefined ? 'not-run' : 'unknown'), actions};
 	}
 
+	if (waiter.groups === undefined && state.store.isUp && [...step.groups.values()].some(group => group.load === 'samples')) {
+		// After a change of owner the finished samples are on their way from the object store.
+		return {answer: undefined, actions};
+	}
+
 	waiter.groups ??= chooseGroups(state, step, fetch, actions, now);
 	const groups = waiter.groups.flatMap(index => step.groups.get(index) ?? []).filter(group => group.phase === 'handed' && group.fetchId === fetch.fetchId);
 	if (state.store.isUp && groups.some(group => !isStored(group) || group.load !== undefined)) {
@@ -161,7 +169,7 @@
 			continue;
 		}
 
-		group.handedInMemory ||= !isStored(group);
+		group.handedInMemory ||= !state.store.isUp && !isStored(group);
 		handed.push({group: group.index, samples});
 	}
 
@@ -186,11 +194,18 @@
 function chooseGroups(state: RolloutState, step: Step, fetch: Fetch, actions: RolloutAction[], now: Millis): number[] {
 	const received = new Set(fetch.received);
 	const all = [...step.groups.values()].sort((a, b) => a.index - b.index);
+	if (fetch.received !== undefined) {
+		actions.push(...applyReceived(state, all, fetch.fetchId, received));
+	}
+
 	const earlier = all.filter(group => group.fetchId === fetch.fetchId && (group.phase === 'handed' || group.phase === 'acked'));
 	if (earlier.length > 0) {
-		return earlier
-			.filter(group => group.phase === 'handed' && !received.has(group.index) && isFresh(group, fetch))
-			.map(group => group.index);
+		const repeated = earlier.filter(group => group.phase === 'handed' && !received.has(group.index) && isFresh(group, fetch));
+		for (const group of repeated) {
+			group.handedInMemory &&= !state.store.isUp;
+		}
+
+		return repeated.map(group => group.index);
 	}
 
 	const chosen: number[] = [];
@@ -214,6 +229,26 @@
 	return chosen;
 }
 
+/**
+Uses what the trainer says it has. A group that it has is never run or handed over again. A fetch of which it has a
+group was answered, so that a group handed to it that the trainer lacks was not in the answer, and returns to the others.
+*/
+function applyReceived(state: RolloutState, all: readonly Group[], fetchId: string, received: ReadonlySet<number>): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	const answered = new Set(all.filter(group => received.has(group.index) && group.fetchId !== undefined).map(group => group.fetchId));
+	for (const group of all) {
+		const isHanded = group.phase === 'handed' && !group.handedInMemory;
+		if (received.has(group.index) && !isHanded && group.phase !== 'acked') {
+			group.phase = 'acked';
+			actions.push(...cancelRuns(state, group.slots));
+		} else if (!received.has(group.index) && group.phase === 'handed' && group.fetchId !== fetchId && answered.has(group.fetchId)) {
+			releaseGroup(group);
+		}
+	}
+
+	return actions;
+}
+
 /** Whether no sample of the group is too old. Those that are too old are taken back and run again. */
 function isFresh(group: Group, fetch: Fetch): boolean {
 	const tooOld = tooOldSlots(group, fetch.currentVersion);
@@ -234,17 +269,25 @@
 function settleAck(state: RolloutState, step: Step, waiter: Waiter, request: Extract<TrainerCall, {kind: 'ack'}>): Settled {
 	const actions: RolloutAction[] = [];
 	if (waiter.groups === undefined) {
-		const handed = [...step.groups.values()].filter(group => group.fetchId === request.fetchId && (group.phase === 'handed' || group.phase === 'acked'));
-		for (const group of handed) {
+		const all = [...step.groups.values()];
+		const isAcked = (group: Group): boolean => request.groups?.includes(group.index) ?? (group.fetchId === request.fetchId && group.phase === 'handed');
+		const acked = all.filter(group => group.phase !== 'acked' && isAcked(group));
+		for (const group of acked) {
 			group.phase = 'acked';
+			group.fetchId = request.fetchId;
+			group.ackedWith = request.groups;
 			actions.push(...cancelRuns(state, group.slots));
 		}
 
-		waiter.groups = handed.map(group => group.index).sort((a, b) => a - b);
+		for (const group of all) {
+			settleClosed(step, group);
+		}
+
+		waiter.groups = all.filter(group => group.phase === 'acked' && group.fetchId === request.fetchId).map(group => group.index).sort((a, b) => a - b);
 	}
 
 	const groups = waiter.groups.flatMap(index => step.groups.get(index) ?? []);
-	const isDurable = groups.every(group => isStored(group));
+	const isDurable = step.rows === 'read' && groups.every(group => isStored(group));
 	const answer: TrainerAnswer | undefined = isDurable || !state.store.isUp
 		? {
 			kind: 'acked', step: step.step, fetchId: request.fetchId, groups: waiter.groups, durable: isDurable,
--- a/packages/rollouts/src/sync-store.ts
+++ b/packages/rollouts/src/sync-store.ts
@@ -37,6 +37,7 @@
 		slots: row.phase === 'acked' ? [] : createSlots(row.seed, row.samples),
 		phase: row.phase,
 		fetchId: row.fetchId,
+		ackedWith: row.ackedWith,
 		handedInMemory: false,
 		stored: {...listed, row},
 		promptKey: row.promptKey,
@@ -52,8 +53,9 @@
 /** The row that should be stored for the group now. */
 function rowOf(group: Group): GroupRow {
 	const isAcked = group.phase === 'acked';
+	const phase = group.handedInMemory && !isAcked ? 'complete' : group.phase;
 	return {
-		phase: group.phase,
+		phase,
 		bodyHash: group.bodyHash,
 		model: group.model,
 		samples: group.stored?.row.samples ?? group.slots.length,
@@ -62,7 +64,8 @@
 		seed: group.seed,
 		...(group.promptKey === undefined || isAcked ? {} : {promptKey: group.promptKey}),
 		...(group.objectKey === undefined || isAcked ? {} : {objectKey: group.objectKey}),
-		...(group.fetchId === undefined ? {} : {fetchId: group.fetchId}),
+		...(group.fetchId === undefined || (phase !== 'handed' && phase !== 'acked') ? {} : {fetchId: group.fetchId}),
+		...(group.ackedWith === undefined || !isAcked ? {} : {ackedWith: group.ackedWith}),
 	};
 }
 
@@ -94,7 +97,7 @@
 			};
 	}
 
-	const needsPrompt = group.promptKey === undefined && (group.phase === 'open' || group.phase === 'complete');
+	const needsPrompt = group.promptKey === undefined && group.phase !== 'acked';
 	if (needsPrompt && group.prompt !== undefined) {
 		const key = `prompts/${rowKey(step.key, group.index)}/${group.bodyHash}`;
 		const value = group.prompt;
@@ -199,9 +202,8 @@
 
 	const before = group.stored;
 	group.stored = {...listed, row};
-	// The trainer has what was handed over against its `received` list, so that stands against any other hand-over.
-	const isOurs = group.handedInMemory || (group.phase === 'acked' && (row.fetchId === undefined || row.fetchId === group.fetchId));
-	if (isOurs && row.phase !== 'acked') {
+	// The trainer has what it has acknowledged, so that stands against any other hand-over.
+	if (group.phase === 'acked' && row.phase !== 'acked') {
 		return [];
 	}
 
@@ -225,6 +227,7 @@
 	const isSame = group.objectKey !== undefined && group.objectKey === row.objectKey;
 	group.phase = row.phase;
 	group.fetchId = row.fetchId;
+	group.ackedWith = row.ackedWith;
 	group.handedInMemory = false;
 	group.promptKey = row.promptKey;
 	group.objectKey = row.objectKey;
@@ -234,6 +237,7 @@
 		return actions;
 	}
 
+	settleClosed(step, group);
 	if (!isSame) {
 		group.slots = createSlots(row.seed, row.samples);
 		group.load = 'samples';
@@ -252,7 +256,7 @@
 /** Takes the rows of a step into memory. */
 export function receiveRows(state: RolloutState, step: Step, rows: readonly ListedRow[], now: Millis): RolloutAction[] {
 	step.rows = 'read';
-	return rows.flatMap(listed => {
+	const actions = rows.flatMap(listed => {
 		const index = Number(listed.key.split('/').at(-1));
 		const group = step.groups.get(index);
 		if (group === undefined) {
@@ -262,6 +266,41 @@
 
 		return (group.stored?.version ?? 0) < listed.version ? adoptRow(state, step, group, listed, now) : [];
 	});
+	for (const group of step.groups.values()) {
+		settleClosed(step, group);
+	}
+
+	return actions;
+}
+
+/** Returns a group that was handed over to those that can be, since the trainer did not get it. */
+export function releaseGroup(group: Group): void {
+	group.phase = 'complete';
+	group.fetchId = undefined;
+	group.handedInMemory = false;
+}
+
+/**
+Settles a group whose fetchId the trainer has acknowledged by way of another group. It is acknowledged if the trainer
+named it. Otherwise a daemon handed it over late, after the trainer had its answer, and it returns to the others.
+*/
+export function settleClosed(step: Step, group: Group): void {
+	if (group.phase !== 'handed') {
+		return;
+	}
+
+	const closing = [...step.groups.values()].find(other => other.phase === 'acked' && other.fetchId === group.fetchId && other.ackedWith !== undefined);
+	if (closing === undefined) {
+		return;
+	}
+
+	if (closing.ackedWith?.includes(group.index) === true) {
+		group.phase = 'acked';
+		group.ackedWith = closing.ackedWith;
+		return;
+	}
+
+	releaseGroup(group);
 }
 
 /** Notes that a row is stored as this daemon wrote it, and which objects it refers to no more. */
@@ -288,10 +327,6 @@
 		group.handedInMemory = false;
 		forgetSamples(group);
 	}
-
-	if (row.phase === 'handed' && row.fetchId === group.fetchId) {
-		group.handedInMemory = false;
-	}
 }
 
 export type StoreResult = Readonly<{actions: RolloutAction[]; isDown: boolean}>;
--- a/packages/types/src/rollout.ts
+++ b/packages/types/src/rollout.ts
@@ -32,7 +32,12 @@
 	submitted?: number;
 }>;
 
-export type AckCall = Readonly<{step: number; fetchId: string}>;
+export type AckCall = Readonly<{
+	step: number;
+	fetchId: string;
+	/** Indices of the groups that came with this fetchId. A group handed to it that is not among them returns to the others. */
+	groups?: readonly number[];
+}>;
 
 export type TrainerCall =
 	| Readonly<{kind: 'submit'}> & GroupSubmission
@@ -70,7 +75,7 @@
 		groups: readonly FinishedGroup[];
 		/** Groups up to the highest submitted index that the owner does not know; the trainer submits them again. */
 		missing: readonly number[];
-		/** Groups that still run. */
+		/** Number of groups that have not been handed over yet. */
 		open: number;
 		/** False if the hand-over is not recorded in the store yet; the trainer then sends `received` with each later fetch of the step. */
 		durable: boolean;
