--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -7,7 +7,9 @@
 import {request} from 'undici';
 import {freePort} from './free-port.js';
 import {Processes, type Started} from './processes.js';
-import {printStep, startTrainer, stepOwnerIndex} from './training-step.js';
+import {
+	changeWeights, printStep, startTrainer, stepOwnerIndex,
+} from './training-step.js';
 
 const binary = path.resolve('dist/cicadapost');
 const standIns = path.resolve('dist/stand-ins.cjs');
@@ -179,6 +181,11 @@
 				process.stdout.write('killed the daemon that runs the training step, and one engine\n');
 			}
 
+			if (round === 2) {
+				await changeWeights(engines.slice(1), 2);
+				process.stdout.write('changed the weights; the change failed on one engine\n');
+			}
+
 			await Promise.all(names.flatMap(name => Array.from({length: callsInParallel}, async (_, index) => call(daemons, name, (round * callsInParallel) + index, results[name]))));
 		}
 
--- a/packages/demo/src/training-step.ts
+++ b/packages/demo/src/training-step.ts
@@ -8,6 +8,8 @@
 const groups = 16;
 const samplesPerGroup = 4;
 const statusIntervalMs = 20;
+/** Token of running samples from which the new weights count. */
+const firstNewToken = 48;
 
 /** Runs the trainer as a process of its own and resolves with what it received. */
 export async function startTrainer(processes: Processes, {daemons, key, step}: TrainingOptions): Promise<StepReport> {
@@ -42,6 +44,17 @@
 	}
 }
 
+/** New weights on all engines in the middle of running samples; the change fails on the last engine, which keeps the old ones. */
+export async function changeWeights(engines: readonly Started[], version: number): Promise<void> {
+	for (const [index, engine] of engines.entries()) {
+		await request(`http://127.0.0.1:${engine.port}/control`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify({version, fromToken: firstNewToken, failSwap: index === engines.length - 1}),
+		});
+	}
+}
+
 /** Prints the result of the step. Throws if a sample was lost, came twice or was too old. */
 export function printStep(report: StepReport): void {
 	process.stdout.write('training step  groups  samples  staleness  versions  duplicates  lost  repeated calls\n');
--- a/packages/rollouts/src/decide-rollouts.test.ts
+++ b/packages/rollouts/src/decide-rollouts.test.ts
@@ -276,7 +276,7 @@
 
 describe('a hand-over that takes effect late', () => {
 	/** A daemon that lost its ownership hands group 1 to `f` after the new owner has answered `f` with group 0. */
-	function lateHandOver(): RolloutBench {
+	function lateHandOver(named?: readonly number[]): RolloutBench {
 		const bench = finishedStep(2);
 		bench.send(a, fetch('f'));
 		bench.parcels.reverse();
@@ -285,7 +285,7 @@
 		bench.ownerSeenBy = () => b;
 		bench.refreshOwners();
 		expect(groupsOf(bench.ask(b, fetch('f')))).toEqual([0]);
-		bench.ask(b, ack('f', [0]));
+		bench.ask(b, ack('f', named));
 		bench.parcels.push(late);
 		bench.settle();
 		expect(bench.store.rows.get('sfax/1/1')?.value).toContain('"fetchId":"f"');
@@ -293,10 +293,10 @@
 	}
 
 	it('does not lose the group, at the same owner and at the next one', () => {
-		const bench = lateHandOver();
+		const bench = lateHandOver([0]);
 		bench.ask(b, fetch('g'));
 		expect(groupsOf(bench.ask(b, fetch('g')))).toEqual([1]);
-		const other = lateHandOver();
+		const other = lateHandOver([0]);
 		other.kill(b);
 		other.ownerSeenBy = () => c;
 		other.refreshOwners();
@@ -305,6 +305,15 @@
 		expect(groupsOf(other.ask(c, fetch('g')))).toEqual([1]);
 	});
 
+	it('does not lose the group if the trainer did not name its groups and sends its list later', () => {
+		const bench = lateHandOver();
+		bench.ask(b, fetch('g'));
+		expect(groupsOf(bench.ask(b, fetch('g')))).toEqual([]);
+		bench.ask(b, fetch('h', {received: [0]}));
+		bench.run(100);
+		expect(groupsOf(bench.ask(b, fetch('h', {received: [0]})))).toEqual([1]);
+	});
+
 	it('does not take back a group whose acknowledgement was interrupted', () => {
 		const bench = finishedStep(2);
 		bench.ask(a, fetch('f'));
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -12,11 +12,20 @@
 	version?: number;
 }>;
 
+/** New weights for a running sequence. */
+type Swap = Readonly<{
+	version: number;
+	/** The first token that the new weights generate. */
+	fromToken: number;
+}>;
+
 type Sequence = {
 	readonly res: ServerResponse;
 	readonly key: string;
 	next: number;
 	readonly end: number;
+	version: number;
+	swap: Swap | undefined;
 };
 
 /** A small stand-in of a model engine with continuous batching: one token for each sequence in each step. */
@@ -25,7 +34,9 @@
 	private isStepping = false;
 	private version: number;
 	/** Faults that a test can ask for with `POST /control`. */
-	private readonly faults = {slowness: 1, silent: false, poison: ''};
+	private readonly faults = {
+		slowness: 1, silent: false, poison: '', failSwap: false,
+	};
 
 	constructor(private readonly options: EngineOptions) {
 		super(options.port ?? 0);
@@ -41,9 +52,13 @@
 			}
 
 			case 'POST /control': {
-				Object.assign(this.faults, body);
-				this.version = Number(body.version ?? this.version);
-				sendJson(res, 200, this.faults);
+				const {version, fromToken, ...faults} = body;
+				Object.assign(this.faults, faults);
+				if (version !== undefined) {
+					this.changeVersion(Number(version), Number(fromToken ?? 0));
+				}
+
+				sendJson(res, 200, {...this.faults, version: this.version});
 				break;
 			}
 
@@ -63,6 +78,21 @@
 		}
 	}
 
+	/**
+	Running sequences go on with the new weights from token `fromToken`, others from their first token.
+	With the fault `failSwap` the change fails partway: everything goes on with the old weights, and `GET /state` names them.
+	*/
+	private changeVersion(version: number, fromToken: number): void {
+		if (this.faults.failSwap) {
+			return;
+		}
+
+		this.version = version;
+		for (const sequence of this.sequences) {
+			sequence.swap = {version, fromToken};
+		}
+	}
+
 	private admit(req: IncomingMessage, res: ServerResponse, body: Record<string, unknown>): void {
 		const prompt = String(body.prompt);
 		if (this.faults.poison !== '' && prompt.includes(this.faults.poison)) {
@@ -71,6 +101,7 @@
 
 		const sequence: Sequence = {
 			res, key: `${prompt}\n${String(Number(body.seed ?? 0))}`, next: Number(req.headers['x-resume-from'] ?? 0), end: Number(body.max_tokens ?? 16),
+			version: this.version, swap: undefined,
 		};
 		res.writeHead(200, {'content-type': 'text/event-stream'});
 		res.on('close', () => {
@@ -102,8 +133,13 @@
 		for (const sequence of this.sequences) {
 			if (sequence.next < sequence.end) {
 				const offset = sequence.next++;
+				if (sequence.swap !== undefined && offset >= sequence.swap.fromToken) {
+					sequence.version = sequence.swap.version;
+					sequence.swap = undefined;
+				}
+
 				sequence.res.write(`data: ${JSON.stringify({
-					text: tokenText(sequence.key, offset), tokens: 1, version: this.version, offset,
+					text: tokenText(sequence.key, offset), tokens: 1, version: sequence.version, offset,
 				})}\n\n`);
 			}
 
