--- a/packages/api/src/trainer-endpoints.test.ts
+++ b/packages/api/src/trainer-endpoints.test.ts
@@ -45,7 +45,7 @@
 
 	async function post(path: string, body: unknown, key = 'key-trainer'): Promise<{status: number; body: Record<string, unknown>; retryAfter: string | undefined}> {
 		const res = await fetch(`${url}/v1/rollouts/${path}`, {method: 'POST', headers: {authorization: `Bearer ${key}`}, body: JSON.stringify(body)});
-		return {status: res.status, body: await res.json() as Record<string, unknown>, retryAfter: res.headers.get('retry-after')};
+		return {status: res.status, body: await res.json() as Record<string, unknown>, retryAfter: res.headers.get('retry-after') ?? undefined};
 	}
 
 	it('acts for the member of the key, never for one named in the body', async () => {
