Read the rows of a step again when another daemon may have owned it

Cause: a test over sockets, with two daemons that did not know each other, got no groups for a repeated fetch: "expected [] to deeply equal [ { group: +0, ... } ]". A daemon that had read the rows before the hand-over kept working from them, and did so even once it was the only owner; a trainer that does not send "submitted" then waited forever.

Ruled out: reading the rows for each fetch, since a trainer that polls would cause a read for each call.

Change: an owner reads the rows again when the live daemons change, and before it hands over groups to a fetchId that it does not know; while there is nothing to hand over at most every 200 ms. Two tests, seen failing first.

Conclusion: a repeat of a fetch gets the same groups at a daemon whose memory is behind.

--- a/packages/rollouts/src/decide-rollouts.test.ts
+++ b/packages/rollouts/src/decide-rollouts.test.ts
@@ -165,6 +165,33 @@
 		expect(groupsOf(bench.ask(c, fetch('h')))).toEqual([]);
 	});
 
+	it('gives a repeat the same groups at a daemon that read the rows before the hand-over', () => {
+		const bench = new RolloutBench();
+		bench.ownerSeenBy = daemon => daemon;
+		expect(groupsOf(bench.ask(b, fetch('f')))).toEqual([]);
+		for (const group of [0, 1]) {
+			bench.ask(a, submission(group));
+			bench.finishAll();
+		}
+
+		const first = bench.ask(a, fetch('f', {max: 1}));
+		bench.advance(1000);
+		expect(bench.ask(b, fetch('f', {max: 1}))).toEqual(first);
+		expect(groupsOf(bench.ask(b, fetch('g', {max: 1})))).toEqual([1]);
+		expect(bench.ask(a, fetch('g', {max: 1}))).toMatchObject({groups: [{group: 1}]});
+	});
+
+	it('learns of the groups of another owner when the live daemons change', () => {
+		const bench = new RolloutBench();
+		bench.ownerSeenBy = daemon => daemon;
+		bench.ask(b, fetch('f'));
+		bench.ask(a, submission(0));
+		bench.ownerSeenBy = () => b;
+		bench.refreshOwners();
+		bench.settle();
+		expect([...bench.runs.values()].map(run => run.daemon)).toEqual([b, b]);
+	});
+
 	it('gives two concurrent fetches different groups', () => {
 		const bench = finishedStep(2);
 		const calls = [bench.send(a, fetch('f', {max: 1})), bench.send(b, fetch('g', {max: 1}))];
--- a/packages/rollouts/src/decide-rollouts.ts
+++ b/packages/rollouts/src/decide-rollouts.ts
@@ -27,6 +27,8 @@
 /** A step without a forwarded call for this long is of no interest here any more. */
 const knownMs = 600_000;
 const hedgeIntervalMs = 1000;
+/** A trainer that polls an unfinished step causes at most this many reads: one in 200 ms. */
+const rowsIntervalMs = 200;
 
 /** Updates `state` in place and returns it with the actions to carry out, in order. */
 export function decideRollouts(state: RolloutState, event: RolloutEvent, now: Millis): Outcome<RolloutState, RolloutAction> {
@@ -117,8 +119,8 @@
 
 /** Does what can be done now for all groups of a step. */
 function advanceStep(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
-	const actions = [...readRows(state, step), ...takeEarlyCalls(state, step, now)];
-	actions.push(...settleWaiters(state, step, now));
+	takeEarlyCalls(state, step, now);
+	const actions = [...readRows(state, step), ...settleWaiters(state, step, now)];
 	for (const group of step.groups.values()) {
 		actions.push(...syncGroup(state, step, group, now));
 	}
@@ -132,9 +134,27 @@
 	return [...syncGroup(state, step, group, now), ...settleWaiters(state, step, now), ...syncGroup(state, step, group, now)];
 }
 
-function takeEarlyCalls(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
+/**
+Whether a fetch needs the rows as they are now. Another daemon that believes to own the step may have handed over
+groups to it, and a repeat has to get the same ones. A fetch that finds nothing to hand over reads only now and then.
+*/
+function needsRows(step: Step, {request}: PendingCall, now: Millis): boolean {
+	if (request.kind !== 'fetch' || step.rowsReadAt === now) {
+		return false;
+	}
+
+	const groups = [...step.groups.values()];
+	const isKnown = groups.some(group => group.fetchId === request.fetchId && (group.phase === 'handed' || group.phase === 'acked'));
+	return !isKnown && (groups.some(group => group.phase === 'complete') || now - step.rowsReadAt >= rowsIntervalMs);
+}
+
+function takeEarlyCalls(state: RolloutState, step: Step, now: Millis): void {
+	if (state.store.isUp && step.rows === 'read' && step.early.some(pending => needsRows(step, pending, now))) {
+		step.rows = 'unread';
+	}
+
 	if (step.rows !== 'read' && state.store.isUp) {
-		return [];
+		return;
 	}
 
 	const {early} = step;
@@ -142,8 +162,6 @@
 	for (const pending of early) {
 		takeCall(step, pending, now);
 	}
-
-	return [];
 }
 
 function ownedStep(state: RolloutState, member: MemberId, step: number, now: Millis): Step {
@@ -156,7 +174,7 @@
 	}
 
 	const created: Step = {
-		key, member, step, isOwned: true, rows: 'unread', groups: new Map(), waiters: [], early: [], touchedAt: now, tokens: 0, hedgedTokens: 0, nextHedgeAt: 0,
+		key, member, step, isOwned: true, rows: 'unread', rowsReadAt: Number.NEGATIVE_INFINITY, groups: new Map(), waiters: [], early: [], touchedAt: now, tokens: 0, hedgedTokens: 0, nextHedgeAt: 0,
 	};
 	state.steps.set(key, created);
 	return created;
@@ -276,6 +294,10 @@
 		const owner = owners.get(step.key);
 		if (step.isOwned && owner !== state.self) {
 			actions.push(...leaveStep(state, step, owner, now));
+		} else if (step.isOwned && step.rows === 'read') {
+			// Until now another daemon may have believed to own the step.
+			step.rows = 'unread';
+			actions.push(...advanceStep(state, step, now));
 		}
 	}
 
--- a/packages/rollouts/src/rollout-state.ts
+++ b/packages/rollouts/src/rollout-state.ts
@@ -74,8 +74,9 @@
 	readonly member: MemberId;
 	readonly step: number;
 	isOwned: boolean;
-	/** Whether the rows of the step have been read since this daemon became its owner. */
+	/** Whether the rows of the step have been read since the live daemons changed. */
 	rows: 'unread' | 'reading' | 'read';
+	rowsReadAt: Millis;
 	groups: Map<number, Group>;
 	waiters: Waiter[];
 	/** Calls that wait until the rows have been read. */
--- a/packages/rollouts/src/sync-store.ts
+++ b/packages/rollouts/src/sync-store.ts
@@ -269,6 +269,7 @@
 /** Takes the rows of a step into memory. */
 export function receiveRows(state: RolloutState, step: Step, rows: readonly ListedRow[], now: Millis): RolloutAction[] {
 	step.rows = 'read';
+	step.rowsReadAt = now;
 	const actions = rows.flatMap(listed => {
 		const index = Number(listed.key.split('/').at(-1));
 		const group = step.groups.get(index);
@@ -277,7 +278,9 @@
 			return [];
 		}
 
-		return (group.stored?.version ?? 0) < listed.version ? adoptRow(state, step, group, listed, now) : [];
+		// The answer to a write in flight settles its group.
+		const isNews = group.storeCall === undefined && (group.stored?.version ?? 0) < listed.version;
+		return isNews ? adoptRow(state, step, group, listed, now) : [];
 	});
 	for (const group of step.groups.values()) {
 		settleClosed(step, group);
