--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -11,7 +11,7 @@
 	decideMembership, firstGatewayPeers, isReachable, isSettled, ownsInDataCentre, relayTarget, type MembershipAction, type MembershipEvent,
 } from '@cicadapost/membership';
 import {
-	decideRollouts, stepsToOwn, type RolloutAction, type RolloutEvent,
+	decideRollouts, isRolloutsIdle, stepsToOwn, type RolloutAction, type RolloutEvent,
 } from '@cicadapost/rollouts';
 import {
 	decideRouting, mayHaveSent, type PoolPlaces, type RouterAction, type RouterEvent,
@@ -54,6 +54,8 @@
 /** One call of `decide`: passes events between the parts of the daemon and collects actions. */
 class Turn {
 	readonly actions: DaemonAction[] = [];
+	/** Many samples of a pool may start in one call. */
+	private readonly samplePlaces = new Map<PoolId, PoolPlaces>();
 
 	constructor(private readonly state: DaemonState, private readonly now: Millis) {}
 
@@ -195,9 +197,9 @@
 	}
 
 	private stopIfIdle(): void {
-		const {leaving, stopped, router, claims, configuration, schedulers} = this.state;
+		const {leaving, stopped, router, claims, configuration, rollouts, schedulers} = this.state;
 		// The last daemons of a data centre keep shards, and other daemons' requests in them, until those have ended.
-		const isIdle = router.requests.size === 0 && isClaimsIdle(claims) && configuration.applies.size === 0
+		const isIdle = router.requests.size === 0 && isClaimsIdle(claims) && configuration.applies.size === 0 && isRolloutsIdle(rollouts)
 			&& [...schedulers.values()].every(scheduler => waitingCount(scheduler) === 0 && scheduler.running.size === 0);
 		if (leaving && !stopped && isIdle) {
 			this.state.stopped = true;
@@ -415,7 +417,11 @@
 
 			case 'rollout-call': {
 				this.rollOut({
-					...message, kind: 'call', from, owner: stepOwner(this.state, message.member, message.request.step),
+					...message,
+					kind: 'call',
+					from,
+					owner: stepOwner(this.state, message.member, message.request.step),
+					mayForward: this.dataCentreOf(from) !== this.state.dataCentre,
 				});
 				break;
 			}
@@ -436,7 +442,7 @@
 		}
 
 		this.rollOut({
-			kind: 'call', call, from: undefined, member, request, owner: stepOwner(this.state, member, request.step),
+			kind: 'call', call, from: undefined, member, request, owner: stepOwner(this.state, member, request.step), mayForward: true,
 		});
 	}
 
@@ -458,13 +464,20 @@
 
 			case 'forward': {
 				const {to, ...message} = action;
+				const dataCentre = this.dataCentreOf(to);
+				if (dataCentre !== undefined && dataCentre !== this.state.dataCentre) {
+					this.updateMembership({kind: 'relay-to', dataCentre});
+				}
+
 				this.actions.push({kind: 'send', to, message: {...message, kind: 'rollout-call'}});
 				break;
 			}
 
 			case 'start-sample': {
 				this.state.origins.set(action.requestId, {kind: 'rollout'});
-				this.route({kind: 'request', request: sampleRequest(action, this.now), places: this.placesOf(action.pool)});
+				const places = this.samplePlaces.get(action.pool) ?? this.placesOf(action.pool);
+				this.samplePlaces.set(action.pool, places);
+				this.route({kind: 'request', request: sampleRequest(action, this.now), places});
 				break;
 			}
 
@@ -480,6 +493,11 @@
 		}
 	}
 
+	private dataCentreOf(daemon: DaemonId): DataCentreId | undefined {
+		const {peers, listed} = this.state.membership;
+		return peers.get(daemon)?.dataCentre ?? listed.get(daemon)?.dataCentre;
+	}
+
 	/** Tells the rollouts which daemon owns each step now. */
 	private refreshSteps(): void {
 		const owners = new Map(stepsToOwn(this.state.rollouts).map(({key, member, step}) => [key, stepOwner(this.state, member, step)]));
--- a/packages/decision/src/rollout-steps.ts
+++ b/packages/decision/src/rollout-steps.ts
@@ -1,7 +1,9 @@
 /** Where training steps are run, and their samples as requests. */
 
 import {createHash} from 'node:crypto';
-import {liveDaemons, ownerIn, ownerOf} from '@cicadapost/membership';
+import {
+	isReachable, ownerIn, ownerOf, relayTarget,
+} from '@cicadapost/membership';
 import type {RolloutAction, RolloutEvent} from '@cicadapost/rollouts';
 import type {RouterAction} from '@cicadapost/routing';
 import type {
@@ -13,25 +15,33 @@
 /** Characters of a prompt that decide its prefix key, the same as for live calls. */
 const prefixLength = 512;
 const configurationRetryMs = 2000;
+/** A finished group has to fit into one frame of 8 MB between daemons, at about 5 bytes for each token. */
+const maxGroupTokens = 1_000_000;
 
 /**
-The daemon that runs a step. The home data centre is chosen by rendezvous hashing over those that have engines and a
-live daemon, then the daemon in it; both by member and step, so that daemons in every data centre agree.
+The daemon that runs a step or passes its calls on. The home data centre is chosen by rendezvous hashing over those that
+have engines and can be reached, then the daemon in it; both by member and step, so that daemons in every data centre agree.
+For a step of another data centre it is the daemon there that this one also sends relays to, which passes the call on,
+so that a daemon needs no connection to each daemon of the other data centres.
 While data centres are partitioned, each side has an owner of its own. Both may run the step; the compare-and-set of a
 group's row decides which one hands it over, and the side without the store needs the trainer's `received` list.
 */
 export function stepOwner(state: DaemonState, member: MemberId, step: number): DaemonId | undefined {
-	const {site, membership} = state;
+	const {site, membership, dataCentre} = state;
 	const key = `${encodeURIComponent(member)}/${step}`;
 	if (site === undefined) {
 		return undefined;
 	}
 
-	const alive = Object.keys(site.dataCentres).filter(name => liveDaemons(membership, name as DataCentreId).length > 0);
+	const alive = Object.keys(site.dataCentres).filter(name => name === dataCentre || isReachable(membership, name as DataCentreId));
 	const equipped = alive.filter(name => site.poolsByDataCentre[name]?.some(pool => site.pools[pool]?.kind === 'engine'));
 	// Data centres are ranked by the same function as daemons.
-	const home = ownerOf(key, (equipped.length > 0 ? equipped : alive) as unknown as DaemonId[]);
-	return home === undefined ? undefined : ownerIn(membership, home as unknown as DataCentreId, key);
+	const home = ownerOf(key, (equipped.length > 0 ? equipped : alive) as unknown as DaemonId[]) as unknown as DataCentreId | undefined;
+	if (home === undefined) {
+		return undefined;
+	}
+
+	return home === dataCentre ? ownerIn(membership, home, key) : relayTarget(membership, home);
 }
 
 /** What is wrong with a trainer's call by the configuration in effect, if anything. */
@@ -57,6 +67,16 @@
 		};
 	}
 
+	if (request.samples * request.maxTokens > maxGroupTokens) {
+		return {
+			kind: 'invalid-request',
+			field: 'maxTokens',
+			detail: `the group may have ${request.samples * request.maxTokens} tokens and the limit is ${maxGroupTokens}`,
+			remedy: 'submit fewer samples in a group or a smaller maxTokens',
+			outcome: 'not-run',
+		};
+	}
+
 	const limit = site.members[member]?.maxGroupSamples ?? 0;
 	return request.samples <= limit
 		? undefined
--- a/packages/rollouts/src/decide-rollouts.ts
+++ b/packages/rollouts/src/decide-rollouts.ts
@@ -5,8 +5,8 @@
 } from '@cicadapost/types';
 import {stepKey} from './group-row.js';
 import type {RolloutAction, RolloutEvent, StepKey} from './rollout-events.js';
-import type {
-	Group, PendingCall, RolloutState, Step, StoreCall,
+import {
+	type Group, type PendingCall, type RolloutState, type Step, type StoreCall, freshName,
 } from './rollout-state.js';
 import {
 	addText, cancelRuns, failRun, finishRun, hedgeStragglers, startRuns,
@@ -24,6 +24,11 @@
 const forwardFailedRetryMs = 1000;
 /** A duplicate of a forwarded call is recognised for this long. */
 const seenMs = 60_000;
+/** A step without a forwarded call for this long is of no interest here any more. */
+const knownMs = 600_000;
+const hedgeIntervalMs = 1000;
+/** A trainer that polls an unfinished step causes at most this many reads: one in 200 ms. */
+const rowsIntervalMs = 200;
 
 /** Updates `state` in place and returns it with the actions to carry out, in order. */
 export function decideRollouts(state: RolloutState, event: RolloutEvent, now: Millis): Outcome<RolloutState, RolloutAction> {
@@ -84,8 +89,19 @@
 		}
 	}
 
+	for (const [key, known] of state.known) {
+		if (known.expiresAt <= now) {
+			state.known.delete(key);
+		}
+	}
+
 	for (const step of state.steps.values()) {
 		actions.push(...advanceStep(state, step, now));
+		if (now >= step.nextHedgeAt) {
+			step.nextHedgeAt = now + hedgeIntervalMs;
+			actions.push(...hedgeStragglers(state, step, now));
+		}
+
 		const isIdle = step.waiters.length === 0 && now - step.touchedAt >= stepIdleMs;
 		const isLeft = !step.isOwned && ![...step.groups.values()].some(group => isDirty(group));
 		if (isIdle || isLeft) {
@@ -103,13 +119,13 @@
 
 /** Does what can be done now for all groups of a step. */
 function advanceStep(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
-	const actions = [...readRows(state, step), ...takeEarlyCalls(state, step, now)];
-	actions.push(...settleWaiters(state, step, now));
+	takeEarlyCalls(state, step, now);
+	const actions = [...readRows(state, step), ...settleWaiters(state, step, now)];
 	for (const group of step.groups.values()) {
 		actions.push(...syncGroup(state, step, group, now));
 	}
 
-	actions.push(...startRuns(state, step, now), ...hedgeStragglers(state, step, now));
+	actions.push(...startRuns(state, step, now));
 	return actions;
 }
 
@@ -118,9 +134,27 @@
 	return [...syncGroup(state, step, group, now), ...settleWaiters(state, step, now), ...syncGroup(state, step, group, now)];
 }
 
-function takeEarlyCalls(state: RolloutState, step: Step, now: Millis): RolloutAction[] {
+/**
+Whether a fetch needs the rows as they are now. Another daemon that believes to own the step may have handed over
+groups to it, and a repeat has to get the same ones. A fetch that finds nothing to hand over reads only now and then.
+*/
+function needsRows(step: Step, {request}: PendingCall, now: Millis): boolean {
+	if (request.kind !== 'fetch' || step.rowsReadAt === now) {
+		return false;
+	}
+
+	const groups = [...step.groups.values()];
+	const isKnown = groups.some(group => group.fetchId === request.fetchId && (group.phase === 'handed' || group.phase === 'acked'));
+	return !isKnown && (groups.some(group => group.phase === 'complete') || now - step.rowsReadAt >= rowsIntervalMs);
+}
+
+function takeEarlyCalls(state: RolloutState, step: Step, now: Millis): void {
+	if (state.store.isUp && step.rows === 'read' && step.early.some(pending => needsRows(step, pending, now))) {
+		step.rows = 'unread';
+	}
+
 	if (step.rows !== 'read' && state.store.isUp) {
-		return [];
+		return;
 	}
 
 	const {early} = step;
@@ -128,8 +162,6 @@
 	for (const pending of early) {
 		takeCall(step, pending, now);
 	}
-
-	return [];
 }
 
 function ownedStep(state: RolloutState, member: MemberId, step: number, now: Millis): Step {
@@ -142,18 +174,22 @@
 	}
 
 	const created: Step = {
-		key, member, step, isOwned: true, rows: 'unread', groups: new Map(), waiters: [], early: [], touchedAt: now, tokens: 0, hedgedTokens: 0,
+		key, member, step, isOwned: true, rows: 'unread', rowsReadAt: Number.NEGATIVE_INFINITY, groups: new Map(), waiters: [], early: [], touchedAt: now, tokens: 0, hedgedTokens: 0, nextHedgeAt: 0,
 	};
 	state.steps.set(key, created);
 	return created;
 }
 
 function receiveCall(state: RolloutState, event: Extract<RolloutEvent, {kind: 'call'}>, now: Millis): RolloutAction[] {
-	const {call, from, member, request, owner} = event;
+	const {call, from, member, request, owner, mayForward} = event;
+	if (request.kind === 'touch') {
+		return receiveTouch(state, event, now);
+	}
+
 	if (owner !== state.self) {
-		return from === undefined
+		return mayForward
 			? forward(state, {
-				call, member, request, owner,
+				call, from, member, request, owner,
 			}, now)
 			: [{
 				kind: 'answer', call, to: from, answer: {kind: 'not-owner'},
@@ -171,16 +207,33 @@
 	return serve(state, member, {call, from, request}, now);
 }
 
+/** The owner reads the step's rows at once, without waiting for a call of the trainer. */
+function receiveTouch(state: RolloutState, event: Extract<RolloutEvent, {kind: 'call'}>, now: Millis): RolloutAction[] {
+	const {call, member, request, owner, mayForward} = event;
+	if (owner === state.self) {
+		return advanceStep(state, ownedStep(state, member, request.step, now), now);
+	}
+
+	return mayForward && owner !== undefined
+		? [{
+			kind: 'forward', call, to: owner, member, request,
+		}]
+		: [];
+}
+
 function serve(state: RolloutState, member: MemberId, pending: PendingCall, now: Millis): RolloutAction[] {
 	const step = ownedStep(state, member, pending.request.step, now);
 	step.early.push(pending);
 	return advanceStep(state, step, now);
 }
 
-type Forwarded = Readonly<{call: CallId; member: MemberId; request: PendingCall['request']; owner: DaemonId | undefined}>;
+type Forwarded = Readonly<{call: CallId; from: DaemonId | undefined; member: MemberId; request: PendingCall['request']; owner: DaemonId | undefined}>;
 
 function forward(state: RolloutState, forwarded: Forwarded, now: Millis): RolloutAction[] {
 	const {call, member, request, owner} = forwarded;
+	state.known.set(stepKey(member, request.step), {
+		member, step: request.step, owner, expiresAt: now + knownMs,
+	});
 	state.forwards.set(call, {...forwarded, retryAt: undefined, expiresAt: now + forwardTimeoutMs});
 	return owner === undefined
 		? []
@@ -202,18 +255,18 @@
 
 	state.forwards.delete(event.call);
 	return [{
-		kind: 'answer', call: event.call, to: undefined, answer: event.answer,
+		kind: 'answer', call: event.call, to: known.from, answer: event.answer,
 	}];
 }
 
 function retryForwards(state: RolloutState, now: Millis): RolloutAction[] {
 	const actions: RolloutAction[] = [];
 	for (const known of state.forwards.values()) {
-		const {call, member, request, owner} = known;
+		const {call, from, member, request, owner} = known;
 		if (known.expiresAt <= now) {
 			state.forwards.delete(call);
 			actions.push({
-				kind: 'answer', call, to: undefined, answer: {
+				kind: 'answer', call, to: from, answer: {
 					kind: 'problem', problem: {
 						kind: 'outcome-unknown',
 						detail: 'the owner of the step did not answer',
@@ -245,7 +298,7 @@
 		known.owner = owner;
 		if (owner === state.self) {
 			state.forwards.delete(known.call);
-			actions.push(...serve(state, known.member, {call: known.call, from: undefined, request: known.request}, now));
+			actions.push(...serve(state, known.member, {call: known.call, from: known.from, request: known.request}, now));
 		} else {
 			known.retryAt = now;
 		}
@@ -253,22 +306,50 @@
 
 	for (const step of state.steps.values()) {
 		const owner = owners.get(step.key);
-		if (step.isOwned && owner !== undefined && owner !== state.self) {
+		if (step.isOwned && owner !== state.self) {
 			actions.push(...leaveStep(state, step, owner, now));
+		} else if (step.isOwned && step.rows === 'read') {
+			// Until now another daemon may have believed to own the step.
+			step.rows = 'unread';
+			actions.push(...advanceStep(state, step, now));
 		}
 	}
 
+	return [...actions, ...touchMovedSteps(state, owners, now)];
+}
+
+/** Tells each step's new owner about it, so that the step goes on before its trainer calls again. */
+function touchMovedSteps(state: RolloutState, owners: ReadonlyMap<StepKey, DaemonId | undefined>, now: Millis): RolloutAction[] {
+	const actions: RolloutAction[] = [];
+	for (const [key, known] of state.known) {
+		const owner = owners.get(key);
+		if (owner === known.owner || owner === undefined) {
+			continue;
+		}
+
+		known.owner = owner;
+		const {member, step} = known;
+		if (owner === state.self) {
+			actions.push(...advanceStep(state, ownedStep(state, member, step, now), now));
+			continue;
+		}
+
+		actions.push({
+			kind: 'forward', call: freshName(state) as CallId, to: owner, member, request: {kind: 'touch', step},
+		});
+	}
+
 	return actions;
 }
 
 /** Hands the waiting calls of a step to its new owner, and keeps only what still has to be written. */
-function leaveStep(state: RolloutState, step: Step, owner: DaemonId, now: Millis): RolloutAction[] {
+function leaveStep(state: RolloutState, step: Step, owner: DaemonId | undefined, now: Millis): RolloutAction[] {
 	const actions: RolloutAction[] = [];
 	step.isOwned = false;
 	for (const {call, from, request} of [...step.early, ...step.waiters]) {
 		actions.push(...(from === undefined
 			? forward(state, {
-				call, member: step.member, request, owner,
+				call, from, member: step.member, request, owner,
 			}, now)
 			: [{
 				kind: 'answer' as const, call, to: from, answer: {kind: 'not-owner' as const},
@@ -279,8 +360,9 @@
 	step.waiters = [];
 	for (const group of step.groups.values()) {
 		actions.push(...cancelRuns(state, group.slots));
-		const isKept = group.handedInMemory || group.phase === 'acked';
-		if (!isKept || !isDirty(group)) {
+		// Only what the trainer has acknowledged is worth writing; the new owner runs the rest.
+		const isKept = group.phase === 'acked' && isDirty(group) && step.rows === 'read';
+		if (!isKept) {
 			step.groups.delete(group.index);
 		}
 	}
@@ -361,5 +443,13 @@
 export function stepsToOwn(state: RolloutState): ReadonlyArray<Readonly<{key: StepKey; member: MemberId; step: number}>> {
 	const held = [...state.steps.values()].map(({key, member, step}) => ({key, member, step}));
 	const forwarded = [...state.forwards.values()].map(({member, request}) => ({key: stepKey(member, request.step), member, step: request.step}));
-	return [...held, ...forwarded];
+	const known = [...state.known].map(([key, {member, step}]) => ({key, member, step}));
+	return [...held, ...forwarded, ...known];
+}
+
+/** Whether no trainer waits for an answer and nothing that it has acknowledged is left to be written. */
+export function isRolloutsIdle(state: RolloutState): boolean {
+	const isWaiting = [...state.steps.values()].some(step => step.waiters.length > 0 || step.early.length > 0);
+	const isWriting = state.store.isUp && [...state.steps.values()].some(step => [...step.groups.values()].some(group => group.phase === 'acked' && isDirty(group)));
+	return state.forwards.size === 0 && !isWaiting && !isWriting;
 }
--- a/packages/rollouts/src/rollout-state.ts
+++ b/packages/rollouts/src/rollout-state.ts
@@ -40,7 +40,12 @@
 	slots: Slot[];
 	phase: GroupPhase;
 	fetchId: string | undefined;
-	/** The group was handed over against the trainer's `received` list while the store was down, so the trainer may have it. */
+	/** All groups that the trainer named when it acknowledged this one. */
+	ackedWith: readonly number[] | undefined;
+	/**
+	Handed over against the trainer's `received` list while the store was down. The row says so only once the trainer has
+	acknowledged or repeated the fetch, since it may have got another answer to it from another daemon.
+	*/
 	handedInMemory: boolean;
 	stored: StoredRow | undefined;
 	promptKey: string | undefined;
@@ -69,8 +74,9 @@
 	readonly member: MemberId;
 	readonly step: number;
 	isOwned: boolean;
-	/** Whether the rows of the step have been read since this daemon became its owner. */
+	/** Whether the rows of the step have been read since the live daemons changed. */
 	rows: 'unread' | 'reading' | 'read';
+	rowsReadAt: Millis;
 	groups: Map<number, Group>;
 	waiters: Waiter[];
 	/** Calls that wait until the rows have been read. */
@@ -79,12 +85,16 @@
 	/** Tokens of finished samples, and of second runs of stragglers. */
 	tokens: number;
 	hedgedTokens: number;
+	/** Time of the next search for stragglers. */
+	nextHedgeAt: Millis;
 };
 
 export type PendingCall = Readonly<{call: CallId; from: DaemonId | undefined; request: TrainerCall}>;
 
 export type Forward = {
 	readonly call: CallId;
+	/** The daemon that forwarded it to this one, or undefined if the trainer is connected to this one. */
+	readonly from: DaemonId | undefined;
 	readonly member: MemberId;
 	readonly request: TrainerCall;
 	owner: DaemonId | undefined;
@@ -93,6 +103,13 @@
 	readonly expiresAt: Millis;
 };
 
+export type KnownStep = {
+	readonly member: MemberId;
+	readonly step: number;
+	owner: DaemonId | undefined;
+	expiresAt: Millis;
+};
+
 export type StoreCall =
 	| Readonly<{kind: 'probe'}>
 	| Readonly<{kind: 'list'; step: StepKey}>
@@ -120,6 +137,8 @@
 	runs: Map<RequestId, Readonly<{step: StepKey; group: number; slot: number}>>;
 	calls: Map<CallId, StoreCall>;
 	forwards: Map<CallId, Forward>;
+	/** Steps that calls were forwarded for, so that a new owner hears of them when the old one is gone. */
+	known: Map<StepKey, KnownStep>;
 	/** Calls of other daemons that were taken up, with the time until which a duplicate is recognised. */
 	seen: Map<CallId, Millis>;
 	store: StoreView;
@@ -145,6 +164,7 @@
 		runs: new Map(),
 		calls: new Map(),
 		forwards: new Map(),
+		known: new Map(),
 		seen: new Map(),
 		store: {
 			isUp: true, probeAt: 0, isCatchingUp: false, tokens: 0, refilledAt: 0,
