Keep shares of long requests and find waiting requests behind refused ones

Requests refused on arrival stayed in the list of their flow and used up the limit of entries that a decision looks through, so that members with waiting requests were passed over. Separately, charges at the grant alone let the tokens generated in 10 s vary, because they follow the grant by seconds.

Change: a request that is refused on arrival leaves the end of its list, and removed entries do not count against the limit. The order of members also counts the tokens that they have running (runningFactor).

Ruled out: an entry time reduced by half of the running tokens; the running term does the same without a second estimate.

--- a/packages/scheduling/src/admission.ts
+++ b/packages/scheduling/src/admission.ts
@@ -99,15 +99,18 @@
 	return rate * account.weight / Math.max(weight, account.weight);
 }
 
-/** Expected time until a request of the flow starts that has `ownTokens` of its own member ahead of it. */
-export function expectedWait(queue: FairQueue, flow: Flow, ownTokens: number, capacity: Capacity): Millis {
+/** Returns the expected time until a request of the flow starts, as a function of the tokens of its own member ahead of it. */
+export function waitEstimate(queue: FairQueue, flow: Flow, capacity: Capacity): (ownTokens: number) => Millis {
 	const {rate, slots, trainingFloor} = capacity;
 	if (rate === undefined) {
-		return queue.attempts.size > unmeasuredQueuePerSlot * slots ? Number.POSITIVE_INFINITY : 0;
+		const waitMs = queue.attempts.size > unmeasuredQueuePerSlot * slots ? Number.POSITIVE_INFINITY : 0;
+		return () => waitMs;
 	}
 
 	const allTokens = flow.requestClass === 'live' ? queue.liveTokens / Math.max(0.05, 1 - trainingFloor) : queue.liveTokens + queue.trainingTokens;
-	return Math.min(allTokens / rate, ownTokens / ownRate(queue, flow.account, rate));
+	const longestMs = allTokens / rate;
+	const memberRate = ownRate(queue, flow.account, rate);
+	return ownTokens => Math.min(longestMs, ownTokens / memberRate);
 }
 
 /** Longest wait that is accepted with `slackMs` left after the expected running time. */
--- a/packages/scheduling/src/health.ts
+++ b/packages/scheduling/src/health.ts
@@ -18,6 +18,8 @@
 const minComparedTokens = 4;
 /** Part of the upstreams that may be slow at a time. If more are, the comparison with peers is at fault. */
 const maxSlowPart = 0.5;
+/** With fewer upstreams an upstream's own times would move the median too much. */
+const fewUpstreams = 5;
 
 export function takeOutOfService(upstream: UpstreamState, now: Millis): void {
 	const {health} = upstream;
@@ -127,20 +129,27 @@
 	return inFlight;
 }
 
-function isSlow(upstream: UpstreamState, peers: readonly UpstreamState[], inFlight: InFlight | undefined): boolean {
+/** Medians over upstreams that are up. */
+type PeerSpeed = Readonly<{
+	tokenMs: Millis | undefined;
+	firstMs: Millis | undefined;
+	completionRate: number | undefined;
+}>;
+
+function speedOf(upstreams: readonly UpstreamState[]): PeerSpeed {
+	return {
+		tokenMs: median(upstreams.flatMap(({window}) => window.tokenMs ?? [])),
+		firstMs: median(upstreams.flatMap(({window}) => window.firstMs ?? [])),
+		completionRate: median(upstreams.map(({progress}) => completionRate(progress))),
+	};
+}
+
+function isSlow(upstream: UpstreamState, peers: PeerSpeed, inFlight: InFlight | undefined): boolean {
 	const {tokenMs, firstMs} = upstream.window;
 	const times = {
-		tokenMs,
-		firstMs,
-		peerTokenMs: median(peers.flatMap(({window}) => window.tokenMs ?? [])),
-		peerFirstMs: median(peers.flatMap(({window}) => window.firstMs ?? [])),
+		tokenMs, firstMs, peerTokenMs: peers.tokenMs, peerFirstMs: peers.firstMs,
 	};
-	if (isSlowByTimes(times)) {
-		return true;
-	}
-
-	const peerRate = median(peers.map(({progress}) => completionRate(progress)));
-	return inFlight !== undefined && isSlowInFlight(upstream.progress, inFlight, peerRate);
+	return isSlowByTimes(times) || (inFlight !== undefined && isSlowInFlight(upstream.progress, inFlight, peers.completionRate));
 }
 
 /** Marks upstreams that have become much slower than their peers. */
@@ -148,10 +157,11 @@
 	const all = [...state.upstreams.values()];
 	const up = all.filter(upstream => upstream.health.status === 'up');
 	const inFlight = inFlightOf(state, now);
+	const speed = speedOf(up);
 	let slow = all.filter(upstream => upstream.health.status === 'slow').length;
 	for (const upstream of up) {
-		const peers = up.filter(peer => peer !== upstream && peer.health.status === 'up');
-		if (peers.length > 0 && slow + 1 <= all.length * maxSlowPart && isSlow(upstream, peers, inFlight.get(upstream))) {
+		const peers = up.length < fewUpstreams ? speedOf(up.filter(peer => peer !== upstream)) : speed;
+		if (up.length > 1 && slow + 1 <= all.length * maxSlowPart && isSlow(upstream, peers, inFlight.get(upstream))) {
 			markSlow(upstream, now);
 			slow++;
 		}
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -11,6 +11,12 @@
 /** Weight of the newest completion in a flow's average of generated tokens for each allowed token. */
 const ratioWeight = 0.1;
 const defaultWeight = 1;
+/**
+Weight of the tokens that a member has running, in the order of members. Tokens are generated long after they are
+charged, so that equal charges alone give a member that comes back too little for as long as its requests take. With
+this term it gets the next free slots until it runs its share.
+*/
+const runningFactor = 2;
 /** Entries of one flow that are looked through in one decision for a request that may run. */
 const scanLimit = 256;
 
@@ -46,8 +52,10 @@
 export type Account = {
 	readonly member: MemberId;
 	weight: number;
-	/** Virtual time at which the member's next request starts. */
+	/** Virtual time of the member: the tokens charged to it, divided by its weight. */
 	tag: number;
+	/** Tokens charged for requests that are running. */
+	running: number;
 	readonly live: Flow;
 	readonly training: Flow;
 };
@@ -92,7 +100,9 @@
 		return known;
 	}
 
-	const account = {member, weight: queue.weights.get(member) ?? defaultWeight, tag: queue.virtualTime} as {-readonly [Key in keyof Account]: Account[Key]};
+	const account = {
+		member, weight: queue.weights.get(member) ?? defaultWeight, tag: queue.virtualTime, running: 0,
+	} as {-readonly [Key in keyof Account]: Account[Key]};
 	account.live = createFlow(account, 'live');
 	account.training = createFlow(account, 'training');
 	queue.accounts.set(member, account);
@@ -134,7 +144,8 @@
 
 function moveInHeap(queue: FairQueue, flow: Flow): void {
 	if (flow.count > 0) {
-		flow.key = flow.account.tag;
+		const {tag, running, weight} = flow.account;
+		flow.key = tag + (runningFactor * running / weight);
 		heapOf(queue, flow).set(flow);
 	} else {
 		heapOf(queue, flow).delete(flow);
@@ -182,6 +193,11 @@
 	waiting.removed = true;
 	queue.attempts.delete(waiting.attempt);
 	count(queue, flow, waiting, -1);
+	// A request that is refused on arrival is the last one; it must not pile up behind those that wait.
+	while (flow.fifo.length > flow.head && flow.fifo.at(-1)!.removed) {
+		flow.fifo.pop();
+	}
+
 	if (flow.count === 0) {
 		flow.fifo = [];
 		flow.head = 0;
@@ -203,11 +219,18 @@
 member that is served if no other waits.
 */
 export function startService(queue: FairQueue, account: Account, tokens: number): void {
-	const furthestBehind = Math.min(account.tag, queue.live.top?.key ?? account.tag, queue.training.top?.key ?? account.tag);
+	const furthestBehind = Math.min(account.tag, queue.live.top?.account.tag ?? account.tag, queue.training.top?.account.tag ?? account.tag);
 	queue.virtualTime = Math.max(queue.virtualTime, furthestBehind);
+	account.running += tokens;
 	charge(queue, account, tokens);
 }
 
+/** Records that a request has ended that was charged `tokens` at its start. */
+export function endService(queue: FairQueue, account: Account, tokens: number): void {
+	account.running = Math.max(0, account.running - tokens);
+	charge(queue, account, 0);
+}
+
 /**
 Corrects an earlier charge by `tokens`, which may be negative. A correction in the member's favour leaves it at most
 `maxCredit` of virtual time behind the queue: an estimate that was far too high has raised the queue's virtual time as
@@ -276,38 +299,40 @@
 		return held;
 	}
 
-	for (let looked = 0; flow.head < flow.fifo.length && looked < scanLimit; looked++) {
+	for (let looked = 0; flow.head < flow.fifo.length && looked < scanLimit; flow.head++) {
 		const waiting = flow.fifo[flow.head]!;
-		if (!waiting.removed) {
-			const verdict = judge(waiting);
-			if (verdict.kind === 'run') {
-				return waiting;
-			}
+		if (waiting.removed) {
+			continue;
+		}
 
-			hold(flow, waiting, verdict.constraint);
+		const verdict = judge(waiting);
+		if (verdict.kind === 'run') {
+			return waiting;
 		}
 
-		flow.head++;
+		hold(flow, waiting, verdict.constraint);
+		looked++;
 	}
 
 	compact(flow);
 	return undefined;
 }
 
-/** The waiting requests of a flow, those that were set aside first. */
-export function * waitingIn(flow: Flow): Generator<Waiting> {
+/** Visits the waiting requests of a flow, those that were set aside first. The visitor may remove the request. */
+export function forEachWaiting(flow: Flow, visit: (waiting: Waiting) => void): void {
 	for (const list of flow.held.values()) {
 		for (const waiting of list) {
 			if (!waiting.removed) {
-				yield waiting;
+				visit(waiting);
 			}
 		}
 	}
 
-	for (let i = flow.head; i < flow.fifo.length; i++) {
-		const waiting = flow.fifo[i]!;
+	const {fifo} = flow;
+	for (let i = flow.head; i < fifo.length; i++) {
+		const waiting = fifo[i]!;
 		if (!waiting.removed) {
-			yield waiting;
+			visit(waiting);
 		}
 	}
 }
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -4,7 +4,7 @@
 	AttemptId, DaemonId, Fingerprint, Millis, Outcome, RefusalReason, Release, RequestClass,
 } from '@cicadapost/types';
 import {
-	acceptableWait, advanceAdmission, expectedWait, expireSlots, handOutSlot, maxWaiting, recordEnd, takeSlot, type Capacity,
+	acceptableWait, advanceAdmission, expireSlots, handOutSlot, maxWaiting, recordEnd, takeSlot, waitEstimate, type Capacity,
 } from './admission.js';
 import {recordPrefix} from './affinity.js';
 import type {SchedulerAction, SchedulerEvent, ShardUpstream} from './events.js';
@@ -16,7 +16,7 @@
 	isOpenFor, openingsOf, place, type Opening,
 } from './placement.js';
 import {
-	accountOf, correctCharge, enqueue, expectedTokens, findInFlow, flowOf, learnCompletion, remove, setWeights, startService, waitingIn, type Flow, type Waiting,
+	accountOf, correctCharge, endService, enqueue, expectedTokens, findInFlow, flowOf, learnCompletion, remove, setWeights, startService, forEachWaiting, type Flow, type Waiting,
 } from './queue.js';
 import {
 	capacityOf, expectedMs, refreshNormal, usualMs, waitingCount, type SchedulerState,
@@ -239,7 +239,7 @@
 
 	const {request} = waiting;
 	const flow = flowOf(accountOf(state.queue, request.member), request.requestClass);
-	const waitMs = expectedWait(state.queue, flow, tokensAhead(flow) - waiting.expectedTokens, capacity);
+	const waitMs = waitEstimate(state.queue, flow, capacity)(tokensAhead(flow) - waiting.expectedTokens);
 	const slackMs = waiting.deadlineAt - now - expectedMs(state, request, waiting.expectedTokens);
 	const isReturning = takeSlot(state.admission, request.fingerprint, now);
 	const limitMs = acceptableWait(slackMs, isReturning);
@@ -275,7 +275,7 @@
 	enqueue(state.queue, waiting);
 	if (remainingMs <= 0 || waitingCount(state) > maxWaiting) {
 		const capacity = capacityOf(state);
-		const waitMs = expectedWait(state.queue, flow, tokensAhead(flow), capacity);
+		const waitMs = waitEstimate(state.queue, flow, capacity)(tokensAhead(flow));
 		return [refuseWaiting(state, waiting, {reason: 'overloaded', waitMs}, capacity, now)];
 	}
 
@@ -343,6 +343,7 @@
 		upstream.reservedFor = undefined;
 	}
 
+	endService(state.queue, running.account, running.charged);
 	changeRunning(upstream, -1, now);
 }
 
@@ -464,6 +465,7 @@
 
 		const account = accountOf(state.queue, request.member);
 		const charged = expectedTokens(flowOf(account, request.requestClass), request);
+		account.running += charged;
 		advanceArea(upstream, now);
 		addRun(state, {
 			from: event.from,
@@ -486,22 +488,22 @@
 /** Refuses the requests of a flow that can't be finished in time any more. */
 function reviewFlow(state: SchedulerState, flow: Flow, capacity: Capacity, now: Millis): SchedulerAction[] {
 	const actions: SchedulerAction[] = [];
+	const waitOf = waitEstimate(state.queue, flow, capacity);
 	let ahead = flow.requestClass === 'live' ? 0 : flow.account.live.tokens;
-	for (const waiting of waitingIn(flow)) {
+	forEachWaiting(flow, waiting => {
 		if (capacity.slots === 0) {
 			actions.push(...reviewOutage(state, waiting, capacity, now));
-			continue;
+			return;
 		}
 
 		const slackMs = waiting.deadlineAt - now - expectedMs(state, waiting.request, waiting.expectedTokens);
-		const waitMs = expectedWait(state.queue, flow, ahead, capacity);
+		const waitMs = waitOf(ahead);
 		if (slackMs < 0 || (Number.isFinite(waitMs) && waitMs > slackMs * waitTolerance)) {
 			actions.push(refuseWaiting(state, waiting, {reason: 'overloaded', waitMs: Number.isFinite(waitMs) ? waitMs : 0}, capacity, now));
 		} else {
 			ahead += waiting.expectedTokens;
 		}
-	}
-
+	});
 	return actions;
 }
 
--- a/packages/scheduling/src/slowness.ts
+++ b/packages/scheduling/src/slowness.ts
@@ -16,6 +16,8 @@
 const slowCompletions = 0.4;
 /** Expected completions after which older ones have lost most of their weight. */
 const memory = 10;
+/** Expected completions that a judgement needs. */
+const minExpected = 5;
 /** The share of overdue attempts that must support a low rate of completions, so that long requests alone do not count. */
 const overdueShare = 0.5;
 
@@ -123,6 +125,6 @@
 		return true;
 	}
 
-	const isMostlyOverdue = inFlight.overdue > 0 && inFlight.overdue >= overdueShare * inFlight.running;
+	const isMostlyOverdue = inFlight.overdue > 0 && progress.expected >= minExpected && inFlight.overdue >= overdueShare * inFlight.running;
 	return isMostlyOverdue && peerRate !== undefined && completionRate(progress) < slowCompletions * Math.min(1, peerRate);
 }
