Meter member caps and split them over data centres

Cause: a member's cap was read from the configuration and never applied.

Change: packages/caps has the meter of one member in one data centre. It hands out allowances from a bucket of 2 s, keeps time slots for refused callers, and moves parts by demand: its own part sinks first, the row caps/<member> is written by compare-and-set, and the others raise theirs when they see it. A write without an answer is repeated at the same version until one of the two is known to be accepted. A meter that starts or has been paused first writes the row as it is, so that no earlier write can follow. decision asks the meter before a request runs (caps-part.ts) and owns meters by rendezvous hashing.

Ruled out: taking a part back after a read that shows the old version.

--- /dev/null
+++ b/packages/caps/src/meter.ts
@@ -0,0 +1,391 @@
+/** The meter of one member in one data centre: hands out token allowances and moves parts of the cap. */
+
+import type {
+	CallId, DaemonId, DataCentreId, Fingerprint, MemberId, Millis, Outcome, RequestId, RowAnswer,
+} from '@cicadapost/types';
+import {
+	createBucket, fill, waitFor, type Bucket,
+} from './bucket.js';
+import {
+	equalParts, giveAway, parseRow, rescale, type CapRow, type CapSettings,
+} from './parts.js';
+
+/** A meter that has not been called for this long has been paused: another one may have taken its place. */
+const pauseMs = 1000;
+const moveIntervalMs = 1000;
+/** The demand of a data centre that has not been heard from for this long is not known. */
+const demandLifeMs = 3000;
+const demandMemoryMs = 2000;
+/** A call to the table service without an answer for this long is repeated. */
+const callTimeoutMs = 2000;
+/** Row reads are repeated at this interval, so that a lost `cap-parts` message does not matter. */
+const readIntervalMs = 3000;
+const retryUnknownMs = 1000;
+const maxRetryAfterMs = 120_000;
+/** A refused caller's tokens are kept for it this long after its time. */
+const slotLateMs = 1000;
+const maxSlots = 4096;
+/** Slots that are looked at to find out what is kept. They follow one another at the member's rate, so that later ones add nothing. */
+const keptSlots = 16;
+/** Time of use that an answer may add to what was asked for, so that not each request needs a message. */
+const batchMs = 50;
+
+type Slot = Readonly<{fingerprint: Fingerprint; at: Millis; tokens: number}>;
+
+export type MeterState = {
+	readonly member: MemberId;
+	readonly dataCentre: DataCentreId;
+	settings: CapSettings;
+	/**
+	Whether a write of this meter has been accepted since it started or was paused. No write of an earlier meter can
+	take effect after that, so that the row that this meter knows is the last one.
+	*/
+	isFenced: boolean;
+	row: CapRow | undefined;
+	rowVersion: number;
+	/** Own part that applies although the row does not show it yet. */
+	lowered: number | undefined;
+	pending: Readonly<{call: CallId; kind: 'read' | 'write'; at: Millis}> | undefined;
+	/** Row of the last write, until its result is known. */
+	writing: CapRow | undefined;
+	bucket: Bucket;
+	/** Tokens asked for, decaying with `demandMemoryMs`. */
+	asked: number;
+	askedAt: Millis;
+	demands: Map<DataCentreId, Readonly<{tokensPerSecond: number; at: Millis}>>;
+	/** Tokens kept for refused callers, in the order of their times. */
+	slots: Slot[];
+	nextSlotAt: Millis;
+	calledAt: Millis;
+	movedAt: Millis;
+	readAt: Millis;
+};
+
+export type MeterEvent =
+	| Readonly<{kind: 'ask'; from: DaemonId; requestId: RequestId; fingerprint: Fingerprint; tokens: number}>
+	/** Tokens that were allowed and have not been used. */
+	| Readonly<{kind: 'return'; tokens: number}>
+	| Readonly<{kind: 'configured'; settings: CapSettings}>
+	| Readonly<{kind: 'demand'; dataCentre: DataCentreId; tokensPerSecond: number; version: number}>
+	| Readonly<{kind: 'parts'; version: number; row: CapRow}>
+	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
+	/** `call` is the id of a platform call that the tick may start. */
+	| Readonly<{kind: 'tick'; call: CallId}>;
+
+export type MeterAction =
+	| Readonly<{kind: 'allow'; to: DaemonId; requestId: RequestId; tokens: number}>
+	| Readonly<{kind: 'deny'; to: DaemonId; requestId: RequestId; retryAfterMs: Millis}>
+	| Readonly<{kind: 'read-row'; call: CallId}>
+	| Readonly<{kind: 'write-row'; call: CallId; expectedVersion: number; value: string}>
+	/** To the meters of the member in the other data centres. */
+	| Readonly<{kind: 'send-demand'; tokensPerSecond: number; version: number}>
+	/** To all daemons of the data centre and to the meters of the others. */
+	| Readonly<{kind: 'share-parts'; version: number; row: CapRow}>;
+
+export type MeterOptions = Readonly<{
+	member: MemberId;
+	dataCentre: DataCentreId;
+	settings: CapSettings;
+	/** The row as the daemon knows it from an earlier meter. */
+	known?: Readonly<{version: number; row: CapRow}>;
+}>;
+
+export function createMeter(options: MeterOptions, now: Millis): MeterState {
+	const {known, ...rest} = options;
+	return {
+		...rest,
+		isFenced: false,
+		row: known?.row,
+		rowVersion: known?.version ?? 0,
+		lowered: undefined,
+		pending: undefined,
+		writing: undefined,
+		bucket: createBucket(now),
+		asked: 0,
+		askedAt: now,
+		demands: new Map(),
+		slots: [],
+		nextSlotAt: now,
+		calledAt: now,
+		movedAt: now,
+		readAt: Number.NEGATIVE_INFINITY,
+	};
+}
+
+/** Tokens per second that this data centre may use now. */
+export function ownRate(state: MeterState): number {
+	if (state.row === undefined || !state.isFenced) {
+		return 0;
+	}
+
+	const part = Math.min(state.row.parts[state.dataCentre] ?? 0, state.lowered ?? Number.POSITIVE_INFINITY);
+	return part * Math.min(1, state.settings.cap / state.row.cap);
+}
+
+function demandOf(state: MeterState, now: Millis): number {
+	const decay = Math.exp(-(now - state.askedAt) / demandMemoryMs);
+	return Math.min(state.settings.cap, state.asked * decay * 1000 / demandMemoryMs);
+}
+
+function addDemand(state: MeterState, tokens: number, now: Millis): void {
+	state.asked = (state.asked * Math.exp(-(now - state.askedAt) / demandMemoryMs)) + tokens;
+	state.askedAt = now;
+}
+
+/** Drops slots whose callers have not come, and returns the tokens that must be left for the others, future ones included. */
+function keptTokens(state: MeterState, rate: number, now: Millis): number {
+	while (state.slots.length > 0 && state.slots[0]!.at + slotLateMs < now) {
+		state.slots.shift();
+	}
+
+	let promised = 0;
+	let kept = 0;
+	for (const slot of state.slots.slice(0, keptSlots)) {
+		promised += slot.tokens;
+		kept = Math.max(kept, promised - (rate * Math.max(0, slot.at - now) / 1000));
+	}
+
+	return kept;
+}
+
+/** Whether the caller was told to come at this time. Its slot ends with this. */
+function takeSlot(state: MeterState, fingerprint: Fingerprint, now: Millis): boolean {
+	for (const [index, slot] of state.slots.entries()) {
+		if (slot.at > now) {
+			return false;
+		}
+
+		if (slot.fingerprint === fingerprint) {
+			state.slots.splice(index, 1);
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/** Keeps tokens for a refused caller; the slots of a member follow one another at its rate. */
+function handOutSlot(state: MeterState, event: Extract<MeterEvent, {kind: 'ask'}>, waitMs: Millis, now: Millis): Millis {
+	const rate = ownRate(state);
+	if (rate <= 0) {
+		return retryUnknownMs;
+	}
+
+	const at = Math.min(now + maxRetryAfterMs, Math.max(now + waitMs, state.nextSlotAt + (1000 * event.tokens / rate)));
+	state.nextSlotAt = at;
+	if (state.slots.length < maxSlots) {
+		state.slots.push({fingerprint: event.fingerprint, at, tokens: event.tokens});
+	}
+
+	return Math.ceil(at - now);
+}
+
+function ask(state: MeterState, event: Extract<MeterEvent, {kind: 'ask'}>, now: Millis): MeterAction[] {
+	addDemand(state, event.tokens, now);
+	const rate = ownRate(state);
+	fill(state.bucket, rate, now);
+	const isReturning = takeSlot(state, event.fingerprint, now);
+	const kept = isReturning ? 0 : keptTokens(state, rate, now);
+	const waitMs = waitFor(state.bucket, event.tokens + kept, rate);
+	if (waitMs > 0) {
+		state.nextSlotAt = Math.max(state.nextSlotAt, now);
+		return [{
+			kind: 'deny', to: event.from, requestId: event.requestId, retryAfterMs: handOutSlot(state, event, waitMs, now),
+		}];
+	}
+
+	const spare = Math.max(0, state.bucket.tokens - event.tokens - kept);
+	const batch = state.slots.length > 0 ? 0 : Math.floor(Math.min(spare / 2, demandOf(state, now) * batchMs / 1000));
+	state.bucket.tokens -= event.tokens + batch;
+	return [{
+		kind: 'allow', to: event.from, requestId: event.requestId, tokens: event.tokens + batch,
+	}];
+}
+
+function write(state: MeterState, row: CapRow, call: CallId, now: Millis): MeterAction[] {
+	state.pending = {call, kind: 'write', at: now};
+	state.writing = row;
+	return [{
+		kind: 'write-row', call, expectedVersion: state.rowVersion, value: JSON.stringify(row),
+	}];
+}
+
+function read(state: MeterState, call: CallId, now: Millis): MeterAction[] {
+	state.readAt = now;
+	state.pending = {call, kind: 'read', at: now};
+	return [{kind: 'read-row', call}];
+}
+
+/** Gives up what this data centre does not need: first its own part sinks, then the row is written. */
+function move(state: MeterState, call: CallId, now: Millis): MeterAction[] {
+	const {row} = state;
+	if (row === undefined) {
+		return [];
+	}
+
+	const rescaled = rescale(row, state.settings);
+	if (rescaled !== row) {
+		state.lowered = Math.min(row.parts[state.dataCentre] ?? 0, rescaled.parts[state.dataCentre] ?? 0);
+		return write(state, rescaled, call, now);
+	}
+
+	const demands = new Map([[state.dataCentre, demandOf(state, now)]]);
+	for (const [dataCentre, demand] of state.demands) {
+		if (now - demand.at < demandLifeMs) {
+			demands.set(dataCentre, demand.tokensPerSecond);
+		}
+	}
+
+	const next = giveAway(row, state.dataCentre, demands);
+	if (next === undefined) {
+		return [];
+	}
+
+	state.lowered = next.parts[state.dataCentre]!;
+	return write(state, next, call, now);
+}
+
+function tick(state: MeterState, call: CallId, now: Millis): MeterAction[] {
+	if (state.pending !== undefined && now - state.pending.at < callTimeoutMs) {
+		return [];
+	}
+
+	// After a lost answer a write may have taken effect or may still do so; the read comes first.
+	const isUnsettled = state.writing !== undefined || !state.isFenced;
+	if (isUnsettled || now - state.readAt >= readIntervalMs) {
+		return now - state.readAt >= moveIntervalMs ? read(state, call, now) : [];
+	}
+
+	if (now - state.movedAt < moveIntervalMs) {
+		return [];
+	}
+
+	state.movedAt = now;
+	return [{kind: 'send-demand', tokensPerSecond: demandOf(state, now), version: state.rowVersion}, ...move(state, call, now)];
+}
+
+/** Uses a row. Only the own data centre lowers its part, so an older row never shows a smaller one. */
+function useRow(state: MeterState, version: number, row: CapRow): void {
+	if (version >= state.rowVersion) {
+		state.row = row;
+		state.rowVersion = version;
+	}
+}
+
+function settle(state: MeterState): void {
+	state.writing = undefined;
+	state.lowered = undefined;
+}
+
+/**
+A row has been read. While a write is unsettled and the row has not changed, the write is repeated: then either the
+first or the second one has been accepted, and no other can follow. A meter that has just started writes the row as it
+is for the same reason.
+*/
+function receiveRead(state: MeterState, row: CapRow, version: number, call: CallId, now: Millis): MeterAction[] {
+	const isChanged = version > state.rowVersion;
+	useRow(state, version, row);
+	if (state.writing !== undefined && !isChanged) {
+		return write(state, state.writing, call, now);
+	}
+
+	settle(state);
+	return state.isFenced ? [] : write(state, row, call, now);
+}
+
+function receiveRow(state: MeterState, event: Extract<MeterEvent, {kind: 'row-answer'}>, now: Millis): MeterAction[] {
+	const {pending} = state;
+	if (pending?.call !== event.call) {
+		return [];
+	}
+
+	const {answer} = event;
+	const nextCall = `${event.call}+` as CallId;
+	state.pending = undefined;
+	switch (answer.kind) {
+		case 'unavailable': {
+			// Cut off from the store, a new meter uses the part that its data centre knows.
+			state.isFenced ||= state.row !== undefined;
+			return [];
+		}
+
+		case 'written': {
+			const row = state.writing!;
+			state.isFenced = true;
+			settle(state);
+			useRow(state, answer.version, row);
+			return [{kind: 'share-parts', version: answer.version, row}];
+		}
+
+		case 'absent': {
+			return write(state, equalParts(state.settings), nextCall, now);
+		}
+
+		case 'conflict': {
+			const row = parseRow(answer.value);
+			settle(state);
+			useRow(state, answer.version, row);
+			return state.isFenced ? [] : write(state, row, nextCall, now);
+		}
+
+		case 'row': {
+			return receiveRead(state, parseRow(answer.value), answer.version, nextCall, now);
+		}
+	}
+}
+
+/** Decides for one meter. Updates `state` in place and returns it. */
+export function decideMeter(state: MeterState, event: MeterEvent, now: Millis): Outcome<MeterState, MeterAction> {
+	if (now - state.calledAt > pauseMs) {
+		state.bucket = {tokens: Math.min(0, state.bucket.tokens), at: now};
+		state.isFenced = false;
+	}
+
+	state.calledAt = now;
+	return {state, actions: apply(state, event, now)};
+}
+
+function apply(state: MeterState, event: MeterEvent, now: Millis): MeterAction[] {
+	switch (event.kind) {
+		case 'ask': {
+			return ask(state, event, now);
+		}
+
+		case 'return': {
+			state.bucket.tokens += event.tokens;
+			fill(state.bucket, ownRate(state), now);
+			return [];
+		}
+
+		case 'configured': {
+			fill(state.bucket, ownRate(state), now);
+			state.settings = event.settings;
+			return [];
+		}
+
+		case 'demand': {
+			state.demands.set(event.dataCentre, {tokensPerSecond: event.tokensPerSecond, at: now});
+			if (event.version > state.rowVersion) {
+				state.readAt = Math.min(state.readAt, now - readIntervalMs);
+			}
+
+			return [];
+		}
+
+		case 'parts': {
+			fill(state.bucket, ownRate(state), now);
+			useRow(state, event.version, event.row);
+			return [];
+		}
+
+		case 'row-answer': {
+			fill(state.bucket, ownRate(state), now);
+			return receiveRow(state, event, now);
+		}
+
+		case 'tick': {
+			fill(state.bucket, ownRate(state), now);
+			return tick(state, event.call, now);
+		}
+	}
+}
--- /dev/null
+++ b/packages/caps/src/parts.ts
@@ -0,0 +1,95 @@
+/** How a member's cap is split over data centres. The parts always add up to the cap. */
+
+import type {DataCentreId} from '@cicadapost/types';
+
+/** The table row `caps/<member>`. */
+export type CapRow = Readonly<{
+	/** Tokens per second over all data centres. */
+	cap: number;
+	/** Tokens per second of each data centre. */
+	parts: Readonly<Record<string, number>>;
+	/** Configuration that the cap and the data centres come from; an older one never replaces them. */
+	configurationVersion: number;
+}>;
+
+/** What the configuration says about a member's cap. */
+export type CapSettings = Readonly<{
+	/** Tokens per second over all data centres. */
+	cap: number;
+	dataCentres: readonly DataCentreId[];
+	configurationVersion: number;
+}>;
+
+/** Each data centre keeps at least this part of the cap, so that its first requests do not wait for a move. */
+const minPart = 0.02;
+/** Smaller moves are not worth a write. */
+const minMove = 0.02;
+
+export function equalParts(settings: CapSettings): CapRow {
+	const {cap, dataCentres, configurationVersion} = settings;
+	return {cap, parts: Object.fromEntries(dataCentres.map(dataCentre => [dataCentre, cap / dataCentres.length])), configurationVersion};
+}
+
+/** The row after the operators have changed the cap or the set of data centres. */
+export function rescale(row: CapRow, settings: CapSettings): CapRow {
+	const {cap, dataCentres, configurationVersion} = settings;
+	const kept = dataCentres.filter(dataCentre => row.parts[dataCentre] !== undefined);
+	const keptSum = kept.reduce((sum, dataCentre) => sum + row.parts[dataCentre]!, 0);
+	const isSame = row.cap === cap && kept.length === dataCentres.length && Object.keys(row.parts).length === kept.length;
+	if (isSame || configurationVersion <= row.configurationVersion) {
+		return row;
+	}
+
+	if (keptSum <= 0) {
+		return equalParts(settings);
+	}
+
+	return {cap, parts: Object.fromEntries(dataCentres.map(dataCentre => [dataCentre, (row.parts[dataCentre] ?? 0) * cap / keptSum])), configurationVersion};
+}
+
+/** Weighted equally: each gets its demand, or an equal share of what the others leave. The rest is spread equally. */
+function fairTargets(demands: ReadonlyMap<DataCentreId, number>, total: number): Map<DataCentreId, number> {
+	const targets = new Map<DataCentreId, number>();
+	let left = total;
+	const byDemand = [...demands].toSorted(([, a], [, b]) => a - b);
+	for (const [index, [dataCentre, demand]] of byDemand.entries()) {
+		const share = Math.min(demand, left / (byDemand.length - index));
+		targets.set(dataCentre, share);
+		left -= share;
+	}
+
+	for (const [dataCentre, target] of targets) {
+		targets.set(dataCentre, target + (left / targets.size));
+	}
+
+	return targets;
+}
+
+/**
+The row after `own` has given up what it does not need, or undefined if it keeps its part. Only `own` gives; a data
+centre whose demand is not known is left as it is. `demands` are in tokens per second.
+*/
+export function giveAway(row: CapRow, own: DataCentreId, demands: ReadonlyMap<DataCentreId, number>): CapRow | undefined {
+	const floor = row.cap * minPart;
+	const known = new Map([...demands].filter(([dataCentre]) => row.parts[dataCentre] !== undefined).map(([dataCentre, demand]) => [dataCentre, Math.max(floor, demand)]));
+	const total = [...known.keys()].reduce((sum, dataCentre) => sum + row.parts[dataCentre]!, 0);
+	const targets = fairTargets(known, total);
+	const missing = new Map([...targets].map(([dataCentre, target]) => [dataCentre, Math.max(0, target - row.parts[dataCentre]!)]));
+	const missingSum = [...missing.values()].reduce((sum, part) => sum + part, 0);
+	const spare = Math.min(row.parts[own]! - (targets.get(own) ?? Number.POSITIVE_INFINITY), missingSum);
+	if (!(spare > row.cap * minMove)) {
+		return undefined;
+	}
+
+	const parts: Record<string, number> = {...row.parts};
+	parts[own] = row.parts[own]! - spare;
+	for (const [dataCentre, part] of missing) {
+		parts[dataCentre] = parts[dataCentre]! + (spare * part / missingSum);
+	}
+
+	return {...row, parts};
+}
+
+export function parseRow(value: string): CapRow {
+	return JSON.parse(value) as CapRow;
+}
--- /dev/null
+++ b/packages/decision/src/caps-part.ts
@@ -0,0 +1,313 @@
+/** Caps in a daemon: asks the member's meter before a request runs, and is the meter of the members that it owns. */
+
+import {
+	createMeter, decideMeter, type CapRow, type CapSettings, type MeterAction, type MeterEvent, type MeterState,
+} from '@cicadapost/caps';
+import {ownerIn, type MembershipState} from '@cicadapost/membership';
+import type {SiteConfiguration} from '@cicadapost/settings';
+import type {
+	CallId, DaemonId, DataCentreId, MemberId, Millis, PeerMessage, Request, RequestId, RowAnswer,
+} from '@cicadapost/types';
+
+export const capsTable = 'caps';
+const callPrefix = 'caps:';
+/** An allowance that is not used in this time lapses, so that allowances can't add up to a second burst. */
+const allowanceLifeMs = 200;
+/** A meter that has not answered for this long is taken for unreachable, and the request is refused. */
+const answerTimeoutMs = 500;
+const retryAfterNoMeterMs = 1000;
+
+type Allowance = {tokens: number; expiresAt: Millis};
+
+type Asked = Readonly<{request: Request; askedAt: Millis}>;
+
+export type CapsState = {
+	/** Meters of the members that this daemon owns in its data centre. */
+	meters: Map<MemberId, MeterState>;
+	/** Rows as last heard of, for a meter that starts while the store is unreachable. */
+	rows: Map<MemberId, Readonly<{version: number; row: CapRow}>>;
+	allowances: Map<MemberId, Allowance>;
+	/** Requests that wait for their meter's answer. */
+	asked: Map<RequestId, Asked>;
+	/** Tokens that running requests were allowed. */
+	used: Map<RequestId, Readonly<{member: MemberId; tokens: number; promptTokens: number}>>;
+};
+
+export type CapsAction =
+	| Readonly<{kind: 'send'; to: DaemonId; message: PeerMessage}>
+	| Readonly<{kind: 'start'; request: Request}>
+	| Readonly<{kind: 'refuse'; request: Request; retryAfterMs: Millis}>
+	| Readonly<{kind: 'read-row'; call: CallId; table: string; key: string}>
+	| Readonly<{kind: 'write-row'; call: CallId; table: string; key: string; expectedVersion: number; value: string}>;
+
+/** What the functions of this module need to know about the daemon. */
+export type CapsContext = Readonly<{
+	site: SiteConfiguration;
+	configurationVersion: number;
+	membership: MembershipState;
+	incarnation: number;
+	now: Millis;
+}>;
+
+type CapMessage = Extract<PeerMessage, {kind: `cap-${string}`}>;
+
+export function createCaps(): CapsState {
+	return {
+		meters: new Map(), rows: new Map(), allowances: new Map(), asked: new Map(), used: new Map(),
+	};
+}
+
+export function isCapsCall(call: CallId): boolean {
+	return call.startsWith(callPrefix);
+}
+
+export function isCapMessage(message: PeerMessage): message is CapMessage {
+	return message.kind.startsWith('cap-');
+}
+
+function settingsOf(context: CapsContext, member: string): CapSettings | undefined {
+	const cap = context.site.members[member]?.cap;
+	return cap === undefined
+		? undefined
+		: {cap: cap.tokensPerSecond, dataCentres: Object.keys(context.site.dataCentres) as DataCentreId[], configurationVersion: context.configurationVersion};
+}
+
+function meterOf(context: CapsContext, dataCentre: DataCentreId, member: MemberId): DaemonId | undefined {
+	return ownerIn(context.membership, dataCentre, `caps/${member}`);
+}
+
+/** Starts a request, or asks the meter first if its member has a cap. */
+export function startUnderCap(caps: CapsState, request: Request, context: CapsContext): CapsAction[] {
+	const {member, requestId, fingerprint} = request;
+	if (settingsOf(context, member) === undefined) {
+		return [{kind: 'start', request}];
+	}
+
+	const tokens = request.promptTokens + request.maxTokens;
+	const allowance = caps.allowances.get(member);
+	if (allowance !== undefined && allowance.expiresAt > context.now && allowance.tokens >= tokens) {
+		allowance.tokens -= tokens;
+		caps.used.set(requestId, {member, tokens, promptTokens: request.promptTokens});
+		return [{kind: 'start', request}];
+	}
+
+	const meter = meterOf(context, context.membership.dataCentre, member);
+	if (meter === undefined) {
+		return [{kind: 'refuse', request, retryAfterMs: retryAfterNoMeterMs}];
+	}
+
+	caps.asked.set(requestId, {request, askedAt: context.now});
+	return [{
+		kind: 'send', to: meter, message: {
+			kind: 'cap-ask', member, requestId, fingerprint, tokens,
+		},
+	}];
+}
+
+/** How much of its allowance a request has used. */
+export type CapUse =
+	| Readonly<{kind: 'completed'; tokens: number}>
+	| Readonly<{kind: 'not-sent'}>
+	/** It may have generated tokens that nobody has counted. */
+	| Readonly<{kind: 'unknown'}>;
+
+function usedTokens(used: Readonly<{tokens: number; promptTokens: number}>, use: CapUse): number {
+	switch (use.kind) {
+		case 'completed': {
+			return used.promptTokens + use.tokens;
+		}
+
+		case 'not-sent': {
+			return 0;
+		}
+
+		case 'unknown': {
+			return used.tokens;
+		}
+	}
+}
+
+/** Returns what a request has not used. With unknown use the whole allowance counts as used. */
+export function endUnderCap(caps: CapsState, requestId: RequestId, use: CapUse, context: CapsContext): CapsAction[] {
+	const used = caps.used.get(requestId);
+	caps.asked.delete(requestId);
+	caps.used.delete(requestId);
+	if (used === undefined) {
+		return [];
+	}
+
+	const tokens = used.tokens - usedTokens(used, use);
+	const meter = meterOf(context, context.membership.dataCentre, used.member);
+	return tokens > 0 && meter !== undefined ? [{kind: 'send', to: meter, message: {kind: 'cap-return', member: used.member, tokens}}] : [];
+}
+
+function callMeter(caps: CapsState, member: MemberId, event: MeterEvent, context: CapsContext): CapsAction[] {
+	const meter = caps.meters.get(member);
+	if (meter === undefined) {
+		return [];
+	}
+
+	const outcome = decideMeter(meter, event, context.now);
+	caps.meters.set(member, outcome.state);
+	return outcome.actions.flatMap(action => applyMeter(caps, member, action, context));
+}
+
+function applyMeter(caps: CapsState, member: MemberId, action: MeterAction, context: CapsContext): CapsAction[] {
+	switch (action.kind) {
+		case 'allow': {
+			return [{
+				kind: 'send', to: action.to, message: {
+					kind: 'cap-allow', member, requestId: action.requestId, tokens: action.tokens,
+				},
+			}];
+		}
+
+		case 'deny': {
+			return [{
+				kind: 'send', to: action.to, message: {
+					kind: 'cap-deny', member, requestId: action.requestId, retryAfterMs: action.retryAfterMs,
+				},
+			}];
+		}
+
+		case 'read-row':
+		case 'write-row': {
+			return [{...action, table: capsTable, key: member}];
+		}
+
+		case 'send-demand': {
+			const {dataCentre} = context.membership;
+			return otherMeters(context, member).map(to => ({
+				kind: 'send', to, message: {
+					kind: 'cap-demand', member, dataCentre, tokensPerSecond: action.tokensPerSecond, version: action.version,
+				},
+			}));
+		}
+
+		case 'share-parts': {
+			rememberRow(caps, member, action);
+			const message: PeerMessage = {
+				kind: 'cap-parts', member, version: action.version, row: action.row,
+			};
+			const nearby = [...context.membership.peers].filter(([, peer]) => peer.dataCentre === context.membership.dataCentre).map(([daemon]) => daemon);
+			return [...nearby, ...otherMeters(context, member)].map(to => ({kind: 'send', to, message}));
+		}
+	}
+}
+
+function otherMeters(context: CapsContext, member: MemberId): DaemonId[] {
+	return Object.keys(context.site.dataCentres)
+		.filter(dataCentre => dataCentre !== context.membership.dataCentre)
+		.flatMap(dataCentre => meterOf(context, dataCentre as DataCentreId, member) ?? []);
+}
+
+function rememberRow(caps: CapsState, member: MemberId, known: Readonly<{version: number; row: CapRow}>): void {
+	if (known.version > (caps.rows.get(member)?.version ?? 0)) {
+		caps.rows.set(member, {version: known.version, row: known.row});
+	}
+}
+
+function receiveAllowance(caps: CapsState, message: Extract<CapMessage, {kind: 'cap-allow'}>, context: CapsContext): CapsAction[] {
+	const asked = caps.asked.get(message.requestId);
+	caps.asked.delete(message.requestId);
+	const needed = asked === undefined ? 0 : asked.request.promptTokens + asked.request.maxTokens;
+	const allowance = caps.allowances.get(message.member);
+	const left = allowance !== undefined && allowance.expiresAt > context.now ? allowance.tokens : 0;
+	caps.allowances.set(message.member, {tokens: left + message.tokens - needed, expiresAt: context.now + allowanceLifeMs});
+	if (asked === undefined) {
+		return [];
+	}
+
+	caps.used.set(message.requestId, {member: message.member, tokens: needed, promptTokens: asked.request.promptTokens});
+	return [{kind: 'start', request: asked.request}];
+}
+
+export function receiveCapMessage(caps: CapsState, from: DaemonId, message: CapMessage, context: CapsContext): CapsAction[] {
+	const {member} = message;
+	switch (message.kind) {
+		case 'cap-ask': {
+			if (!caps.meters.has(member)) {
+				return [{
+					kind: 'send', to: from, message: {
+						kind: 'cap-deny', member, requestId: message.requestId, retryAfterMs: retryAfterNoMeterMs,
+					},
+				}];
+			}
+
+			return callMeter(caps, member, {...message, kind: 'ask', from}, context);
+		}
+
+		case 'cap-allow': {
+			return receiveAllowance(caps, message, context);
+		}
+
+		case 'cap-deny': {
+			const asked = caps.asked.get(message.requestId);
+			caps.asked.delete(message.requestId);
+			return asked === undefined ? [] : [{kind: 'refuse', request: asked.request, retryAfterMs: message.retryAfterMs}];
+		}
+
+		case 'cap-return': {
+			return callMeter(caps, member, {kind: 'return', tokens: message.tokens}, context);
+		}
+
+		case 'cap-demand': {
+			return callMeter(caps, member, {...message, kind: 'demand'}, context);
+		}
+
+		case 'cap-parts': {
+			rememberRow(caps, member, message);
+			return callMeter(caps, member, {...message, kind: 'parts'}, context);
+		}
+	}
+}
+
+/** Starts the meters that this daemon owns now and gives up the others. */
+export function refreshMeters(caps: CapsState, context: CapsContext): void {
+	const {self, dataCentre} = context.membership;
+	for (const member of caps.meters.keys()) {
+		if (settingsOf(context, member) === undefined || meterOf(context, dataCentre, member) !== self) {
+			caps.meters.delete(member);
+		}
+	}
+
+	for (const name of Object.keys(context.site.members)) {
+		const member = name as MemberId;
+		const settings = settingsOf(context, member);
+		if (settings === undefined || meterOf(context, dataCentre, member) !== self) {
+			continue;
+		}
+
+		const known = caps.rows.get(member);
+		if (!caps.meters.has(member)) {
+			caps.meters.set(member, createMeter({
+				member, dataCentre, settings, ...(known === undefined ? {} : {known}),
+			}, context.now));
+		}
+
+		callMeter(caps, member, {kind: 'configured', settings}, context);
+	}
+}
+
+export function receiveCapRow(caps: CapsState, call: CallId, answer: RowAnswer, context: CapsContext): CapsAction[] {
+	const member = [...caps.meters].find(([, meter]) => meter.pending?.call === call)?.[0];
+	return member === undefined ? [] : callMeter(caps, member, {kind: 'row-answer', call, answer}, context);
+}
+
+/** Refuses requests whose meter does not answer, and lets the meters move parts. */
+export function tickCaps(caps: CapsState, context: CapsContext): CapsAction[] {
+	const actions: CapsAction[] = [];
+	for (const [requestId, {request, askedAt}] of caps.asked) {
+		if (context.now - askedAt > answerTimeoutMs) {
+			caps.asked.delete(requestId);
+			actions.push({kind: 'refuse', request, retryAfterMs: retryAfterNoMeterMs});
+		}
+	}
+
+	for (const member of caps.meters.keys()) {
+		const call = `${callPrefix}${context.membership.self}.${context.incarnation}.${member}.${context.now}` as CallId;
+		actions.push(...callMeter(caps, member, {kind: 'tick', call}, context));
+	}
+
+	return actions;
+}
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -6,6 +6,7 @@
 import type {
 	Acquire, AttemptId, DaemonId, DataCentreId, RegionId, RequestId, ShardId,
 } from '@cicadapost/types';
+import {createCaps, type CapsState} from './caps-part.js';
 import type {HeldGrants} from './held-grants.js';
 
 /** Where the result of a request goes. */
@@ -36,6 +37,7 @@
 	grants: HeldGrants;
 	/** Fingerprints that were on dead upstreams, shared with all daemons. */
 	suspects: SuspectTable;
+	caps: CapsState;
 	leaving: boolean;
 	stopped: boolean;
 	/** Number of platform calls so far; makes their ids. */
@@ -62,6 +64,7 @@
 		acquires: new Map(),
 		grants: new Map(),
 		suspects: createSuspectTable(),
+		caps: createCaps(),
 		leaving: false,
 		stopped: false,
 		calls: 0,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -17,6 +17,9 @@
 import type {
 	CallId, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId,
 } from '@cicadapost/types';
+import {
+	endUnderCap, isCapMessage, isCapsCall, receiveCapMessage, receiveCapRow, refreshMeters, startUnderCap, tickCaps, type CapsAction, type CapsContext, type CapUse,
+} from './caps-part.js';
 import type {DaemonState} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
 import {moveGrants, withdrawal} from './held-grants.js';
@@ -46,6 +49,7 @@
 
 			case 'caller-left': {
 				this.state.origins.delete(event.requestId);
+				this.endCap(event.requestId, {kind: 'unknown'});
 				this.route({kind: 'caller-left', requestId: event.requestId});
 				break;
 			}
@@ -81,7 +85,12 @@
 			}
 
 			case 'row-answer': {
-				this.configure({kind: 'answer', call: event.call, answer: event.answer});
+				if (isCapsCall(event.call)) {
+					this.cap((context, caps) => receiveCapRow(caps, event.call, event.answer, context));
+				} else {
+					this.configure({kind: 'answer', call: event.call, answer: event.answer});
+				}
+
 				break;
 			}
 
@@ -108,6 +117,7 @@
 		this.updateMembership({kind: 'tick'});
 		this.configure({kind: 'tick', call: this.nextCall()});
 		this.route({kind: 'tick'});
+		this.cap((context, caps) => tickCaps(caps, context));
 		for (const shard of this.state.schedulers.keys()) {
 			this.schedule(shard, {kind: 'tick'});
 		}
@@ -116,7 +126,7 @@
 	}
 
 	private stopIfIdle(): void {
-		if (this.state.leaving && !this.state.stopped && this.state.router.requests.size === 0) {
+		if (this.state.leaving && !this.state.stopped && this.state.router.requests.size === 0 && this.state.caps.asked.size === 0) {
 			this.state.stopped = true;
 			this.actions.push({kind: 'stopped'});
 		}
@@ -149,11 +159,60 @@
 			return;
 		}
 
-		this.state.origins.set(requestId, {kind: 'caller'});
-		this.route({kind: 'request', request, places: this.placesOf(request.pool)});
+		this.cap((context, caps) => startUnderCap(caps, request, context));
+	}
+
+	/** Lets the caps decide and carries out their actions. */
+	private cap(decideCaps: (context: CapsContext, caps: DaemonState['caps']) => CapsAction[]): void {
+		const {site, configuration, membership, incarnation, caps} = this.state;
+		if (site === undefined) {
+			return;
+		}
+
+		const context = {
+			site, membership, incarnation, now: this.now, configurationVersion: configuration.version,
+		};
+		for (const action of decideCaps(context, caps)) {
+			this.applyCap(action);
+		}
+	}
+
+	private applyCap(action: CapsAction): void {
+		switch (action.kind) {
+			case 'send': {
+				this.sendOrReceive(action.to, action.message);
+				break;
+			}
+
+			case 'start': {
+				this.state.origins.set(action.request.requestId, {kind: 'caller'});
+				this.route({kind: 'request', request: action.request, places: this.placesOf(action.request.pool)});
+				break;
+			}
+
+			case 'refuse': {
+				this.reject(action.request.requestId, 'over-cap', new ProblemError({
+					kind: 'over-cap',
+					detail: 'the member has used up its cap',
+					remedy: 'wait for Retry-After or ask the operator for a larger cap',
+					retryAfterMs: action.retryAfterMs,
+				}));
+				break;
+			}
+
+			case 'read-row':
+			case 'write-row': {
+				this.actions.push(action);
+				break;
+			}
+		}
+	}
+
+	private endCap(requestId: RequestId, use: CapUse): void {
+		this.cap((context, caps) => endUnderCap(caps, requestId, use, context));
 	}
 
-	private reject(requestId: RequestId, cause: 'no-upstream', problem: ProblemError): void {
+	private reject(requestId: RequestId, cause: 'no-upstream' | 'over-cap', problem: ProblemError): void {
 		this.actions.push({
 			kind: 'fail', requestId, cause, sent: false, problem,
 		});
@@ -175,6 +234,11 @@
 	}
 
 	private receiveMessage(from: DaemonId, message: PeerMessage): void {
+		if (isCapMessage(message)) {
+			this.cap((context, caps) => receiveCapMessage(caps, from, message, context));
+			return;
+		}
+
 		switch (message.kind) {
 			case 'heartbeat': {
 				this.greet(from);
@@ -452,6 +516,7 @@
 		const origin = this.state.origins.get(action.requestId);
 		if (action.kind !== 'deliver') {
 			this.state.origins.delete(action.requestId);
+			this.endCap(action.requestId, capUse(action));
 		}
 
 		if (origin?.kind === 'caller') {
@@ -529,6 +594,10 @@
 			}
 		}
 
+		this.cap((context, caps) => {
+			refreshMeters(caps, context);
+			return [];
+		});
 		// New owners hear first what runs already, so that they do not grant the same slots again.
 		for (const {to, message} of moveGrants(this.state.grants, shard => shardOwner(membership, shard), this.now)) {
 			this.sendOrReceive(to, message);
@@ -602,6 +671,14 @@
 	}
 }
 
+function capUse(action: Extract<RouterAction, {kind: 'complete' | 'fail'}>): CapUse {
+	if (action.kind === 'complete') {
+		return {kind: 'completed', tokens: action.tokens};
+	}
+
+	return action.sent ? {kind: 'unknown'} : {kind: 'not-sent'};
+}
+
 function relayedRequestId(attempt: string): RequestId {
 	return `relay:${attempt}` as RequestId;
 }
--- a/packages/peers/src/parse-message.ts
+++ b/packages/peers/src/parse-message.ts
@@ -17,6 +17,12 @@
 		'configuration-pull',
 		'running',
 		'suspects',
+		'cap-ask',
+		'cap-allow',
+		'cap-deny',
+		'cap-return',
+		'cap-demand',
+		'cap-parts',
 	]),
 });
 
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between daemons. Times in them are durations, since daemons do not share a clock. */
 
 import type {
-	AttemptId, DaemonId, DataCentreId, Fingerprint, Millis, ShardId, UpstreamId,
+	AttemptId, DaemonId, DataCentreId, Fingerprint, MemberId, Millis, RequestId, ShardId, UpstreamId,
 } from './ids.js';
 import type {
 	AttemptFailure, Chunk, Payload, RequestSummary,
@@ -153,6 +153,61 @@
 	entries: readonly SuspectEntry[];
 }>;
 
+/** Asks the meter of a member for tokens under the member's cap, before a request runs. */
+export type CapAsk = Readonly<{
+	kind: 'cap-ask';
+	member: MemberId;
+	requestId: RequestId;
+	fingerprint: Fingerprint;
+	/** Prompt tokens and the most that the completion may have. */
+	tokens: number;
+}>;
+
+export type CapAllow = Readonly<{
+	kind: 'cap-allow';
+	member: MemberId;
+	requestId: RequestId;
+	/** At least what was asked for; the rest is for requests of the next moments. */
+	tokens: number;
+}>;
+
+export type CapDeny = Readonly<{
+	kind: 'cap-deny';
+	member: MemberId;
+	requestId: RequestId;
+	retryAfterMs: Millis;
+}>;
+
+/** Returns tokens that a request has not used. */
+export type CapReturn = Readonly<{
+	kind: 'cap-return';
+	member: MemberId;
+	tokens: number;
+}>;
+
+/** Tells the meter of a member in another data centre what the sender's data centre asks for. */
+export type CapDemand = Readonly<{
+	kind: 'cap-demand';
+	member: MemberId;
+	dataCentre: DataCentreId;
+	tokensPerSecond: number;
+	/** Version of the row `caps/<member>` that the sender knows. */
+	version: number;
+}>;
+
+/** The row `caps/<member>`, after a change. */
+export type CapParts = Readonly<{
+	kind: 'cap-parts';
+	member: MemberId;
+	version: number;
+	row: Readonly<{
+		cap: number;
+		/** Tokens per second of each data centre; they add up to the cap. */
+		parts: Readonly<Record<string, number>>;
+		configurationVersion: number;
+	}>;
+}>;
+
 export type PeerMessage =
 	| Heartbeat
 	| Acquire
@@ -167,7 +222,13 @@
 	| ConfigurationMessage
 	| ConfigurationPull
 	| Running
-	| Suspects;
+	| Suspects
+	| CapAsk
+	| CapAllow
+	| CapDeny
+	| CapReturn
+	| CapDemand
+	| CapParts;
 
 export type Addressed = Readonly<{
 	to: DaemonId;
