Keep room for live requests and bound the charge of the training floor

Change: while live requests come and none waits, training leaves a sixteenth of the largest window free. A grant that is due to the floor takes its member at most 1 s of service ahead of the others.

Ruled out: a reserve that also holds while live requests wait.

--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -9,6 +9,13 @@
 
 /** Live requests may exceed the window by this part of it, so that they need not wait for a training request to end. */
 const liveHeadroom = 0.25;
+/**
+While live requests come, training leaves this part of the largest window free, because a window of that size has no
+headroom: a live request would wait for a training request to end, which takes longer than its own first token.
+*/
+const liveReserve = 1 / 16;
+/** Live requests count as coming for this long after the last one. */
+const liveMemoryMs = 10_000;
 /** An upstream with a warm prefix is preferred up to this much more load, as a part of its window. */
 const affinityLoad = 0.25;
 
@@ -48,10 +55,14 @@
 	}
 
 	const limit = Math.floor(window.window);
+	// While live requests wait, the order of the queue and the training floor decide.
+	const isReserving = state.queue.live.size === 0 && now - state.liveAt < liveMemoryMs;
+	const reserve = isReserving ? Math.ceil(settings.maxWindow * liveReserve) : 0;
+	const trainingLimit = Math.max(1, Math.min(limit, settings.maxWindow - reserve));
 	const liveLimit = Math.min(settings.maxWindow, limit + Math.ceil(limit * liveHeadroom));
 	return running < liveLimit
 		? {
-			upstream, live: true, training: running < limit, isProbe: false,
+			upstream, live: true, training: running < trainingLimit, isProbe: false,
 		}
 		: undefined;
 }
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -216,13 +216,15 @@
 /**
 Records that a request of the account starts at its present virtual time, and charges its expected tokens. The queue's
 virtual time follows the waiting member that is furthest behind, since a member may be served out of order, and the
-member that is served if no other waits.
+member that is served if no other waits. The charge takes the member at most `maxLead` ahead of it.
 */
-export function startService(queue: FairQueue, account: Account, tokens: number): void {
+export function startService(queue: FairQueue, account: Account, tokens: number, maxLead: number): void {
 	const furthestBehind = Math.min(account.tag, queue.live.top?.account.tag ?? account.tag, queue.training.top?.account.tag ?? account.tag);
 	queue.virtualTime = Math.max(queue.virtualTime, furthestBehind);
 	account.running += tokens;
-	charge(queue, account, tokens);
+	const limit = Math.max(account.tag, queue.virtualTime + maxLead);
+	account.tag = Math.min(limit, account.tag + (tokens / account.weight));
+	charge(queue, account, 0);
 }
 
 /** Records that a request has ended that was charged `tokens` at its start. */
--- a/packages/scheduling/src/scheduler-state.ts
+++ b/packages/scheduling/src/scheduler-state.ts
@@ -30,6 +30,8 @@
 	/** Tokens that training has got too little of, while live requests waited. */
 	trainingDebt: number;
 	normal: NormalTimes;
+	/** Time of the last live request. */
+	liveAt: Millis;
 	/** Time of the last review of all waiting and running requests. */
 	reviewedAt: Millis;
 };
@@ -53,6 +55,7 @@
 		trainingFloor: options.trainingFloor ?? defaultTrainingFloor,
 		trainingDebt: 0,
 		normal: {firstMs: undefined, tokenMs: undefined},
+		liveAt: Number.NEGATIVE_INFINITY,
 		reviewedAt: Number.NEGATIVE_INFINITY,
 	};
 }
--- a/packages/scheduling/src/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler.test.ts
@@ -283,6 +283,46 @@
 		});
 	});
 
+	describe('with training requests that keep all slots busy', () => {
+		it('starts live requests without waiting for a training request to end', () => {
+			const bench = new Bench(['u1', 'u2', 'u3', 'u4'], {window: 16});
+			const askTraining = keepAsking(bench, {
+				member: 't', requestClass: 'training', tokens: 100, maxTokens: 300,
+			}, 100, 200);
+			let count = 0;
+			bench.run(20_000, () => {
+				askTraining();
+				if (bench.now % 50 === 0) {
+					bench.ask({name: `live-${count++}`, member: 'l', tokens: 20});
+				}
+			});
+			const waits = bench.granted.filter(({name, at}) => name.startsWith('live') && at > 5000)
+				.map(({name, at}) => at - bench.askedAt.get(name)!)
+				.toSorted((a, b) => a - b);
+			expect(waits[Math.floor(waits.length * 0.99)]).toBeLessThan(10);
+			expect(bench.jobs.size).toBeGreaterThan(58);
+		});
+	});
+
+	describe('with a member that has got more than its share through the training floor', () => {
+		it('is not held back for it when another member starts to train', () => {
+			const bench = new Bench(['u1', 'u2'], {window: 16, weights: {a: 9, b: 1, c: 1}});
+			const asks = [keepAsking(bench, {member: 'a', tokens: 20}, 60), keepAsking(bench, {member: 'b', requestClass: 'training', tokens: 20}, 60)];
+			const askAll = () => {
+				for (const ask of asks) {
+					ask();
+				}
+			};
+
+			bench.run(10_000, askAll);
+			asks.push(keepAsking(bench, {member: 'c', requestClass: 'training', tokens: 20}, 60));
+			bench.tokensOf.clear();
+			bench.run(10_000, askAll);
+			expect(bench.tokensOf.get('b')! / bench.tokensOf.get('c')!).toBeGreaterThan(0.8);
+			expect(bench.tokensOf.get('b')! / bench.tokensOf.get('c')!).toBeLessThan(1.25);
+		});
+	});
+
 	describe('with a first request that may not run on the free upstream', () => {
 		it('grants the next one, so that no slot stays idle', () => {
 			const bench = new Bench(['u1', 'u2'], {window: 1});
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -34,6 +34,8 @@
 const liveLeadMs = 250;
 /** Service that a member may catch up on after its requests have used less than they were charged. */
 const maxCreditMs = 1000;
+/** Service that a member is charged at most ahead of the others for requests that ran because of the training floor. */
+const maxFloorLeadMs = 1000;
 /** Interval of the review of all waiting and running requests. */
 const reviewMs = 50;
 /** A waiting request is refused when its expected wait exceeds the time left by this factor; estimates vary by less. */
@@ -61,7 +63,12 @@
 	return refusal(waiting, refused.reason, retryAfterMs);
 }
 
-type Choice = Readonly<{waiting: Waiting; opening: Opening}>;
+type Choice = Readonly<{
+	waiting: Waiting;
+	opening: Opening;
+	/** The request runs before its turn, because training is owed its floor. */
+	isFloor: boolean;
+}>;
 
 function findInClass(state: SchedulerState, heap: IndexedHeap<Flow>, openings: readonly Opening[], now: Millis): Choice | undefined {
 	const skipped: Flow[] = [];
@@ -81,7 +88,7 @@
 			heap.delete(flow);
 			skipped.push(flow);
 		} else {
-			choice = {waiting, opening: opening!};
+			choice = {waiting, opening: opening!, isFloor: false};
 		}
 	}
 
@@ -110,19 +117,25 @@
 
 function chooseNext(state: SchedulerState, openings: readonly Opening[], now: Millis): Choice | undefined {
 	const preferred = preferredClass(state);
+	const isFloorDue = preferred === 'training' && state.trainingDebt > 0;
 	const order: RequestClass[] = preferred === 'live' ? ['live', 'training'] : ['training', 'live'];
 	for (const requestClass of order) {
 		const usable = openings.filter(opening => isOpenFor(opening, requestClass));
 		const heap = requestClass === 'live' ? state.queue.live : state.queue.training;
 		const choice = usable.length === 0 ? undefined : findInClass(state, heap, usable, now);
 		if (choice !== undefined) {
-			return choice;
+			return {...choice, isFloor: isFloorDue && requestClass === 'training'};
 		}
 	}
 
 	return undefined;
 }
 
+/** Virtual time that passes in `ms` while the present members wait. */
+function virtualTimeIn(state: SchedulerState, ms: Millis): number {
+	return (capacityOf(state).rate ?? 0) * ms / Math.max(1, state.queue.waitingWeight);
+}
+
 /** Keeps account of the share that training gets while both classes wait. */
 function updateTrainingDebt(state: SchedulerState, waiting: Waiting): void {
 	if (state.queue.live.size === 0 || state.queue.training.size === 0) {
@@ -162,7 +175,7 @@
 	const charged = expectedTokens(flowOf(account, request.requestClass), request);
 	updateTrainingDebt(state, waiting);
 	remove(state.queue, waiting);
-	startService(state.queue, account, charged);
+	startService(state.queue, account, charged, choice.isFloor ? virtualTimeIn(state, maxFloorLeadMs) : Number.POSITIVE_INFINITY);
 	advanceArea(upstream, now);
 	addRun(state, {
 		from,
@@ -273,6 +286,7 @@
 		from, attempt, request, since: now, deadlineAt: now + remainingMs, avoid, expectedTokens: expectedTokens(flow, request), removed: false,
 	};
 	enqueue(state.queue, waiting);
+	state.liveAt = request.requestClass === 'live' ? now : state.liveAt;
 	if (remainingMs <= 0 || waitingCount(state) > maxWaiting) {
 		const capacity = capacityOf(state);
 		const waitMs = waitEstimate(state.queue, flow, capacity)(tokensAhead(flow));
@@ -358,8 +372,7 @@
 	const elapsedMs = Math.max(1, now - grantedAt);
 	const isFinished = release.result === 'finished';
 	const used = usedTokens(running, release);
-	const maxCredit = (capacityOf(state).rate ?? 0) * maxCreditMs / Math.max(1, state.queue.waitingWeight);
-	correctCharge(state.queue, account, used - running.charged, maxCredit);
+	correctCharge(state.queue, account, used - running.charged, virtualTimeIn(state, maxCreditMs));
 	recordEnd(state.admission, waitingCount(state) > 0, used, elapsedMs);
 	endProgress(upstream.progress, {expectedMs: running.expectedMs, elapsedMs, isFinished}, now);
 	if (!isFinished) {
