--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -10,6 +10,7 @@
 import type {
 	Acquire, AttemptId, DaemonId, DataCentreId, Millis, RegionId, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
+import {createCaps, type CapsState} from './caps-part.js';
 import type {HeldGrants} from './held-grants.js';
 import {createRelays, type RelaysState} from './relays.js';
 
@@ -55,6 +56,7 @@
 	suspects: SuspectTable;
 	/** When the state of each upstream of an owned shard is read next. */
 	stateReads: Map<UpstreamId, Millis>;
+	caps: CapsState;
 	leaving: boolean;
 	stopped: boolean;
 	/** Number of platform calls so far; makes their ids. */
@@ -88,6 +90,7 @@
 		grants: new Map(),
 		suspects: createSuspectTable(),
 		stateReads: new Map(),
+		caps: createCaps(),
 		leaving: false,
 		stopped: false,
 		calls: 0,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -21,8 +21,11 @@
 } from '@cicadapost/scheduling';
 import {siteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId, UpstreamId,
+	Acquire, AttemptId, CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId, SuspectEntry, UpstreamId,
 } from '@cicadapost/types';
+import {
+	endUnderCap, isCapMessage, isCapsCall, receiveCapMessage, receiveCapRow, refreshMeters, startUnderCap, tickCaps, type CapsAction, type CapsContext, type CapUse,
+} from './caps-part.js';
 import type {DaemonState, OpenAcquire, Origin} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
 import {moveGrants, withdrawal} from './held-grants.js';
@@ -175,6 +178,11 @@
 			return;
 		}
 
+		if (isCapsCall(call)) {
+			this.cap((context, caps) => receiveCapRow(caps, call, answer, context));
+			return;
+		}
+
 		this.configure({kind: 'answer', call, answer});
 	}
 
@@ -186,6 +194,7 @@
 		this.claim({kind: 'tick'});
 		this.readStates();
 		this.route({kind: 'tick'});
+		this.cap((context, caps) => tickCaps(caps, context));
 		this.askAgain();
 		this.sendFrames();
 		this.rollOut({kind: 'tick'});
@@ -197,9 +206,11 @@
 	}
 
 	private stopIfIdle(): void {
-		const {leaving, stopped, router, claims, configuration, rollouts, schedulers} = this.state;
+		const {
+			leaving, stopped, router, claims, configuration, rollouts, caps, schedulers,
+		} = this.state;
 		// The last daemons of a data centre keep shards, and other daemons' requests in them, until those have ended.
-		const isIdle = router.requests.size === 0 && isClaimsIdle(claims) && configuration.applies.size === 0 && isRolloutsIdle(rollouts)
+		const isIdle = router.requests.size === 0 && isClaimsIdle(claims) && configuration.applies.size === 0 && isRolloutsIdle(rollouts) && caps.asked.size === 0
 			&& [...schedulers.values()].every(scheduler => waitingCount(scheduler) === 0 && scheduler.running.size === 0);
 		if (leaving && !stopped && isIdle) {
 			this.state.stopped = true;
@@ -235,25 +246,80 @@
 			return;
 		}
 
+		this.state.origins.set(requestId, {kind: 'caller'});
+		this.cap((context, caps) => startUnderCap(caps, request, context));
+	}
+
+	/** Runs a request whose tokens are within the cap of its member. */
+	private runRequest(request: Request): void {
+		const {requestId} = request;
 		if (!request.idempotent) {
-			this.state.origins.set(requestId, {kind: 'caller'});
 			this.claim({kind: 'claim', request, nonce: `${this.state.self}.${this.state.incarnation}.${requestId}`});
 			return;
 		}
 
 		const refusal = takeKey(this.state.keys, request, this.now);
 		if (refusal !== undefined) {
-			this.reject(requestId, 'overloaded', refusal);
+			this.answer({
+				kind: 'fail', requestId, cause: 'overloaded', sent: false, problem: refusal,
+			});
 			return;
 		}
 
-		this.state.origins.set(requestId, {kind: 'caller'});
 		this.route({kind: 'request', request, places: this.placesOf(request.pool)});
 	}
 
+	/** Lets the caps decide and carries out their actions. */
+	private cap(decideCaps: (context: CapsContext, caps: DaemonState['caps']) => CapsAction[]): void {
+		const {site, configuration, membership, incarnation, caps} = this.state;
+		if (site === undefined) {
+			return;
+		}
+
+		const context = {
+			site, membership, incarnation, now: this.now, configurationVersion: configuration.version,
+		};
+		for (const action of decideCaps(context, caps)) {
+			this.applyCap(action);
+		}
+	}
+
+	private applyCap(action: CapsAction): void {
+		switch (action.kind) {
+			case 'send': {
+				this.sendOrReceive(action.to, action.message);
+				break;
+			}
+
+			case 'start': {
+				this.runRequest(action.request);
+				break;
+			}
+
+			case 'refuse': {
+				this.answer({
+					kind: 'fail', requestId: action.request.requestId, cause: 'over-cap', sent: false, problem: new ProblemError({
+						kind: 'over-cap',
+						detail: 'the member has used up its cap',
+						remedy: 'wait for Retry-After or ask the operator for a larger cap',
+						retryAfterMs: action.retryAfterMs,
+					}),
+				});
+				break;
+			}
+
+			case 'read-row':
+			case 'write-row': {
+				this.actions.push(action);
+				break;
+			}
+		}
+	}
+
 	/** A claimed request that may have been sent runs on without its caller, so that its outcome is recorded. */
 	private dropCaller(requestId: RequestId): void {
 		this.state.origins.delete(requestId);
+		this.endCap(requestId, {kind: 'unknown'});
 		const claim = this.state.claims.claims.get(requestId);
 		const entry = this.state.router.requests.get(requestId);
 		if (claim !== undefined && entry !== undefined && mayHaveSent(entry)) {
@@ -317,6 +383,10 @@
 		}
 	}
 
+	private endCap(requestId: RequestId, use: CapUse): void {
+		this.cap((context, caps) => endUnderCap(caps, requestId, use, context));
+	}
+
 	private reject(requestId: RequestId, cause: 'no-upstream' | 'overloaded', problem: ProblemError): void {
 		this.actions.push({
 			kind: 'fail', requestId, cause, sent: false, problem,
@@ -341,6 +411,11 @@
 	}
 
 	private receiveMessage(from: DaemonId, message: PeerMessage): void {
+		if (isCapMessage(message)) {
+			this.cap((context, caps) => receiveCapMessage(caps, from, message, context));
+			return;
+		}
+
 		switch (message.kind) {
 			case 'heartbeat': {
 				this.greet(from);
@@ -370,8 +445,7 @@
 			}
 
 			case 'suspects': {
-				mergeSuspects(this.state.suspects, message.entries, this.now);
-				this.tellSchedulers();
+				this.receiveSuspects(from, message.entries);
 				break;
 			}
 
@@ -483,6 +557,7 @@
 
 			case 'cancel-sample': {
 				this.state.origins.delete(action.requestId);
+				this.endCap(action.requestId, {kind: 'unknown'});
 				this.route({kind: 'caller-left', requestId: action.requestId});
 				break;
 			}
@@ -558,6 +633,24 @@
 		}
 	}
 
+	/** Takes in what is new, and passes it on between the data centres if this daemon has a connection across. */
+	private receiveSuspects(from: DaemonId, entries: readonly SuspectEntry[]): void {
+		const news = mergeSuspects(this.state.suspects, entries, this.now);
+		if (news.length === 0) {
+			return;
+		}
+
+		const {dataCentre, membership} = this.state;
+		const isFromHome = this.dataCentreOf(from) === dataCentre;
+		for (const [to, peer] of membership.peers) {
+			if (to !== from && (peer.dataCentre === dataCentre) !== isFromHome) {
+				this.actions.push({kind: 'send', to, message: {kind: 'suspects', entries: news}});
+			}
+		}
+
+		this.tellSchedulers();
+	}
+
 	private tellSchedulers(except?: ShardId): void {
 		for (const shard of this.state.schedulers.keys()) {
 			if (shard !== except) {
@@ -818,6 +911,7 @@
 		if (action.kind !== 'deliver') {
 			this.state.origins.delete(action.requestId);
 			releaseKey(this.state.keys, action.requestId, this.now);
+			this.endCap(action.requestId, capUse(action));
 		}
 
 		if (origin?.kind === 'caller') {
@@ -957,6 +1051,10 @@
 		}
 
 		this.useOwnedUpstreams(owned);
+		this.cap((context, caps) => {
+			refreshMeters(caps, context);
+			return [];
+		});
 		// New owners hear first what runs already, so that they do not grant the same slots again.
 		for (const {to, message} of moveGrants(this.state.grants, shard => shardOwner(membership, shard), this.now)) {
 			this.sendOrReceive(to, message);
@@ -1071,6 +1169,14 @@
 	}
 }
 
+function capUse(action: Extract<RouterAction, {kind: 'complete' | 'fail'}>): CapUse {
+	if (action.kind === 'complete') {
+		return {kind: 'completed', tokens: action.tokens};
+	}
+
+	return action.sent ? {kind: 'unknown'} : {kind: 'not-sent'};
+}
+
 function relayedRequestId(attempt: string): RequestId {
 	return `relay:${attempt}` as RequestId;
 }
--- a/packages/peers/src/parse-message.ts
+++ b/packages/peers/src/parse-message.ts
@@ -30,6 +30,12 @@
 		'rollout-answer',
 		'running',
 		'suspects',
+		'cap-ask',
+		'cap-allow',
+		'cap-deny',
+		'cap-return',
+		'cap-demand',
+		'cap-parts',
 	]),
 });
 
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -4,7 +4,7 @@
 	AttemptId, DaemonId, Fingerprint, Millis, Outcome, RefusalReason, Release, RequestClass,
 } from '@cicadapost/types';
 import {
-	acceptableWait, advanceAdmission, expectedWait, expireSlots, handOutSlot, maxWaiting, recordEnd, takeSlot, type Capacity,
+	acceptableWait, advanceAdmission, expireSlots, handOutSlot, maxWaiting, recordEnd, takeSlot, waitEstimate, type Capacity,
 } from './admission.js';
 import {recordPrefix} from './affinity.js';
 import type {SchedulerAction, SchedulerEvent, ShardUpstream} from './events.js';
@@ -16,7 +16,7 @@
 	isOpenFor, openingsOf, place, type Opening,
 } from './placement.js';
 import {
-	accountOf, correctCharge, enqueue, expectedTokens, findInFlow, flowOf, learnCompletion, remove, setWeights, startService, waitingIn, type Flow, type Waiting,
+	accountOf, correctCharge, endService, enqueue, expectedTokens, findInFlow, flowOf, learnCompletion, remove, setWeights, startService, forEachWaiting, type Flow, type Waiting,
 } from './queue.js';
 import {
 	capacityOf, expectedMs, refreshNormal, usualMs, waitingCount, type SchedulerState,
@@ -34,6 +34,8 @@
 const liveLeadMs = 250;
 /** Service that a member may catch up on after its requests have used less than they were charged. */
 const maxCreditMs = 1000;
+/** Service that a member is charged at most ahead of the others for requests that ran because of the training floor. */
+const maxFloorLeadMs = 1000;
 /** Interval of the review of all waiting and running requests. */
 const reviewMs = 50;
 /** A waiting request is refused when its expected wait exceeds the time left by this factor; estimates vary by less. */
@@ -61,7 +63,12 @@
 	return refusal(waiting, refused.reason, retryAfterMs);
 }
 
-type Choice = Readonly<{waiting: Waiting; opening: Opening}>;
+type Choice = Readonly<{
+	waiting: Waiting;
+	opening: Opening;
+	/** The request runs before its turn, because training is owed its floor. */
+	isFloor: boolean;
+}>;
 
 function findInClass(state: SchedulerState, heap: IndexedHeap<Flow>, openings: readonly Opening[], now: Millis): Choice | undefined {
 	const skipped: Flow[] = [];
@@ -81,7 +88,7 @@
 			heap.delete(flow);
 			skipped.push(flow);
 		} else {
-			choice = {waiting, opening: opening!};
+			choice = {waiting, opening: opening!, isFloor: false};
 		}
 	}
 
@@ -110,19 +117,25 @@
 
 function chooseNext(state: SchedulerState, openings: readonly Opening[], now: Millis): Choice | undefined {
 	const preferred = preferredClass(state);
+	const isFloorDue = preferred === 'training' && state.trainingDebt > 0;
 	const order: RequestClass[] = preferred === 'live' ? ['live', 'training'] : ['training', 'live'];
 	for (const requestClass of order) {
 		const usable = openings.filter(opening => isOpenFor(opening, requestClass));
 		const heap = requestClass === 'live' ? state.queue.live : state.queue.training;
 		const choice = usable.length === 0 ? undefined : findInClass(state, heap, usable, now);
 		if (choice !== undefined) {
-			return choice;
+			return {...choice, isFloor: isFloorDue && requestClass === 'training'};
 		}
 	}
 
 	return undefined;
 }
 
+/** Virtual time that passes in `ms` while the present members wait. */
+function virtualTimeIn(state: SchedulerState, ms: Millis): number {
+	return (capacityOf(state).rate ?? 0) * ms / Math.max(1, state.queue.waitingWeight);
+}
+
 /** Keeps account of the share that training gets while both classes wait. */
 function updateTrainingDebt(state: SchedulerState, waiting: Waiting): void {
 	if (state.queue.live.size === 0 || state.queue.training.size === 0) {
@@ -162,7 +175,7 @@
 	const charged = expectedTokens(flowOf(account, request.requestClass), request);
 	updateTrainingDebt(state, waiting);
 	remove(state.queue, waiting);
-	startService(state.queue, account, charged);
+	startService(state.queue, account, charged, choice.isFloor ? virtualTimeIn(state, maxFloorLeadMs) : Number.POSITIVE_INFINITY);
 	advanceArea(upstream, now);
 	addRun(state, {
 		from,
@@ -239,7 +252,7 @@
 
 	const {request} = waiting;
 	const flow = flowOf(accountOf(state.queue, request.member), request.requestClass);
-	const waitMs = expectedWait(state.queue, flow, tokensAhead(flow) - waiting.expectedTokens, capacity);
+	const waitMs = waitEstimate(state.queue, flow, capacity)(tokensAhead(flow) - waiting.expectedTokens);
 	const slackMs = waiting.deadlineAt - now - expectedMs(state, request, waiting.expectedTokens);
 	const isReturning = takeSlot(state.admission, request.fingerprint, now);
 	const limitMs = acceptableWait(slackMs, isReturning);
@@ -273,9 +286,10 @@
 		from, attempt, request, since: now, deadlineAt: now + remainingMs, avoid, expectedTokens: expectedTokens(flow, request), removed: false,
 	};
 	enqueue(state.queue, waiting);
+	state.liveAt = request.requestClass === 'live' ? now : state.liveAt;
 	if (remainingMs <= 0 || waitingCount(state) > maxWaiting) {
 		const capacity = capacityOf(state);
-		const waitMs = expectedWait(state.queue, flow, tokensAhead(flow), capacity);
+		const waitMs = waitEstimate(state.queue, flow, capacity)(tokensAhead(flow));
 		return [refuseWaiting(state, waiting, {reason: 'overloaded', waitMs}, capacity, now)];
 	}
 
@@ -343,6 +357,7 @@
 		upstream.reservedFor = undefined;
 	}
 
+	endService(state.queue, running.account, running.charged);
 	changeRunning(upstream, -1, now);
 }
 
@@ -357,8 +372,7 @@
 	const elapsedMs = Math.max(1, now - grantedAt);
 	const isFinished = release.result === 'finished';
 	const used = usedTokens(running, release);
-	const maxCredit = (capacityOf(state).rate ?? 0) * maxCreditMs / Math.max(1, state.queue.waitingWeight);
-	correctCharge(state.queue, account, used - running.charged, maxCredit);
+	correctCharge(state.queue, account, used - running.charged, virtualTimeIn(state, maxCreditMs));
 	recordEnd(state.admission, waitingCount(state) > 0, used, elapsedMs);
 	endProgress(upstream.progress, {expectedMs: running.expectedMs, elapsedMs, isFinished}, now);
 	if (!isFinished) {
@@ -464,6 +478,7 @@
 
 		const account = accountOf(state.queue, request.member);
 		const charged = expectedTokens(flowOf(account, request.requestClass), request);
+		account.running += charged;
 		advanceArea(upstream, now);
 		addRun(state, {
 			from: event.from,
@@ -486,22 +501,22 @@
 /** Refuses the requests of a flow that can't be finished in time any more. */
 function reviewFlow(state: SchedulerState, flow: Flow, capacity: Capacity, now: Millis): SchedulerAction[] {
 	const actions: SchedulerAction[] = [];
+	const waitOf = waitEstimate(state.queue, flow, capacity);
 	let ahead = flow.requestClass === 'live' ? 0 : flow.account.live.tokens;
-	for (const waiting of waitingIn(flow)) {
+	forEachWaiting(flow, waiting => {
 		if (capacity.slots === 0) {
 			actions.push(...reviewOutage(state, waiting, capacity, now));
-			continue;
+			return;
 		}
 
 		const slackMs = waiting.deadlineAt - now - expectedMs(state, waiting.request, waiting.expectedTokens);
-		const waitMs = expectedWait(state.queue, flow, ahead, capacity);
+		const waitMs = waitOf(ahead);
 		if (slackMs < 0 || (Number.isFinite(waitMs) && waitMs > slackMs * waitTolerance)) {
 			actions.push(refuseWaiting(state, waiting, {reason: 'overloaded', waitMs: Number.isFinite(waitMs) ? waitMs : 0}, capacity, now));
 		} else {
 			ahead += waiting.expectedTokens;
 		}
-	}
-
+	});
 	return actions;
 }
 
--- a/packages/scheduling/src/suspects.ts
+++ b/packages/scheduling/src/suspects.ts
@@ -131,22 +131,29 @@
 	}
 }
 
-/** Merges what another daemon knows. Order and repetition of messages do not matter, except for `cleared`. */
-export function mergeSuspects(table: SuspectTable, entries: readonly SuspectEntry[], now: Millis): void {
-	for (const entry of entries) {
-		if (entry.cleared) {
-			table.suspects.delete(entry.fingerprint);
-			addProven(table, entry.fingerprint, now);
-			continue;
-		}
+/** Adds what another daemon knows and returns the entries that were news, so that a gateway passes on no entry twice. */
+export function mergeSuspects(table: SuspectTable, entries: readonly SuspectEntry[], now: Millis): SuspectEntry[] {
+	return entries.filter(entry => (entry.cleared ? mergeCleared(table, entry, now) : mergeDeaths(table, entry, now)));
+}
 
-		const suspect = addDeaths(table, entry.fingerprint, entry.deaths, now);
-		const blockedForMs = Math.min(entry.blockedForMs, blockMs);
-		suspect.blockedUntil = Math.max(suspect.blockedUntil, blockedForMs > 0 ? now + blockedForMs : 0);
-		if (suspect.deaths.size >= deathsBeforeBlock && suspect.blockedUntil === 0) {
-			suspect.blockedUntil = now + blockMs;
-		}
+function mergeCleared(table: SuspectTable, {fingerprint}: SuspectEntry, now: Millis): boolean {
+	const isNews = table.suspects.delete(fingerprint) || !table.proven.has(fingerprint);
+	addProven(table, fingerprint, now);
+	return isNews;
+}
+
+function mergeDeaths(table: SuspectTable, entry: SuspectEntry, now: Millis): boolean {
+	const known = table.suspects.get(entry.fingerprint);
+	const deathsBefore = known?.deaths.size ?? 0;
+	const wasBlocked = (known?.blockedUntil ?? 0) > now;
+	const suspect = addDeaths(table, entry.fingerprint, entry.deaths, now);
+	const blockedForMs = Math.min(entry.blockedForMs, blockMs);
+	suspect.blockedUntil = Math.max(suspect.blockedUntil, blockedForMs > 0 ? now + blockedForMs : 0);
+	if (suspect.deaths.size >= deathsBeforeBlock && suspect.blockedUntil === 0) {
+		suspect.blockedUntil = now + blockMs;
 	}
+
+	return suspect.deaths.size > deathsBefore || (suspect.blockedUntil > now && !wasBlocked);
 }
 
 /** All suspects, for a daemon that has just started. */
