Take requests with a warm prefix first, within a limit

The same test showed that a batch of 640 requests with a deadline of 10 min was refused at a cold start, because the queue was limited to four for each slot while no throughput was known.

Change: among the next 8 requests of the member and class whose turn it is, the first one with a warm prefix is taken; a request is passed over at most 16 times. While no throughput is known, each request is assumed to hold a slot for 500 ms. The running requests are reviewed every 100 ms instead of 50.

Ruled out: reviewing the waiting requests every 100 ms as well, which refused a request 50 ms later than its test allows.

--- a/packages/scheduling/src/admission.ts
+++ b/packages/scheduling/src/admission.ts
@@ -10,8 +10,8 @@
 /** Saturated time needed before the measured throughput counts. */
 const minMeasuredMs = 1000;
 const sizeWeight = 0.1;
-/** Waiting requests for each slot that are accepted before any throughput is known. */
-const unmeasuredQueuePerSlot = 4;
+/** Time that a request is assumed to hold a slot before any throughput is known. */
+const unmeasuredServiceMs = 500;
 /** Part of the remaining time that a first-time caller may wait. The rest is for callers that return in their slot. */
 const firstTimeShare = 0.7;
 /** Part of a member's throughput that is handed out as slots. */
@@ -103,7 +103,7 @@
 export function waitEstimate(queue: FairQueue, flow: Flow, capacity: Capacity): (ownTokens: number) => Millis {
 	const {rate, slots, trainingFloor} = capacity;
 	if (rate === undefined) {
-		const waitMs = queue.attempts.size > unmeasuredQueuePerSlot * slots ? Number.POSITIVE_INFINITY : 0;
+		const waitMs = slots > 0 ? queue.attempts.size / slots * unmeasuredServiceMs : Number.POSITIVE_INFINITY;
 		return () => waitMs;
 	}
 
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -2,7 +2,7 @@
 
 import type {Fingerprint, Millis, RequestClass} from '@cicadapost/types';
 import {holdsPrefix} from './affinity.js';
-import type {Waiting} from './queue.js';
+import type {Verdict, Waiting} from './queue.js';
 import {isInService, type SchedulerState} from './scheduler-state.js';
 import {deathsBeforeAlone, deathsOf, upstreamLimit} from './suspects.js';
 import type {UpstreamState} from './upstream-state.js';
@@ -188,10 +188,13 @@
 	}
 }
 
-export type Placement = Readonly<{opening: Opening}> | Readonly<{hold: string}>;
+/** Whether one of the openings is likely to hold the prefix of the request in its cache. */
+export function isWarmAnywhere(state: SchedulerState, waiting: Waiting, openings: readonly Opening[], now: Millis): boolean {
+	return openings.some(({upstream}) => holdsPrefix(state.prefixes, waiting.request.prefixKey, upstream.settings.upstream, now));
+}
 
 /** The opening that the request takes, or the constraint that keeps it waiting. */
-export function place(state: SchedulerState, waiting: Waiting, openings: readonly Opening[], now: Millis): Placement {
+export function place(state: SchedulerState, waiting: Waiting, openings: readonly Opening[], now: Millis): Verdict<Opening> {
 	const {request} = waiting;
 	const constraint = constraintOf(state, request.fingerprint, now);
 	const usesAvoid = waiting.avoid.length > 0 && canAvoid(state, waiting);
@@ -202,13 +205,14 @@
 		&& isAllowed(constraint, opening.upstream));
 	const opening = pick(state, waiting, allowed, now);
 	if (opening !== undefined) {
-		return {opening};
+		const isPreferred = holdsPrefix(state.prefixes, request.prefixKey, opening.upstream.settings.upstream, now);
+		return {kind: 'run', place: opening, isPreferred};
 	}
 
 	if (constraint.isAlone && constraint.only === undefined) {
 		reserve(state, request.fingerprint);
 	}
 
-	return {hold: usesAvoid ? `attempt:${waiting.attempt}` : `fingerprint:${request.fingerprint}`};
+	return {kind: 'hold', constraint: usesAvoid ? `attempt:${waiting.attempt}` : `fingerprint:${request.fingerprint}`};
 }
 
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -19,6 +19,10 @@
 const runningFactor = 2;
 /** Entries of one flow that are looked through in one decision for a request that may run. */
 const scanLimit = 256;
+/** Requests of the same member and class among which the one with a warm prefix is taken first. */
+const lookAhead = 8;
+/** A request is passed over at most this often, so that its wait stays near its turn. */
+const maxPassedOver = 16;
 
 export type Waiting = {
 	readonly from: DaemonId;
@@ -29,6 +33,8 @@
 	readonly avoid: readonly UpstreamId[];
 	/** Prompt and expected completion. */
 	readonly expectedTokens: number;
+	/** How often a later request has been taken before it. */
+	passedOver: number;
 	/** Set on removal; the entry is dropped from its list later. */
 	removed: boolean;
 };
@@ -246,24 +252,35 @@
 	}
 }
 
-/** What a caller of `findInFlow` says about a request: it may run, or which constraint keeps it from running now. */
-export type Verdict = Readonly<{kind: 'run'}> | Readonly<{kind: 'hold'; constraint: string}>;
+/** What a caller of `findInFlow` says about a request: it may run at `place`, or which constraint keeps it from running now. */
+export type Verdict<Place> =
+	| Readonly<{kind: 'run'; place: Place; isPreferred: boolean}>
+	| Readonly<{kind: 'hold'; constraint: string}>;
 
-function firstHeld(flow: Flow, judge: (waiting: Waiting) => Verdict): Waiting | undefined {
+export type Judge<Place> = Readonly<{
+	judge: (waiting: Waiting) => Verdict<Place>;
+	/** A quick look at whether a request can be preferred at all. */
+	mayPrefer: (waiting: Waiting) => boolean;
+}>;
+
+export type Found<Place> = Readonly<{waiting: Waiting; place: Place; isPreferred: boolean}>;
+
+function firstHeld<Place>(flow: Flow, judge: Judge<Place>): Found<Place> | undefined {
 	let looked = 0;
 	for (const [constraint, list] of flow.held) {
 		while (list.length > 0 && list[0]!.removed) {
 			list.shift();
 		}
 
-		const [first] = list;
-		if (first === undefined) {
+		const [waiting] = list;
+		if (waiting === undefined) {
 			flow.held.delete(constraint);
 			continue;
 		}
 
-		if (judge(first).kind === 'run') {
-			return first;
+		const verdict = judge.judge(waiting);
+		if (verdict.kind === 'run') {
+			return {...verdict, waiting};
 		}
 
 		looked++;
@@ -275,6 +292,29 @@
 	return undefined;
 }
 
+/** The first request behind `first` that is preferred for its place, unless `first` has been passed over too often. */
+function preferredBehind<Place>(flow: Flow, first: Found<Place>, judge: Judge<Place>): Found<Place> {
+	if (first.isPreferred || first.waiting.request.prefixKey === '' || first.waiting.passedOver >= maxPassedOver) {
+		return first;
+	}
+
+	for (let i = flow.head + 1, looked = 0; i < flow.fifo.length && looked < lookAhead; i++) {
+		const waiting = flow.fifo[i]!;
+		if (waiting.removed) {
+			continue;
+		}
+
+		looked++;
+		const verdict = judge.mayPrefer(waiting) ? judge.judge(waiting) : undefined;
+		if (verdict?.kind === 'run' && verdict.isPreferred) {
+			first.waiting.passedOver++;
+			return {...verdict, waiting};
+		}
+	}
+
+	return first;
+}
+
 function hold(flow: Flow, waiting: Waiting, constraint: string): void {
 	const list = flow.held.get(constraint);
 	if (list === undefined) {
@@ -295,7 +335,7 @@
 The request of the flow that comes first among those that may run. Requests that may not are set aside under their
 constraint, so that they do not block those behind them and each is moved once.
 */
-export function findInFlow(flow: Flow, judge: (waiting: Waiting) => Verdict): Waiting | undefined {
+export function findInFlow<Place>(flow: Flow, judge: Judge<Place>): Found<Place> | undefined {
 	const held = firstHeld(flow, judge);
 	if (held !== undefined) {
 		return held;
@@ -307,9 +347,9 @@
 			continue;
 		}
 
-		const verdict = judge(waiting);
+		const verdict = judge.judge(waiting);
 		if (verdict.kind === 'run') {
-			return waiting;
+			return preferredBehind(flow, {...verdict, waiting}, judge);
 		}
 
 		hold(flow, waiting, verdict.constraint);
--- a/packages/scheduling/src/scheduler-state.ts
+++ b/packages/scheduling/src/scheduler-state.ts
@@ -32,8 +32,10 @@
 	normal: NormalTimes;
 	/** Time of the last live request. */
 	liveAt: Millis;
-	/** Time of the last review of all waiting and running requests. */
+	/** Time of the last review of all waiting requests. */
 	reviewedAt: Millis;
+	/** Time of the last review of all running requests and of the upstreams. */
+	healthReviewedAt: Millis;
 };
 
 export type SchedulerOptions = Readonly<{
@@ -57,6 +59,7 @@
 		normal: {firstMs: undefined, tokenMs: undefined},
 		liveAt: Number.NEGATIVE_INFINITY,
 		reviewedAt: Number.NEGATIVE_INFINITY,
+		healthReviewedAt: Number.NEGATIVE_INFINITY,
 	};
 }
 
--- a/packages/scheduling/src/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler.test.ts
@@ -557,6 +557,34 @@
 });
 
 describe('prefix affinity', () => {
+	it('takes a request with a warm prefix before its turn while all slots are busy, and passes none over for long', () => {
+		const bench = new Bench(['u1', 'u2', 'u3', 'u4'], {window: 4});
+		const perGroup = 16;
+		for (let i = 0; i < 40 * perGroup; i++) {
+			// Groups of 16 arrive four at a time, interleaved.
+			const group = (Math.floor(i / (4 * perGroup)) * 4) + (i % 4);
+			bench.ask({
+				name: `r${i}`, prefixKey: `p${group}`, requestClass: 'training', tokens: 10 + (i % 7), maxTokens: 20, remainingMs: 600_000,
+			});
+		}
+
+		bench.run(20_000);
+		expect(bench.finished.length).toBe(40 * perGroup);
+		const served = new Map<string, Set<string>>();
+		let warm = 0;
+		for (const [order, {name, upstream}] of bench.granted.entries()) {
+			const {prefixKey} = bench.asked.get(name)!;
+			const upstreams = served.get(prefixKey!) ?? new Set();
+			served.set(prefixKey!, upstreams);
+			warm += upstreams.has(upstream) ? 1 : 0;
+			upstreams.add(upstream);
+			expect(Math.abs(order - Number(name.slice(1)))).toBeLessThan(100);
+		}
+
+		// The first request of each group finds no cache, wherever it runs.
+		expect(warm / (40 * (perGroup - 1))).toBeGreaterThan(0.9);
+	});
+
 	it('sends requests with one prefix to the upstream that served it, while others have room too', () => {
 		const bench = new Bench(['u1', 'u2', 'u3', 'u4'], {window: 8});
 		for (let i = 0; i < 30; i++) {
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -13,10 +13,10 @@
 } from './health.js';
 import type {IndexedHeap} from './indexed-heap.js';
 import {
-	isOpenFor, openingsOf, place, type Opening,
+	isOpenFor, isWarmAnywhere, openingsOf, place, type Opening,
 } from './placement.js';
 import {
-	accountOf, correctCharge, endService, enqueue, expectedTokens, findInFlow, flowOf, learnCompletion, remove, setWeights, startService, forEachWaiting, type Flow, type Waiting,
+	accountOf, correctCharge, endService, enqueue, expectedTokens, findInFlow, flowOf, learnCompletion, remove, setWeights, startService, forEachWaiting, type Flow, type Judge, type Waiting,
 } from './queue.js';
 import {
 	capacityOf, expectedMs, refreshNormal, usualMs, waitingCount, type SchedulerState,
@@ -36,8 +36,10 @@
 const maxCreditMs = 1000;
 /** Service that a member is charged at most ahead of the others for requests that ran because of the training floor. */
 const maxFloorLeadMs = 1000;
-/** Interval of the review of all waiting and running requests. */
+/** Interval of the review of all waiting requests. */
 const reviewMs = 50;
+/** Interval of the review of all running requests and of the upstreams. */
+const healthReviewMs = 100;
 /** A waiting request is refused when its expected wait exceeds the time left by this factor; estimates vary by less. */
 const waitTolerance = 1.25;
 /** Longest time that a request waits for an upstream to come back when none is in service. */
@@ -72,23 +74,18 @@
 
 function findInClass(state: SchedulerState, heap: IndexedHeap<Flow>, openings: readonly Opening[], now: Millis): Choice | undefined {
 	const skipped: Flow[] = [];
+	const judge: Judge<Opening> = {
+		judge: waiting => place(state, waiting, openings, now),
+		mayPrefer: waiting => isWarmAnywhere(state, waiting, openings, now),
+	};
 	let choice: Choice | undefined;
 	for (let flow = heap.top; flow !== undefined && choice === undefined; flow = heap.top) {
-		let opening: Opening | undefined;
-		const waiting = findInFlow(flow, candidate => {
-			const placement = place(state, candidate, openings, now);
-			if ('hold' in placement) {
-				return {kind: 'hold', constraint: placement.hold};
-			}
-
-			opening = placement.opening;
-			return {kind: 'run'};
-		});
-		if (waiting === undefined) {
+		const found = findInFlow(flow, judge);
+		if (found === undefined) {
 			heap.delete(flow);
 			skipped.push(flow);
 		} else {
-			choice = {waiting, opening: opening!, isFloor: false};
+			choice = {waiting: found.waiting, opening: found.place, isFloor: false};
 		}
 	}
 
@@ -283,7 +280,7 @@
 
 	const flow = flowOf(accountOf(state.queue, request.member), request.requestClass);
 	const waiting: Waiting = {
-		from, attempt, request, since: now, deadlineAt: now + remainingMs, avoid, expectedTokens: expectedTokens(flow, request), removed: false,
+		from, attempt, request, since: now, deadlineAt: now + remainingMs, avoid, expectedTokens: expectedTokens(flow, request), passedOver: 0, removed: false,
 	};
 	enqueue(state.queue, waiting);
 	state.liveAt = request.requestClass === 'live' ? now : state.liveAt;
@@ -535,18 +532,26 @@
 	}
 }
 
-function review(state: SchedulerState, now: Millis): SchedulerAction[] {
-	if (now - state.reviewedAt < reviewMs) {
-		return [];
-	}
-
-	state.reviewedAt = now;
+function reviewHealth(state: SchedulerState, now: Millis): void {
+	state.healthReviewedAt = now;
 	expireSuspects(state.suspects, now);
 	expireSlots(state.admission, now);
 	refreshNormal(state);
 	reclaimOverdue(state, now);
 	findSlowUpstreams(state, now);
 	dropReservations(state);
+}
+
+function review(state: SchedulerState, now: Millis): SchedulerAction[] {
+	if (now - state.reviewedAt < reviewMs) {
+		return [];
+	}
+
+	state.reviewedAt = now;
+	if (now - state.healthReviewedAt >= healthReviewMs) {
+		reviewHealth(state, now);
+	}
+
 	const capacity = capacityOf(state);
 	const actions: SchedulerAction[] = [];
 	for (const account of state.queue.accounts.values()) {
