Relay by expected wait, and check routing in random histories

Cause: a request that home refused was not relayed if the retry budget was empty, a relay was tried although its answer could not come in time, and a data centre that refused was asked again by the next request. A completion could be asked of plain services, and a wrong role named no field.

Change: going on to the next place after a refusal costs no retry, since nothing ran. A data centre that refused is left alone until its Retry-After. A live request that waits for a slot at home longer than its usual first token and the cost of the link gets a hedge elsewhere. Link costs: 25 ms inside a region, 90 ms between regions. Fast-check histories with late, repeated, reordered and lost events check decideRouting against what the outside saw; 21 kinds of bad input are checked at the HTTP interface.

Ruled out: relaying by an average of recent queue waits. All daemons of a data centre would switch to the link together, and the waits at home could no longer be measured.

--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -132,7 +132,7 @@
 			body,
 			member: principal.member!,
 			requestId,
-			nonIdempotentPools: new Set(Object.keys(this.pools).filter(name => !this.pools[name]!.idempotent)),
+			pools: this.pools,
 		}, this.options.now());
 		const writer = stream ? new StreamCompletionWriter(res, {requestId, model}) : new JsonCompletionWriter(res, {requestId, model});
 		this.start(request, writer, res);
--- a/packages/api/src/authenticate.ts
+++ b/packages/api/src/authenticate.ts
@@ -57,7 +57,7 @@
 export function requireRole(principal: Principal, ...roles: Role[]): void {
 	if (!roles.includes(principal.role)) {
 		throw new ProblemError({
-			kind: 'forbidden', detail: `a key with the role "${principal.role}" may not do this`, remedy: `use a key with the role ${roles.join(' or ')}`,
+			kind: 'forbidden', detail: `a key with the role "${principal.role}" may not do this`, remedy: `use a key with the role ${roles.join(' or ')}`, field: 'Authorization',
 		});
 	}
 }
--- /dev/null
+++ b/packages/api/src/bad-input.test.ts
@@ -0,0 +1,115 @@
+import {createHash} from 'node:crypto';
+import type {SiteConfiguration} from '@cicadapost/settings';
+import type {Request} from '@cicadapost/types';
+import {
+	afterAll, beforeAll, beforeEach, describe, expect, it,
+} from 'vitest';
+import {ApiServer} from './api-server.js';
+
+const hash = (text: string): string => createHash('sha256').update(text).digest('hex');
+const bodyBytes = 4096;
+const started: Request[] = [];
+const server = new ApiServer({
+	bodyBytes,
+	operatorKeyHashes: [hash('operator')],
+	now: () => 0,
+	handlers: {
+		startRequest(request) {
+			started.push(request);
+		},
+		abandonRequest() {
+			started.length = 0;
+		},
+		async applyConfiguration() {
+			throw new Error('a caller reached the configuration');
+		},
+		currentConfiguration: () => ({version: 0, document: ''}),
+		status: () => ({}),
+	},
+});
+let url = '';
+
+beforeAll(async () => {
+	url = `http://127.0.0.1:${await server.listen()}`;
+	const pool = {
+		initialWindow: 8, maxWindow: 64, trainingFloor: 0.2, silenceMs: 5000,
+	};
+	server.useConfiguration({
+		members: {crew: {weight: 1, maxGroupSamples: 64, keys: [{sha256: hash('caller'), role: 'caller'}, {sha256: hash('member-operator'), role: 'operator'}]}},
+		pools: {model: {...pool, kind: 'engine', idempotent: true}, callout: {...pool, kind: 'service', idempotent: false}},
+		dataCentres: {},
+		upstreams: {},
+		policy: {retryBudget: 0.1, hedgeBudget: 0.05},
+		poolsByDataCentre: {},
+	} satisfies SiteConfiguration);
+});
+
+afterAll(() => {
+	server.close();
+});
+
+beforeEach(() => {
+	started.length = 0;
+});
+
+type Call = Readonly<{path?: string; body?: string; headers?: Readonly<Record<string, string | undefined>>}>;
+type Told = Readonly<{status: number; type: string; field: string | undefined; remedy: string; outcome: string}>;
+
+async function call(options: Call): Promise<Told> {
+	const headers = {
+		authorization: 'Bearer caller', 'x-deadline-ms': '1000', 'content-type': 'application/json', ...options.headers,
+	};
+	const res = await fetch(`${url}${options.path ?? '/v1/completions'}`, {
+		method: 'POST',
+		headers: Object.fromEntries(Object.entries(headers).filter(([, value]) => value !== undefined)) as Record<string, string>,
+		body: options.body ?? JSON.stringify({model: 'model', prompt: 'x'}),
+	});
+	expect(res.headers.get('content-type')).toBe('application/problem+json');
+	const body = await res.json() as Told;
+	return {...body, type: body.type.split(':').at(-1)!};
+}
+
+type Case = readonly [name: string, options: Call, expected: Partial<Told>];
+
+const cases: readonly Case[] = [
+	['an unknown key', {headers: {authorization: 'Bearer nobody'}}, {status: 401, type: 'unauthenticated', field: 'Authorization'}],
+	['no key', {headers: {authorization: undefined}}, {status: 401, field: 'Authorization'}],
+	['a key of another role', {headers: {authorization: 'Bearer member-operator'}}, {status: 403, type: 'forbidden', field: 'Authorization'}],
+	['a body that is too large', {body: 'x'.repeat(bodyBytes * 4000)}, {status: 413, type: 'body-too-large', field: 'body'}],
+	['a body that is not JSON', {body: '{'}, {status: 400, type: 'invalid-request', field: 'body'}],
+	['a body that is no object', {body: '[]'}, {status: 400, field: 'body'}],
+	['a body without a prompt', {body: '{"model":"model"}'}, {status: 400, field: 'prompt'}],
+	['a body with a faulty number', {body: '{"model":"model","prompt":"x","max_tokens":0}'}, {status: 400, field: 'max_tokens'}],
+	['no deadline', {headers: {'x-deadline-ms': undefined}}, {status: 400, field: 'X-Deadline-Ms'}],
+	['a deadline that has passed', {headers: {'x-deadline-ms': '0'}}, {status: 400, field: 'X-Deadline-Ms'}],
+	['a deadline that is no number', {headers: {'x-deadline-ms': 'soon'}}, {status: 400, field: 'X-Deadline-Ms'}],
+	['a key that is too long', {headers: {'idempotency-key': 'k'.repeat(256)}}, {status: 400, field: 'Idempotency-Key'}],
+	['a non-idempotent request without a key', {headers: {'x-non-idempotent': 'true'}}, {status: 400, field: 'Idempotency-Key'}],
+	['a mark that is neither true nor false', {headers: {'x-non-idempotent': 'yes'}}, {status: 400, field: 'X-Non-Idempotent'}],
+	['a completion from a plain service', {body: '{"model":"callout","prompt":"x"}'}, {status: 400, field: 'model'}],
+	['a service call without a deadline', {path: '/services/callout/x', headers: {'x-deadline-ms': undefined}}, {status: 400, field: 'X-Deadline-Ms'}],
+	['a service call without a key', {path: '/services/callout/x'}, {status: 400, field: 'Idempotency-Key'}],
+	['a service call of an unknown pool', {path: '/services/nothing/x'}, {status: 404, type: 'not-found', field: 'pool'}],
+	['a service call with a name of the prototype', {path: '/services/constructor/x'}, {status: 404, field: 'pool'}],
+	['a service call with a body that is too large', {path: '/services/callout/x', body: 'x'.repeat(bodyBytes * 4000)}, {status: 413, field: 'body'}],
+	['the configuration of operators', {path: '/admin/upstreams/u/drain', body: '{}'}, {status: 404}],
+];
+
+describe('bad input of a caller', () => {
+	it.each(cases)('with %s is refused as not-run with the field and a remedy, and starts nothing', async (_name, options, expected) => {
+		const told = await call(options);
+		expect(told).toMatchObject({...expected, outcome: 'not-run'});
+		expect(told.remedy.length).toBeGreaterThan(5);
+		expect(started).toEqual([]);
+	});
+
+	it('does not repeat the key that was sent', async () => {
+		expect(JSON.stringify(await call({headers: {authorization: 'Bearer very-secret'}}))).not.toContain('very-secret');
+	});
+
+	it.each(['/admin/configuration', '/admin/status'])('can not read %s with the key of a caller', async path => {
+		const res = await fetch(`${url}${path}`, {headers: {authorization: 'Bearer caller'}});
+		expect(res.status).toBe(403);
+		await res.arrayBuffer();
+	});
+});
--- a/packages/api/src/parse-completion.ts
+++ b/packages/api/src/parse-completion.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import type {PoolSettings} from '@cicadapost/settings';
 import type {
 	Fingerprint, MemberId, Millis, PoolId, Request, RequestId,
 } from '@cicadapost/types';
@@ -18,8 +19,7 @@
 	body: string;
 	member: MemberId;
 	requestId: RequestId;
-	/** Pools whose requests must run at most once unless the caller says otherwise. */
-	nonIdempotentPools?: ReadonlySet<string>;
+	pools?: Readonly<Record<string, PoolSettings>>;
 }>;
 
 export type ParsedCompletion = Readonly<{request: Request; stream: boolean; model: string}>;
@@ -46,7 +46,12 @@
 	}
 
 	const body = parsed.data;
-	const {idempotent, idempotencyKey} = parseIdempotency(call.headers, !(call.nonIdempotentPools?.has(body.model) ?? false));
+	const pool = call.pools !== undefined && Object.hasOwn(call.pools, body.model) ? call.pools[body.model] : undefined;
+	if (pool?.kind === 'service') {
+		throw invalid('model', `the pool "${body.model}" has plain services, which complete no prompts`, `call it with /services/${body.model}/<path>`);
+	}
+
+	const {idempotent, idempotencyKey} = parseIdempotency(call.headers, pool?.idempotent ?? true);
 	const bodyHash = createHash('sha256').update(call.body).digest('hex');
 	const fingerprint = createHash('sha256').update(`${call.member}\n${body.model}\n${body.prompt}`).digest('hex').slice(0, 32);
 	return {
--- a/packages/decision/src/at-most-once.test.ts
+++ b/packages/decision/src/at-most-once.test.ts
@@ -202,6 +202,24 @@
 	});
 });
 
+describe('bad input that only the configuration or the history shows', () => {
+	it('names the field of an unknown pool and starts nothing', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf({pool: 'nothing' as never, idempotencyKey: 'k'})});
+		expect([bench.failure.status, bench.failure.field, bench.failure.outcome, bench.opened.length]).toEqual([404, 'model', 'not-run', 0]);
+		// The key has not been used up.
+		bench.post({kind: 'request', request: requestOf({bodyHash: 'other', idempotencyKey: 'k'})});
+		expect(bench.opened).toHaveLength(1);
+	});
+
+	it('names the key that was used with another body and starts nothing', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf({idempotencyKey: 'k'})});
+		bench.post({kind: 'request', request: requestOf({idempotencyKey: 'k', bodyHash: 'other', requestId: 'r2' as RequestId})});
+		expect([bench.failure.status, bench.failure.field, bench.failure.outcome, bench.opened.length]).toEqual([409, 'Idempotency-Key', 'not-run', 1]);
+	});
+});
+
 describe('a grant for an attempt that has ended', () => {
 	it('is released at its owner, or the slot stays taken', () => {
 		const bench = new Bench();
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -28,6 +28,10 @@
 import {shardOf, shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
+/** Round trip of 3 ms between data centres and the 20 ms of a batch. */
+const linkCostMs: Millis = 25;
+/** Round trip of 24 ms between regions and the 20 ms of a batch, doubled because the volume is billed. */
+const regionLinkCostMs: Millis = 90;
 /** First wait before an unanswered acquire is repeated. It doubles, since a long wait is mostly a place in a queue. */
 const askAgainMs: Millis = 1000;
 const maxAskAgainMs: Millis = 8000;
@@ -278,8 +282,8 @@
 		const homeRegion = site.dataCentres[dataCentre]?.region;
 		const dataCentres = Object.entries(site.poolsByDataCentre)
 			.filter(([name, pools]) => name !== dataCentre && pools.includes(pool) && liveDaemons(membership, name as DataCentreId).length > 0)
-			.map(([name]) => name as DataCentreId)
-			.sort((a, b) => Number(site.dataCentres[b]?.region === homeRegion) - Number(site.dataCentres[a]?.region === homeRegion));
+			.map(([name]) => ({dataCentre: name as DataCentreId, costMs: site.dataCentres[name]?.region === homeRegion ? linkCostMs : regionLinkCostMs}))
+			.sort((a, b) => a.costMs - b.costMs);
 		return {shards, dataCentres};
 	}
 
--- a/packages/routing/src/attempts.ts
+++ b/packages/routing/src/attempts.ts
@@ -1,7 +1,7 @@
 /** Starts and ends the attempts of a request. */
 
 import type {
-	Acquire, AttemptId, DataCentreId, Millis, Release, ReleaseResult, RequestSummary,
+	Acquire, AttemptId, Millis, Release, ReleaseResult, RequestSummary,
 } from '@cicadapost/types';
 import {
 	mayHaveSent, type Attempt, type Entry, type Place, type RouterState,
@@ -29,10 +29,13 @@
 	return undefined;
 }
 
-function remotePlace(state: RouterState, entry: Entry, now: Millis): Place | undefined {
-	const isOpen = (candidate: DataCentreId): boolean => !entry.triedDataCentres.has(candidate) && (state.closedUntil.get(candidate) ?? 0) <= now;
-	const dataCentre = entry.places.dataCentres.find(candidate => isOpen(candidate));
-	return dataCentre === undefined ? undefined : {kind: 'data-centre', dataCentre};
+/** The nearest data centre that has not refused lately and can still answer in time, if the link costs at most `maxCostMs`. */
+export function remotePlace(state: RouterState, entry: Entry, now: Millis, maxCostMs = Number.POSITIVE_INFINITY): Place | undefined {
+	const remote = entry.places.dataCentres.find(({dataCentre, costMs}) => {
+		const isOpen = !entry.triedDataCentres.has(dataCentre) && (state.closedUntil.get(dataCentre) ?? 0) <= now;
+		return isOpen && costMs <= maxCostMs && costMs < entry.notAfter - now;
+	});
+	return remote === undefined ? undefined : {kind: 'data-centre', dataCentre: remote.dataCentre};
 }
 
 /** Home first, then the other data centres, then upstreams of which only a connection failed. */
--- a/packages/routing/src/hedges.ts
+++ b/packages/routing/src/hedges.ts
@@ -1,10 +1,14 @@
 /** A second attempt of a live request whose first token is late, on another upstream. */
 
 import type {Millis, PoolId} from '@cicadapost/types';
-import {endAttempt, nextPlace, startAttempt} from './attempts.js';
+import {
+	endAttempt, nextPlace, remotePlace, startAttempt,
+} from './attempts.js';
 import {earn, spend} from './budget.js';
 import {addFirstToken, createFirstTokens} from './first-tokens.js';
-import type {Attempt, Entry, RouterState} from './router-state.js';
+import type {
+	Attempt, Entry, Place, RouterState,
+} from './router-state.js';
 import type {RouterAction} from './router.js';
 
 /** Tokens that the losing engine may generate until its cancellation arrives, beside its work on the prompt. */
@@ -23,21 +27,31 @@
 	return state.firstTokens.get(pool)?.lateAfterMs;
 }
 
-function isLate(state: RouterState, entry: Entry, now: Millis): boolean {
+/** The place of a second attempt, if the first token is late. */
+function hedgePlace(state: RouterState, entry: Entry, now: Millis): Place | undefined {
 	const [attempt, other] = entry.attempts;
 	const {idempotent, requestClass, pool} = entry.request;
-	const isRunning = attempt !== undefined && other === undefined && attempt.mayHaveSent && attempt.firstTokenAt === undefined;
 	const limit = lateAfterMs(state, pool);
-	return idempotent && requestClass === 'live' && !entry.isHedged && isRunning && limit !== undefined && now - attempt.openedAt > limit;
-}
+	const isAlone = attempt !== undefined && other === undefined && attempt.firstTokenAt === undefined;
+	if (!idempotent || requestClass !== 'live' || entry.isHedged || !isAlone || limit === undefined) {
+		return undefined;
+	}
 
-/** Starts a second attempt if the first token is late and the budget covers the extra tokens. */
-export function hedgeIfLate(state: RouterState, entry: Entry, now: Millis): RouterAction[] {
-	if (!isLate(state, entry, now)) {
-		return [];
+	const overdueMs = now - attempt.openedAt - limit;
+	if (overdueMs <= 0) {
+		return undefined;
 	}
 
-	const place = nextPlace(state, entry, now);
+	// A request that still waits at home for a slot gains nothing from a second place in the same queue.
+	return attempt.mayHaveSent ? nextPlace(state, entry, now) : remotePlace(state, entry, now, overdueMs);
+}
+
+/**
+Starts a second attempt if the first token is late and the budget covers the extra tokens. While the first waits for a
+slot at home, the second goes to another data centre, and only once the wait exceeds the cost of the link.
+*/
+export function hedgeIfLate(state: RouterState, entry: Entry, now: Millis): RouterAction[] {
+	const place = hedgePlace(state, entry, now);
 	const cost = entry.request.promptTokens + cancelTokens;
 	if (place === undefined || !spend(state.hedges, cost)) {
 		return [];
--- /dev/null
+++ b/packages/routing/src/router-histories.test.ts
@@ -0,0 +1,289 @@
+import type {
+	AttemptId, Chunk, DataCentreId, Fingerprint, MemberId, PoolId, Request, RequestId, ShardId, UpstreamId,
+} from '@cicadapost/types';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {createRouter, type PoolPlaces} from './router-state.js';
+import {decideRouting, type RouterAction, type RouterEvent} from './router.js';
+
+const upstreams = ['u1', 'u2', 'u3'] as UpstreamId[];
+const places: PoolPlaces = {
+	shards: [{shard: 'home/model/0' as ShardId, upstreams}],
+	dataCentres: [{dataCentre: 'away' as DataCentreId, costMs: 10}],
+};
+const totalTokens = 6;
+const deadlineMs = 60_000;
+
+type Choice = Readonly<{kind: string; pick: number; flaw: number; wait: number}>;
+
+/** What the outside saw of one request. The checks use nothing of the router. */
+type Seen = {
+	readonly request: Request;
+	/** Attempts that were handed out and not reported as unsent. */
+	readonly handedOut: Set<string>;
+	/** Attempts of which a byte reached an upstream. */
+	readonly ran: Set<string>;
+	finals: string[];
+	texts: Chunk[];
+};
+
+const textOf = (index: number, version: number): string => `${index}v${version},`;
+
+/** A router whose events come late, twice, in another order, or not at all. */
+class History {
+	private now = 0;
+	private readonly state = createRouter();
+	private readonly seen = new Map<string, Seen>();
+	private readonly waiting: RouterEvent[] = [];
+	private readonly offers: Array<Extract<RouterAction, {kind: 'acquire' | 'open' | 'relay'}>> = [];
+
+	constructor() {
+		// Hedges from the first request on, so that two attempts often run side by side.
+		this.state.hedges.available = 1000;
+		this.state.firstTokens.set('model' as PoolId, {samples: [], next: 0, lateAfterMs: 10});
+	}
+
+	step({kind, pick, flaw, wait}: Choice): void {
+		this.now += wait;
+		switch (kind) {
+			case 'request': {
+				this.request(flaw);
+				break;
+			}
+
+			case 'serve': {
+				const [offer] = this.offers.splice(pick % Math.max(1, this.offers.length), 1);
+				if (offer !== undefined) {
+					this.serve(offer, flaw, pick);
+				}
+
+				break;
+			}
+
+			case 'lose': {
+				this.waiting.splice(pick % Math.max(1, this.waiting.length), 1);
+				break;
+			}
+
+			case 'repeat': {
+				const event = this.waiting[pick % Math.max(1, this.waiting.length)];
+				if (event !== undefined) {
+					this.post(event);
+				}
+
+				break;
+			}
+
+			case 'deliver': {
+				// Half of the events come in order.
+				const [event] = this.waiting.splice(flaw % 2 === 0 ? 0 : pick % Math.max(1, this.waiting.length), 1);
+				if (event !== undefined) {
+					this.post(event);
+				}
+
+				break;
+			}
+
+			default: {
+				this.post({kind: 'tick'});
+			}
+		}
+	}
+
+	finish(): void {
+		this.now += deadlineMs;
+		this.post({kind: 'tick'});
+		this.post({kind: 'tick'});
+		expect(this.state.requests.size).toBe(0);
+		expect(this.state.attempts.size).toBe(0);
+		for (const seen of this.seen.values()) {
+			expect(seen.finals).toHaveLength(1);
+			this.check(seen);
+		}
+	}
+
+	private check(seen: Seen): void {
+		const {request, ran, finals, texts} = seen;
+		if (!request.idempotent) {
+			expect(ran.size).toBeLessThanOrEqual(1);
+		}
+
+		if (finals[0] === 'not-run') {
+			expect(ran.size).toBe(0);
+		}
+
+		const text = texts.map(chunk => chunk.text).join('');
+		const tokens = texts.flatMap(chunk => Array.from({length: chunk.tokens}, () => chunk.version));
+		expect(text).toBe(tokens.map((version, index) => textOf(index, version)).join(''));
+		if (!request.mixedVersions) {
+			expect(new Set(tokens).size).toBeLessThanOrEqual(1);
+		}
+
+		if (finals[0] === 'complete') {
+			expect(tokens).toHaveLength(totalTokens);
+		}
+	}
+
+	private request(flaw: number): void {
+		const name = `r${this.seen.size}`;
+		const request: Request = {
+			requestId: name as RequestId,
+			member: 'm' as MemberId,
+			requestClass: 'live',
+			pool: 'model' as PoolId,
+			promptTokens: 0,
+			maxTokens: totalTokens,
+			idempotent: flaw % 3 !== 0,
+			fingerprint: 'f' as Fingerprint,
+			prefixKey: 'p',
+			payload: {
+				method: 'POST', path: '/', contentType: 'text/plain', body: '',
+			},
+			deadlineAt: this.now + deadlineMs,
+			bodyHash: 'h',
+			mixedVersions: flaw % 2 === 0,
+		};
+		this.seen.set(name, {
+			request, handedOut: new Set(), ran: new Set(), finals: [], texts: [],
+		});
+		this.post({kind: 'request', request, places});
+	}
+
+	/** The shard owner, the edge or the other data centre takes up an action. */
+	private serve(offer: Extract<RouterAction, {kind: 'acquire' | 'open' | 'relay'}>, flaw: number, pick: number): void {
+		if (offer.kind === 'acquire') {
+			const {attempt, avoid} = offer.acquire;
+			const upstream = upstreams.find(candidate => !avoid.includes(candidate));
+			this.waiting.push(upstream === undefined || flaw === 0
+				? {
+					kind: 'refused', attempt, reason: flaw % 2 === 0 ? 'overloaded' : 'not-owner', retryAfterMs: 100,
+				}
+				: {kind: 'granted', attempt, upstream});
+			return;
+		}
+
+		const attempt = offer.kind === 'open' ? offer.attempt : offer.relay.attempt;
+		const resumeFrom = offer.kind === 'open' ? offer.resumeFrom : offer.relay.resumeFrom;
+		const seen = this.seen.get(attempt.split('.')[0]!)!;
+		if (flaw === 0) {
+			seen.handedOut.delete(attempt);
+			this.waiting.push({
+				kind: 'failed', attempt, failure: offer.kind === 'open' ? 'unreachable' : 'relay-lost', sent: false,
+			});
+			return;
+		}
+
+		seen.ran.add(attempt);
+		this.waiting.push({kind: 'sent', attempt}, ...this.stream(attempt, resumeFrom, flaw, pick));
+	}
+
+	/** An engine that may resume at another offset, swap its weights, die, leave out tokens or repeat them. */
+	private stream(attempt: AttemptId, resumeFrom: number, flaw: number, pick: number): RouterEvent[] {
+		const start = Math.max(0, resumeFrom + (flaw === 1 ? -1 : 0) + (flaw === 2 ? 1 : 0));
+		const size = 1 + (pick % 3);
+		const events: RouterEvent[] = [];
+		for (let offset = start; offset < totalTokens; offset += size) {
+			const version = flaw === 3 && offset >= 3 ? 2 : 1 + (pick % 2);
+			const tokens = Math.min(size, totalTokens - offset);
+			const text = Array.from({length: tokens}, (_, index) => textOf(offset + index, version)).join('');
+			events.push({
+				kind: 'chunk', attempt, chunk: {
+					offset, tokens, text, version,
+				},
+			});
+		}
+
+		if (flaw === 4) {
+			return [...events.slice(0, pick % 4), {
+				kind: 'failed', attempt, failure: pick % 2 === 0 ? 'upstream-died' : 'silent', sent: true,
+			}];
+		}
+
+		return [...events, {
+			kind: 'finished', attempt, tokens: totalTokens, status: 200, contentType: 'text/event-stream',
+		}];
+	}
+
+	private post(event: RouterEvent): void {
+		for (const action of decideRouting(this.state, event, this.now).actions) {
+			this.observe(action);
+		}
+	}
+
+	private observe(action: RouterAction): void {
+		switch (action.kind) {
+			case 'acquire': {
+				this.offers.push(action);
+				break;
+			}
+
+			case 'open':
+			case 'relay': {
+				const attempt = action.kind === 'open' ? action.attempt : action.relay.attempt;
+				const seen = this.seen.get(attempt.split('.')[0]!)!;
+				expect(seen.handedOut.has(attempt)).toBe(false);
+				seen.handedOut.add(attempt);
+				if (!seen.request.idempotent) {
+					expect(seen.handedOut.size).toBe(1);
+				}
+
+				this.offers.push(action);
+				break;
+			}
+
+			case 'deliver': {
+				const seen = this.seen.get(action.requestId)!;
+				expect(seen.finals).toEqual([]);
+				seen.texts.push(action.chunk);
+				break;
+			}
+
+			case 'complete': {
+				this.seen.get(action.requestId)!.finals.push('complete');
+				break;
+			}
+
+			case 'fail': {
+				const seen = this.seen.get(action.requestId)!;
+				seen.finals.push(action.problem.outcome);
+				if (action.problem.outcome === 'not-run') {
+					expect([...seen.handedOut]).toEqual([]);
+				}
+
+				break;
+			}
+
+			case 'release':
+			case 'cancel':
+			case 'cancel-relay':
+			case 'relay-ended': {
+				break;
+			}
+		}
+	}
+}
+
+describe('decideRouting in random histories', () => {
+	const choice = fc.record({
+		kind: fc.oneof(
+			{weight: 1, arbitrary: fc.constantFrom('request', 'repeat', 'lose', 'tick')},
+			{weight: 3, arbitrary: fc.constant('serve')},
+			{weight: 8, arbitrary: fc.constant('deliver')},
+		),
+		pick: fc.nat(11),
+		// The death of an upstream is the most common flaw, since only then is a stream resumed.
+		flaw: fc.oneof({weight: 2, arbitrary: fc.nat(7)}, {weight: 1, arbitrary: fc.constantFrom(1, 4, 4)}),
+		wait: fc.oneof({weight: 8, arbitrary: fc.constant(0)}, {weight: 1, arbitrary: fc.constantFrom(1, 20, 200, 2100)}),
+	});
+
+	it('opens a non-idempotent request at most once, says not-run only if nothing was handed out, answers once, and delivers no gap or repetition', () => {
+		fc.assert(fc.property(fc.array(choice, {minLength: 20, maxLength: 160}), choices => {
+			const history = new History();
+			for (const next of choices) {
+				history.step(next);
+			}
+
+			history.finish();
+		}), {numRuns: 3000, seed: 20_262});
+	});
+});
--- a/packages/routing/src/router-state.ts
+++ b/packages/routing/src/router-state.ts
@@ -8,11 +8,18 @@
 /** A shard of the own data centre with the upstreams that are not leaving. */
 export type HomeShard = Readonly<{shard: ShardId; upstreams: readonly UpstreamId[]}>;
 
+/** Another data centre that has upstreams of the pool. */
+export type RemotePlace = Readonly<{
+	dataCentre: DataCentreId;
+	/** What the link costs, as the wait at home that is worth it: round trip, delay of batches, and the billed volume. */
+	costMs: Millis;
+}>;
+
 /** Where a pool can be reached now. Computed from configuration and membership for each new request. */
 export type PoolPlaces = Readonly<{
 	shards: readonly HomeShard[];
-	/** Other data centres that have upstreams of the pool, nearest first. */
-	dataCentres: readonly DataCentreId[];
+	/** Nearest first. */
+	dataCentres: readonly RemotePlace[];
 }>;
 
 export type Place = Readonly<{kind: 'shard'; shard: ShardId}> | Readonly<{kind: 'data-centre'; dataCentre: DataCentreId}>;
@@ -57,6 +64,8 @@
 	refusedShards: Set<ShardId>;
 	triedDataCentres: Set<DataCentreId>;
 	isHedged: boolean;
+	/** Longest time that a place named; sooner than that, one of them would refuse again. */
+	retryAfterMs: Millis;
 	/** Time of the next attempt while none is running. */
 	retryAt: Millis | undefined;
 };
--- a/packages/routing/src/router.test.ts
+++ b/packages/routing/src/router.test.ts
@@ -122,6 +122,63 @@
 	});
 });
 
+describe('another data centre', () => {
+	const places: PoolPlaces = {...home, dataCentres: [{dataCentre: away, costMs: 90}]};
+
+	function refused(bench: Bench, name: string, reason: 'overloaded' | 'no-upstream' | 'over-cap', options: Partial<Request> = {}): string[] {
+		bench.post({kind: 'request', request: requestOf(name, options), places});
+		return bench.post({
+			kind: 'refused', attempt: `${name}.0` as AttemptId, reason, retryAfterMs: 500,
+		}).map(({kind}) => kind);
+	}
+
+	it.each(['overloaded', 'no-upstream'] as const)('gets the request after "%s" at home, without a cost to the retry budget', reason => {
+		const bench = new Bench();
+		bench.post({kind: 'policy', retryBudget: 0, hedgeBudget: 0});
+		expect(refused(bench, 'r', reason)).toEqual(['release', 'relay']);
+	});
+
+	it('does not get it while home may serve it, since the link is billed by volume', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf('r'), places});
+		bench.now = 10_000;
+		bench.post({kind: 'tick'});
+		expect(bench.of('relay')).toEqual([]);
+	});
+
+	it('does not get it when the cap is used up, which holds everywhere', () => {
+		expect(refused(new Bench(), 'r', 'over-cap')).toEqual(['release', 'fail']);
+	});
+
+	it('does not get it when it could not answer in time', () => {
+		expect(refused(new Bench(), 'r', 'overloaded', {deadlineAt: 80})).toEqual(['release', 'fail']);
+	});
+
+	it('is left alone after it refused, until its Retry-After, so that refusals do not fill the link', () => {
+		const bench = new Bench();
+		refused(bench, 'r', 'overloaded');
+		bench.post({
+			kind: 'failed', attempt: 'r.1' as AttemptId, failure: 'overloaded', sent: false, retryAfterMs: 500,
+		});
+		expect(refused(bench, 's', 'overloaded')).toEqual(['release', 'fail']);
+		bench.now = 500;
+		expect(refused(bench, 't', 'overloaded')).toEqual(['release', 'relay']);
+	});
+
+	it('gets a hedge when the wait for a slot at home exceeds the cost of the link', () => {
+		const bench = new Bench();
+		for (let index = 0; index < 40; index++) {
+			bench.run(`w${index}`, 50);
+		}
+
+		bench.post({kind: 'request', request: requestOf('r'), places});
+		bench.now += 185;
+		expect(bench.post({kind: 'tick'})).toEqual([]);
+		bench.now += 10;
+		expect(bench.post({kind: 'tick'}).map(({kind}) => kind)).toEqual(['relay']);
+	});
+});
+
 describe('hedges', () => {
 	function warm(): Bench {
 		const bench = new Bench();
@@ -160,7 +217,7 @@
 
 	it('go to another data centre when there is no other upstream at home', () => {
 		const bench = warm();
-		late(bench, {}, {shards: [{shard, upstreams: [u1!]}], dataCentres: [away]});
+		late(bench, {}, {shards: [{shard, upstreams: [u1!]}], dataCentres: [{dataCentre: away, costMs: 90}]});
 		expect(bench.of('relay').map(({dataCentre}) => dataCentre)).toEqual([away]);
 	});
 
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -99,6 +99,7 @@
 		refusedShards: new Set(),
 		triedDataCentres: new Set(),
 		isHedged: false,
+		retryAfterMs: 0,
 		retryAt: undefined,
 	};
 	state.rotation++;
@@ -148,7 +149,9 @@
 	}
 
 	resumeStream(entry.stream);
-	return [...ended, ...retryOrFail(state, entry, event, now)];
+	// A place that refused did no work, so going on to the next place is no retry.
+	const isFree = isRefusal(event.failure) && attempt.upstream === undefined && !event.sent;
+	return [...ended, ...retryOrFail(state, entry, event, {now, isFree})];
 }
 
 function releaseResultOf(cause: FailureCause): ReleaseResult {
@@ -156,8 +159,11 @@
 	return isRefusal(cause) || cause === 'version-changed' ? 'cancelled' : cause;
 }
 
-function retryOrFail(state: RouterState, entry: Entry, event: FailedEvent, now: Millis): RouterAction[] {
-	const told = {retryAfterMs: event.retryAfterMs, detail: event.detail};
+type RetryOptions = Readonly<{now: Millis; isFree: boolean}>;
+
+function retryOrFail(state: RouterState, entry: Entry, event: FailedEvent, {now, isFree}: RetryOptions): RouterAction[] {
+	entry.retryAfterMs = Math.max(entry.retryAfterMs, event.retryAfterMs ?? 0);
+	const told = {retryAfterMs: entry.retryAfterMs, detail: event.detail};
 	const isOver = finalCauses.has(event.failure) || !isSafeToSend(entry) || entry.notAfter <= now;
 	if (isOver) {
 		return fail(state, entry, event.failure, told);
@@ -171,7 +177,7 @@
 
 	entry.failures++;
 	const place = entry.failures < maxFailures ? nextPlace(state, entry, now) : undefined;
-	if (place === undefined || !spend(state.retries, 1)) {
+	if (place === undefined || !(isFree || spend(state.retries, 1))) {
 		return fail(state, entry, event.failure, told);
 	}
 
