Free the key of an unsent request and keep long answers off the links

Cause, each found by reading and shown by a test that failed first: - a claimed request whose caller left before it was sent kept its row at "claimed", and the daemon could not shut down: "expected [ +0, { state: 'claimed' } ] to match object [ 1, { state: 'not-run' } ]"; - the limit on the answers of plain services also cut completions of more than 16 MiB of events: "expected { kind: 'failed' } to match object { kind: 'finished', tokens: 200 }"; - a long answer or body could exceed the largest frame between daemons (8 MiB) and cut the connection for all its streams; - after a restart of its daemon a relay was sent to it four times: "expected [ 'r.0', 'r.1', 'r.2', 'r.3' ] to deeply equal [ 'r.0', 'r.1' ]"; - all waiting outcomes were written in one tick: "expected 100 to be 10".

Change: withdrawing resolves the row; answers of plain services are limited to 3 MiB while they are read; bodies above 3 Mi characters are not relayed; lost relays are collected before they are retried; repeated writes of outcomes go out at 10 a second. Upstreams get X-Deadline-Ms.

Ruled out: splitting long answers over frames. A chunk that counts one token can't be cut.

--- a/packages/claims/src/claims.test.ts
+++ b/packages/claims/src/claims.test.ts
@@ -190,6 +190,32 @@
 			expect(isClaimsIdle(daemon.state)).toBe(true);
 		});
 
+		it('stores waiting outcomes at a limited rate, so that catching up leaves the store to others', () => {
+			const store = new Store();
+			const daemon = new Daemon(store, 'a');
+			for (let index = 0; index < 100; index++) {
+				daemon.claim(`r${index}`, `k${index}`);
+			}
+
+			daemon.isDown = true;
+			for (let index = 0; index < 100; index++) {
+				daemon.finish(`r${index}`, 'called');
+			}
+
+			daemon.isDown = false;
+			const stored = () => [...store.rows.values()].filter(({value}) => value.includes('finished')).length;
+			for (daemon.now = 10_000; daemon.now < 11_000; daemon.now += 50) {
+				daemon.post({kind: 'tick'});
+			}
+
+			expect(stored()).toBe(10);
+			for (; daemon.now < 21_000; daemon.now += 50) {
+				daemon.post({kind: 'tick'});
+			}
+
+			expect(stored()).toBe(100);
+		});
+
 		it('keeps a bounded number of outcomes and refuses further claims instead of dropping one', () => {
 			const daemon = new Daemon(new Store(), 'a');
 			for (let index = 0; index < maxOpenClaims; index++) {
--- a/packages/claims/src/claims.ts
+++ b/packages/claims/src/claims.ts
@@ -25,7 +25,7 @@
 	/** A piece of the answer, to be recorded. */
 	| Readonly<{kind: 'text'; requestId: RequestId; text: string}>
 	| Readonly<{kind: 'ended'; requestId: RequestId; end: ClaimEnd}>
-	/** The caller left before the request was handed on. */
+	/** The caller left before the request was sent, and it never will be. */
 	| Readonly<{kind: 'withdrawn'; requestId: RequestId}>
 	| Readonly<{kind: 'tick'}>;
 
@@ -69,6 +69,8 @@
 	running: Map<string, RequestId>;
 	/** By nonce. */
 	resolutions: Map<string, Resolution>;
+	/** Time of the next repeated write of an outcome. */
+	nextCatchUpAt: Millis;
 	pending: Map<CallId, Pending>;
 };
 
@@ -79,6 +81,8 @@
 /** Most claims that are running or wait for their outcome to be stored. Further ones are refused, so no outcome is dropped. */
 export const maxOpenClaims = 1024;
 const maxWrites = 4;
+/** Ten repeated writes a second for each of about ten daemons are a quarter of the several hundred that the store takes. */
+const catchUpIntervalMs: Millis = 100;
 const firstRetryMs: Millis = 250;
 const maxRetryMs: Millis = 5000;
 /** Tries after which a daemon that shuts down gives up storing an outcome; repeats then get "unknown". */
@@ -86,7 +90,7 @@
 
 export function createClaims(prefix: string): ClaimsState {
 	return {
-		prefix, calls: 0, claims: new Map(), running: new Map(), resolutions: new Map(), pending: new Map(),
+		prefix, calls: 0, claims: new Map(), running: new Map(), resolutions: new Map(), nextCatchUpAt: 0, pending: new Map(),
 	};
 }
 
@@ -311,11 +315,25 @@
 	}
 }
 
+function catchUp(state: ClaimsState, now: Millis): ClaimsAction[] {
+	if (state.nextCatchUpAt > now) {
+		return [];
+	}
+
+	for (const resolution of state.resolutions.values()) {
+		if (!resolution.isInFlight && resolution.nextTryAt <= now) {
+			state.nextCatchUpAt = now + catchUpIntervalMs;
+			return [writeResolution(state, resolution)];
+		}
+	}
+
+	return [];
+}
+
 function tick(state: ClaimsState, now: Millis): ClaimsAction[] {
 	const late = [...state.claims.values()].filter(claim => claim.phase === 'claiming' && now >= claim.settleBy);
 	const actions = late.flatMap(claim => giveUp(state, claim, now));
-	const due = [...state.resolutions.values()].filter(resolution => !resolution.isInFlight && resolution.nextTryAt <= now);
-	return [...actions, ...due.map(resolution => writeResolution(state, resolution))];
+	return [...actions, ...catchUp(state, now)];
 }
 
 /** Decides about claims. Updates `state` in place and returns it. */
@@ -349,7 +367,7 @@
 
 		case 'withdrawn': {
 			const claim = state.claims.get(event.requestId);
-			return claim?.phase === 'claiming' ? resolveNotRun(state, claim, now) : [];
+			return claim === undefined ? [] : resolveNotRun(state, claim, now);
 		}
 
 		case 'tick': {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -240,6 +240,7 @@
 			url: upstream.url,
 			kind: pool?.kind ?? 'engine',
 			idempotent: action.idempotent,
+			remainingMs: action.deadlineAt - this.clock.now(),
 			resumeFrom,
 			silenceMs: pool?.silenceMs ?? 5000,
 			maySend: () => this.clock.now() < notAfter,
--- a/packages/decision/src/at-most-once.test.ts
+++ b/packages/decision/src/at-most-once.test.ts
@@ -51,6 +51,21 @@
 		});
 	});
 
+	describe('whose caller leaves before it was sent', () => {
+		it('frees its key, or a repeat would get "unknown" for ever and the daemon could not shut down', () => {
+			const bench = new Bench();
+			bench.becomeClient();
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.store({kind: 'written', version: 1});
+			bench.post({kind: 'caller-left', requestId: 'r' as RequestId});
+			const row = bench.of('write-row').at(-1)!;
+			expect([row.expectedVersion, JSON.parse(row.value)]).toMatchObject([1, {state: 'not-run'}]);
+			bench.store({kind: 'written', version: 2});
+			bench.post({kind: 'shut-down'});
+			expect(bench.of('stopped')).toHaveLength(1);
+		});
+	});
+
 	describe('with a failed attempt', () => {
 		const failures = ['silent', 'upstream-died', 'server-error'] as const;
 
--- a/packages/decision/src/bench.test-helper.ts
+++ b/packages/decision/src/bench.test-helper.ts
@@ -86,9 +86,9 @@
 		});
 	}
 
-	heartbeat(): void {
+	heartbeat(incarnation = 1): void {
 		this.message({
-			kind: 'heartbeat', dataCentre: away, incarnation: 1, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+			kind: 'heartbeat', dataCentre: away, incarnation, configurationVersion: 1, leaving: false, leavingUpstreams: [],
 		});
 	}
 
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -209,6 +209,7 @@
 
 		this.route({kind: 'caller-left', requestId});
 		releaseKey(this.state.keys, requestId, this.now);
+		// Nothing was sent, so the key becomes free again.
 		this.claim({kind: 'withdrawn', requestId});
 	}
 
@@ -627,12 +628,12 @@
 
 	/** Relays that ran on a lost daemon have failed; those that ran for it have no reader any more. */
 	private loseRelays(daemon: DaemonId): void {
-		for (const [attempt, to] of this.state.relays.sentTo) {
-			if (to === daemon) {
-				this.route({
-					kind: 'failed', attempt, failure: 'relay-lost', sent: true,
-				});
-			}
+		// Collected first, since a retry may go to the same daemon after its restart.
+		const lost = [...this.state.relays.sentTo].filter(([, to]) => to === daemon).map(([attempt]) => attempt);
+		for (const attempt of lost) {
+			this.route({
+				kind: 'failed', attempt, failure: 'relay-lost', sent: true,
+			});
 		}
 
 		for (const [requestId, stream] of this.state.relays.streams) {
--- a/packages/decision/src/whole-answers.test.ts
+++ b/packages/decision/src/whole-answers.test.ts
@@ -120,6 +120,21 @@
 		expect(bench.sent('cancel-relay')).toHaveLength(1);
 	});
 
+	it('are sent again once to a daemon that was restarted', () => {
+		const bench = new Bench(places);
+		bench.post({kind: 'request', request: requestOf()});
+		bench.heartbeat(2);
+		expect(bench.sent('relay').map(({attempt}) => attempt)).toEqual(['r.0', 'r.1']);
+		expect(bench.of('fail')).toEqual([]);
+	});
+
+	it('are not used for a body that exceeds a frame, since the connection would be cut for all', () => {
+		const bench = new Bench(places);
+		const {payload} = requestOf();
+		bench.post({kind: 'request', request: requestOf({payload: {...payload, body: 'x'.repeat(4 * 1024 * 1024)}})});
+		expect([bench.sent('relay').length, bench.failure.outcome]).toEqual([0, 'not-run']);
+	});
+
 	it('keep a relay that waits for its first token alive', () => {
 		const bench = new Bench(places);
 		bench.post({kind: 'request', request: requestOf()});
--- a/packages/engines/src/attempt-failure.ts
+++ b/packages/engines/src/attempt-failure.ts
@@ -74,7 +74,7 @@
 		};
 	}
 
-	const isFaultyAnswer = err instanceof MalformedStreamError || err instanceof TruncatedStreamError || err instanceof errors.ResponseExceededMaxSizeError;
+	const isFaultyAnswer = err instanceof MalformedStreamError || err instanceof TruncatedStreamError;
 	// The process that sent a faulty answer lives; one that broke off the connection may not.
 	if (isFaultyAnswer) {
 		return {
--- a/packages/engines/src/completion-stream.test.ts
+++ b/packages/engines/src/completion-stream.test.ts
@@ -161,6 +161,26 @@
 		});
 	});
 
+	describe('when the answer is long', () => {
+		it('passes a long completion on, since its tokens are never held together', async () => {
+			const count = 200;
+			const url = await upstream(res => {
+				stream(res, ...Array.from({length: count}, (_, offset) => JSON.stringify({
+					text: 'x'.repeat(100_000), tokens: 1, version: 1, offset,
+				})), '[DONE]');
+				res.end();
+			});
+			expect(await lastOf(url)).toMatchObject({kind: 'finished', tokens: count});
+		});
+
+		it('refuses a long answer of a plain service, which would be held in memory and in one frame', async () => {
+			const url = await upstream(res => {
+				res.end('x'.repeat(4 * 1024 * 1024));
+			});
+			expect(await lastOf(url, {kind: 'service'})).toMatchObject({failure: 'server-error', sent: true});
+		});
+	});
+
 	describe('when the upstream answers with an error', () => {
 		it.each([429, 503])('takes status %i with Retry-After for overload that ran nothing', async status => {
 			const url = await upstream(res => {
--- a/packages/engines/src/completion-stream.ts
+++ b/packages/engines/src/completion-stream.ts
@@ -21,6 +21,8 @@
 	kind?: 'engine' | 'service';
 	/** The server error of a plain service is an answer if the request must not be repeated, and a failure otherwise. */
 	idempotent?: boolean;
+	/** Time until the deadline of the caller, passed on as `X-Deadline-Ms`. */
+	remainingMs?: Millis;
 	/** Tokens that the caller already has; the engine continues after them. */
 	resumeFrom?: number;
 	/** Without a byte for this long the connection counts as silent. */
@@ -34,13 +36,15 @@
 
 const defaultSilenceMs: Millis = 5000;
 const connectTimeoutMs: Millis = 1000;
-/** Longer answers of plain services are refused, so that one answer can't exhaust the memory of the daemon. */
-const maxAnswerBytes = 16 * 1024 * 1024;
+/** Longer answers of plain services are refused: they are held in memory, and in one frame if the call was relayed. */
+const maxAnswerBytes = 3 * 1024 * 1024;
+/** What is read of an error answer, for the detail of the problem. */
+const maxErrorBytes = 64 * 1024;
 
 /** Connections to upstreams. A silent connection is closed, and the next attempt opens a new one. */
 export class UpstreamConnections {
 	private readonly agent = new Agent({
-		connect: {timeout: connectTimeoutMs}, pipelining: 1, keepAliveTimeout: 10_000, connections: 256, maxResponseSize: maxAnswerBytes,
+		connect: {timeout: connectTimeoutMs}, pipelining: 1, keepAliveTimeout: 10_000, connections: 256,
 	});
 
 	/** Runs one attempt and reports its course. It always ends with `finished` or `failed`, unless the signal aborts it. */
@@ -69,7 +73,7 @@
 		const dispatcher = this.agent.compose(dispatch => (options_, handler) => dispatch(options_, new SentHandler(handler, {maySend, onSent})));
 		return request(`${options.url}${options.path}`, {
 			method: options.method as 'POST',
-			headers: {'content-type': options.contentType, 'x-resume-from': String(options.resumeFrom ?? 0)},
+			headers: headersOf(options),
 			...(options.body === '' ? {} : {body: Buffer.from(options.body, options.encoding ?? 'utf8')}),
 			dispatcher,
 			signal: options.signal,
@@ -79,6 +83,12 @@
 	}
 }
 
+function headersOf(options: AttemptOptions): Record<string, string> {
+	const deadline = options.remainingMs === undefined ? {} : {'x-deadline-ms': String(Math.max(1, Math.floor(options.remainingMs)))};
+	const resume = options.kind === 'service' ? {} : {'x-resume-from': String(options.resumeFrom ?? 0)};
+	return {'content-type': options.contentType, ...deadline, ...resume};
+}
+
 type Progress = {isSent: boolean};
 
 type Gate = Readonly<{maySend: () => boolean; onSent: () => void}>;
@@ -109,13 +119,13 @@
 		status: statusCode, retryAfter: res.headers['retry-after'], isService, idempotent: options.idempotent ?? true,
 	});
 	if (failure !== undefined) {
-		const text = await res.body.text();
+		const text = new TextDecoder().decode(await readWhole(res.body, maxErrorBytes));
 		report({...failure, detail: `${failure.detail ?? ''}: ${text.slice(0, 200)}`});
 		return;
 	}
 
 	if (isService) {
-		const text = Buffer.from(await res.body.arrayBuffer()).toString(options.encoding ?? 'utf8');
+		const text = Buffer.from(await readWhole(res.body, maxAnswerBytes)).toString(options.encoding ?? 'utf8');
 		report({kind: 'chunk', chunk: wholeAnswer(text)});
 		report({
 			kind: 'finished', tokens: 1, status: statusCode, contentType,
@@ -135,6 +145,21 @@
 	});
 }
 
+async function readWhole(body: AsyncIterable<Uint8Array>, limitBytes: number): Promise<Uint8Array> {
+	const parts: Uint8Array[] = [];
+	let size = 0;
+	for await (const part of body) {
+		size += part.length;
+		if (size > limitBytes) {
+			throw new MalformedStreamError(`the answer of the upstream has more than ${limitBytes} bytes`);
+		}
+
+		parts.push(part);
+	}
+
+	return Buffer.concat(parts);
+}
+
 /** The answer of a plain service is one piece that counts as one token. */
 function wholeAnswer(text: string): Chunk {
 	return {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -56,6 +56,9 @@
 /** A relay without a frame for this long is taken for lost. Its daemon sends keep-alive frames four times as often. */
 export const relaySilenceMs: Millis = 2000;
 
+/** Longest body that is relayed, in characters. Each takes at most two bytes of a frame, which has at most 8 MiB. */
+const maxRelayedLength = 3 * 1024 * 1024;
+
 /** Failures that a further attempt would meet again. */
 const finalCauses: ReadonlySet<FailureCause> = new Set<FailureCause>(['rejected', 'blocked', 'over-cap', 'deadline', 'late']);
 /** Failures of a connection that say nothing about the upstream behind it. */
@@ -79,7 +82,10 @@
 }
 
 function begin(state: RouterState, event: Extract<RouterEvent, {kind: 'request'}>, now: Millis): RouterAction[] {
-	const {request, places} = event;
+	const {request} = event;
+	// A longer body would exceed the largest frame, and the connection with all its streams would be cut.
+	const isRelayable = request.payload.body.length <= maxRelayedLength;
+	const places = isRelayable ? event.places : {...event.places, dataCentres: []};
 	if (state.requests.has(request.requestId)) {
 		return [];
 	}
