--- a/packages/daemon/src/plain-services.test.ts
+++ b/packages/daemon/src/plain-services.test.ts
@@ -1,5 +1,5 @@
 import {createHash, randomUUID} from 'node:crypto';
-import {PlatformStandIn, ServiceStandIn} from '@cicadapost/stand-ins';
+import {EngineStandIn, PlatformStandIn, ServiceStandIn} from '@cicadapost/stand-ins';
 import {daemonSettingsSchema} from '@cicadapost/settings';
 import {
 	afterAll, beforeAll, beforeEach, describe, expect, it,
@@ -10,7 +10,9 @@
 const hash = (text: string): string => createHash('sha256').update(text).digest('hex');
 const platform = new PlatformStandIn();
 const service = new ServiceStandIn({name: 'callout-1'});
+const engine = new EngineStandIn({name: 'model-1', stepMs: 1});
 const daemons: Daemon[] = [];
+const vms: unknown[] = [];
 const urls: string[] = [];
 let platformUrl = '';
 let serviceUrl = '';
@@ -19,10 +21,10 @@
 	await fetch(`${url}/control`, {method: 'POST', body: JSON.stringify(faults)});
 }
 
-async function start(name: string): Promise<void> {
+async function start(name: string, dataCentre = 'home'): Promise<void> {
 	const daemon = createContainer(daemonSettingsSchema.parse({
 		daemon: name,
-		dataCentre: 'home',
+		dataCentre,
 		region: 'r',
 		listen: {api: {port: 0}, peers: {port: 0}},
 		platform: {tableService: platformUrl, objectStore: platformUrl, vmList: platformUrl},
@@ -30,8 +32,12 @@
 		peerSecret: 'peer-secret',
 		log: {level: 'error'},
 	})).resolve(Daemon);
-	const {apiPort} = await daemon.start();
+	const {apiPort, peerPort} = await daemon.start();
 	daemons.push(daemon);
+	vms.push({
+		id: name, role: 'entry', dataCentre, state: 'live', peerAddress: `127.0.0.1:${peerPort}`,
+	});
+	await control(platformUrl, {vms});
 	urls.push(`http://127.0.0.1:${apiPort}`);
 }
 
@@ -67,18 +73,25 @@
 beforeAll(async () => {
 	platformUrl = `http://127.0.0.1:${await platform.listen()}`;
 	serviceUrl = `http://127.0.0.1:${await service.listen()}`;
+	const engineUrl = `http://127.0.0.1:${await engine.listen()}`;
 	await start('a');
 	const document = {
 		base: {
 			members: {crew: {keys: [{sha256: hash('caller'), role: 'caller'}]}},
-			pools: {callout: {kind: 'service', idempotent: false, silenceMs: 1000}, lookup: {kind: 'service'}, model: {kind: 'engine'}},
-			dataCentres: {home: {region: 'r'}},
+			pools: {
+				callout: {kind: 'service', idempotent: false, silenceMs: 1000}, lookup: {kind: 'service'}, distant: {kind: 'service', idempotent: false}, model: {kind: 'engine'},
+			},
+			dataCentres: {home: {region: 'r'}, away: {region: 'r'}},
+		},
+		overlays: {
+			home: {upstreams: {'callout-1': {pool: 'callout', url: serviceUrl}, 'lookup-1': {pool: 'lookup', url: serviceUrl}}},
+			away: {upstreams: {'distant-1': {pool: 'distant', url: serviceUrl}, 'model-1': {pool: 'model', url: engineUrl}}},
 		},
-		overlays: {home: {upstreams: {'callout-1': {pool: 'callout', url: serviceUrl}, 'lookup-1': {pool: 'lookup', url: serviceUrl}}}},
 	};
 	const applied = await fetch(`${urls[0]}/admin/configuration`, {method: 'PUT', headers: {authorization: 'Bearer operator', 'if-match': '0'}, body: JSON.stringify(document)});
 	expect(applied.status).toBe(200);
 	await start('b');
+	await start('c', 'away');
 	// The second daemon reads the configuration from the store.
 	while (await statusOf({daemon: 1, path: 'lookup/ready', method: 'GET'}) !== 200) {
 		await new Promise(resolve => {
@@ -91,6 +104,7 @@
 	await control(platformUrl, {down: false});
 	await Promise.all(daemons.map(async daemon => daemon.shutDown()));
 	service.close();
+	engine.close();
 	platform.close();
 });
 
@@ -198,3 +212,40 @@
 		expect(service.executions).toHaveLength(1);
 	});
 });
+
+describe('a call whose pool is in another data centre', () => {
+	async function complete(daemon: number): Promise<{status: number; choices?: Array<{text: string}>; versions?: unknown}> {
+		const res = await fetch(`${urls[daemon]}/v1/completions`, {
+			method: 'POST', headers: {authorization: 'Bearer caller', 'x-deadline-ms': '5000'}, body: JSON.stringify({model: 'model', prompt: 'far', max_tokens: 40}),
+		});
+		const body = await res.json() as {choices?: Array<{text: string}>; versions?: unknown};
+		return {...body, status: res.status};
+	}
+
+	async function untilServed<Answer extends {status: number}>(ask: () => Promise<Answer>): Promise<Answer> {
+		let answer = await ask();
+		while (answer.status !== 200) {
+			answer = await ask();
+		}
+
+		return answer;
+	}
+
+	it('gets the same whole completion and versions as there', async () => {
+		const relayed = await untilServed(async () => complete(0));
+		const direct = await untilServed(async () => complete(2));
+		expect([relayed.choices, relayed.versions]).toEqual([direct.choices, direct.versions]);
+		expect(relayed.versions).toEqual([{from: 0, to: 40, version: 1}]);
+	});
+
+	it('is run there once, with each byte, and its outcome is known at home', async () => {
+		const key = randomUUID();
+		const body = Uint8Array.from([0, 200, 255]);
+		await untilServed(async () => call({path: 'distant/x', key, body}));
+		const repeat = await untilServed(async () => call({
+			path: 'distant/x', key, body, daemon: 1,
+		}));
+		expect(Buffer.from(await repeat.arrayBuffer())).toEqual(Buffer.from(body));
+		expect(service.executions).toHaveLength(1);
+	});
+});
