Share a sample request between tests and bound relayed text by its bytes

Cause: four tests built the same request; a relayed body of characters that take three bytes each could still exceed the largest frame (8 MiB).

Ruled out: counting the bytes of each body. It would cost a pass over each prompt for a limit that prompts do not come near.

No assertion was changed.

--- a/packages/claims/src/claims.test.ts
+++ b/packages/claims/src/claims.test.ts
@@ -1,7 +1,6 @@
 import {ProblemError} from '@cicadapost/errors';
-import type {
-	Fingerprint, MemberId, PoolId, Request, RequestId, RowAnswer,
-} from '@cicadapost/types';
+import {sampleRequest} from '@cicadapost/stand-ins';
+import type {RequestId, RowAnswer} from '@cicadapost/types';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {
@@ -9,26 +8,7 @@
 } from './claims.js';
 import {releaseKey, createKeyGuard, takeKey} from './key-guard.js';
 
-function requestOf(requestId: string, key: string, bodyHash = 'h'): Request {
-	return {
-		requestId: requestId as RequestId,
-		member: 'crew' as MemberId,
-		requestClass: 'live',
-		pool: 'callout' as PoolId,
-		promptTokens: 1,
-		maxTokens: 1,
-		idempotent: false,
-		fingerprint: 'f' as Fingerprint,
-		prefixKey: 'p',
-		payload: {
-			method: 'POST', path: '/', contentType: 'text/plain', body: '',
-		},
-		deadlineAt: 60_000,
-		idempotencyKey: key,
-		bodyHash,
-		mixedVersions: false,
-	};
-}
+const requestOf = (requestId: string, key: string, bodyHash = 'h') => sampleRequest(requestId, {idempotent: false, idempotencyKey: key, bodyHash});
 
 type Row = {version: number; value: string};
 
--- a/packages/decision/src/at-most-once.test.ts
+++ b/packages/decision/src/at-most-once.test.ts
@@ -43,9 +43,7 @@
 					offset: 0, tokens: 1, text: 'done', version: 0,
 				},
 			});
-			bench.post({
-				kind: 'attempt-finished', attempt: bench.attempt, tokens: 1, status: 201, contentType: 'text/plain',
-			});
+			bench.finishes(1, 201, 'text/plain');
 			const row = bench.of('write-row').at(-1)!;
 			expect([row.expectedVersion, JSON.parse(row.value)]).toMatchObject([1, {state: 'finished', status: 201, body: 'done'}]);
 		});
@@ -74,9 +72,7 @@
 			bench.post({kind: 'request', request: requestOf(once)});
 			bench.store({kind: 'written', version: 1});
 			bench.post({kind: 'attempt-sent', attempt: bench.attempt});
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure, sent: true,
-			});
+			bench.fails(failure, true);
 			expect([bench.opened.length, bench.failure.outcome, bench.failure.retryAfterMs]).toEqual([1, 'unknown', undefined]);
 		});
 
@@ -84,9 +80,7 @@
 			const bench = new Bench();
 			bench.post({kind: 'request', request: requestOf(once)});
 			bench.store({kind: 'written', version: 1});
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
-			});
+			bench.fails('unreachable', false);
 			expect(new Set(bench.opened.map(({upstream}) => upstream)).size).toBe(2);
 		});
 	});
@@ -111,9 +105,7 @@
 			const bench = new Bench();
 			bench.message(relay);
 			bench.message(relay);
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure: 'upstream-died', sent: true,
-			});
+			bench.fails('upstream-died', true);
 			bench.message(relay);
 			expect(bench.opened.map(({notAfter}) => notAfter)).toEqual([3000]);
 			expect(bench.sent('relay-failed').map(({sent}) => sent)).toEqual([true]);
@@ -148,9 +140,7 @@
 		const bench = new Bench();
 		bench.post({kind: 'request', request: requestOf()});
 		for (let index = 0; index < 2; index++) {
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
-			});
+			bench.fails('unreachable', false);
 		}
 
 		expect([bench.failure.outcome, bench.failure.retryAfterMs !== undefined]).toEqual(['not-run', true]);
@@ -159,12 +149,8 @@
 	it('stays unknown when a later attempt was not sent', () => {
 		const bench = new Bench();
 		bench.post({kind: 'request', request: requestOf()});
-		bench.post({
-			kind: 'attempt-failed', attempt: bench.attempt, failure: 'upstream-died', sent: true,
-		});
-		bench.post({
-			kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
-		});
+		bench.fails('upstream-died', true);
+		bench.fails('unreachable', false);
 		expect(bench.failure.outcome).toBe('unknown');
 	});
 
--- a/packages/decision/src/bench.test-helper.ts
+++ b/packages/decision/src/bench.test-helper.ts
@@ -2,7 +2,7 @@
 
 import {documentSchema} from '@cicadapost/settings';
 import type {
-	DaemonId, DataCentreId, Fingerprint, MemberId, PeerMessage, PoolId, RegionId, Request, RequestId, RowAnswer,
+	AttemptFailure, DaemonId, DataCentreId, Fingerprint, MemberId, PeerMessage, PoolId, RegionId, Request, RequestId, RowAnswer,
 } from '@cicadapost/types';
 import {createDaemonState, type DaemonState} from './daemon-state.js';
 import {decide} from './decide.js';
@@ -92,6 +92,18 @@
 		});
 	}
 
+	fails(failure: AttemptFailure, sent: boolean, attempt = this.attempt): void {
+		this.post({
+			kind: 'attempt-failed', attempt, failure, sent,
+		});
+	}
+
+	finishes(tokens: number, status = 200, contentType = 'text/event-stream'): void {
+		this.post({
+			kind: 'attempt-finished', attempt: this.attempt, tokens, status, contentType,
+		});
+	}
+
 	of<Kind extends DaemonAction['kind']>(kind: Kind): Array<Extract<DaemonAction, {kind: Kind}>> {
 		return this.actions.filter(action => action.kind === kind) as Array<Extract<DaemonAction, {kind: Kind}>>;
 	}
--- a/packages/decision/src/whole-answers.test.ts
+++ b/packages/decision/src/whole-answers.test.ts
@@ -22,9 +22,7 @@
 		bench.post({kind: 'request', request: requestOf({mixedVersions})});
 		chunk(bench, bench.attempt, piece(0, 'a'));
 		chunk(bench, bench.attempt, piece(1, 'b'));
-		bench.post({
-			kind: 'attempt-failed', attempt: bench.attempt, failure: 'upstream-died', sent: true,
-		});
+		bench.fails('upstream-died', true);
 		return bench;
 	}
 
@@ -33,9 +31,7 @@
 		expect(bench.opened.map(({resumeFrom}) => resumeFrom)).toEqual([0, 2]);
 		expect(new Set(bench.opened.map(({upstream}) => upstream)).size).toBe(2);
 		chunk(bench, bench.attempt, piece(1, 'bc'));
-		bench.post({
-			kind: 'attempt-finished', attempt: bench.attempt, tokens: 3, status: 200, contentType: 'text/event-stream',
-		});
+		bench.finishes(3);
 		expect([textOf(bench), bench.of('complete').length]).toEqual(['abc', 1]);
 	});
 
@@ -48,9 +44,7 @@
 	it('goes on with another weight version if the caller allows it, and names both', () => {
 		const bench = started(true);
 		chunk(bench, bench.attempt, piece(2, 'c', 2));
-		bench.post({
-			kind: 'attempt-finished', attempt: bench.attempt, tokens: 3, status: 200, contentType: 'text/event-stream',
-		});
+		bench.finishes(3);
 		expect(bench.of('complete').map(({versions}) => versions)).toEqual([[{from: 0, to: 2, version: 1}, {from: 2, to: 3, version: 2}]]);
 	});
 
@@ -58,9 +52,7 @@
 		const bench = new Bench();
 		bench.post({kind: 'request', request: requestOf()});
 		const dead = bench.attempt;
-		bench.post({
-			kind: 'attempt-failed', attempt: dead, failure: 'upstream-died', sent: true,
-		});
+		bench.fails('upstream-died', true, dead);
 		chunk(bench, dead, piece(0, 'x'));
 		chunk(bench, bench.attempt, piece(0, 'a'));
 		expect(textOf(bench)).toBe('a');
@@ -73,9 +65,7 @@
 		bench.post({kind: 'request', request: requestOf()});
 		chunk(bench, bench.attempt, piece(0, 'a'));
 		chunk(bench, bench.attempt, piece(2, 'c'));
-		bench.post({
-			kind: 'attempt-finished', attempt: bench.attempt, tokens: 3, status: 200, contentType: 'text/event-stream',
-		});
+		bench.finishes(3);
 		expect(bench.opened.map(({resumeFrom}) => resumeFrom)).toEqual([0, 1]);
 	});
 });
@@ -84,9 +74,7 @@
 	it('is replaced on the same upstream if there is no other, since only the connection is suspected', () => {
 		const bench = new Bench({home: ['u1']});
 		bench.post({kind: 'request', request: requestOf()});
-		bench.post({
-			kind: 'attempt-failed', attempt: bench.attempt, failure: 'silent', sent: true,
-		});
+		bench.fails('silent', true);
 		expect(bench.opened.map(({upstream}) => upstream)).toEqual(['u1', 'u1']);
 	});
 });
@@ -183,9 +171,7 @@
 		const bench = new Bench();
 		bench.message(relay);
 		chunk(bench, bench.attempt, piece(0, 'ab'));
-		bench.post({
-			kind: 'attempt-finished', attempt: bench.attempt, tokens: 2, status: 200, contentType: 'text/event-stream',
-		});
+		bench.finishes(2);
 		expect(bench.of('send').map(({message}) => message.kind).slice(-2)).toEqual(['relay-chunk', 'relay-finished']);
 	});
 
--- a/packages/routing/src/router-histories.test.ts
+++ b/packages/routing/src/router-histories.test.ts
@@ -1,5 +1,6 @@
+import {sampleRequest} from '@cicadapost/stand-ins';
 import type {
-	AttemptId, Chunk, DataCentreId, Fingerprint, MemberId, PoolId, Request, RequestId, ShardId, UpstreamId,
+	AttemptId, Chunk, DataCentreId, PoolId, Request, ShardId, UpstreamId,
 } from '@cicadapost/types';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
@@ -126,23 +127,9 @@
 
 	private request(flaw: number): void {
 		const name = `r${this.seen.size}`;
-		const request: Request = {
-			requestId: name as RequestId,
-			member: 'm' as MemberId,
-			requestClass: 'live',
-			pool: 'model' as PoolId,
-			promptTokens: 0,
-			maxTokens: totalTokens,
-			idempotent: flaw % 3 !== 0,
-			fingerprint: 'f' as Fingerprint,
-			prefixKey: 'p',
-			payload: {
-				method: 'POST', path: '/', contentType: 'text/plain', body: '',
-			},
-			deadlineAt: this.now + deadlineMs,
-			bodyHash: 'h',
-			mixedVersions: flaw % 2 === 0,
-		};
+		const request = sampleRequest(name, {
+			promptTokens: 0, maxTokens: totalTokens, idempotent: flaw % 3 !== 0, deadlineAt: this.now + deadlineMs, mixedVersions: flaw % 2 === 0,
+		});
 		this.seen.set(name, {
 			request, handedOut: new Set(), ran: new Set(), finals: [], texts: [],
 		});
--- a/packages/routing/src/router.test.ts
+++ b/packages/routing/src/router.test.ts
@@ -1,7 +1,9 @@
+import {sampleRequest} from '@cicadapost/stand-ins';
 import type {
-	AttemptId, DataCentreId, Fingerprint, MemberId, PoolId, Request, RequestId, ShardId, UpstreamId,
+	AttemptId, DataCentreId, Request, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
 import {describe, expect, it} from 'vitest';
+import type {FailureCause} from './problems.js';
 import {createRouter, type PoolPlaces} from './router-state.js';
 import {decideRouting, type RouterAction, type RouterEvent} from './router.js';
 
@@ -10,26 +12,7 @@
 const away = 'away' as DataCentreId;
 const home: PoolPlaces = {shards: [{shard, upstreams: [u1!, u2!]}], dataCentres: []};
 
-function requestOf(name: string, options: Partial<Request> = {}): Request {
-	return {
-		requestId: name as RequestId,
-		member: 'm' as MemberId,
-		requestClass: 'live',
-		pool: 'model' as PoolId,
-		promptTokens: 10,
-		maxTokens: 100,
-		idempotent: true,
-		fingerprint: 'f' as Fingerprint,
-		prefixKey: 'p',
-		payload: {
-			method: 'POST', path: '/', contentType: 'text/plain', body: '',
-		},
-		deadlineAt: 1_000_000,
-		bodyHash: 'h',
-		mixedVersions: false,
-		...options,
-	};
-}
+const requestOf = (name: string, options: Partial<Request> = {}) => sampleRequest(name, {deadlineAt: 1_000_000, ...options});
 
 class Bench {
 	readonly actions: RouterAction[] = [];
@@ -54,16 +37,30 @@
 	run(name: string, firstTokenMs: number, tokens = 100): void {
 		const attempt = this.start(name);
 		this.now += firstTokenMs;
-		this.post({
+		this.chunk(attempt, tokens, 'x');
+		this.finish(attempt, tokens);
+	}
+
+	chunk(attempt: AttemptId, tokens: number, text: string): RouterAction[] {
+		return this.post({
 			kind: 'chunk', attempt, chunk: {
-				offset: 0, tokens, text: 'x', version: 1,
+				offset: 0, tokens, text, version: 1,
 			},
 		});
+	}
+
+	finish(attempt: AttemptId, tokens: number): void {
 		this.post({
 			kind: 'finished', attempt, tokens, status: 200, contentType: 'text/event-stream',
 		});
 	}
 
+	fail(attempt: AttemptId, failure: FailureCause, sent: boolean): void {
+		this.post({
+			kind: 'failed', attempt, failure, sent,
+		});
+	}
+
 	of<Kind extends RouterAction['kind']>(kind: Kind): Array<Extract<RouterAction, {kind: Kind}>> {
 		return this.actions.filter(action => action.kind === kind) as Array<Extract<RouterAction, {kind: Kind}>>;
 	}
@@ -78,9 +75,7 @@
 			for (let attempt = 0; attempt < 6; attempt++) {
 				const id = `r${index}.${attempt}` as AttemptId;
 				bench.post({kind: 'granted', attempt: id, upstream: attempt % 2 === 0 ? u1! : u2!});
-				bench.post({
-					kind: 'failed', attempt: id, failure: 'upstream-died', sent: true,
-				});
+				bench.fail(id, 'upstream-died', true);
 			}
 		}
 
@@ -92,9 +87,7 @@
 	it('are none with a budget of 0', () => {
 		const bench = new Bench();
 		bench.post({kind: 'policy', retryBudget: 0, hedgeBudget: 0});
-		bench.post({
-			kind: 'failed', attempt: bench.start('r'), failure: 'upstream-died', sent: true,
-		});
+		bench.fail(bench.start('r'), 'upstream-died', true);
 		expect([bench.of('acquire').length, bench.of('fail').length]).toEqual([1, 1]);
 	});
 
@@ -102,9 +95,7 @@
 		const bench = new Bench();
 		const attempt = bench.start('r', {deadlineAt: 1000});
 		bench.now = 400;
-		bench.post({
-			kind: 'failed', attempt, failure: 'upstream-died', sent: true,
-		});
+		bench.fail(attempt, 'upstream-died', true);
 		expect(bench.of('acquire').map(({acquire: {remainingMs, avoid}}) => [remainingMs, avoid])).toEqual([[1000, []], [600, ['u1']]]);
 	});
 });
@@ -202,17 +193,9 @@
 		const {acquire} = bench.of('acquire').at(-1)!;
 		expect([acquire.attempt, acquire.avoid]).toEqual(['late.1', ['u1']]);
 		bench.post({kind: 'granted', attempt: acquire.attempt, upstream: u2!});
-		const actions = bench.post({
-			kind: 'chunk', attempt: acquire.attempt, chunk: {
-				offset: 0, tokens: 1, text: 'y', version: 1,
-			},
-		});
+		const actions = bench.chunk(acquire.attempt, 1, 'y');
 		expect(actions.map(({kind}) => kind)).toEqual(['cancel', 'release', 'deliver']);
-		expect(bench.post({
-			kind: 'chunk', attempt: first, chunk: {
-				offset: 0, tokens: 1, text: 'x', version: 1,
-			},
-		})).toEqual([]);
+		expect(bench.chunk(first, 1, 'x')).toEqual([]);
 	});
 
 	it('go to another data centre when there is no other upstream at home', () => {
@@ -237,14 +220,8 @@
 			bench.post({kind: 'tick'});
 			// A hedge without a slot costs nothing, so each gets one.
 			bench.post({kind: 'granted', attempt: `r${index}.1` as AttemptId, upstream: u2!});
-			bench.post({
-				kind: 'chunk', attempt, chunk: {
-					offset: 0, tokens: 10, text: 'x', version: 1,
-				},
-			});
-			bench.post({
-				kind: 'finished', attempt, tokens: 10, status: 200, contentType: 'text/event-stream',
-			});
+			bench.chunk(attempt, 10, 'x');
+			bench.finish(attempt, 10);
 		}
 
 		const hedges = bench.of('acquire').filter(({acquire}) => acquire.attempt.endsWith('.1')).length;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -56,8 +56,8 @@
 /** A relay without a frame for this long is taken for lost. Its daemon sends keep-alive frames four times as often. */
 export const relaySilenceMs: Millis = 2000;
 
-/** Longest body that is relayed, in characters. Each takes at most two bytes of a frame, which has at most 8 MiB. */
-const maxRelayedLength = 3 * 1024 * 1024;
+/** Longest body that is relayed, in characters. Each takes at most three bytes of a frame, which has at most 8 MiB. */
+const maxRelayedLength = 2.5 * 1024 * 1024;
 
 /** Failures that a further attempt would meet again. */
 const finalCauses: ReadonlySet<FailureCause> = new Set<FailureCause>(['rejected', 'blocked', 'over-cap', 'deadline', 'late']);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -2,4 +2,5 @@
 
 export * from './engine.js';
 export * from './platform.js';
+export * from './sample-request.js';
 export * from './service.js';
