Find streams without progress although their connection carries bytes

Cause: silence was judged by bytes, so an engine that was stuck but sent comments held its requests until their deadlines.

Change: an attempt ends as "silent" when no token has come for the pool's silenceMs since the request was written or since the last token. The whole answers of plain services are still judged by bytes.

Ruled out: the same check in the router's tick. It would need the silence limit of each pool in the router, and the edge has to close the connection in any case.

Before: the new test failed: "expected [ 'sent', 'chunk', …(1) ] to deeply equal [ 'sent', 'chunk', [ 'silent', true ] ]".

--- a/packages/engines/src/attempt-failure.ts
+++ b/packages/engines/src/attempt-failure.ts
@@ -2,6 +2,7 @@
 	AttemptFailure, Chunk, Millis, RefusalReason,
 } from '@cicadapost/types';
 import {errors} from 'undici';
+import {SilentError} from './progress-watch.js';
 import {MalformedStreamError, TruncatedStreamError} from './read-events.js';
 
 /** What an attempt reports while it runs. */
@@ -82,7 +83,7 @@
 		};
 	}
 
-	const isSilent = err instanceof errors.HeadersTimeoutError || err instanceof errors.BodyTimeoutError;
+	const isSilent = err instanceof SilentError || err instanceof errors.HeadersTimeoutError || err instanceof errors.BodyTimeoutError;
 	return {
 		kind: 'failed', failure: isSilent ? 'silent' : 'upstream-died', sent: true, detail,
 	};
--- a/packages/engines/src/completion-stream.test.ts
+++ b/packages/engines/src/completion-stream.test.ts
@@ -140,6 +140,25 @@
 		});
 	});
 
+	describe('when the connection carries bytes but no tokens', () => {
+		it('counts as silent, since a stuck engine may go on sending comments', async () => {
+			const url = await upstream(res => {
+				stream(res, event(0));
+				let comments = 0;
+				const timer = setInterval(() => {
+					res.write(': still here\n\n');
+					if (++comments === 100) {
+						res.end();
+					}
+				}, 10);
+				res.on('close', () => {
+					clearInterval(timer);
+				});
+			});
+			expect(kinds(await run(url, {silenceMs: 50}))).toEqual(['sent', 'chunk', ['silent', true]]);
+		});
+	});
+
 	describe('when the answer is faulty', () => {
 		it.each([
 			['a stream without its end', [event(0)]],
--- a/packages/engines/src/completion-stream.ts
+++ b/packages/engines/src/completion-stream.ts
@@ -5,6 +5,7 @@
 import {
 	answerFailure, failureOf, LateError, type AttemptReport,
 } from './attempt-failure.js';
+import {ProgressWatch} from './progress-watch.js';
 import {MalformedStreamError, readEvents} from './read-events.js';
 
 export type {AttemptReport} from './attempt-failure.js';
@@ -25,7 +26,7 @@
 	remainingMs?: Millis;
 	/** Tokens that the caller already has; the engine continues after them. */
 	resumeFrom?: number;
-	/** Without a byte for this long the connection counts as silent. */
+	/** Without a token for this long, or without a byte of a plain service, the connection counts as silent. */
 	silenceMs?: Millis;
 	/** Asked right before the first byte is written; false ends the attempt as `late` with nothing sent. */
 	maySend?: () => boolean;
@@ -50,16 +51,23 @@
 	/** Runs one attempt and reports its course. It always ends with `finished` or `failed`, unless the signal aborts it. */
 	async run(options: AttemptOptions, report: Report): Promise<void> {
 		const progress: Progress = {isSent: false};
+		const watch = new ProgressWatch(options.silenceMs ?? defaultSilenceMs);
 		try {
-			const res = await this.send(options, () => {
+			const res = await this.send({...options, signal: AbortSignal.any([options.signal, watch.signal])}, () => {
 				progress.isSent = true;
+				watch.note();
 				report({kind: 'sent'});
 			});
-			await readAnswer(res, options, report);
+			await readAnswer(res, options, progressing => {
+				watch.note();
+				report(progressing);
+			}, watch);
 		} catch (err) {
 			if (!options.signal.aborted) {
-				report(failureOf(err, progress.isSent));
+				report(failureOf(watch.signal.aborted ? watch.signal.reason : err, progress.isSent));
 			}
+		} finally {
+			watch.stop();
 		}
 	}
 
@@ -111,7 +119,7 @@
 	}
 }
 
-async function readAnswer(res: Dispatcher.ResponseData, options: AttemptOptions, report: Report): Promise<void> {
+async function readAnswer(res: Dispatcher.ResponseData, options: AttemptOptions, report: Report, watch: ProgressWatch): Promise<void> {
 	const contentType = String(res.headers['content-type'] ?? 'application/octet-stream');
 	const {statusCode} = res;
 	const isService = options.kind === 'service';
@@ -125,6 +133,8 @@
 	}
 
 	if (isService) {
+		// A whole answer has no tokens to watch; undici watches its bytes.
+		watch.stop();
 		const text = Buffer.from(await readWhole(res.body, maxAnswerBytes)).toString(options.encoding ?? 'utf8');
 		report({kind: 'chunk', chunk: wholeAnswer(text)});
 		report({
