Refuse pools named like object properties and claims without a key

Cause: a pool named "constructor" passed the check of its existence, and a non-idempotent request without a key, which the HTTP interface refuses, would have shared one claim row with all others if it came another way.

Change: own properties only; the claim itself asks for the key. A test checks that upstreams get the time that is left.

Ruled out: a null prototype for the pools. The settings come from a schema that other packages read as plain objects.

Before: "expected [ 503, undefined, 'not-run', +0 ] to deeply equal [ 404, 'model', 'not-run', +0 ]" and "expected one failure and got 0".

--- a/packages/claims/src/answers.ts
+++ b/packages/claims/src/answers.ts
@@ -35,6 +35,15 @@
 	}));
 }
 
+export function keyMissing(requestId: RequestId): Refusal {
+	return refuse(requestId, new ProblemError({
+		kind: 'invalid-request',
+		field: 'Idempotency-Key',
+		detail: 'a non-idempotent request needs an Idempotency-Key',
+		remedy: 'send one, so that a repeat is recognised',
+	}));
+}
+
 export function stillRunning(requestId: RequestId): ClaimAnswer {
 	return refuse(requestId, new ProblemError({
 		kind: 'outcome-unknown',
--- a/packages/claims/src/claims.ts
+++ b/packages/claims/src/claims.ts
@@ -5,7 +5,7 @@
 	CallId, Millis, Outcome, Request, RequestId, RowAnswer, VersionSpan,
 } from '@cicadapost/types';
 import {
-	answerFrom, keyConflict, stillRunning, storeUnavailable, tooLate, type ClaimAnswer,
+	answerFrom, keyConflict, keyMissing, stillRunning, storeUnavailable, tooLate, type ClaimAnswer,
 } from './answers.js';
 import {
 	claimKey, maxRecordedBody, parseClaimRecord, type ClaimRecord,
@@ -158,7 +158,11 @@
 
 function start(state: ClaimsState, event: Extract<ClaimsEvent, {kind: 'claim'}>, now: Millis): ClaimsAction[] {
 	const {request, nonce} = event;
-	const key = claimKey(request.member, request.idempotencyKey ?? '');
+	if (request.idempotencyKey === undefined) {
+		return [keyMissing(request.requestId)];
+	}
+
+	const key = claimKey(request.member, request.idempotencyKey);
 	const earlier = state.claims.get(state.running.get(key) ?? ('' as RequestId));
 	if (earlier !== undefined) {
 		return [earlier.request.bodyHash === request.bodyHash ? stillRunning(request.requestId) : keyConflict(request.requestId)];
--- a/packages/decision/src/at-most-once.test.ts
+++ b/packages/decision/src/at-most-once.test.ts
@@ -204,15 +204,21 @@
 });
 
 describe('bad input that only the configuration or the history shows', () => {
-	it('names the field of an unknown pool and starts nothing', () => {
+	it.each(['nothing', 'constructor'])('names the field of the unknown pool "%s" and starts nothing', pool => {
 		const bench = new Bench();
-		bench.post({kind: 'request', request: requestOf({pool: 'nothing' as never, idempotencyKey: 'k'})});
+		bench.post({kind: 'request', request: requestOf({pool: pool as never, idempotencyKey: 'k'})});
 		expect([bench.failure.status, bench.failure.field, bench.failure.outcome, bench.opened.length]).toEqual([404, 'model', 'not-run', 0]);
 		// The key has not been used up.
 		bench.post({kind: 'request', request: requestOf({bodyHash: 'other', idempotencyKey: 'k'})});
 		expect(bench.opened).toHaveLength(1);
 	});
 
+	it('refuses a non-idempotent request without a key, since all of those would share one row', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf({idempotent: false})});
+		expect([bench.failure.status, bench.failure.field, bench.of('write-row').length]).toEqual([400, 'Idempotency-Key', 0]);
+	});
+
 	it('names the key that was used with another body and starts nothing', () => {
 		const bench = new Bench();
 		bench.post({kind: 'request', request: requestOf({idempotencyKey: 'k'})});
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -171,8 +171,7 @@
 			return;
 		}
 
-		const pool = this.state.site.pools[request.pool];
-		if (pool === undefined) {
+		if (!Object.hasOwn(this.state.site.pools, request.pool)) {
 			this.reject(requestId, 'no-upstream', new ProblemError({
 				kind: 'not-found',
 				detail: `the pool "${request.pool}" does not exist`,
--- a/packages/engines/src/completion-stream.test.ts
+++ b/packages/engines/src/completion-stream.test.ts
@@ -91,6 +91,17 @@
 			expect(order).toEqual(['sent', 'received', 'finished']);
 		});
 
+		it('passes on the time that is left and the tokens that the caller has', async () => {
+			let headers: IncomingMessage['headers'] = {};
+			const url = await upstream((res, req) => {
+				headers = req.headers;
+				stream(res, '[DONE]');
+				res.end();
+			});
+			await run(url, {remainingMs: 1234.5, resumeFrom: 7});
+			expect(headers).toMatchObject({'x-deadline-ms': '1234', 'x-resume-from': '7'});
+		});
+
 		it('sends nothing after the time for it has passed', async () => {
 			let received = 0;
 			const url = await upstream(res => {
