--- a/packages/claims/src/claims.test.ts
+++ b/packages/claims/src/claims.test.ts
@@ -1,7 +1,6 @@
 import {ProblemError} from '@cicadapost/errors';
-import type {
-	Fingerprint, MemberId, PoolId, Request, RequestId, RowAnswer,
-} from '@cicadapost/types';
+import {sampleRequest} from '@cicadapost/stand-ins';
+import type {RequestId, RowAnswer} from '@cicadapost/types';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {
@@ -9,26 +8,7 @@
 } from './claims.js';
 import {releaseKey, createKeyGuard, takeKey} from './key-guard.js';
 
-function requestOf(requestId: string, key: string, bodyHash = 'h'): Request {
-	return {
-		requestId: requestId as RequestId,
-		member: 'crew' as MemberId,
-		requestClass: 'live',
-		pool: 'callout' as PoolId,
-		promptTokens: 1,
-		maxTokens: 1,
-		idempotent: false,
-		fingerprint: 'f' as Fingerprint,
-		prefixKey: 'p',
-		payload: {
-			method: 'POST', path: '/', contentType: 'text/plain', body: '',
-		},
-		deadlineAt: 60_000,
-		idempotencyKey: key,
-		bodyHash,
-		mixedVersions: false,
-	};
-}
+const requestOf = (requestId: string, key: string, bodyHash = 'h') => sampleRequest(requestId, {idempotent: false, idempotencyKey: key, bodyHash});
 
 type Row = {version: number; value: string};
 
@@ -190,6 +170,32 @@
 			expect(isClaimsIdle(daemon.state)).toBe(true);
 		});
 
+		it('stores waiting outcomes at a limited rate, so that catching up leaves the store to others', () => {
+			const store = new Store();
+			const daemon = new Daemon(store, 'a');
+			for (let index = 0; index < 100; index++) {
+				daemon.claim(`r${index}`, `k${index}`);
+			}
+
+			daemon.isDown = true;
+			for (let index = 0; index < 100; index++) {
+				daemon.finish(`r${index}`, 'called');
+			}
+
+			daemon.isDown = false;
+			const stored = () => [...store.rows.values()].filter(({value}) => value.includes('finished')).length;
+			for (daemon.now = 10_000; daemon.now < 11_000; daemon.now += 50) {
+				daemon.post({kind: 'tick'});
+			}
+
+			expect(stored()).toBe(10);
+			for (; daemon.now < 21_000; daemon.now += 50) {
+				daemon.post({kind: 'tick'});
+			}
+
+			expect(stored()).toBe(100);
+		});
+
 		it('keeps a bounded number of outcomes and refuses further claims instead of dropping one', () => {
 			const daemon = new Daemon(new Store(), 'a');
 			for (let index = 0; index < maxOpenClaims; index++) {
--- a/packages/decision/src/at-most-once.test.ts
+++ b/packages/decision/src/at-most-once.test.ts
@@ -43,14 +43,27 @@
 					offset: 0, tokens: 1, text: 'done', version: 0,
 				},
 			});
-			bench.post({
-				kind: 'attempt-finished', attempt: bench.attempt, tokens: 1, status: 201, contentType: 'text/plain',
-			});
+			bench.finishes(1, 201, 'text/plain');
 			const row = bench.of('write-row').at(-1)!;
 			expect([row.expectedVersion, JSON.parse(row.value)]).toMatchObject([1, {state: 'finished', status: 201, body: 'done'}]);
 		});
 	});
 
+	describe('whose caller leaves before it was sent', () => {
+		it('frees its key, or a repeat would get "unknown" for ever and the daemon could not shut down', () => {
+			const bench = new Bench();
+			bench.becomeClient();
+			bench.post({kind: 'request', request: requestOf(once)});
+			bench.store({kind: 'written', version: 1});
+			bench.post({kind: 'caller-left', requestId: 'r' as RequestId});
+			const row = bench.of('write-row').at(-1)!;
+			expect([row.expectedVersion, JSON.parse(row.value)]).toMatchObject([1, {state: 'not-run'}]);
+			bench.store({kind: 'written', version: 2});
+			bench.post({kind: 'shut-down'});
+			expect(bench.of('stopped')).toHaveLength(1);
+		});
+	});
+
 	describe('with a failed attempt', () => {
 		const failures = ['silent', 'upstream-died', 'server-error'] as const;
 
@@ -59,9 +72,7 @@
 			bench.post({kind: 'request', request: requestOf(once)});
 			bench.store({kind: 'written', version: 1});
 			bench.post({kind: 'attempt-sent', attempt: bench.attempt});
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure, sent: true,
-			});
+			bench.fails(failure, true);
 			expect([bench.opened.length, bench.failure.outcome, bench.failure.retryAfterMs]).toEqual([1, 'unknown', undefined]);
 		});
 
@@ -69,9 +80,7 @@
 			const bench = new Bench();
 			bench.post({kind: 'request', request: requestOf(once)});
 			bench.store({kind: 'written', version: 1});
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
-			});
+			bench.fails('unreachable', false);
 			expect(new Set(bench.opened.map(({upstream}) => upstream)).size).toBe(2);
 		});
 	});
@@ -96,9 +105,7 @@
 			const bench = new Bench();
 			bench.message(relay);
 			bench.message(relay);
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure: 'upstream-died', sent: true,
-			});
+			bench.fails('upstream-died', true);
 			bench.message(relay);
 			expect(bench.opened.map(({notAfter}) => notAfter)).toEqual([3000]);
 			expect(bench.sent('relay-failed').map(({sent}) => sent)).toEqual([true]);
@@ -133,9 +140,7 @@
 		const bench = new Bench();
 		bench.post({kind: 'request', request: requestOf()});
 		for (let index = 0; index < 2; index++) {
-			bench.post({
-				kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
-			});
+			bench.fails('unreachable', false);
 		}
 
 		expect([bench.failure.outcome, bench.failure.retryAfterMs !== undefined]).toEqual(['not-run', true]);
@@ -144,12 +149,8 @@
 	it('stays unknown when a later attempt was not sent', () => {
 		const bench = new Bench();
 		bench.post({kind: 'request', request: requestOf()});
-		bench.post({
-			kind: 'attempt-failed', attempt: bench.attempt, failure: 'upstream-died', sent: true,
-		});
-		bench.post({
-			kind: 'attempt-failed', attempt: bench.attempt, failure: 'unreachable', sent: false,
-		});
+		bench.fails('upstream-died', true);
+		bench.fails('unreachable', false);
 		expect(bench.failure.outcome).toBe('unknown');
 	});
 
@@ -202,6 +203,30 @@
 	});
 });
 
+describe('bad input that only the configuration or the history shows', () => {
+	it.each(['nothing', 'constructor'])('names the field of the unknown pool "%s" and starts nothing', pool => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf({pool: pool as never, idempotencyKey: 'k'})});
+		expect([bench.failure.status, bench.failure.field, bench.failure.outcome, bench.opened.length]).toEqual([404, 'model', 'not-run', 0]);
+		// The key has not been used up.
+		bench.post({kind: 'request', request: requestOf({bodyHash: 'other', idempotencyKey: 'k'})});
+		expect(bench.opened).toHaveLength(1);
+	});
+
+	it('refuses a non-idempotent request without a key, since all of those would share one row', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf({idempotent: false})});
+		expect([bench.failure.status, bench.failure.field, bench.of('write-row').length]).toEqual([400, 'Idempotency-Key', 0]);
+	});
+
+	it('names the key that was used with another body and starts nothing', () => {
+		const bench = new Bench();
+		bench.post({kind: 'request', request: requestOf({idempotencyKey: 'k'})});
+		bench.post({kind: 'request', request: requestOf({idempotencyKey: 'k', bodyHash: 'other', requestId: 'r2' as RequestId})});
+		expect([bench.failure.status, bench.failure.field, bench.failure.outcome, bench.opened.length]).toEqual([409, 'Idempotency-Key', 'not-run', 1]);
+	});
+});
+
 describe('a grant for an attempt that has ended', () => {
 	it('is released at its owner, or the slot stays taken', () => {
 		const bench = new Bench();
--- a/packages/decision/src/bench.test-helper.ts
+++ b/packages/decision/src/bench.test-helper.ts
@@ -2,7 +2,7 @@
 
 import {documentSchema} from '@cicadapost/settings';
 import type {
-	DaemonId, DataCentreId, Fingerprint, MemberId, PeerMessage, PoolId, RegionId, Request, RequestId, RowAnswer,
+	AttemptFailure, DaemonId, DataCentreId, Fingerprint, MemberId, PeerMessage, PoolId, RegionId, Request, RequestId, RowAnswer,
 } from '@cicadapost/types';
 import {createDaemonState, type DaemonState} from './daemon-state.js';
 import {decide} from './decide.js';
@@ -13,7 +13,7 @@
 export const self = 'self' as DaemonId;
 export const peer = 'peer' as DaemonId;
 
-function documentOf(upstreams: Readonly<Record<string, readonly string[]>>): string {
+export function documentOf(upstreams: Readonly<Record<string, readonly string[]>>): string {
 	return JSON.stringify(documentSchema.parse({
 		base: {members: {}, pools: {model: {kind: 'engine'}}, dataCentres: {home: {region: 'r'}, away: {region: 'r'}}},
 		overlays: Object.fromEntries(Object.entries(upstreams).map(([name, list]) => [name, {
@@ -86,9 +86,21 @@
 		});
 	}
 
-	heartbeat(): void {
+	heartbeat(incarnation = 1): void {
 		this.message({
-			kind: 'heartbeat', dataCentre: away, incarnation: 1, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+			kind: 'heartbeat', dataCentre: away, incarnation, configurationVersion: 1, leaving: false, leavingUpstreams: [],
+		});
+	}
+
+	fails(failure: AttemptFailure, sent: boolean, attempt = this.attempt): void {
+		this.post({
+			kind: 'attempt-failed', attempt, failure, sent,
+		});
+	}
+
+	finishes(tokens: number, status = 200, contentType = 'text/event-stream'): void {
+		this.post({
+			kind: 'attempt-finished', attempt: this.attempt, tokens, status, contentType,
 		});
 	}
 
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -41,6 +41,10 @@
 } from './shards.js';
 
 const notOwnerRetryMs = 200;
+/** Round trip of 3 ms between data centres and the 20 ms of a batch. */
+const linkCostMs: Millis = 25;
+/** Round trip of 24 ms between regions and the 20 ms of a batch, doubled because the volume is billed. */
+const regionLinkCostMs: Millis = 90;
 /** First wait before an unanswered acquire is repeated. It doubles, since a long wait is mostly a place in a queue. */
 const askAgainMs: Millis = 1000;
 const maxAskAgainMs: Millis = 8000;
@@ -235,8 +239,7 @@
 			return;
 		}
 
-		const pool = this.state.site.pools[request.pool];
-		if (pool === undefined) {
+		if (!Object.hasOwn(this.state.site.pools, request.pool)) {
 			this.reject(requestId, 'no-upstream', new ProblemError({
 				kind: 'not-found',
 				detail: `the pool "${request.pool}" does not exist`,
@@ -328,6 +331,7 @@
 
 		this.route({kind: 'caller-left', requestId});
 		releaseKey(this.state.keys, requestId, this.now);
+		// Nothing was sent, so the key becomes free again.
 		this.claim({kind: 'withdrawn', requestId});
 	}
 
@@ -405,8 +409,8 @@
 		const homeRegion = site.dataCentres[dataCentre]?.region;
 		const dataCentres = Object.entries(site.poolsByDataCentre)
 			.filter(([name, pools]) => name !== dataCentre && pools.includes(pool) && isReachable(membership, name as DataCentreId))
-			.map(([name]) => name as DataCentreId)
-			.sort((a, b) => Number(site.dataCentres[b]?.region === homeRegion) - Number(site.dataCentres[a]?.region === homeRegion));
+			.map(([name]) => ({dataCentre: name as DataCentreId, costMs: site.dataCentres[name]?.region === homeRegion ? linkCostMs : regionLinkCostMs}))
+			.sort((a, b) => a.costMs - b.costMs);
 		return {shards, dataCentres};
 	}
 
@@ -1006,13 +1010,13 @@
 			this.schedule(shard, {kind: 'daemon-lost', daemon});
 		}
 
-		for (const [attempt, to] of this.state.relays.sentTo) {
-			if (to === daemon) {
-				this.state.relays.sentTo.delete(attempt);
-				this.route({
-					kind: 'failed', attempt, failure: 'relay-lost', sent: true,
-				});
-			}
+		// Collected first, since a retry may go to the same daemon after its restart.
+		const lost = [...this.state.relays.sentTo].filter(([, to]) => to === daemon).map(([attempt]) => attempt);
+		for (const attempt of lost) {
+			this.state.relays.sentTo.delete(attempt);
+			this.route({
+				kind: 'failed', attempt, failure: 'relay-lost', sent: true,
+			});
 		}
 
 		for (const [requestId, stream] of this.state.relays.streams) {
--- a/packages/engines/src/completion-stream.test.ts
+++ b/packages/engines/src/completion-stream.test.ts
@@ -91,6 +91,17 @@
 			expect(order).toEqual(['sent', 'received', 'finished']);
 		});
 
+		it('passes on the time that is left and the tokens that the caller has', async () => {
+			let headers: IncomingMessage['headers'] = {};
+			const url = await upstream((res, req) => {
+				headers = req.headers;
+				stream(res, '[DONE]');
+				res.end();
+			});
+			await run(url, {remainingMs: 1234.5, resumeFrom: 7});
+			expect(headers).toMatchObject({'x-deadline-ms': '1234', 'x-resume-from': '7'});
+		});
+
 		it('sends nothing after the time for it has passed', async () => {
 			let received = 0;
 			const url = await upstream(res => {
@@ -140,6 +151,25 @@
 		});
 	});
 
+	describe('when the connection carries bytes but no tokens', () => {
+		it('counts as silent, since a stuck engine may go on sending comments', async () => {
+			const url = await upstream(res => {
+				stream(res, event(0));
+				let comments = 0;
+				const timer = setInterval(() => {
+					res.write(': still here\n\n');
+					if (++comments === 100) {
+						res.end();
+					}
+				}, 10);
+				res.on('close', () => {
+					clearInterval(timer);
+				});
+			});
+			expect(kinds(await run(url, {silenceMs: 50}))).toEqual(['sent', 'chunk', ['silent', true]]);
+		});
+	});
+
 	describe('when the answer is faulty', () => {
 		it.each([
 			['a stream without its end', [event(0)]],
@@ -161,6 +191,26 @@
 		});
 	});
 
+	describe('when the answer is long', () => {
+		it('passes a long completion on, since its tokens are never held together', async () => {
+			const count = 200;
+			const url = await upstream(res => {
+				stream(res, ...Array.from({length: count}, (_, offset) => JSON.stringify({
+					text: 'x'.repeat(100_000), tokens: 1, version: 1, offset,
+				})), '[DONE]');
+				res.end();
+			});
+			expect(await lastOf(url)).toMatchObject({kind: 'finished', tokens: count});
+		});
+
+		it('refuses a long answer of a plain service, which would be held in memory and in one frame', async () => {
+			const url = await upstream(res => {
+				res.end('x'.repeat(4 * 1024 * 1024));
+			});
+			expect(await lastOf(url, {kind: 'service'})).toMatchObject({failure: 'server-error', sent: true});
+		});
+	});
+
 	describe('when the upstream answers with an error', () => {
 		it.each([429, 503])('takes status %i with Retry-After for overload that ran nothing', async status => {
 			const url = await upstream(res => {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -56,6 +56,9 @@
 /** A relay without a frame for this long is taken for lost. Its daemon sends keep-alive frames four times as often. */
 export const relaySilenceMs: Millis = 2000;
 
+/** Longest body that is relayed, in characters. Each takes at most three bytes of a frame, which has at most 8 MiB. */
+const maxRelayedLength = 2.5 * 1024 * 1024;
+
 /** Failures that a further attempt would meet again. */
 const finalCauses: ReadonlySet<FailureCause> = new Set<FailureCause>(['rejected', 'blocked', 'over-cap', 'deadline', 'late']);
 /** Failures of a connection that say nothing about the upstream behind it. */
@@ -79,7 +82,10 @@
 }
 
 function begin(state: RouterState, event: Extract<RouterEvent, {kind: 'request'}>, now: Millis): RouterAction[] {
-	const {request, places} = event;
+	const {request} = event;
+	// A longer body would exceed the largest frame, and the connection with all its streams would be cut.
+	const isRelayable = request.payload.body.length <= maxRelayedLength;
+	const places = isRelayable ? event.places : {...event.places, dataCentres: []};
 	if (state.requests.has(request.requestId)) {
 		return [];
 	}
@@ -99,6 +105,7 @@
 		refusedShards: new Set(),
 		triedDataCentres: new Set(),
 		isHedged: false,
+		retryAfterMs: 0,
 		retryAt: undefined,
 	};
 	state.rotation++;
@@ -148,7 +155,9 @@
 	}
 
 	resumeStream(entry.stream);
-	return [...ended, ...retryOrFail(state, entry, event, now)];
+	// A place that refused did no work, so going on to the next place is no retry.
+	const isFree = isRefusal(event.failure) && attempt.upstream === undefined && !event.sent;
+	return [...ended, ...retryOrFail(state, entry, event, {now, isFree})];
 }
 
 function releaseResultOf(cause: FailureCause): ReleaseResult {
@@ -156,8 +165,11 @@
 	return isRefusal(cause) || cause === 'version-changed' ? 'cancelled' : cause;
 }
 
-function retryOrFail(state: RouterState, entry: Entry, event: FailedEvent, now: Millis): RouterAction[] {
-	const told = {retryAfterMs: event.retryAfterMs, detail: event.detail};
+type RetryOptions = Readonly<{now: Millis; isFree: boolean}>;
+
+function retryOrFail(state: RouterState, entry: Entry, event: FailedEvent, {now, isFree}: RetryOptions): RouterAction[] {
+	entry.retryAfterMs = Math.max(entry.retryAfterMs, event.retryAfterMs ?? 0);
+	const told = {retryAfterMs: entry.retryAfterMs, detail: event.detail};
 	const isOver = finalCauses.has(event.failure) || !isSafeToSend(entry) || entry.notAfter <= now;
 	if (isOver) {
 		return fail(state, entry, event.failure, told);
@@ -171,7 +183,7 @@
 
 	entry.failures++;
 	const place = entry.failures < maxFailures ? nextPlace(state, entry, now) : undefined;
-	if (place === undefined || !spend(state.retries, 1)) {
+	if (place === undefined || !(isFree || spend(state.retries, 1))) {
 		return fail(state, entry, event.failure, told);
 	}
 
@@ -367,7 +379,12 @@
 		}
 
 		case 'tick': {
-			return [...state.requests.values()].flatMap(entry => tickEntry(state, entry, now));
+			const actions: RouterAction[] = [];
+			for (const entry of state.requests.values()) {
+				actions.push(...tickEntry(state, entry, now));
+			}
+
+			return actions;
 		}
 	}
 }
