Return groups whose hand-over the trainer never got

During an outage a fetch that the trainer had given up handed a group over at one owner, while the answer that the trainer took came from another. The ack named the other groups, which the first owner did not know, so it had nothing to tell it that the fetchId was closed.

Ruled out: letting each later fetch with a list take such groups at once (two workers of one trainer would get the same group while the store is down).

Change: an owner remembers acknowledged fetchIds, hands nothing over to them, and returns groups handed to them that the ack did not name. A group that was handed to another fetchId at least 60 s ago and is not in "received" is handed over again; trainers give a call up after 30 s. Three tests, seen failing.

The 60 s rest on trainers giving up a call after 30 s.

--- a/packages/rollouts/src/decide-rollouts.test.ts
+++ b/packages/rollouts/src/decide-rollouts.test.ts
@@ -438,6 +438,26 @@
 		expect(bench.runs.size).toBe(2);
 	});
 
+	it('returns a group that is not among those that the trainer got with the fetchId, whoever handed those over', () => {
+		const bench = handedFromMemory();
+		bench.ask(a, ack('f', [7]));
+		expect(groupsOf(bench.ask(a, fetch('g', {received: [7]})))).toEqual([0, 1]);
+	});
+
+	it('hands nothing over to a fetchId that the trainer has acknowledged', () => {
+		const bench = finishedStep(1);
+		bench.ask(a, ack('f', [7]));
+		expect(groupsOf(bench.ask(a, fetch('f', {received: [7]})))).toEqual([]);
+		expect(groupsOf(bench.ask(a, fetch('g', {received: [7]})))).toEqual([0]);
+	});
+
+	it('returns a group after a minute that the trainer does not list, but not to a fetch at the same time', () => {
+		const bench = handedFromMemory();
+		expect(groupsOf(bench.ask(a, fetch('g', {received: []})))).toEqual([1]);
+		bench.run(60_000);
+		expect(groupsOf(bench.ask(a, fetch('h', {received: [1]})))).toEqual([0]);
+	});
+
 	it('does not lose a group that a partitioned owner handed over in an answer that nobody took', () => {
 		const bench = handedFromMemory();
 		bench.ownerSeenBy = () => b;
--- a/packages/rollouts/src/decide-rollouts.ts
+++ b/packages/rollouts/src/decide-rollouts.ts
@@ -174,7 +174,20 @@
 	}
 
 	const created: Step = {
-		key, member, step, isOwned: true, rows: 'unread', rowsReadAt: Number.NEGATIVE_INFINITY, groups: new Map(), waiters: [], early: [], touchedAt: now, tokens: 0, hedgedTokens: 0, nextHedgeAt: 0,
+		key,
+		member,
+		step,
+		isOwned: true,
+		rows: 'unread',
+		rowsReadAt: Number.NEGATIVE_INFINITY,
+		groups: new Map(),
+		waiters: [],
+		closed: new Map(),
+		early: [],
+		touchedAt: now,
+		tokens: 0,
+		hedgedTokens: 0,
+		nextHedgeAt: 0,
 	};
 	state.steps.set(key, created);
 	return created;
--- a/packages/rollouts/src/rollout-state.ts
+++ b/packages/rollouts/src/rollout-state.ts
@@ -40,6 +40,8 @@
 	slots: Slot[];
 	phase: GroupPhase;
 	fetchId: string | undefined;
+	/** When this daemon handed the group over or learned that it is. */
+	handedAt: Millis;
 	/** All groups that the trainer named when it acknowledged this one. */
 	ackedWith: readonly number[] | undefined;
 	/**
@@ -79,6 +81,8 @@
 	rowsReadAt: Millis;
 	groups: Map<number, Group>;
 	waiters: Waiter[];
+	/** Acknowledged fetchIds, with the groups that the trainer got with each. */
+	closed: Map<string, readonly number[]>;
 	/** Calls that wait until the rows have been read. */
 	early: PendingCall[];
 	touchedAt: Millis;
--- a/packages/rollouts/src/serve-trainer.ts
+++ b/packages/rollouts/src/serve-trainer.ts
@@ -16,6 +16,8 @@
 } from './sync-store.js';
 
 const storeRetryMs = 2000;
+/** An answer that the trainer has not taken by then was lost; trainers give a call up after 30 s. */
+const answerMs = 60_000;
 /** Characters of text in one answer, so that it fits into one frame between daemons. At least one group is always answered. */
 const maxAnswerLength = 2 * 1024 * 1024;
 
@@ -58,6 +60,7 @@
 		slots: createSlots(seed, submission.samples),
 		phase: 'open',
 		fetchId: undefined,
+		handedAt: now,
 		ackedWith: undefined,
 		handedInMemory: false,
 		stored: undefined,
@@ -195,7 +198,11 @@
 	const received = new Set(fetch.received);
 	const all = [...step.groups.values()].sort((a, b) => a.index - b.index);
 	if (fetch.received !== undefined) {
-		actions.push(...applyReceived(state, all, fetch.fetchId, received));
+		actions.push(...applyReceived(state, all, {fetchId: fetch.fetchId, received}, now));
+	}
+
+	if (step.closed.has(fetch.fetchId)) {
+		return [];
 	}
 
 	const earlier = all.filter(group => group.fetchId === fetch.fetchId && (group.phase === 'handed' || group.phase === 'acked'));
@@ -223,6 +230,7 @@
 
 		group.phase = 'handed';
 		group.fetchId = fetch.fetchId;
+		group.handedAt = now;
 		chosen.push(group.index);
 	}
 
@@ -231,9 +239,10 @@
 
 /**
 Uses what the trainer says it has. A group that it has is never run or handed over again. A fetch of which it has a
-group was answered, so that a group handed to it that the trainer lacks was not in the answer, and returns to the others.
+group was answered, so that a group handed to it that the trainer lacks was not in the answer, and returns to the others;
+so does one whose answer must have been lost by now.
 */
-function applyReceived(state: RolloutState, all: readonly Group[], fetchId: string, received: ReadonlySet<number>): RolloutAction[] {
+function applyReceived(state: RolloutState, all: readonly Group[], {fetchId, received}: Readonly<{fetchId: string; received: ReadonlySet<number>}>, now: Millis): RolloutAction[] {
 	const actions: RolloutAction[] = [];
 	const answered = new Set(all.filter(group => received.has(group.index) && group.fetchId !== undefined).map(group => group.fetchId));
 	for (const group of all) {
@@ -241,7 +250,12 @@
 		if (received.has(group.index) && !isHanded && group.phase !== 'acked') {
 			group.phase = 'acked';
 			actions.push(...cancelRuns(state, group.slots));
-		} else if (!received.has(group.index) && group.phase === 'handed' && group.fetchId !== fetchId && answered.has(group.fetchId)) {
+			continue;
+		}
+
+		const isOtherFetch = group.phase === 'handed' && group.fetchId !== fetchId;
+		const isOver = answered.has(group.fetchId) || now - group.handedAt >= answerMs;
+		if (!received.has(group.index) && isOtherFetch && isOver) {
 			releaseGroup(group);
 		}
 	}
@@ -279,6 +293,10 @@
 			actions.push(...cancelRuns(state, group.slots));
 		}
 
+		if (request.groups !== undefined) {
+			step.closed.set(request.fetchId, request.groups);
+		}
+
 		for (const group of all) {
 			settleClosed(step, group);
 		}
--- a/packages/rollouts/src/sync-store.ts
+++ b/packages/rollouts/src/sync-store.ts
@@ -37,6 +37,7 @@
 		slots: row.phase === 'acked' ? [] : createSlots(row.seed, row.samples),
 		phase: row.phase,
 		fetchId: row.fetchId,
+		handedAt: now,
 		ackedWith: row.ackedWith,
 		handedInMemory: false,
 		stored: {...listed, row},
@@ -240,6 +241,7 @@
 	const isSame = group.objectKey !== undefined && group.objectKey === row.objectKey;
 	group.phase = row.phase;
 	group.fetchId = row.fetchId;
+	group.handedAt = now;
 	group.ackedWith = row.ackedWith;
 	group.handedInMemory = false;
 	group.promptKey = row.promptKey;
@@ -306,13 +308,14 @@
 	}
 
 	const closing = [...step.groups.values()].find(other => other.phase === 'acked' && other.fetchId === group.fetchId && other.ackedWith !== undefined);
-	if (closing === undefined) {
+	const named = step.closed.get(group.fetchId ?? '') ?? closing?.ackedWith;
+	if (named === undefined) {
 		return;
 	}
 
-	if (closing.ackedWith?.includes(group.index) === true) {
+	if (named.includes(group.index)) {
 		group.phase = 'acked';
-		group.ackedWith = closing.ackedWith;
+		group.ackedWith = named;
 		return;
 	}
 
