Test that an untaken hand-over from memory is not recorded

Cause: after isStored compared fields, no test failed any more when the row of a hand-over from memory said "handed" (trial with that mechanism off).

Ruled out: changing the older test, which covers groups that were complete before the outage.

Change: one test with a group that is finished and handed over during the outage.

--- a/packages/rollouts/src/decide-rollouts.test.ts
+++ b/packages/rollouts/src/decide-rollouts.test.ts
@@ -427,6 +427,18 @@
 		expect(bench.store.rows.get('sfax/1/0')?.value).toContain('"fetchId":"f"');
 	});
 
+	it('does not record a hand-over from memory that nobody may have taken, even if the group was finished in the outage', () => {
+		const bench = new RolloutBench();
+		bench.ask(a, submission(0));
+		bench.fault = () => 'down';
+		bench.ask(a, submission(9));
+		bench.finishAll();
+		expect(groupsOf(bench.ask(a, fetch('f', {received: [], max: 1})))).toEqual([0]);
+		bench.fault = () => 'none';
+		bench.run(1500);
+		expect(bench.store.rows.get('sfax/1/0')?.value).toContain('"phase":"complete"');
+	});
+
 	it('records what the trainer says it has, so that a new owner neither runs nor delivers it', () => {
 		const bench = handedFromMemory();
 		bench.kill(a);
