--- a/packages/rollouts/src/rollout-state.ts
+++ b/packages/rollouts/src/rollout-state.ts
@@ -40,6 +40,8 @@
 	slots: Slot[];
 	phase: GroupPhase;
 	fetchId: string | undefined;
+	/** When this daemon handed the group over or learned that it is. */
+	handedAt: Millis;
 	/** All groups that the trainer named when it acknowledged this one. */
 	ackedWith: readonly number[] | undefined;
 	/**
@@ -79,12 +81,16 @@
 	rowsReadAt: Millis;
 	groups: Map<number, Group>;
 	waiters: Waiter[];
+	/** Acknowledged fetchIds, with the groups that the trainer got with each. */
+	closed: Map<string, readonly number[]>;
 	/** Calls that wait until the rows have been read. */
 	early: PendingCall[];
 	touchedAt: Millis;
 	/** Tokens of finished samples, and of second runs of stragglers. */
 	tokens: number;
 	hedgedTokens: number;
+	/** Time of the next look at all groups; what can't wait is done on the event itself. */
+	nextScanAt: Millis;
 	/** Time of the next search for stragglers. */
 	nextHedgeAt: Millis;
 };
--- a/packages/rollouts/src/sync-store.ts
+++ b/packages/rollouts/src/sync-store.ts
@@ -37,6 +37,7 @@
 		slots: row.phase === 'acked' ? [] : createSlots(row.seed, row.samples),
 		phase: row.phase,
 		fetchId: row.fetchId,
+		handedAt: now,
 		ackedWith: row.ackedWith,
 		handedInMemory: false,
 		stored: {...listed, row},
@@ -176,6 +177,12 @@
 		return [];
 	}
 
+	const hasPrompt = group.promptKey !== undefined || group.phase === 'acked';
+	if (hasPrompt && group.load === undefined && group.garbage.length === 0 && isStored(group)) {
+		group.isBacklog = false;
+		return [];
+	}
+
 	const planned = plan(state, step, group);
 	if (planned === undefined) {
 		group.isBacklog = false;
@@ -240,6 +247,7 @@
 	const isSame = group.objectKey !== undefined && group.objectKey === row.objectKey;
 	group.phase = row.phase;
 	group.fetchId = row.fetchId;
+	group.handedAt = now;
 	group.ackedWith = row.ackedWith;
 	group.handedInMemory = false;
 	group.promptKey = row.promptKey;
@@ -306,13 +314,14 @@
 	}
 
 	const closing = [...step.groups.values()].find(other => other.phase === 'acked' && other.fetchId === group.fetchId && other.ackedWith !== undefined);
-	if (closing === undefined) {
+	const named = step.closed.get(group.fetchId ?? '') ?? closing?.ackedWith;
+	if (named === undefined) {
 		return;
 	}
 
-	if (closing.ackedWith?.includes(group.index) === true) {
+	if (named.includes(group.index)) {
 		group.phase = 'acked';
-		group.ackedWith = closing.ackedWith;
+		group.ackedWith = named;
 		return;
 	}
 
@@ -479,6 +488,7 @@
 	for (const step of state.steps.values()) {
 		for (const group of step.groups.values()) {
 			group.isBacklog = isDirty(group);
+			state.store.isCatchingUp ||= group.isBacklog;
 		}
 	}
 }
