--- /dev/null
+++ b/packages/model/src/main.ts
@@ -0,0 +1,37 @@
+/** Runs all spin models and prints states, depth, errors and verdict of each. Exits with 1 if one is not as expected. */
+
+import {execFileSync} from 'node:child_process';
+import {modelRuns} from './models.js';
+import {isExpected, runModel} from './run-model.js';
+
+function hasSpin(): boolean {
+	try {
+		execFileSync('spin', ['-V'], {stdio: 'ignore'});
+		return true;
+	} catch {
+		return false;
+	}
+}
+
+if (!hasSpin()) {
+	execFileSync('sh', ['-c', 'apt-get update && apt-get install -y spin'], {stdio: ['ignore', 'ignore', 'inherit']});
+}
+
+const columns = [36, 12, 8, 8] as const;
+
+function line(cells: readonly string[]): string {
+	return cells.map((cell, index) => cell.padEnd(columns[index] ?? 0)).join(' ');
+}
+
+process.stdout.write(`${line(['model', 'states', 'depth', 'errors', 'verdict'])}\n`);
+for (const run of modelRuns) {
+	const verdict = runModel(run, 'packages/model/models');
+	const expected = isExpected(run, verdict);
+	const meaning = run.isControl ? 'control: violation found' : 'holds';
+	process.stdout.write(`${line([
+		[run.model, ...run.defines].join(' '), String(verdict.states), String(verdict.depth), String(verdict.errors), expected ? meaning : 'NOT AS EXPECTED',
+	])}\n`);
+	if (!expected) {
+		process.exitCode = 1;
+	}
+}
--- /dev/null
+++ b/packages/model/src/replay-lease.test.ts
@@ -0,0 +1,123 @@
+import {readFileSync} from 'node:fs';
+import {
+	createLease, decideLease, encodeLeaseRow, isHeld, mayTake, type LeaseAction, type LeaseState,
+} from '@cicadapost/leases';
+import type {CallId, RowAnswer} from '@cicadapost/types';
+import {describe, expect, it} from 'vitest';
+import {isExpected, parseVerdict} from './run-model.js';
+
+const tickMs = 1000;
+const nobody = '255';
+/** LEASE and FLIGHT of lease.pml, in its ticks. */
+const times = {leaseMs: 2 * tickMs, renewMs: 0, flightMs: tickMs};
+const call = 'call' as CallId;
+
+type Step = Readonly<{now: number; daemon: string; verb: string; numbers: string[]}>;
+
+function traces(): Array<Readonly<{seed: string; steps: Step[]}>> {
+	const [, ...parts] = readFileSync('packages/model/models/lease.trace', 'utf8').split('SEED ');
+	return parts.map(part => {
+		const [seed, ...lines] = part.trim().split('\n');
+		return {
+			seed: seed!, steps: lines.map(text => {
+				const [, now, daemon, verb, ...numbers] = text.trim().split(' ');
+				return {
+					now: Number(now) * tickMs, daemon: daemon!, verb: verb!, numbers,
+				};
+			}),
+		};
+	});
+}
+
+function rowAnswer(kind: 'row' | 'conflict', [version, holder, fence, nonce]: string[]): RowAnswer {
+	return version === '0'
+		? {kind: 'absent'}
+		: {kind, version: Number(version), value: encodeLeaseRow({holder: holder === nobody ? '' : holder!, fence: Number(fence), nonce: nonce!})};
+}
+
+/** One daemon of the model beside the real functions. */
+class Replayed {
+	private readonly lease: LeaseState;
+	private requestedOver = 0;
+
+	constructor(daemon: string) {
+		this.lease = createLease(daemon, times);
+	}
+
+	step({now, verb, numbers}: Step): void {
+		switch (verb) {
+			case 'read': {
+				expect(this.tick(now, 'watch')[0]?.kind).toBe('read-row');
+				this.answer(now, rowAnswer('row', numbers));
+				break;
+			}
+
+			case 'request': {
+				const [version, fence, nonce] = numbers;
+				this.requestedOver = Number(version);
+				expect(isHeld(this.lease, now) || mayTake(this.lease, now)).toBe(true);
+				const [action] = this.tick(now, 'hold', nonce);
+				expect(action).toMatchObject({kind: 'write-row', expectedVersion: Number(version)});
+				expect(JSON.parse((action as {value: string}).value)).toMatchObject({fence: Number(fence)});
+				break;
+			}
+
+			case 'settled': {
+				const [wrote, ...row] = numbers;
+				this.answer(now, wrote === '1' ? {kind: 'written', version: this.requestedOver + 1} : rowAnswer('conflict', row));
+				break;
+			}
+
+			case 'order': {
+				expect(isHeld(this.lease, now)).toBe(true);
+				expect(this.lease.held?.fence).toBe(Number(numbers[0]));
+				break;
+			}
+
+			default: {
+				expect(verb).toBe('expired');
+				expect(isHeld(this.lease, now)).toBe(false);
+			}
+		}
+	}
+
+	private tick(now: number, wants: 'hold' | 'watch', nonce = ''): readonly LeaseAction[] {
+		// The model reads and writes at any time; the pauses between calls are no part of it.
+		this.lease.nextAt = 0;
+		return decideLease(this.lease, {
+			kind: 'tick', call, nonce, wants,
+		}, now).actions;
+	}
+
+	private answer(now: number, answer: RowAnswer): void {
+		decideLease(this.lease, {kind: 'answer', call, answer}, now);
+	}
+}
+
+describe('traces of the lease model', () => {
+	it.each(traces())('of seed $seed are steps of the real functions, so that the model proves something about them', ({steps}) => {
+		const daemons = new Map(['0', '1'].map(daemon => [daemon, new Replayed(daemon)]));
+		for (const step of steps) {
+			daemons.get(step.daemon)!.step(step);
+		}
+	});
+});
+
+describe('the verdict of the verifier', () => {
+	const output = 'State-vector 76 byte, depth reached 70, errors: 0\n 2519484 states, stored\n';
+
+	it('is taken from its output, since its exit code is 0 with and without errors', () => {
+		expect(parseVerdict(output)).toEqual({
+			states: 2_519_484, depth: 70, errors: 0, isComplete: true,
+		});
+	});
+
+	it('of a search that was cut off is not accepted as a proof', () => {
+		const cut = parseVerdict(`error: max search depth too small\n${output}`);
+		expect(isExpected({model: 'lease', defines: [], isControl: false}, cut)).toBe(false);
+	});
+
+	it('of a control without a violation is not accepted, so that a model that proves nothing is noticed', () => {
+		expect(isExpected({model: 'lease', defines: [], isControl: true}, parseVerdict(output))).toBe(false);
+	});
+});
--- /dev/null
+++ b/packages/model/src/run-model.ts
@@ -0,0 +1,55 @@
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import type {ModelRun} from './models.js';
+
+/** What spin's verifier found. */
+export type Verdict = Readonly<{
+	states: number;
+	depth: number;
+	errors: number;
+	/** False if the search was cut off, so that no error proves nothing. */
+	isComplete: boolean;
+}>;
+
+const maxDepth = 200_000;
+const memoryMegabytes = 3000;
+
+/** The number after `pattern` in the output of the verifier; its exit code says nothing about the verdict. */
+function numberIn(output: string, pattern: RegExp): number {
+	const text = pattern.exec(output)?.groups?.number;
+	if (text === undefined) {
+		throw new Error(`the verifier's output has no ${pattern.source}; check the versions of spin and gcc:\n${output}`);
+	}
+
+	return Number(text);
+}
+
+export function parseVerdict(output: string): Verdict {
+	const errors = numberIn(output, /errors: (?<number>\d+)/v);
+	return {
+		states: numberIn(output, /(?<number>\d+) states, stored/v),
+		depth: numberIn(output, /depth reached (?<number>\d+)/v),
+		errors,
+		isComplete: errors > 0 || !/search not completed|max search depth too small|out of memory/iv.test(output),
+	};
+}
+
+/** Builds and runs the verifier of one model. */
+export function runModel(run: ModelRun, directory: string): Verdict {
+	const workDirectory = mkdtempSync(path.join(tmpdir(), 'cicadapost-model-'));
+	const options = {cwd: workDirectory, encoding: 'utf8' as const, stdio: 'pipe' as const};
+	try {
+		execFileSync('spin', [...run.defines.map(name => `-D${name}`), '-a', path.resolve(directory, `${run.model}.pml`)], options);
+		execFileSync('cc', ['-O2', '-w', '-DSAFETY', `-DMEMLIM=${memoryMegabytes}`, '-o', 'pan', 'pan.c'], options);
+		return parseVerdict(execFileSync('./pan', [`-m${maxDepth}`], options));
+	} finally {
+		rmSync(workDirectory, {recursive: true});
+	}
+}
+
+/** Whether the verdict is the expected one. */
+export function isExpected(run: ModelRun, verdict: Verdict): boolean {
+	return run.isControl ? verdict.errors > 0 : verdict.errors === 0 && verdict.isComplete;
+}
