Orders to engines under a lease, on real processes

Cause: nothing brought a new weight version to the engines of a pool, and a holder that was paused could not be kept from acting.

Change: leases/orders.ts rolls the version of the weight store out over a pool: at most 20% of the engines out at a time (one in a pool under five), a failed swap is ordered again, states are read every 250 ms while swapping and every 5 s otherwise. decision/pool-leases.ts gives each pool of engines a lease; the first daemon by rendezvous hashing takes it, the second watches the row, so that the wait after a death begins before the death is noticed. The edge compares notAfter with the monotonic clock when the request is about to be written to the connection. Stand-ins: GET /weights/<model>, POST /orders with and without fencing, swap time and failing swaps; GET /state tells leaving, swapping, fence and the orders that took effect. The model of a pool is its name; platform.weightStore of the settings defaults to the object store.

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -2,7 +2,7 @@
 import {UpstreamConnections} from '@cicadapost/engines';
 import {createLogger} from '@cicadapost/observability';
 import {PeerLinks} from '@cicadapost/peers';
-import {HttpTableService, HttpVmList} from '@cicadapost/platform';
+import {HttpTableService, HttpVmList, HttpWeightStore} from '@cicadapost/platform';
 import type {DaemonSettings} from '@cicadapost/settings';
 import type {DaemonId} from '@cicadapost/types';
 import {container, type DependencyContainer} from 'tsyringe';
@@ -17,6 +17,7 @@
 	child.registerInstance(tokens.logger, createLogger({daemon: settings.daemon, dataCentre: settings.dataCentre, level: settings.log.level}));
 	child.registerInstance(tokens.tableService, new HttpTableService({baseUrl: settings.platform.tableService}));
 	child.registerInstance(tokens.vmList, new HttpVmList({baseUrl: settings.platform.vmList}));
+	child.registerInstance(tokens.weightStore, new HttpWeightStore({baseUrl: settings.platform.weightStore ?? settings.platform.objectStore}));
 	child.registerInstance(tokens.upstreams, new UpstreamConnections());
 	child.registerInstance(tokens.peers, new PeerLinks({
 		self: settings.daemon as DaemonId, secret: settings.peerSecret, host: settings.listen.peers.host, port: settings.listen.peers.port,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,13 +3,13 @@
 import {
 	createDaemonState, decide, type DaemonAction, type DaemonEvent, type DaemonState,
 } from '@cicadapost/decision';
-import {readEngineState, type UpstreamConnections} from '@cicadapost/engines';
+import {readEngineState, sendLoadVersion, type UpstreamConnections} from '@cicadapost/engines';
 import {type Logger} from '@cicadapost/observability';
 import {type PeerLinks} from '@cicadapost/peers';
-import {type TableService, type VmList} from '@cicadapost/platform';
+import {type TableService, type VmList, type WeightStore} from '@cicadapost/platform';
 import type {DaemonSettings, SiteConfiguration} from '@cicadapost/settings';
 import type {
-	AttemptId, CallId, DaemonId, DataCentreId, RegionId, UpstreamId,
+	AttemptId, CallId, DaemonId, DataCentreId, PoolId, RegionId, UpstreamId,
 } from '@cicadapost/types';
 import {inject, injectable} from 'tsyringe';
 import {type Clock} from './clock.js';
@@ -42,6 +42,7 @@
 		@inject(tokens.vmList) private readonly vmList: VmList,
 		@inject(tokens.peers) private readonly peers: PeerLinks,
 		@inject(tokens.upstreams) private readonly upstreams: UpstreamConnections,
+		@inject(tokens.weightStore) private readonly weightStore: WeightStore,
 	) {
 		this.state = createDaemonState({
 			self: settings.daemon as DaemonId,
@@ -156,6 +157,16 @@
 				break;
 			}
 
+			case 'read-weights': {
+				void this.readWeights(action.pool);
+				break;
+			}
+
+			case 'send-order': {
+				void this.sendOrder(action);
+				break;
+			}
+
 			case 'read-state': {
 				void this.readState(action.upstream);
 				break;
@@ -273,6 +284,23 @@
 		}
 	}
 
+	private async readWeights(pool: PoolId): Promise<void> {
+		const version = await this.weightStore.newestVersion(pool);
+		this.post({kind: 'weights', pool, version});
+	}
+
+	private async sendOrder(action: Extract<DaemonAction, {kind: 'send-order'}>): Promise<void> {
+		const {upstream, version, fence, notAfter} = action;
+		const url = this.site?.upstreams[upstream]?.url;
+		const isAccepted = url !== undefined && await sendLoadVersion({
+			url, version, fence, notAfter, now: () => this.clock.now(),
+		});
+		this.logger.info({
+			event: 'order', upstream, version, fence, isAccepted,
+		}, 'order to an engine');
+		this.post({kind: 'order-answer', upstream, isAccepted});
+	}
+
 	private async readState(upstream: UpstreamId): Promise<void> {
 		const url = this.site?.upstreams[upstream]?.url;
 		const status = url === undefined ? undefined : await readEngineState(url);
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -6,6 +6,7 @@
 	logger: Symbol('logger'),
 	tableService: Symbol('tableService'),
 	vmList: Symbol('vmList'),
+	weightStore: Symbol('weightStore'),
 	peers: Symbol('peers'),
 	upstreams: Symbol('upstreams'),
 } as const;
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -4,8 +4,9 @@
 import type {SchedulerState} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, DaemonId, DataCentreId, Millis, RegionId, RequestId, ShardId, UpstreamId,
+	Acquire, AttemptId, DaemonId, DataCentreId, Millis, PoolId, RegionId, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
+import type {PoolLease} from './pool-leases.js';
 
 /** Where the result of a request goes. */
 export type Origin =
@@ -39,6 +40,8 @@
 	relays: Map<AttemptId, DaemonId>;
 	/** When the state of each upstream of an owned shard is read next. */
 	stateReads: Map<UpstreamId, Millis>;
+	/** Leases of the pools of engines in this data centre. */
+	poolLeases: Map<PoolId, PoolLease>;
 	leaving: boolean;
 	stopped: boolean;
 	/** Number of platform calls so far; makes their ids. */
@@ -65,6 +68,7 @@
 		acquires: new Map(),
 		relays: new Map(),
 		stateReads: new Map(),
+		poolLeases: new Map(),
 		leaving: false,
 		stopped: false,
 		calls: 0,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -20,6 +20,9 @@
 import type {DaemonState, OpenAcquire} from './daemon-state.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
 import {documentFault, parseDocument} from './parse-document.js';
+import {
+	answerPoolLeases, receiveOrderAnswer, receiveOrderStatus, receiveWeights, tickPoolLeases,
+} from './pool-leases.js';
 import {shardOwner, shardsOf} from './shards.js';
 
 const notOwnerRetryMs = 200;
@@ -91,7 +94,18 @@
 				break;
 			}
 
+			case 'weights': {
+				receiveWeights(this.state, event.pool, event.version, this.now);
+				break;
+			}
+
+			case 'order-answer': {
+				receiveOrderAnswer(this.state, event.upstream, event.isAccepted, this.now);
+				break;
+			}
+
 			case 'upstream-state': {
+				receiveOrderStatus(this.state, event.upstream, event.status, this.now);
 				if (event.status !== undefined && this.state.stateReads.has(event.upstream)) {
 					this.updateMembership({kind: 'upstream-state', upstream: event.upstream, leaving: event.status.leaving});
 				}
@@ -106,6 +120,7 @@
 
 			case 'row-answer': {
 				this.configure({kind: 'answer', call: event.call, answer: event.answer});
+				answerPoolLeases(this.state, event.call, event.answer, this.now);
 				break;
 			}
 
@@ -133,6 +148,7 @@
 		const inUse = new Set([...this.state.relays.values(), ...relayedFor.filter(daemon => daemon !== undefined)]);
 		this.updateMembership({kind: 'tick', inUse});
 		this.configure({kind: 'tick', call: this.nextCall(), isPoller: ownsInDataCentre(this.state.membership, configurationKey)});
+		this.actions.push(...tickPoolLeases(this.state, this.now, () => this.nextCall()));
 		this.readStates();
 		this.repeatAcquires();
 		this.route({kind: 'tick'});
--- a/packages/decision/src/events.ts
+++ b/packages/decision/src/events.ts
@@ -2,7 +2,7 @@
 
 import type {ProblemError} from '@cicadapost/errors';
 import type {
-	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, Millis, Payload, PeerMessage, RefusalReason, Request, RequestId, RowAnswer, UpstreamId, UpstreamStatus, VersionSpan, VmRecord,
+	AttemptFailure, AttemptId, CallId, Chunk, DaemonId, Millis, Payload, PeerMessage, PoolId, RefusalReason, Request, RequestId, RowAnswer, UpstreamId, UpstreamStatus, VersionSpan, VmRecord,
 } from '@cicadapost/types';
 
 export type DaemonEvent =
@@ -21,6 +21,10 @@
 	| Readonly<{kind: 'message-unsent'; to: DaemonId; message: PeerMessage}>
 	/** Answer to `read-state`; undefined if the upstream gave none. */
 	| Readonly<{kind: 'upstream-state'; upstream: UpstreamId; status: UpstreamStatus | undefined}>
+	/** Newest weight version of a pool's model; undefined if the weight store gave none. */
+	| Readonly<{kind: 'weights'; pool: PoolId; version: number | undefined}>
+	/** Whether the engine accepted an order. */
+	| Readonly<{kind: 'order-answer'; upstream: UpstreamId; isAccepted: boolean}>
 	| Readonly<{kind: 'vm-list'; vms: readonly VmRecord[]}>
 	| Readonly<{kind: 'row-answer'; call: CallId; answer: RowAnswer}>
 	| Readonly<{kind: 'apply-configuration'; call: CallId; expectedVersion: number; document: string}>
@@ -44,6 +48,10 @@
 	| Readonly<{kind: 'read-row'; call: CallId; table: string; key: string}>
 	/** Compare-and-set; `expectedVersion` 0 inserts. */
 	| Readonly<{kind: 'write-row'; call: CallId; table: string; key: string; expectedVersion: number; value: string}>
+	/** The answer comes as `weights`. */
+	| Readonly<{kind: 'read-weights'; pool: PoolId}>
+	/** `POST /orders` with `load-version`. Must not be sent at or after `notAfter` on the monotonic clock. */
+	| Readonly<{kind: 'send-order'; call: CallId; pool: PoolId; upstream: UpstreamId; version: number; fence: number; notAfter: Millis}>
 	| Readonly<{kind: 'configuration-in-effect'; version: number; document: string}>
 	| Readonly<{kind: 'apply-accepted'; call: CallId; version: number}>
 	| Readonly<{kind: 'apply-refused'; call: CallId; problem: ProblemError; currentVersion: number; currentDocument: string}>
--- a/packages/engines/src/index.ts
+++ b/packages/engines/src/index.ts
@@ -1,4 +1,5 @@
 /** Clients of model engines and plain services. */
 
 export * from './completion-stream.js';
+export * from './engine-orders.js';
 export * from './engine-state.js';
--- a/packages/leases/src/index.ts
+++ b/packages/leases/src/index.ts
@@ -2,3 +2,4 @@
 
 export * from './lease-row.js';
 export * from './lease.js';
+export * from './orders.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,3 +3,4 @@
 export * from './object-store.js';
 export * from './table-service.js';
 export * from './vm-list.js';
+export * from './weight-store.js';
--- a/packages/settings/src/daemon-settings.ts
+++ b/packages/settings/src/daemon-settings.ts
@@ -20,6 +20,8 @@
 		tableService: z.url(),
 		objectStore: z.url(),
 		vmList: z.url(),
+		/** The address of the object store if absent. */
+		weightStore: z.url().optional(),
 	}),
 	/** Peer addresses (`host:port`) to use until the VM list has been read. */
 	seeds: z.array(z.string().regex(/^[^:]+:\d+$/v)).default([]),
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -26,9 +26,23 @@
 	private version: number;
 	/** Faults that a test can ask for with `POST /control`. */
 	private readonly faults = {
-		slowness: 1, silent: false, poison: '', leaving: false,
+		slowness: 1,
+		silent: false,
+		poison: '',
+		leaving: false,
+		/** Duration of a swap to another version. */
+		swapMs: 50,
+		/** Number of swaps that fail and leave the old version. */
+		failSwaps: 0,
+		/** Whether orders with a lower fencing number are rejected. */
+		checksFencing: true,
 	};
 
+	private fence = 0;
+	private isSwapping = false;
+	/** Orders that took effect, for tests. */
+	private readonly orders: Array<{version: number; fence: number}> = [];
+
 	constructor(private readonly options: EngineOptions) {
 		super(options.port ?? 0);
 		this.version = options.version ?? 1;
@@ -51,11 +65,16 @@
 
 			case 'GET /state': {
 				sendJson(res, 200, {
-					name: this.options.name, version: this.version, running: this.sequences.size, leaving: this.faults.leaving,
+					name: this.options.name, version: this.version, running: this.sequences.size, leaving: this.faults.leaving, swapping: this.isSwapping, fence: this.fence, orders: this.orders,
 				});
 				break;
 			}
 
+			case 'POST /orders': {
+				this.receiveOrder(res, Number(body.version), Number(body.fence));
+				break;
+			}
+
 			case 'GET /load': {
 				sendJson(res, 200, {running: this.sequences.size});
 				break;
@@ -67,6 +86,27 @@
 		}
 	}
 
+	private receiveOrder(res: ServerResponse, version: number, fence: number): void {
+		if (this.faults.checksFencing && fence < this.fence) {
+			sendJson(res, 409, {fence: this.fence});
+			return;
+		}
+
+		this.fence = Math.max(this.fence, fence);
+		this.orders.push({version, fence});
+		this.isSwapping = true;
+		setTimeout(() => {
+			this.isSwapping = false;
+			if (this.faults.failSwaps > 0) {
+				this.faults.failSwaps--;
+				return;
+			}
+
+			this.version = version;
+		}, this.faults.swapMs);
+		sendJson(res, 202, {});
+	}
+
 	private admit(req: IncomingMessage, res: ServerResponse, body: Record<string, unknown>): void {
 		const prompt = String(body.prompt);
 		if (this.faults.poison !== '' && prompt.includes(this.faults.poison)) {
@@ -99,7 +139,7 @@
 	}
 
 	private step(): void {
-		if (this.faults.silent) {
+		if (this.faults.silent || this.isSwapping) {
 			return;
 		}
 
--- a/packages/stand-ins/src/platform.ts
+++ b/packages/stand-ins/src/platform.ts
@@ -19,6 +19,8 @@
 	private readonly tables = new Map<string, Row>();
 	private readonly objects = new Map<string, string>();
 	private vms: VmRecord[] = [];
+	/** Newest version by model. */
+	private readonly weights: Record<string, number> = {};
 	private readonly faults: PlatformFaults = {down: false, delayMs: 0, loseAnswers: 0};
 
 	constructor(options: Readonly<{port?: number}> = {}) {
@@ -29,7 +31,8 @@
 		const url = new URL(req.url ?? '/', 'http://localhost');
 		const body = await readJson(req);
 		if (url.pathname === '/control') {
-			const {vms, ...faults} = body;
+			const {vms, weights, ...faults} = body;
+			Object.assign(this.weights, weights);
 			Object.assign(this.faults, faults);
 			this.vms = (vms as VmRecord[] | undefined) ?? this.vms;
 			sendJson(res, 200, this.faults);
@@ -64,6 +67,12 @@
 				break;
 			}
 
+			case 'weights': {
+				const version = this.weights[key];
+				sendJson(res, version === undefined ? 404 : 200, {model: key, version});
+				break;
+			}
+
 			case 'vms': {
 				sendJson(res, 200, {vms: this.vms});
 				break;
