--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -4,7 +4,9 @@
 	createLogger, Metrics, NoMetricsSink, StatsdSink, type MetricsSink,
 } from '@cicadapost/observability';
 import {PeerLinks} from '@cicadapost/peers';
-import {HttpObjectStore, HttpTableService, HttpVmList} from '@cicadapost/platform';
+import {
+	HttpObjectStore, HttpTableService, HttpVmList, HttpWeightStore,
+} from '@cicadapost/platform';
 import type {DaemonSettings} from '@cicadapost/settings';
 import type {DaemonId} from '@cicadapost/types';
 import {container, type DependencyContainer} from 'tsyringe';
@@ -21,6 +23,7 @@
 	child.registerInstance(tokens.objectStore, new HttpObjectStore({baseUrl: settings.platform.objectStore}));
 	child.registerInstance(tokens.vmList, new HttpVmList({baseUrl: settings.platform.vmList}));
 	child.registerInstance(tokens.metrics, new Metrics(createSink(settings)));
+	child.registerInstance(tokens.weightStore, new HttpWeightStore({baseUrl: settings.platform.weightStore ?? settings.platform.objectStore}));
 	child.registerInstance(tokens.upstreams, new UpstreamConnections());
 	child.registerInstance(tokens.peers, new PeerLinks({
 		self: settings.daemon as DaemonId, secret: settings.peerSecret, host: settings.listen.peers.host, port: settings.listen.peers.port,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,17 +3,18 @@
 import {
 	createDaemonState, decide, hasWaitingFrames, type DaemonAction, type DaemonEvent, type DaemonState,
 } from '@cicadapost/decision';
-import {readEngineState, type UpstreamConnections} from '@cicadapost/engines';
+import {readEngineState, sendLoadVersion, type UpstreamConnections} from '@cicadapost/engines';
 import {type Logger, type Metrics} from '@cicadapost/observability';
 import {type PeerLinks} from '@cicadapost/peers';
-import {type ObjectStore, type TableService, type VmList} from '@cicadapost/platform';
+import {type TableService} from '@cicadapost/platform';
 import type {DaemonSettings, SiteConfiguration} from '@cicadapost/settings';
 import type {
-	AttemptId, CallId, DaemonId, DataCentreId, MemberId, Millis, ObjectAnswer, RegionId, RequestId, TrainerAnswer, TrainerCall, UpstreamId,
+	AttemptId, CallId, DaemonId, DataCentreId, MemberId, Millis, RegionId, RequestId, TrainerAnswer, TrainerCall, UpstreamId,
 } from '@cicadapost/types';
 import {inject, injectable} from 'tsyringe';
 import {type Clock} from './clock.js';
 import {readHistory, recordHistory} from './configuration-history.js';
+import {isPlatformAction, PlatformTask} from './platform-task.js';
 import {RequestObserver} from './request-observer.js';
 import {daemonStatus} from './status.js';
 import {tokens} from './tokens.js';
@@ -48,8 +49,7 @@
 		@inject(tokens.clock) private readonly clock: Clock,
 		@inject(tokens.logger) private readonly logger: Logger,
 		@inject(tokens.tableService) private readonly tableService: TableService,
-		@inject(tokens.objectStore) private readonly objectStore: ObjectStore,
-		@inject(tokens.vmList) private readonly vmList: VmList,
+		@inject(PlatformTask) private readonly platform: PlatformTask,
 		@inject(tokens.peers) private readonly peers: PeerLinks,
 		@inject(tokens.upstreams) private readonly upstreams: UpstreamConnections,
 		@inject(tokens.metrics) private readonly metrics: Metrics,
@@ -165,6 +165,13 @@
 	}
 
 	private apply(action: DaemonAction): void {
+		if (isPlatformAction(action)) {
+			void this.platform.carryOut(action, event => {
+				this.post(event);
+			});
+			return;
+		}
+
 		switch (action.kind) {
 			case 'send': {
 				this.peers.send(action.to, action.message);
@@ -181,8 +188,8 @@
 				break;
 			}
 
-			case 'read-vm-list': {
-				void this.readVmList();
+			case 'send-order': {
+				void this.sendOrder(action);
 				break;
 			}
 
@@ -217,28 +224,6 @@
 				break;
 			}
 
-			case 'read-row': {
-				void this.readRow(action);
-				break;
-			}
-
-			case 'write-row': {
-				void this.writeRow(action);
-				break;
-			}
-
-			case 'list-rows': {
-				void this.listRows(action);
-				break;
-			}
-
-			case 'get-object':
-			case 'put-object':
-			case 'delete-object': {
-				void this.callObjectStore(action);
-				break;
-			}
-
 			case 'trainer-answer': {
 				this.trainerCalls.get(action.call)?.(action.answer);
 				this.trainerCalls.delete(action.call);
@@ -306,26 +291,6 @@
 		});
 	}
 
-	private async readRow(action: Extract<DaemonAction, {kind: 'read-row'}>): Promise<void> {
-		const answer = await this.tableService.read(action.table, action.key);
-		this.post({kind: 'row-answer', call: action.call, answer});
-	}
-
-	private async writeRow(action: Extract<DaemonAction, {kind: 'write-row'}>): Promise<void> {
-		const answer = await this.tableService.compareAndSet(action.table, action.key, action.expectedVersion, action.value);
-		this.post({kind: 'row-answer', call: action.call, answer});
-	}
-
-	private async listRows(action: Extract<DaemonAction, {kind: 'list-rows'}>): Promise<void> {
-		const rows = await this.tableService.list(action.table, action.prefix);
-		this.post({kind: 'list-answer', call: action.call, rows});
-	}
-
-	private async callObjectStore(action: ObjectStoreAction): Promise<void> {
-		const answer = await objectAnswer(this.objectStore, action);
-		this.post({kind: 'object-answer', call: action.call, answer});
-	}
-
 	private async callTrainer(member: MemberId, request: TrainerCall, signal: AbortSignal): Promise<TrainerAnswer> {
 		const call = randomUUID() as CallId;
 		signal.addEventListener('abort', () => {
@@ -341,11 +306,16 @@
 		});
 	}
 
-	private async readVmList(): Promise<void> {
-		const vms = await this.vmList.read();
-		if (vms !== undefined) {
-			this.post({kind: 'vm-list', vms});
-		}
+	private async sendOrder(action: Extract<DaemonAction, {kind: 'send-order'}>): Promise<void> {
+		const {upstream, version, fence, notAfter} = action;
+		const url = this.site?.upstreams[upstream]?.url;
+		const isAccepted = url !== undefined && await sendLoadVersion({
+			url, version, fence, notAfter, now: () => this.clock.now(),
+		});
+		this.logger.info({
+			event: 'order', upstream, version, fence, isAccepted,
+		}, 'order to an engine');
+		this.post({kind: 'order-answer', upstream, isAccepted});
 	}
 
 	private async readState(upstream: UpstreamId): Promise<void> {
@@ -385,17 +355,6 @@
 	}
 }
 
-type ObjectStoreAction = Extract<DaemonAction, {kind: 'get-object' | 'put-object' | 'delete-object'}>;
-
-async function objectAnswer(store: ObjectStore, action: ObjectStoreAction): Promise<ObjectAnswer> {
-	if (action.kind === 'get-object') {
-		return store.get(action.key);
-	}
-
-	const isDone = action.kind === 'put-object' ? await store.put(action.key, action.value) : await store.delete(action.key);
-	return isDone ? {kind: 'done'} : {kind: 'unavailable'};
-}
-
 type Report = Parameters<Parameters<UpstreamConnections['run']>[1]>[0];
 
 function attemptEvent(attempt: AttemptId, report: Report): DaemonEvent {
--- /dev/null
+++ b/packages/daemon/src/platform-task.ts
@@ -0,0 +1,80 @@
+import type {DaemonAction, DaemonEvent} from '@cicadapost/decision';
+import type {
+	ObjectStore, TableService, VmList, WeightStore,
+} from '@cicadapost/platform';
+import type {ObjectAnswer} from '@cicadapost/types';
+import {inject, injectable} from 'tsyringe';
+import {tokens} from './tokens.js';
+
+const platformKinds = [
+	'read-row', 'write-row', 'list-rows', 'get-object', 'put-object', 'delete-object', 'read-vm-list', 'read-weights',
+] as const;
+
+type ActionOf<Kind extends DaemonAction['kind']> = Extract<DaemonAction, {kind: Kind}>;
+export type PlatformAction = ActionOf<typeof platformKinds[number]>;
+
+const kinds: ReadonlySet<string> = new Set(platformKinds);
+
+export function isPlatformAction(action: DaemonAction): action is PlatformAction {
+	return kinds.has(action.kind);
+}
+
+/** Calls the platform and posts its answers as events. */
+@injectable()
+export class PlatformTask {
+	constructor(
+		@inject(tokens.tableService) private readonly tableService: TableService,
+		@inject(tokens.objectStore) private readonly objectStore: ObjectStore,
+		@inject(tokens.vmList) private readonly vmList: VmList,
+		@inject(tokens.weightStore) private readonly weightStore: WeightStore,
+	) {}
+
+	/** Carries out one action. A VM list that can't be read posts nothing; each other action posts one event. */
+	async carryOut(action: PlatformAction, post: (event: DaemonEvent) => void): Promise<void> {
+		const event = await this.call(action);
+		if (event !== undefined) {
+			post(event);
+		}
+	}
+
+	private async call(action: PlatformAction): Promise<DaemonEvent | undefined> {
+		switch (action.kind) {
+			case 'read-row': {
+				return {kind: 'row-answer', call: action.call, answer: await this.tableService.read(action.table, action.key)};
+			}
+
+			case 'write-row': {
+				const {call, table, key, expectedVersion, value} = action;
+				return {kind: 'row-answer', call, answer: await this.tableService.compareAndSet(table, key, expectedVersion, value)};
+			}
+
+			case 'list-rows': {
+				return {kind: 'list-answer', call: action.call, rows: await this.tableService.list(action.table, action.prefix)};
+			}
+
+			case 'get-object':
+			case 'put-object':
+			case 'delete-object': {
+				return {kind: 'object-answer', call: action.call, answer: await this.callObjectStore(action)};
+			}
+
+			case 'read-vm-list': {
+				const vms = await this.vmList.read();
+				return vms === undefined ? undefined : {kind: 'vm-list', vms};
+			}
+
+			case 'read-weights': {
+				return {kind: 'weights', pool: action.pool, version: await this.weightStore.newestVersion(action.pool)};
+			}
+		}
+	}
+
+	private async callObjectStore(action: ActionOf<'get-object' | 'put-object' | 'delete-object'>): Promise<ObjectAnswer> {
+		if (action.kind === 'get-object') {
+			return this.objectStore.get(action.key);
+		}
+
+		const isDone = action.kind === 'put-object' ? await this.objectStore.put(action.key, action.value) : await this.objectStore.delete(action.key);
+		return isDone ? {kind: 'done'} : {kind: 'unavailable'};
+	}
+}
--- a/packages/daemon/src/tokens.ts
+++ b/packages/daemon/src/tokens.ts
@@ -8,6 +8,7 @@
 	objectStore: Symbol('objectStore'),
 	vmList: Symbol('vmList'),
 	metrics: Symbol('metrics'),
+	weightStore: Symbol('weightStore'),
 	peers: Symbol('peers'),
 	upstreams: Symbol('upstreams'),
 } as const;
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -8,10 +8,11 @@
 import {createSuspectTable, type SchedulerState, type SuspectTable} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, DaemonId, DataCentreId, Millis, RegionId, RequestId, ShardId, UpstreamId,
+	Acquire, AttemptId, DaemonId, DataCentreId, Millis, PoolId, RegionId, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
 import {createCaps, type CapsState} from './caps-part.js';
 import type {HeldGrants} from './held-grants.js';
+import type {PoolLease} from './pool-leases.js';
 import {createRelays, type RelaysState} from './relays.js';
 
 /** Where the result of a request goes. */
@@ -57,6 +58,8 @@
 	/** When the state of each upstream of an owned shard is read next. */
 	stateReads: Map<UpstreamId, Millis>;
 	caps: CapsState;
+	/** Leases of the pools of engines in this data centre. */
+	poolLeases: Map<PoolId, PoolLease>;
 	leaving: boolean;
 	stopped: boolean;
 	/** Number of platform calls so far; makes their ids. */
@@ -91,6 +94,7 @@
 		suspects: createSuspectTable(),
 		stateReads: new Map(),
 		caps: createCaps(),
+		poolLeases: new Map(),
 		leaving: false,
 		stopped: false,
 		calls: 0,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -30,6 +30,9 @@
 import type {DaemonAction, DaemonEvent} from './events.js';
 import {moveGrants, withdrawal} from './held-grants.js';
 import {documentFault, parseDocument} from './parse-document.js';
+import {
+	answerPoolLeases, holdsLease, receiveOrderAnswer, receiveOrderStatus, receiveWeights, tickPoolLeases,
+} from './pool-leases.js';
 import {
 	addToFrame, closeRelayStream, flushFrames, openRelayStream, takeRelay,
 } from './relays.js';
@@ -115,7 +118,18 @@
 				break;
 			}
 
+			case 'weights': {
+				receiveWeights(this.state, event.pool, event.version, this.now);
+				break;
+			}
+
+			case 'order-answer': {
+				receiveOrderAnswer(this.state, event.upstream, event.isAccepted, this.now);
+				break;
+			}
+
 			case 'upstream-state': {
+				receiveOrderStatus(this.state, event.upstream, event.status, this.now);
 				if (event.status !== undefined && this.state.stateReads.has(event.upstream)) {
 					this.updateMembership({kind: 'upstream-state', upstream: event.upstream, leaving: event.status.leaving});
 				}
@@ -187,6 +201,7 @@
 			return;
 		}
 
+		answerPoolLeases(this.state, call, answer, this.now);
 		this.configure({kind: 'answer', call, answer});
 	}
 
@@ -196,6 +211,7 @@
 		this.updateMembership({kind: 'tick', inUse});
 		this.configure({kind: 'tick', call: this.nextCall(), isPoller: ownsInDataCentre(this.state.membership, configurationKey)});
 		this.claim({kind: 'tick'});
+		this.actions.push(...tickPoolLeases(this.state, this.now, () => this.nextCall()));
 		this.readStates();
 		this.route({kind: 'tick'});
 		this.cap((context, caps) => tickCaps(caps, context));
@@ -215,6 +231,7 @@
 		} = this.state;
 		// The last daemons of a data centre keep shards, and other daemons' requests in them, until those have ended.
 		const isIdle = router.requests.size === 0 && isClaimsIdle(claims) && configuration.applies.size === 0 && isRolloutsIdle(rollouts) && caps.asked.size === 0
+			&& !holdsLease(this.state, this.now)
 			&& [...schedulers.values()].every(scheduler => waitingCount(scheduler) === 0 && scheduler.running.size === 0);
 		if (leaving && !stopped && isIdle) {
 			this.state.stopped = true;
