Add measurement cases with baselines, growth and the data path

Ruled out: a verdict on a ratio alone. Cases with ratios therefore also bound failures at 1%.

Conclusion: cases run against the present decision code.

--- a/packages/fakes/src/daemon.ts
+++ b/packages/fakes/src/daemon.ts
@@ -11,6 +11,12 @@
 import type {ActionOf} from './recorder.js';
 import type {World} from './world.js';
 
+export type DaemonProbe = Readonly<{
+	/** `kind` is the kind of the event, and of the message in it. */
+	decided: (kind: string, micros: number) => void;
+	sent: (message: PeerMessage, bytes: number, isAcrossRegions: boolean) => void;
+}>;
+
 export type FakeDaemonOptions = Readonly<{
 	daemon: DaemonId;
 	dataCentre: DataCentreId;
@@ -19,6 +25,8 @@
 	clockOffsetMs?: Millis;
 	tickMs?: Millis;
 	silenceMs?: Millis;
+	/** Sees the time of each decision and the size of each message, to measure control work. */
+	probe?: DaemonProbe;
 	/** Handlers for actions that this class doesn't know, by kind. They may post events. */
 	handlers?: Readonly<Record<string, (daemon: FakeDaemon, action: Readonly<{kind: string}>) => void>>;
 }>;
@@ -224,7 +232,10 @@
 
 	private turn(event: DaemonEvent): void {
 		this.decisions++;
+		const {probe} = this.options;
+		const startedAt = probe === undefined ? 0 : performance.now();
 		const outcome = decide(this.state, event, this.now);
+		probe?.decided(event.kind === 'message' ? `message ${event.message.kind}` : event.kind, 1000 * (performance.now() - startedAt));
 		this.state = outcome.state;
 		if (this.isHoldingNextActions && outcome.actions.length > 0) {
 			this.isHoldingNextActions = false;
@@ -348,6 +359,7 @@
 		}
 
 		const {incarnation} = target;
+		this.options.probe?.sent(action.message, messageBytes(action.message), target.place.region !== this.place.region);
 		this.world.network.send(this.place, target.place, () => messageBytes(action.message), () => {
 			if (target.incarnation === incarnation) {
 				target.post({kind: 'message', from: this.daemon, message: action.message});
--- /dev/null
+++ b/packages/measure/src/cases/crash.ts
@@ -0,0 +1,115 @@
+import type {FakeEngine} from '@cicadapost/fakes';
+import {
+	baselines, Bench, fixedWindows, policy, withoutRetries, type Variant,
+} from '../bench.js';
+import {noFailures, type MeasurementCase, type Run} from '../case.js';
+import {
+	describeWorst, latencyMs, type Call,
+} from '../collector.js';
+import {quantile, sum} from '../statistics.js';
+
+const job = {tokens: 64, promptTokens: 200};
+const engines = 12;
+const load = 0.4;
+const endMs = 180_000;
+const restartMs = 10_000;
+const deathPeriodMs = 60_000;
+const poisonEvery = 1000;
+const maxSendings = 10;
+const deadlineMs = 20_000;
+
+type Faults = {lostTo: Map<string, number>};
+
+function watchDeaths(bench: Bench): Faults {
+	const lostTo = new Map<string, number>();
+	bench.world.recorder.listen(event => {
+		if (event.kind === 'upstream-ended' && event.result === 'died' && event.job.startsWith('poison')) {
+			lostTo.set(event.job, (lostTo.get(event.job) ?? 0) + 1);
+		}
+
+		if (event.kind === 'upstream-died') {
+			const engine = bench.world.engines.get(event.upstream)!;
+			bench.world.queue.schedule(restartMs, () => {
+				engine.start();
+			});
+		}
+	});
+	return {lostTo};
+}
+
+/** The caller of a request that failed sends it again, as a worried user would. */
+function resend(bench: Bench): void {
+	const sendings = new Map<string, number>();
+	bench.collector.onEnd(call => {
+		const sending = (sendings.get(call.job) ?? 0) + 1;
+		sendings.set(call.job, sending);
+		if (call.result === 'completed' || !call.job.startsWith('poison') || sending >= maxSendings) {
+			return;
+		}
+
+		bench.world.queue.schedule(call.retryAfterMs ?? 1000, () => {
+			bench.send({
+				member: 'inspectors', requestClass: 'live', key: call.job, sending, job: {...job, isPoison: true}, deadlineMs,
+			});
+		});
+	});
+}
+
+function runOnce(variant: Variant, seed: number, hasFaults: boolean): {others: Call[]; lostTo: Map<string, number>} {
+	const bench = new Bench({
+		seed, variant, engines, members: {inspectors: {}},
+	});
+	const {lostTo} = watchDeaths(bench);
+	resend(bench);
+	const random = bench.world.random.fork();
+	bench.arrive(load * bench.capacity(job), 0, endMs, index => {
+		const isPoison = hasFaults && index % poisonEvery === poisonEvery / 2;
+		bench.send({
+			member: 'inspectors', requestClass: 'live', key: `${isPoison ? 'poison' : 'c'}${index}`, job: {...job, isPoison, tokens: random.int(job.tokens / 2, job.tokens * 3 / 2)}, deadlineMs,
+		});
+	});
+	if (hasFaults) {
+		for (let at = deathPeriodMs / 2; at < endMs; at += deathPeriodMs) {
+			bench.at(at, () => {
+				random.pick(bench.engines).die();
+			});
+		}
+	}
+
+	bench.runFor(endMs + 20_000);
+	return {others: bench.collector.list(call => !call.job.startsWith('poison')), lostTo};
+}
+
+function run(variant: Variant, seed: number): Run {
+	const faulty = runOnce(variant, seed, true);
+	const quiet = runOnce(variant, seed, false);
+	const p99 = quantile(faulty.others.map(call => latencyMs(call)), 0.99);
+	const quietP99 = quantile(quiet.others.map(call => latencyMs(call)), 0.99);
+	return {
+		figures: {
+			ratio: p99 / quietP99,
+			lost: Math.max(0, ...faulty.lostTo.values()),
+			p99,
+			quietP99,
+			failed: 100 * faulty.others.filter(call => call.result !== 'completed').length / faulty.others.length,
+			deaths: sum(faulty.lostTo.values()),
+		},
+		worst: describeWorst(faulty.others),
+	};
+}
+
+export const crash: MeasurementCase = {
+	name: 'crash',
+	setting: `${engines} engines, ${100 * load}% load, an engine dies every 60 s and starts again after 10 s, one request of ${poisonEvery} ends each engine that runs it and is sent up to ${maxSendings} times`,
+	figures: [
+		{key: 'ratio', title: 'p99 of others / quiet', digits: 2},
+		{key: 'lost', title: 'engines lost to one request', digits: 0},
+		{key: 'p99', title: 'p99 ms', digits: 0},
+		{key: 'quietP99', title: 'quiet p99 ms', digits: 0},
+		{key: 'failed', title: 'others failed %', digits: 2},
+		{key: 'deaths', title: 'engines lost in all', digits: 0},
+	],
+	bounds: [{figure: 'ratio', comparison: 'at most', limit: 2}, {figure: 'lost', comparison: 'at most', limit: 3}, noFailures],
+	variants: [policy, withoutRetries, fixedWindows, ...baselines],
+	run,
+};
--- /dev/null
+++ b/packages/measure/src/collector.ts
@@ -0,0 +1,147 @@
+import type {Observation, Recorder} from '@cicadapost/fakes';
+import type {Millis, RequestClass, RequestId} from '@cicadapost/types';
+
+/** Between a caller and the daemons, in each direction. */
+const clientLatencyMs = 3;
+
+/** What one caller saw of one request, and what the upstreams did for it. */
+export type Call = {
+	readonly requestId: RequestId;
+	readonly job: string;
+	readonly member: string;
+	readonly requestClass: RequestClass;
+	readonly deadlineMs: Millis;
+	readonly sentAt: Millis;
+	firstTokenAt: Millis | undefined;
+	endedAt: Millis | undefined;
+	result: 'open' | 'completed' | 'failed' | 'cut';
+	cause: string;
+	retryAfterMs: Millis | undefined;
+	tokens: number;
+	attempts: Array<{at: Millis; upstream: string}>;
+};
+
+export type SentCall = Readonly<{requestId: RequestId; job: string; member: string; requestClass: RequestClass; deadlineMs: Millis}>;
+
+/** Follows each request from the recorded observations. */
+export class Collector {
+	readonly calls = new Map<RequestId, Call>();
+	/** Tokens that engines generated in attempts that have ended. */
+	generatedTokens = 0;
+	private readonly byJob = new Map<string, Call>();
+	private readonly resumedFrom = new Map<string, number>();
+	private readonly endListeners: Array<(call: Call) => void> = [];
+
+	constructor(recorder: Recorder, private readonly now: () => Millis) {
+		recorder.listen(event => {
+			this.observe(event);
+		});
+	}
+
+	onEnd(listener: (call: Call) => void): void {
+		this.endListeners.push(listener);
+	}
+
+	/** To be called right before the request is handed to a daemon or a baseline. */
+	begin(sent: SentCall): void {
+		const call: Call = {
+			...sent, sentAt: this.now(), firstTokenAt: undefined, endedAt: undefined, result: 'open', cause: '', retryAfterMs: undefined, tokens: 0, attempts: [],
+		};
+		this.calls.set(sent.requestId, call);
+		this.byJob.set(sent.job, call);
+	}
+
+	list(filter: (call: Call) => boolean = () => true): Call[] {
+		return [...this.calls.values()].filter(call => filter(call));
+	}
+
+	private observe(event: Observation): void {
+		switch (event.kind) {
+			case 'caller-chunk': {
+				const call = this.calls.get(event.requestId);
+				if (call !== undefined) {
+					call.firstTokenAt ??= event.at;
+					call.tokens += event.chunk.tokens;
+				}
+
+				break;
+			}
+
+			case 'caller-completed': {
+				this.end(event.requestId, 'completed');
+				break;
+			}
+
+			case 'caller-cut': {
+				this.end(event.requestId, 'cut');
+				break;
+			}
+
+			case 'caller-failed': {
+				const call = this.calls.get(event.requestId);
+				if (call !== undefined) {
+					call.cause = event.cause;
+					call.retryAfterMs = event.retryAfterMs;
+				}
+
+				this.end(event.requestId, 'failed');
+				break;
+			}
+
+			case 'upstream-received': {
+				this.byJob.get(event.job)?.attempts.push({at: event.at, upstream: event.upstream});
+				this.resumedFrom.set(event.attempt, event.resumeFrom);
+				break;
+			}
+
+			case 'upstream-ended': {
+				this.generatedTokens += event.tokens - (this.resumedFrom.get(event.attempt) ?? 0);
+				this.resumedFrom.delete(event.attempt);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	private end(requestId: RequestId, result: Call['result']): void {
+		const call = this.calls.get(requestId);
+		if (call?.result !== 'open') {
+			return;
+		}
+
+		call.result = result;
+		call.endedAt = this.now();
+		for (const listener of this.endListeners) {
+			listener(call);
+		}
+	}
+}
+
+/** Time from the caller's view; a request that got no whole response counts with its deadline. */
+export function latencyMs(call: Call): Millis {
+	return call.result === 'completed' ? call.endedAt! - call.sentAt + (2 * clientLatencyMs) : call.deadlineMs;
+}
+
+export function firstTokenMs(call: Call): Millis {
+	return call.firstTokenAt === undefined ? call.deadlineMs : call.firstTokenAt - call.sentAt + (2 * clientLatencyMs);
+}
+
+/** Tokens that were generated and not delivered in a whole response, as a share of those delivered. */
+export function extraWork(collector: Collector): number {
+	const ended = collector.list(call => call.result !== 'open');
+	const delivered = ended.filter(call => call.result === 'completed').reduce((total, call) => total + call.tokens, 0);
+	return delivered === 0 ? 0 : Math.max(0, (collector.generatedTokens - delivered) / delivered);
+}
+
+/** The slowest requests with the times of their steps, to find why a bound was missed. */
+export function describeWorst(calls: readonly Call[], count = 5): string[] {
+	return calls.toSorted((a, b) => latencyMs(b) - latencyMs(a)).slice(0, count).map(call => {
+		const attempts = call.attempts.map(attempt => `${attempt.upstream} after ${Math.round(attempt.at - call.sentAt)} ms`).join(', ');
+		const first = call.firstTokenAt === undefined ? 'no token' : `first token after ${Math.round(call.firstTokenAt - call.sentAt)} ms`;
+		const end = call.endedAt === undefined ? 'still open' : `${call.result} after ${Math.round(call.endedAt - call.sentAt)} ms`;
+		return `${call.requestId} (${call.member}) sent at ${Math.round(call.sentAt)} ms: upstreams [${attempts}], ${first}, ${end}${call.cause === '' ? '' : ` (${call.cause})`}`;
+	});
+}
--- /dev/null
+++ b/packages/measure/src/dispatcher.ts
@@ -0,0 +1,139 @@
+import {
+	jobOf, type CallerRequest, type FakeEngine, type World,
+} from '@cicadapost/fakes';
+import type {
+	AttemptId, Chunk, Millis, RequestId, VersionSpan,
+} from '@cicadapost/types';
+
+/** How a baseline picks an engine. */
+export type Rule =
+	/** Each engine in turn, without a queue. */
+	| 'round-robin'
+	/** The engine whose last load report is the smallest, without a queue. */
+	| 'least-reported-load'
+	/** One queue in order of arrival, and a fixed window for each engine. */
+	| 'first-come-queue'
+	/** Like `first-come-queue`, and knows the prefix cache of each engine at each moment. */
+	| 'oracle-of-caches';
+
+/** A load balancer as it is often built, for comparison: it retries nothing and knows no members. */
+export class Dispatcher {
+	private next = 0;
+	private readonly inFlight = new Map<FakeEngine, number>();
+	/** In order of arrival. */
+	private readonly waiting = new Map<RequestId, CallerRequest>();
+	private readonly deadlines = new Map<RequestId, Millis>();
+
+	constructor(private readonly world: World, private readonly rule: Rule) {}
+
+	call(request: CallerRequest): void {
+		this.world.recorder.record({
+			kind: 'caller-sent', daemon: 'dispatcher' as never, requestId: request.requestId, job: jobOf(request.payload).key,
+		});
+		this.deadlines.set(request.requestId, this.world.queue.now + request.remainingMs);
+		if (this.rule === 'round-robin' || this.rule === 'least-reported-load') {
+			this.open(request, this.pickWithoutQueue(request));
+			return;
+		}
+
+		const {requestId} = request;
+		this.waiting.set(requestId, request);
+		this.world.queue.schedule(request.remainingMs, () => {
+			if (this.waiting.delete(requestId)) {
+				this.fail(requestId, 'deadline');
+			}
+		});
+		this.grant();
+	}
+
+	private enginesOf(request: CallerRequest): FakeEngine[] {
+		return [...this.world.engines.values()].filter(engine => engine.pool === request.pool && engine.isAlive && !engine.isLeaving);
+	}
+
+	private pickWithoutQueue(request: CallerRequest): FakeEngine | undefined {
+		const engines = this.enginesOf(request);
+		if (engines.length === 0) {
+			return undefined;
+		}
+
+		if (this.rule === 'round-robin') {
+			return engines[this.next++ % engines.length];
+		}
+
+		const loads = engines.map(engine => {
+			const {running, waiting} = engine.loadReport();
+			return running + waiting;
+		});
+		const least = Math.min(...loads);
+		return this.world.random.pick(engines.filter((_, index) => loads[index] === least));
+	}
+
+	private grant(): void {
+		for (const [requestId, request] of this.waiting) {
+			const engine = this.pickWithWindow(request);
+			if (engine === undefined) {
+				return;
+			}
+
+			this.waiting.delete(requestId);
+			this.open(request, engine);
+		}
+	}
+
+	private pickWithWindow(request: CallerRequest): FakeEngine | undefined {
+		const free = this.enginesOf(request).filter(engine => (this.inFlight.get(engine) ?? 0) < engine.speed.maxBatch);
+		const cached = this.rule === 'oracle-of-caches' ? free.filter(engine => engine.isCached(request.prefixKey)) : [];
+		const candidates = cached.length > 0 ? cached : free;
+		return candidates.toSorted((a, b) => (this.inFlight.get(a) ?? 0) - (this.inFlight.get(b) ?? 0))[0];
+	}
+
+	private open(request: CallerRequest, engine: FakeEngine | undefined): void {
+		const {requestId} = request;
+		if (engine === undefined) {
+			this.fail(requestId, 'no-upstream');
+			return;
+		}
+
+		const versions: VersionSpan[] = [];
+		this.count(engine, 1);
+		let isEnded = false;
+		const end = (): void => {
+			isEnded = true;
+			this.count(engine, -1);
+			this.grant();
+		};
+
+		engine.open(`${requestId}.0` as AttemptId, jobOf(request.payload), 0, {
+			chunk: (chunk: Chunk) => {
+				this.world.recorder.record({kind: 'caller-chunk', requestId, chunk});
+			},
+			finished: tokens => {
+				this.world.recorder.record({
+					kind: 'caller-completed', requestId, tokens, status: 200, versions,
+				});
+				end();
+			},
+			failed: failure => {
+				this.fail(requestId, failure);
+				end();
+			},
+		});
+		this.world.queue.schedule(this.deadlines.get(requestId)! - this.world.queue.now, () => {
+			if (!isEnded) {
+				engine.cancel(`${requestId}.0` as AttemptId);
+				this.fail(requestId, 'deadline');
+				end();
+			}
+		});
+	}
+
+	private count(engine: FakeEngine, change: number): void {
+		this.inFlight.set(engine, (this.inFlight.get(engine) ?? 0) + change);
+	}
+
+	private fail(requestId: RequestId, cause: 'deadline' | 'no-upstream' | 'upstream-died' | string): void {
+		this.world.recorder.record({
+			kind: 'caller-failed', requestId, cause: cause as 'deadline', outcome: 'unknown', retryAfterMs: 1000,
+		});
+	}
+}
--- /dev/null
+++ b/packages/measure/src/growth-report.ts
@@ -0,0 +1,78 @@
+import {
+	daemonCounts, limits, measureConfiguration, measureSize, sampleCounts, slopesOf, workerCounts, type ConfigurationCost, type Point, type Slope,
+} from './growth.js';
+
+export type GrowthResult = Readonly<{
+	case: 'growth';
+	command: string;
+	commit: string;
+	limits: typeof limits;
+	points: readonly Point[];
+	slopes: readonly Slope[];
+	configuration: readonly ConfigurationCost[];
+	atTarget: Point;
+}>;
+
+/** Runs each point: the sizes together, each axis alone, and the samples of two steps at the target size. */
+export function measureGrowth(command: string, commit: string): GrowthResult {
+	const points: Point[] = [];
+	const add = (workers: number, daemons: number, samples: number, hasLoad: boolean): Point => {
+		process.stderr.write(`growth: ${workers} workers, ${daemons} daemons, ${samples} samples${hasLoad ? ', with load' : ''}\n`);
+		const point = measureSize({
+			workers, daemons, samples, hasLoad,
+		});
+		points.push(point);
+		return point;
+	};
+
+	for (const daemons of daemonCounts) {
+		add(workerCounts.at(-1)!, daemons, 0, false);
+	}
+
+	for (const [index, workers] of workerCounts.entries()) {
+		if (workers !== workerCounts.at(-1)) {
+			add(workers, daemonCounts[index]!, 0, true);
+		}
+
+		add(workers, daemonCounts.at(-1)!, 0, true);
+	}
+
+	for (const samples of sampleCounts.slice(1)) {
+		add(workerCounts.at(-1)!, daemonCounts.at(-1)!, samples, true);
+	}
+
+	return {
+		case: 'growth', command, commit, limits, points, slopes: slopesOf(points), configuration: workerCounts.map(workers => measureConfiguration(workers)), atTarget: points.at(-1)!,
+	};
+}
+
+function row(cells: ReadonlyArray<string | number>): string {
+	return cells.map(cell => (typeof cell === 'number' ? cell.toPrecision(3) : cell).padStart(11)).join(' ');
+}
+
+export function formatGrowth(result: GrowthResult): string {
+	const {atTarget} = result;
+	const judge = (value: number, limit: number): string => (value <= limit ? 'met' : 'missed');
+	return [
+		'growth: control work of one daemon of one data centre; mean of its daemons, and the largest in brackets',
+		row(['workers', 'daemons', 'samples', 'load', 'core %', '(worst)', 'KB/s', '(worst)', 'messages/s', 'state MB', '(worst)']),
+		...result.points.map(point => row([
+			String(point.workers), String(point.daemons), String(point.samples), point.hasLoad ? 'yes' : 'no', point.corePercent, point.worstCorePercent, point.kilobytesPerSecond, point.worstKilobytesPerSecond, point.messagesPerSecond, point.stateMegabytes, point.worstStateMegabytes,
+		])),
+		'',
+		'slopes (least squares along one axis, the others at the target size)',
+		...result.slopes.map(({figure, axis, line}) => `${figure} = ${line.intercept.toPrecision(3)} + ${line.slope.toPrecision(3)} for each of ${axis}`),
+		'',
+		'one configuration change at 370 daemons, spread over 21 s',
+		...result.configuration.map(cost => `${cost.workers} workers: document ${cost.documentBytes} bytes, ${cost.micros.toFixed(0)} us, ${cost.sentBytes.toFixed(0)} bytes sent, ${cost.corePercent.toFixed(2)}% of a core, ${cost.kilobytesPerSecond.toFixed(2)} KB/s`),
+		'',
+		`costs at the target (${atTarget.workers} workers, ${atTarget.daemons} daemons, ${atTarget.samples} samples)`,
+		...atTarget.kinds.map(kind => `${kind.kind}: ${kind.perSecond.toFixed(1)}/s, ${kind.microsEach.toFixed(1)} us each`),
+		...atTarget.messageKinds.map(kind => `sent ${kind.kind}: ${kind.perSecond.toFixed(1)}/s, ${kind.bytesEach.toFixed(0)} bytes each`),
+		'',
+		`bound: core at most ${limits.corePercent}%: mean ${atTarget.corePercent.toPrecision(3)}, worst ${atTarget.worstCorePercent.toPrecision(3)}, ${judge(atTarget.worstCorePercent, limits.corePercent)}`,
+		`bound: state at most ${limits.megabytes} MB: mean ${atTarget.stateMegabytes.toPrecision(3)}, worst ${atTarget.worstStateMegabytes.toPrecision(3)}, ${judge(atTarget.worstStateMegabytes, limits.megabytes)}`,
+		`bound: control traffic at most ${limits.kilobytesPerSecond} KB/s: mean ${atTarget.kilobytesPerSecond.toPrecision(3)}, worst ${atTarget.worstKilobytesPerSecond.toPrecision(3)}, ${judge(atTarget.worstKilobytesPerSecond, limits.kilobytesPerSecond)}`,
+		'',
+	].join('\n');
+}
--- /dev/null
+++ b/packages/measure/src/growth.ts
@@ -0,0 +1,284 @@
+/** Slopes of decision time, bytes of state and control traffic with the number of daemons, workers and samples. */
+
+import {
+	createJob, jobPayload, World, type CallerRequest, type FakeDaemon,
+} from '@cicadapost/fakes';
+import type {
+	DaemonId, DataCentreId, Fingerprint, MemberId, PeerMessage, PoolId, RequestClass, RequestId, UpstreamId,
+} from '@cicadapost/types';
+import {sizeOnHeap} from './heap.js';
+import {fitLine, type Line} from './statistics.js';
+
+export const workerCounts = [9, 90, 770] as const;
+export const daemonCounts = [10, 100, 370] as const;
+export const sampleCounts = [0, 4096, 8192] as const;
+export const limits = {corePercent: 3.2, megabytes: 128, kilobytesPerSecond: 16} as const;
+const target = {
+	workers: 770, daemons: 370, requestsPerSecond: 9100, tokensPerRequest: 330,
+} as const;
+const pool = 'netmodel' as PoolId;
+const settleMs = 6000;
+const measuredMs = 10_000;
+const configurationPeriodMs = 21_000;
+/** 8 accelerators in a worker; 3 million tokens a second on 770 workers are 3,900 for each. */
+const speed = {stepMs: 6, stepMsPerSequence: 0.06, maxBatch: 64};
+/** Events that carry the bytes of a response; the case data-path measures them. */
+const dataKinds: ReadonlySet<string> = new Set(['attempt-chunk', 'message relay-chunk', 'attempt-finished', 'message relay-finished']);
+const dataMessages: ReadonlySet<string> = new Set<PeerMessage['kind']>(['relay', 'relay-chunk', 'relay-finished', 'relay-failed']);
+
+/** Control work of one daemon while it is measured. */
+class Meter {
+	isOpen = false;
+	readonly micros = new Map<string, number>();
+	readonly counts = new Map<string, number>();
+	readonly bytes = new Map<string, number>();
+	readonly messages = new Map<string, number>();
+
+	decided(kind: string, micros: number): void {
+		if (this.isOpen) {
+			this.micros.set(kind, (this.micros.get(kind) ?? 0) + micros);
+			this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
+		}
+	}
+
+	sent(message: PeerMessage, bytes: number): void {
+		if (this.isOpen) {
+			this.bytes.set(message.kind, (this.bytes.get(message.kind) ?? 0) + bytes);
+			this.messages.set(message.kind, (this.messages.get(message.kind) ?? 0) + 1);
+		}
+	}
+
+	/** Share of a core that control events took, in percent. */
+	corePercent(): number {
+		return 100 * total(this.micros, kind => !dataKinds.has(kind)) / (1000 * measuredMs);
+	}
+
+	kilobytesPerSecond(): number {
+		return total(this.bytes, kind => !dataMessages.has(kind)) / measuredMs;
+	}
+
+	messagesPerSecond(): number {
+		return 1000 * total(this.messages, kind => !dataMessages.has(kind)) / measuredMs;
+	}
+}
+
+function total(values: ReadonlyMap<string, number>, filter: (kind: string) => boolean): number {
+	let result = 0;
+	for (const [kind, value] of values) {
+		result += filter(kind) ? value : 0;
+	}
+
+	return result;
+}
+
+export type Size = Readonly<{workers: number; daemons: number; samples: number; hasLoad: boolean}>;
+
+export type KindCost = Readonly<{kind: string; perSecond: number; microsEach: number}>;
+export type MessageCost = Readonly<{kind: string; perSecond: number; bytesEach: number}>;
+
+export type Point = Size & Readonly<{
+	corePercent: number;
+	/** Of the daemon of the data centre that took the most. */
+	worstCorePercent: number;
+	kilobytesPerSecond: number;
+	worstKilobytesPerSecond: number;
+	messagesPerSecond: number;
+	stateMegabytes: number;
+	worstStateMegabytes: number;
+	kinds: readonly KindCost[];
+	messageKinds: readonly MessageCost[];
+}>;
+
+const dataCentreCount = 8;
+const regionCount = 3;
+
+function dataCentreName(index: number): string {
+	return `dc-${index % dataCentreCount}`;
+}
+
+function createWorld(size: Size): {world: World; home: FakeDaemon[]; meters: Map<FakeDaemon, Meter>} {
+	const dataCentres = Object.fromEntries(Array.from({length: dataCentreCount}, (_, index) => [dataCentreName(index), `region-${index % regionCount}`]));
+	const world = new World({seed: 1, dataCentres, isKeepingRecord: false});
+	for (let index = 0; index < size.workers; index++) {
+		world.addEngine({
+			upstream: `worker-${String(index).padStart(3, '0')}` as UpstreamId, pool, dataCentre: dataCentreName(index) as DataCentreId, speed, tokensPerChunk: 64,
+		});
+	}
+
+	applyConfiguration(world, 1);
+	const meters = new Map<FakeDaemon, Meter>();
+	for (let index = 0; index < size.daemons; index++) {
+		const isHome = index % dataCentreCount === 0;
+		const meter = new Meter();
+		const daemon = world.addDaemon({
+			daemon: `daemon-${String(index).padStart(3, '0')}` as DaemonId,
+			dataCentre: dataCentreName(index) as DataCentreId,
+			clockOffsetMs: 1_000_000 + (index * 37),
+			...(isHome
+				? {
+					probe: {
+						decided(kind, micros) {
+							meter.decided(kind, micros);
+						},
+						sent(message, bytes) {
+							meter.sent(message, bytes);
+						},
+					},
+				}
+				: {}),
+		});
+		if (isHome) {
+			meters.set(daemon, meter);
+		}
+	}
+
+	world.publishVms();
+	return {world, home: [...meters.keys()], meters};
+}
+
+function applyConfiguration(world: World, revision: number): void {
+	world.tables.seed('configuration', 'current', world.configuration({
+		members: {planner: {weight: revision}, inspectors: {}}, pool: {initialWindow: speed.maxBatch, maxWindow: speed.maxBatch},
+	}));
+}
+
+function request(key: string, requestClass: RequestClass): CallerRequest {
+	return {
+		requestId: key as RequestId,
+		member: (requestClass === 'live' ? 'inspectors' : 'planner') as MemberId,
+		requestClass,
+		pool,
+		promptTokens: 400,
+		maxTokens: 512,
+		idempotent: true,
+		fingerprint: key as Fingerprint,
+		prefixKey: requestClass === 'live' ? '' : key.split('.')[0]!,
+		payload: jobPayload(createJob({key, tokens: target.tokensPerRequest, promptTokens: 400})),
+		bodyHash: key,
+		mixedVersions: true,
+		remainingMs: 540_000,
+	};
+}
+
+/** Live load of the home data centre: its share of the target's requests, in proportion to the workers. */
+function offerLoad(world: World, home: readonly FakeDaemon[], size: Size): void {
+	const perSecond = target.requestsPerSecond * size.workers / target.workers / dataCentreCount;
+	const random = world.random.fork();
+	let index = 0;
+	const again = (): void => {
+		random.pick(home).call(request(`live-${index++}`, 'live'));
+		world.queue.schedule(random.exponential(1000 / perSecond), again);
+	};
+
+	again();
+}
+
+function offerSamples(home: readonly FakeDaemon[], samples: number): void {
+	// A step's samples are spread over the entry daemons of the data centre.
+	for (let index = 0; index < samples; index++) {
+		home[index % home.length]!.call(request(`step-${Math.floor(index / 16)}.${index}`, 'training'));
+	}
+}
+
+export function measureSize(size: Size): Point {
+	const {world, home, meters} = createWorld(size);
+	world.queue.runUntil(settleMs - 1000);
+	if (size.hasLoad) {
+		offerLoad(world, home, size);
+	}
+
+	offerSamples(home, size.samples);
+	world.queue.runUntil(settleMs);
+	for (const meter of meters.values()) {
+		meter.isOpen = true;
+	}
+
+	world.queue.runUntil(settleMs + measuredMs);
+	for (const meter of meters.values()) {
+		meter.isOpen = false;
+	}
+
+	const all = [...meters.values()];
+	const states = home.slice(0, 12).map(daemon => sizeOnHeap(daemon.state, 2) / 1e6);
+	return {
+		...size,
+		corePercent: mean(all.map(meter => meter.corePercent())),
+		worstCorePercent: Math.max(...all.map(meter => meter.corePercent())),
+		kilobytesPerSecond: mean(all.map(meter => meter.kilobytesPerSecond())),
+		worstKilobytesPerSecond: Math.max(...all.map(meter => meter.kilobytesPerSecond())),
+		messagesPerSecond: mean(all.map(meter => meter.messagesPerSecond())),
+		stateMegabytes: mean(states),
+		worstStateMegabytes: Math.max(...states),
+		kinds: kindCosts(all),
+		messageKinds: messageCosts(all),
+	};
+}
+
+function mean(values: readonly number[]): number {
+	return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function kindCosts(meters: readonly Meter[]): KindCost[] {
+	const kinds = [...new Set(meters.flatMap(meter => [...meter.micros.keys()]))].sort();
+	return kinds.map(kind => {
+		const count = mean(meters.map(meter => meter.counts.get(kind) ?? 0));
+		const micros = mean(meters.map(meter => meter.micros.get(kind) ?? 0));
+		return {kind, perSecond: 1000 * count / measuredMs, microsEach: micros / count};
+	});
+}
+
+function messageCosts(meters: readonly Meter[]): MessageCost[] {
+	const kinds = [...new Set(meters.flatMap(meter => [...meter.bytes.keys()]))].sort();
+	return kinds.map(kind => {
+		const count = mean(meters.map(meter => meter.messages.get(kind) ?? 0));
+		return {kind, perSecond: 1000 * count / measuredMs, bytesEach: mean(meters.map(meter => meter.bytes.get(kind) ?? 0)) / count};
+	});
+}
+
+export type ConfigurationCost = Readonly<{workers: number; documentBytes: number; micros: number; sentBytes: number; corePercent: number; kilobytesPerSecond: number}>;
+
+/** One configuration change while 370 daemons are known, spread over the 21 s between two changes at the target size. */
+export function measureConfiguration(workers: number): ConfigurationCost {
+	const {world, home, meters} = createWorld({
+		workers, daemons: target.daemons, samples: 0, hasLoad: false,
+	});
+	world.queue.runUntil(settleMs);
+	applyConfiguration(world, 2);
+	const document = world.tables.current('configuration', 'current')!.value;
+	for (const meter of meters.values()) {
+		meter.isOpen = true;
+	}
+
+	world.queue.runUntil(settleMs + measuredMs);
+	const all = [...meters.values()];
+	const isConfiguration = (kind: string): boolean => kind.includes('configuration') || kind === 'row-answer';
+	const micros = mean(all.map(meter => total(meter.micros, kind => isConfiguration(kind)))) * (home.length / all.length);
+	const sentBytes = mean(all.map(meter => total(meter.bytes, kind => isConfiguration(kind))));
+	return {
+		workers,
+		documentBytes: document.length,
+		micros,
+		sentBytes,
+		corePercent: 100 * micros / 1000 / configurationPeriodMs,
+		kilobytesPerSecond: sentBytes / configurationPeriodMs,
+	};
+}
+
+export type Slope = Readonly<{figure: keyof Point; axis: 'workers' | 'daemons' | 'samples'; line: Line; points: ReadonlyArray<Readonly<{x: number; y: number}>>}>;
+
+const slopeFigures = ['corePercent', 'stateMegabytes', 'kilobytesPerSecond', 'messagesPerSecond'] as const;
+
+/** Slopes along one axis with the others at the target size. */
+export function slopesOf(points: readonly Point[]): Slope[] {
+	const axes = [
+		{axis: 'workers', on: points.filter(point => point.daemons === target.daemons && point.samples === 0 && point.hasLoad)},
+		{axis: 'daemons', on: points.filter(point => point.workers === target.workers && point.samples === 0 && !point.hasLoad)},
+		{axis: 'samples', on: points.filter(point => point.workers === target.workers && point.daemons === target.daemons && point.hasLoad)},
+	] as const;
+	return axes.flatMap(({axis, on}) => slopeFigures.map(figure => {
+		const series = on.map(point => ({x: point[axis], y: point[figure]}));
+		return {
+			figure, axis, line: fitLine(series), points: series,
+		};
+	}));
+}
--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,3 @@
+/** Parts of the measurement cases that tests use. */
+
+export * from './statistics.js';
--- /dev/null
+++ b/packages/measure/src/report.ts
@@ -0,0 +1,77 @@
+import type {Bound, MeasurementCase, Run} from './case.js';
+import {median} from './statistics.js';
+
+export type FigureResult = Readonly<{median: number; min: number; max: number; values: readonly number[]}>;
+export type VariantResult = Readonly<{variant: string; figures: Readonly<Record<string, FigureResult>>; worst: readonly string[]}>;
+export type Verdict = 'met' | 'met by the median only' | 'missed' | 'not measured';
+export type BoundResult = Bound & Readonly<{title: string; value: number; verdict: Verdict}>;
+export type CaseResult = Readonly<{
+	case: string;
+	setting: string;
+	command: string;
+	commit: string;
+	seeds: readonly number[];
+	bounds: readonly BoundResult[];
+	variants: readonly VariantResult[];
+}>;
+
+export function summarize(values: readonly number[]): FigureResult {
+	return {
+		median: median(values), min: Math.min(...values), max: Math.max(...values), values,
+	};
+}
+
+export function variantResult(name: string, runs: readonly Run[]): VariantResult {
+	const keys = Object.keys(runs[0]?.figures ?? {});
+	return {
+		variant: name,
+		figures: Object.fromEntries(keys.map(key => [key, summarize(runs.map(run => run.figures[key] ?? Number.NaN))])),
+		worst: runs[0]?.worst ?? [],
+	};
+}
+
+function meets(bound: Bound, value: number): boolean {
+	return bound.comparison === 'at most' ? value <= bound.limit : value >= bound.limit;
+}
+
+/** `met` needs every seed. */
+export function judge(bound: Bound, title: string, result: FigureResult | undefined): BoundResult {
+	if (result === undefined) {
+		return {
+			...bound, title, value: Number.NaN, verdict: 'not measured',
+		};
+	}
+
+	const isMetByAll = result.values.every(value => meets(bound, value));
+	const byMedian = meets(bound, result.median) ? 'met by the median only' : 'missed';
+	return {
+		...bound, title, value: result.median, verdict: isMetByAll ? 'met' : byMedian,
+	};
+}
+
+function format(value: number, digits = 1): string {
+	return Number.isNaN(value) ? '-' : value.toFixed(digits);
+}
+
+/** The table that the command prints: a row for each variant, median and spread in each cell. */
+export function formatResult(measurement: MeasurementCase, result: CaseResult): string {
+	const header = ['variant', ...measurement.figures.map(figure => figure.title)];
+	const rows = result.variants.map(variant => [variant.variant, ...measurement.figures.map(figure => {
+		const cell = variant.figures[figure.key];
+		return cell === undefined ? '-' : `${format(cell.median, figure.digits)} (${format(cell.min, figure.digits)}-${format(cell.max, figure.digits)})`;
+	})]);
+	const widths = header.map((title, index) => Math.max(title.length, ...rows.map(row => row[index]!.length)));
+	const lines = [header, ...rows].map(row => row.map((cell, index) => cell.padEnd(widths[index]!)).join('  ').trimEnd());
+	const verdicts = result.bounds.map(bound => `bound: ${bound.title} ${bound.comparison} ${bound.limit}: ${format(bound.value, 2)}, ${bound.verdict}`);
+	const worst = result.variants[0]?.worst ?? [];
+	return [
+		`${result.case}: ${result.setting}`,
+		`seeds ${result.seeds.join(', ')}; median (smallest-largest)`,
+		'',
+		...lines,
+		'',
+		...verdicts,
+		...(worst.length > 0 ? ['', `slowest of the policy, seed ${result.seeds[0]}:`, ...worst] : []),
+		'',
+	].join('\n');
+}
--- /dev/null
+++ b/packages/measure/src/statistics.ts
@@ -0,0 +1,53 @@
+/** The value below which the share `quantile` of `values` lies (nearest rank); NaN without values. */
+export function quantile(values: readonly number[], share: number): number {
+	const sorted = values.toSorted((a, b) => a - b);
+	return sorted[Math.min(sorted.length - 1, Math.max(0, Math.ceil(share * sorted.length) - 1))] ?? Number.NaN;
+}
+
+export function median(values: readonly number[]): number {
+	return quantile(values, 0.5);
+}
+
+export function sum(values: Iterable<number>): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+}
+
+export type Line = Readonly<{slope: number; intercept: number}>;
+
+/** Least-squares line through the points. */
+export function fitLine(points: ReadonlyArray<Readonly<{x: number; y: number}>>): Line {
+	const meanX = sum(points.map(({x}) => x)) / points.length;
+	const meanY = sum(points.map(({y}) => y)) / points.length;
+	const covariance = sum(points.map(({x, y}) => (x - meanX) * (y - meanY)));
+	const variance = sum(points.map(({x}) => (x - meanX) ** 2));
+	const slope = variance === 0 ? 0 : covariance / variance;
+	return {slope, intercept: meanY - (slope * meanX)};
+}
+
+export type MaxMinDemand = Readonly<{weight: number; demand: number}>;
+
+/** Weighted max-min shares of `capacity`: nobody gets more than its demand, and the rest is divided by weight. */
+export function maxMinShares(demands: readonly MaxMinDemand[], capacity: number): number[] {
+	const shares = demands.map(() => 0);
+	let open = demands.map((_, index) => index);
+	let left = capacity;
+	while (open.length > 0) {
+		const perWeight = left / sum(open.map(index => demands[index]!.weight));
+		const satisfied = open.filter(index => demands[index]!.demand <= perWeight * demands[index]!.weight);
+		const settled = satisfied.length > 0 ? satisfied : open;
+		for (const index of settled) {
+			const {weight, demand} = demands[index]!;
+			shares[index] = Math.min(demand, perWeight * weight);
+			left -= shares[index];
+		}
+
+		open = open.filter(index => !settled.includes(index));
+	}
+
+	return shares;
+}
