--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,4 @@
+/** Statistics and verdicts of the measurement cases. */
+
+export * from './report.js';
+export * from './statistics.js';
