--- a/packages/api/src/api-server.ts
+++ b/packages/api/src/api-server.ts
@@ -56,6 +56,7 @@
 		this.keys = new KeyRing(options.operatorKeyHashes ?? []);
 		this.bodyBytes = options.bodyBytes ?? defaultBodyBytes;
 		const app = new App({
+			settings: {xPoweredBy: false},
 			noMatchHandler(_req, res) {
 				sendProblem(res, new ProblemError({kind: 'not-found', detail: 'there is no such path', remedy: 'see docs/api.md'}));
 			},
--- a/packages/measure/src/bench.ts
+++ b/packages/measure/src/bench.ts
@@ -155,7 +155,7 @@
 	private startDaemons(variant: Extract<Variant, {kind: 'policy'}>): void {
 		const {members} = this.options;
 		const batch = this.options.speed?.maxBatch ?? defaultSpeed.maxBatch;
-		this.world.tables.seed('configuration', 'current', this.world.configuration({
+		this.world.tables.seed('configuration', 'current', this.world.storedConfiguration({
 			members: variant.hasNoWeights === true ? Object.fromEntries(Object.entries(members).map(([name, member]) => [name, {...member, weight: 1}])) : members,
 			pool: {
 				maxWindow: batch, ...(variant.hasFixedWindows === true ? {initialWindow: batch} : {}), ...this.options.pool, ...variant.pool,
