Pass reports of deaths on when a shard changes its owner

Cause: a death that an entry daemon reported to the former owner of a shard was dropped there, and the next owner did not know the attempt.

Ruled out: passing on every release. Those that withdraw grants from the former owner then free slots at the next one, which over-admits (a test of membership.test.ts failed: "expected [ Array(2) ] to have a length of 1").

Change: a release of a dead upstream names upstream and fingerprint; a former owner passes it on once; an owner that does not know the attempt counts the death. Reports within a second are one death.

--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -471,7 +471,7 @@
 			}
 
 			case 'release': {
-				this.schedule(message.shard, {kind: 'release', release: message});
+				this.receiveRelease(message);
 				break;
 			}
 
@@ -611,6 +611,17 @@
 		this.route({kind: 'caller-left', requestId});
 	}
 
+	/** A death that is reported to a former owner goes on to the present one. Other releases only withdraw what that owner knew. */
+	private receiveRelease(release: Extract<PeerMessage, {kind: 'release'}>): void {
+		const {schedulers, membership, self} = this.state;
+		const owner = shardOwner(membership, release.shard);
+		if (schedulers.has(release.shard)) {
+			this.schedule(release.shard, {kind: 'release', release});
+		} else if (release.death !== undefined && owner !== undefined && owner !== self && release.isForwarded !== true) {
+			this.actions.push({kind: 'send', to: owner, message: {...release, isForwarded: true}});
+		}
+	}
+
 	/** A grant for an attempt that has ended goes back to its owner, or the slot would stay taken. */
 	private returnGrant(from: DaemonId, grant: Extract<PeerMessage, {kind: 'grant'}>): void {
 		const {site, dataCentre, grants} = this.state;
--- a/packages/routing/src/attempts.ts
+++ b/packages/routing/src/attempts.ts
@@ -99,7 +99,8 @@
 	}];
 }
 
-function releaseOf(attempt: Attempt, result: ReleaseResult, now: Millis): Release | undefined {
+function releaseOf(entry: Entry, attempt: Attempt, result: ReleaseResult, now: Millis): Release | undefined {
+	const {upstream} = attempt;
 	return attempt.place.kind === 'data-centre'
 		? undefined
 		: {
@@ -110,6 +111,7 @@
 			tokens: attempt.tokens,
 			...(attempt.firstTokenAt === undefined ? {} : {firstTokenMs: attempt.firstTokenAt - attempt.openedAt}),
 			generationMs: attempt.firstTokenAt === undefined ? 0 : now - attempt.firstTokenAt,
+			...(result === 'upstream-died' && upstream !== undefined ? {death: {upstream, fingerprint: entry.request.fingerprint}} : {}),
 		};
 }
 
@@ -123,7 +125,7 @@
 
 	entry.attempts = entry.attempts.filter(other => other !== attempt);
 	state.attempts.delete(attempt.attempt);
-	const release = releaseOf(attempt, result, now);
+	const release = releaseOf(entry, attempt, result, now);
 	if (release === undefined) {
 		return result === 'finished' ? [{kind: 'relay-ended', attempt: attempt.attempt}] : [{kind: 'cancel-relay', attempt: attempt.attempt}];
 	}
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -333,6 +333,19 @@
 	return [{kind: 'share-suspects', entries}, ...refreshSuspects(state, now)];
 }
 
+const sameDeathMs = 1000;
+
+/** A death under an attempt that a former owner granted. Reports within a second are taken for the same death. */
+function recordUnknownDeath(state: SchedulerState, death: NonNullable<Release['death']>, now: Millis): SchedulerAction[] {
+	const upstream = state.upstreams.get(death.upstream);
+	if (upstream !== undefined) {
+		takeOutOfService(upstream, now);
+	}
+
+	const entries = recordDeath(state.suspects, [death.fingerprint], `${death.upstream}/${Math.floor(now / sameDeathMs)}`, now);
+	return [{kind: 'share-suspects', entries}, ...refreshSuspects(state, now)];
+}
+
 function removeRun(state: SchedulerState, running: RunningState, now: Millis): void {
 	const {upstream, attempt, request: {fingerprint}} = running;
 	state.running.delete(attempt);
@@ -396,7 +409,7 @@
 			remove(state.queue, waiting);
 		}
 
-		return [];
+		return ended.death === undefined ? [] : recordUnknownDeath(state, ended.death, now);
 	}
 
 	const {upstream, request: {fingerprint}} = running;
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -70,6 +70,10 @@
 	firstTokenMs?: Millis;
 	/** From the first token to the last. */
 	generationMs: Millis;
+	/** Set when the upstream died, so that also an owner that never heard of the attempt counts the death. */
+	death?: Readonly<{upstream: UpstreamId; fingerprint: Fingerprint}>;
+	/** Passed on once by a daemon that is not the owner any more. */
+	isForwarded?: boolean;
 }>;
 
 /** Asks a daemon of another data centre to run a request there. */
