--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -13,7 +13,7 @@
 While live requests come, training leaves this part of the largest window free, because a window of that size has no
 headroom: a live request would wait for a training request to end, which takes longer than its own first token.
 */
-const liveReserve = 1 / 8;
+const liveReserve = 1 / 16;
 /** Live requests count as coming for this long after the last one. */
 const liveMemoryMs = 10_000;
 /** An upstream with a warm prefix is preferred up to this much more load, as a part of its window. */
