End quietly when the reader of the output has gone

Cause: "cicadapost status | head" ended with an unhandled "write EPIPE", and a daemon whose log reader died did the same when it next logged (seen when the demo was cut off). Change: a closed pipe on standard output is no error.

--- a/packages/cli/src/command-line.test.ts
+++ b/packages/cli/src/command-line.test.ts
@@ -1,4 +1,4 @@
-import {execFile} from 'node:child_process';
+import {execFile, spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -32,6 +32,14 @@
 		expect(stderr).toContain('Did you mean status?');
 	});
 
+	it('ends without an error when its reader has gone, as in a pipe to "head"', async () => {
+		const child = spawn('bash', ['-c', `"${binary}" version | true; exit "\${PIPESTATUS[0]}"`], {stdio: 'ignore'});
+		const code = await new Promise(resolve => {
+			child.once('exit', resolve);
+		});
+		expect(code).toBe(exitCodes.success);
+	});
+
 	it('names the environment variable when the key is missing', async () => {
 		const {code, stderr} = await run('status');
 		expect(code).toBe(exitCodes.failure);
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -57,6 +57,13 @@
 	}
 }
 
+// A reader that has gone, such as "head", must end neither a daemon nor a query with an error.
+process.stdout.on('error', (err: NodeJS.ErrnoException) => {
+	if (err.code !== 'EPIPE') {
+		throw err;
+	}
+});
+
 // The bundle is a CommonJS module, which has no top-level await.
 // eslint-disable-next-line unicorn/prefer-top-level-await
 void main();
