--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -21,7 +21,7 @@
 } from '@cicadapost/scheduling';
 import {siteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId, SuspectEntry, UpstreamId,
+	Acquire, CallId, ConfigurationMessage, DaemonId, DataCentreId, Millis, Outcome, PeerMessage, PoolId, Relay, Request, RequestId, ShardId, SuspectEntry, UpstreamId,
 } from '@cicadapost/types';
 import {
 	endUnderCap, isCapMessage, isCapsCall, receiveCapMessage, receiveCapRow, refreshMeters, startUnderCap, tickCaps, type CapsAction, type CapsContext, type CapUse,
--- a/packages/measure/src/cases/crash.ts
+++ b/packages/measure/src/cases/crash.ts
@@ -1,4 +1,3 @@
-import type {FakeEngine} from '@cicadapost/fakes';
 import {
 	baselines, Bench, fixedWindows, policy, withoutRetries, type Variant,
 } from '../bench.js';
