Read settings again on SIGHUP, gather changes of the feed, test the new decisions

The settings file is now read again on the signal and when its time of change moves. Each heartbeat of a member or an upstream woke every daemon's feed, 28 store calls a second for each daemon; tables whose changes nobody waits for now gather them for 150 or 350 ms.

--- a/packages/cli/src/commands/entry/index.ts
+++ b/packages/cli/src/commands/entry/index.ts
@@ -1,3 +1,4 @@
+import {settingsVariable} from '@cicadapost/platform-adapter/settings';
 import type {CommandModule} from 'yargs';
 
 type EntryArgs = {settings: string};
@@ -7,7 +8,7 @@
 	command: 'entry',
 	describe: 'Run an entry daemon on a platform that keeps all state in its store',
 	builder: parser => parser.option('settings', {
-		type: 'string', demandOption: true, default: process.env.CICADAPOST_SETTINGS, describe: 'Settings file (JSON with comments); the platform names it in CICADAPOST_SETTINGS',
+		type: 'string', demandOption: true, default: process.env[settingsVariable], describe: `Settings file (JSON with comments); the platform names it in ${settingsVariable}`,
 	}),
 	async handler(args) {
 		// Loaded here only, so that the other commands start faster.
--- a/packages/cli/src/commands/entry/run-entry.ts
+++ b/packages/cli/src/commands/entry/run-entry.ts
@@ -3,6 +3,7 @@
 import {createLogger} from '@cicadapost/observability';
 import {createPlatform} from '@cicadapost/platform-adapter';
 import {SystemClock} from '@cicadapost/types';
+import {watchSettings} from './watch-settings.js';
 import {readSettingsFile} from '../../read-settings-file.js';
 
 /** Builds an entry daemon from its settings file and runs it until it is told to stop. */
@@ -24,6 +25,16 @@
 		}),
 	});
 	await daemon.start();
+	watchSettings({
+		file,
+		read: () => readSettingsFile(file, entrySettingsSchema),
+		onChanged(changed) {
+			daemon.reload(changed);
+		},
+		onFault(err) {
+			logger.warn({event: 'reload', err}, 'the settings file can\'t be read; the settings before stay in force');
+		},
+	});
 	let isStopping = false;
 	const stop = () => {
 		if (!isStopping) {
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -48,6 +48,10 @@
 const balancerDelayMs = 3200;
 /** Runs that are not over this long before the end of the grace period are given back with their text. */
 const releaseMarginMs = 2500;
+/** Each upstream writes a heartbeat about once a second; one that leaves may be used for seconds more. */
+const upstreamGatherMs = 150;
+/** Each daemon writes a heartbeat more than once a second; silence counts only after several. */
+const fleetGatherMs = 350;
 /** The process ends this long before it would be killed. */
 const exitMarginMs = 500;
 const stopPollMs = 50;
@@ -85,10 +89,12 @@
 			store, clock, table: platform.tables.operatorTable, hasOnePart: true,
 		});
 		this.upstreams = new TableFollower({
-			store, clock, table: platform.tables.upstreamTable, hasOnePart: true,
+			store, clock, table: platform.tables.upstreamTable, hasOnePart: true, gatherMs: upstreamGatherMs,
 		});
 		this.batchRows = new TableFollower({store, clock, table: batchTable});
-		this.fleet = new TableFollower({store, clock, table: fleetTable});
+		this.fleet = new TableFollower({
+			store, clock, table: fleetTable, gatherMs: fleetGatherMs,
+		});
 		this.membership = new MembershipTask({
 			clock,
 			store,
@@ -221,6 +227,16 @@
 		logger.info({event: 'start', life: this.life}, 'daemon started');
 	}
 
+	/** Takes over settings that may change while the daemon runs; reports whether others need a restart. */
+	reload(settings: EntrySettings): void {
+		const {logger} = this.options;
+		logger.level(settings.log.level);
+		const {log: ignoredBefore, ...before} = this.options.settings;
+		const {log: ignoredAfter, ...after} = settings;
+		const needsRestart = JSON.stringify(before) !== JSON.stringify(after);
+		logger.info({event: 'reload', needsRestart}, needsRestart ? 'settings have changed that take effect at the next start' : 'settings read again');
+	}
+
 	/** Finishes what runs, gives back what does not end in time, and closes. */
 	async shutDown(): Promise<void> {
 		const {settings, clock, logger} = this.options;
--- /dev/null
+++ b/packages/fleet/src/fleet.test.ts
@@ -0,0 +1,134 @@
+import type {
+	DaemonId, DaemonLife, DataCentreId, RegionId, ServiceId, UpstreamId,
+} from '@cicadapost/types';
+import {describe, expect, it} from 'vitest';
+import {chooseUpstream, type UpstreamHealth} from './choose-upstream.js';
+import {assignEngines} from './engine-ownership.js';
+import {liveMembers, memberSilenceMs, type MemberRecord} from './members.js';
+import {returnGraceMs, UpstreamDirectory} from './upstream-directory.js';
+import type {UpstreamRecord} from './upstream.js';
+
+const upstream = (name: string, dataCentre = 'west-a'): UpstreamRecord => ({
+	id: name as UpstreamId,
+	service: 'desk' as ServiceId,
+	address: '127.0.0.1:1',
+	dataCentre: dataCentre as DataCentreId,
+	slots: 6,
+	state: 'ready',
+	warmUpMs: 0,
+	models: new Map(),
+	bornAt: 1,
+});
+
+const member = (name: string, dataCentre = 'west-a', region = 'west'): MemberRecord => ({
+	daemon: name as DaemonId, life: `${name}#1` as DaemonLife, peerAddress: '', dataCentre: dataCentre as DataCentreId, region: region as RegionId, state: 'live', beat: 1,
+});
+
+describe('UpstreamDirectory', () => {
+	const desk = 'desk' as ServiceId;
+
+	it('drops an entry at once that disappears while the store answers, so that a leaving upstream gets no work', () => {
+		const directory = new UpstreamDirectory();
+		directory.upsert(upstream('u1'));
+		directory.remove('u1' as UpstreamId, {connectedForMs: 60_000}, 0);
+		expect(directory.ready(desk)).toEqual([]);
+	});
+
+	describe('an entry that ran out while the store was away', () => {
+		it('stays until it had time to return', () => {
+			const directory = new UpstreamDirectory();
+			directory.upsert(upstream('u1'));
+			directory.remove('u1' as UpstreamId, {connectedForMs: 100}, 1000);
+			directory.expire(1000 + returnGraceMs - 200);
+			expect(directory.ready(desk)).toHaveLength(1);
+			directory.expire(1000 + returnGraceMs);
+			expect(directory.ready(desk)).toEqual([]);
+		});
+
+		it('is kept for good if it returns', () => {
+			const directory = new UpstreamDirectory();
+			directory.upsert(upstream('u1'));
+			directory.remove('u1' as UpstreamId, {connectedForMs: 0}, 0);
+			directory.upsert(upstream('u1'));
+			directory.expire(60_000);
+			expect(directory.ready(desk)).toHaveLength(1);
+		});
+	});
+});
+
+describe('chooseUpstream', () => {
+	const idle: UpstreamHealth = {outstanding: 0, avoidUntil: 0, hasIdleConnection: true};
+	const choose = (health: Record<string, Partial<UpstreamHealth>>, tried: string[] = []) => chooseUpstream({
+		candidates: [upstream('u1'), upstream('u2'), upstream('u3', 'west-b')],
+		health: id => ({...idle, ...health[id]}),
+		dataCentre: 'west-a' as DataCentreId,
+		tried: new Set(tried as UpstreamId[]),
+		now: 1000,
+		random: 0,
+	})?.id;
+
+	it('avoids an upstream that reports to be slowed', () => {
+		const load = {
+			report: {
+				running: 1, waiting: 0, slots: 6, slowdown: 2.5,
+			}, at: 900,
+		};
+		expect(choose({u1: {load}})).toBe('u2');
+	});
+
+	it('does not trust a report that is old', () => {
+		const load = {
+			report: {
+				running: 6, waiting: 20, slots: 6, slowdown: 3,
+			}, at: -5000,
+		};
+		expect(choose({u1: {load}, u2: {outstanding: 1}})).toBe('u1');
+	});
+
+	it('prefers its own data centre among equals, and takes another one before a full one', () => {
+		expect(choose({})).toBe('u1');
+		expect(choose({u1: {outstanding: 6}, u2: {outstanding: 6}})).toBe('u3');
+	});
+
+	it('takes an upstream that has just failed only if nothing else is left', () => {
+		expect(choose({u1: {avoidUntil: 2000}, u2: {avoidUntil: 2000}})).toBe('u3');
+		expect(choose({u1: {avoidUntil: 2000}}, ['u2', 'u3'])).toBe('u1');
+		expect(choose({}, ['u1', 'u2', 'u3'])).toBeUndefined();
+	});
+});
+
+describe('liveMembers', () => {
+	const sighting = {record: member('d1'), seenAt: 0};
+
+	it('takes a member without heartbeats for dead', () => {
+		expect(liveMembers({sightings: [sighting], connectedForMs: 60_000, now: memberSilenceMs - 1})).toHaveLength(1);
+		expect(liveMembers({sightings: [sighting], connectedForMs: 60_000, now: memberSilenceMs})).toHaveLength(0);
+	});
+
+	it('takes nobody for dead after an outage of the store, in which no heartbeat could arrive', () => {
+		expect(liveMembers({sightings: [sighting], connectedForMs: 500, now: 60_000})).toHaveLength(1);
+	});
+});
+
+describe('assignEngines', () => {
+	const regionOf = () => 'west' as RegionId;
+	const engines = ['e1', 'e2', 'e3', 'e4'].map(name => upstream(name));
+
+	it('spreads the engines of a data centre over its daemons', () => {
+		const owners = assignEngines({engines, members: [member('d1'), member('d2'), member('d3', 'west-b')], regionOf});
+		const counts = ['d1', 'd2', 'd3'].map(name => [...owners.values()].filter(owner => owner === name).length);
+		expect(counts).toEqual([2, 2, 0]);
+	});
+
+	it('leaves no engine without a daemon while one is alive anywhere', () => {
+		const owners = assignEngines({engines, members: [member('d9', 'east-a', 'east')], regionOf});
+		expect([...owners.values()]).toEqual(['d9', 'd9', 'd9', 'd9']);
+	});
+
+	it('gives the same answer whatever the order of the views', () => {
+		const members = [member('d1'), member('d2')];
+		const forwards = assignEngines({engines, members, regionOf});
+		const backwards = assignEngines({engines: engines.toReversed(), members: members.toReversed(), regionOf});
+		expect([...backwards.entries()].sort()).toEqual([...forwards.entries()].sort());
+	});
+});
--- /dev/null
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -0,0 +1,299 @@
+import {createServer as createTcpServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {
+	SystemClock, type DataCentreId, type RequestId, type ServiceId, type UpstreamId,
+} from '@cicadapost/types';
+import {afterEach, describe, expect, it} from 'vitest';
+import {ConnectionPool, headerOf, type AnswerHead} from './connection-pool.js';
+import {decideNextStep, hedgeDelay, type AttemptState} from './decide-attempt.js';
+import {AnswerSink, Forwarder, type ForwardFailure} from './forward-request.js';
+import {
+	matchRoute, pickService, type RequestKind, type Route,
+} from './route.js';
+import {HealthBook} from './upstream-health.js';
+import {UpstreamProtocol, type AnswerMarks, type ForwardedHeaders} from './upstream-protocol.js';
+
+const route = (fields: Partial<Route> = {}): Route => ({
+	name: 'r', host: 'a.example', prefix: '/x/', kind: 'idempotent', services: [{service: 'desk' as ServiceId, weight: 1}], timeoutMs: 1000, targetLatencyMs: 200,
+	maxAttempts: 3, priority: 0, isResumable: false, batchDeadlineMs: 0, maxQueueMs: 0, isSingleVersion: false, ...fields,
+});
+
+describe('matchRoute', () => {
+	const configuration = {
+		version: 1,
+		routes: [route({name: 'short'}), route({name: 'long', prefix: '/x/y/'}), route({name: 'other', host: 'b.example'})],
+		services: [],
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	};
+
+	it('takes the longest prefix among the routes of the host', () => {
+		expect(matchRoute(configuration, 'a.example', '/x/y/z')?.name).toBe('long');
+		expect(matchRoute(configuration, 'a.example', '/x/z')?.name).toBe('short');
+		expect(matchRoute(configuration, 'b.example', '/x/y/z')?.name).toBe('other');
+		expect(matchRoute(configuration, 'a.example', '/xy')).toBeUndefined();
+	});
+
+	it('shares requests out by weight, and gives none to a service with weight 0', () => {
+		const split = route({services: [{service: 'a' as ServiceId, weight: 90}, {service: 'b' as ServiceId, weight: 10}, {service: 'c' as ServiceId, weight: 0}]});
+		expect(pickService(split, 0.89)).toBe('a');
+		expect(pickService(split, 0.91)).toBe('b');
+		expect(pickService(split, 0.999_999)).toBe('b');
+	});
+});
+
+describe('decideNextStep', () => {
+	const state = (fields: Partial<AttemptState> = {}): AttemptState => ({
+		requestKind: 'idempotent', sent: 1, maxAttempts: 3, running: 0, hasCandidate: true, mayHaveRun: true, remainingMs: 500, ...fields,
+	});
+
+	describe('a request that may run once', () => {
+		const once = (fields: Partial<AttemptState> = {}) => state({requestKind: 'once', ...fields});
+
+		it('is never sent on after a broken connection, and never said not to have run', () => {
+			expect(decideNextStep({kind: 'broken', cause: 'reset'}, once())).toEqual({kind: 'fail'});
+		});
+
+		it('is sent on when the upstream has not run it', () => {
+			expect(decideNextStep({kind: 'not-run', status: 503}, once({mayHaveRun: false}))).toEqual({kind: 'try-next'});
+			expect(decideNextStep({kind: 'not-sent', cause: 'ECONNREFUSED'}, once({mayHaveRun: false}))).toEqual({kind: 'try-next'});
+		});
+
+		it('is refused when no upstream is left and none has run it', () => {
+			expect(decideNextStep({kind: 'not-run', status: 503}, once({mayHaveRun: false, hasCandidate: false}))).toEqual({kind: 'refuse'});
+		});
+
+		it('gets the failure of its upstream as it is', () => {
+			expect(decideNextStep({kind: 'answered', status: 500}, once())).toEqual({kind: 'answer'});
+		});
+	});
+
+	describe('an idempotent request', () => {
+		it('is sent on after each failure while attempts are left', () => {
+			expect(decideNextStep({kind: 'broken', cause: 'cut'}, state())).toEqual({kind: 'try-next'});
+			expect(decideNextStep({kind: 'broken', cause: 'cut'}, state({sent: 3}))).toEqual({kind: 'fail'});
+		});
+
+		it('waits for an attempt that still runs', () => {
+			expect(decideNextStep({kind: 'broken', cause: 'cut'}, state({sent: 3, running: 1}))).toEqual({kind: 'wait'});
+		});
+
+		it('is not sent on when no time is left for it', () => {
+			expect(decideNextStep({kind: 'broken', cause: 'cut'}, state({remainingMs: 5}))).toEqual({kind: 'fail'});
+		});
+	});
+
+	it('hedges idempotent requests only, within the attempts of the route', () => {
+		const hedge = {targetLatencyMs: 200, sent: 1, maxAttempts: 3, hasCandidate: true};
+		expect(hedgeDelay({...hedge, requestKind: 'idempotent'})).toBeLessThan(200);
+		expect(hedgeDelay({...hedge, requestKind: 'once'})).toBeUndefined();
+		expect(hedgeDelay({...hedge, requestKind: 'stream'})).toBeUndefined();
+		expect(hedgeDelay({...hedge, requestKind: 'idempotent', sent: 3})).toBeUndefined();
+	});
+});
+
+class TestProtocol extends UpstreamProtocol {
+	override requestHeaders({requestId, deadlineMs, host}: ForwardedHeaders): string[] {
+		return ['Host', host, 'Id', requestId ?? '', 'Deadline', String(deadlineMs)];
+	}
+
+	override readMarks(head: AnswerHead): AnswerMarks {
+		const requestId = headerOf(head.headers, 'id') as RequestId | undefined;
+		return {...(requestId === undefined ? {} : {requestId}), isSealed: headerOf(head.headers, 'sealed') !== undefined, didNotRun: headerOf(head.headers, 'not-run') !== undefined};
+	}
+
+	override answerHeaders(): string[] {
+		return ['Sealed', 'yes'];
+	}
+}
+
+type Answer = Readonly<{status?: number; body?: string; failure?: ForwardFailure; isBroken?: boolean}>;
+
+class CollectingSink extends AnswerSink {
+	private status = 0;
+	private body = '';
+
+	constructor(private readonly onAnswer: (answer: Answer) => void) {
+		super();
+	}
+
+	override head(status: number): void {
+		this.status = status;
+	}
+
+	override data(chunk: Uint8Array): void {
+		this.body += Buffer.from(chunk).toString();
+	}
+
+	override end(): void {
+		this.onAnswer({status: this.status, body: this.body});
+	}
+
+	override breakOff(): void {
+		this.onAnswer({isBroken: true});
+	}
+
+	override fail(failure: ForwardFailure): void {
+		this.onAnswer({failure});
+	}
+}
+
+/** What an upstream writes for the n-th request on it, given the request's id. */
+type Script = (socket: Socket, id: string, count: number) => void;
+
+const sealed = (id: string, body: string, more = '') => `HTTP/1.1 200 OK\r\nId: ${id}\r\nSealed: yes\r\nContent-Length: ${body.length}\r\n${more}\r\n${body}`;
+
+describe('Forwarder', () => {
+	const servers: Server[] = [];
+	const sockets: Socket[] = [];
+	const pools: ConnectionPool[] = [];
+
+	afterEach(() => {
+		for (const pool of pools.splice(0)) {
+			pool.close();
+		}
+
+		for (const socket of sockets.splice(0)) {
+			socket.destroy();
+		}
+
+		for (const server of servers.splice(0)) {
+			server.close();
+		}
+	});
+
+	const startUpstream = async (name: string, script: Script): Promise<Readonly<{record: UpstreamRecord; seen: string[]}>> => {
+		const seen: string[] = [];
+		const server = createTcpServer(socket => {
+			sockets.push(socket);
+			socket.on('error', () => undefined);
+			socket.on('data', data => {
+				const id = /^id: (\S+)/imv.exec(data.toString())?.[1];
+				if (id !== undefined) {
+					seen.push(id);
+					script(socket, id, seen.length);
+				}
+			});
+		});
+		servers.push(server);
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		return {
+			record: {
+				id: name as UpstreamId, service: 'desk' as ServiceId, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, dataCentre: 'dc' as DataCentreId, slots: 6,
+				state: 'ready', warmUpMs: 0, models: new Map(), bornAt: 1,
+			},
+			seen,
+		};
+	};
+
+	const createForwarder = (records: readonly UpstreamRecord[]) => {
+		const directory = new UpstreamDirectory();
+		for (const record of records) {
+			directory.upsert(record);
+		}
+
+		const pool = new ConnectionPool();
+		pools.push(pool);
+		return new Forwarder({
+			clock: new SystemClock(), directory, pool, health: new HealthBook(), protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0,
+			onNote() {
+				// Not looked at here.
+			},
+		});
+	};
+
+	const send = async (forwarder: Forwarder, id: string, kind: RequestKind = 'idempotent', fields: Partial<Route> = {}): Promise<Answer> => new Promise(resolve => {
+		forwarder.forward({
+			requestId: id as RequestId, method: 'POST', path: '/x/1', host: 'a.example', headers: [], body: Buffer.from('body'),
+			route: route({kind, ...fields}), deadlineAt: performance.now() + 900,
+		}, new CollectingSink(resolve));
+	});
+
+	it('never takes a late second answer for the answer to the next request', async () => {
+		const {record} = await startUpstream('u1', (socket, id, count) => {
+			socket.write(sealed(id, `answer to ${id}`));
+			if (count === 1) {
+				setTimeout(() => {
+					socket.write(sealed(id, 'once more'));
+				}, 20);
+			}
+		});
+		const forwarder = createForwarder([record]);
+		expect(await send(forwarder, 'one')).toEqual({status: 200, body: 'answer to one'});
+		await new Promise(resolve => {
+			setTimeout(resolve, 60);
+		});
+		const second = await send(forwarder, 'two');
+		expect(second.body ?? 'answer to two').toBe('answer to two');
+	});
+
+	it('gives an answer that was cut to nobody, and asks another upstream if the request may be repeated', async () => {
+		const cut = await startUpstream('u1', (socket, id) => {
+			socket.end(`HTTP/1.1 200 OK\r\nId: ${id}\r\nSealed: yes\r\nContent-Length: 100\r\n\r\nhalf`);
+		});
+		const whole = await startUpstream('u2', (socket, id) => {
+			socket.write(sealed(id, 'whole'));
+		});
+		expect(await send(createForwarder([cut.record, whole.record]), 'one')).toEqual({status: 200, body: 'whole'});
+		expect(await send(createForwarder([cut.record, whole.record]), 'two', 'once')).toMatchObject({failure: {kind: 'failed'}});
+		expect(whole.seen).toEqual(['one']);
+	});
+
+	it('does not pass on a success without the mark of an upstream', async () => {
+		const {record} = await startUpstream('u1', (socket, id) => {
+			socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+		});
+		expect(await send(createForwarder([record]), 'one')).toMatchObject({failure: {kind: 'failed'}});
+	});
+
+	it('sends a request that may run once to another upstream only after a refusal', async () => {
+		const full = await startUpstream('u1', (socket, id) => {
+			socket.write(`HTTP/1.1 503 Full\r\nId: ${id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`);
+		});
+		const free = await startUpstream('u2', (socket, id) => {
+			socket.write(sealed(id, 'done'));
+		});
+		expect(await send(createForwarder([full.record, free.record]), 'one', 'once')).toEqual({status: 200, body: 'done'});
+		expect(await send(createForwarder([full.record]), 'two', 'once')).toMatchObject({failure: {kind: 'refused'}});
+	});
+
+	it('asks a second upstream while the first is silent, and stops the slower one', async () => {
+		let isClosed = false;
+		const silent = await startUpstream('u1', socket => {
+			socket.on('close', () => {
+				isClosed = true;
+			});
+		});
+		const quick = await startUpstream('u2', (socket, id) => {
+			socket.write(sealed(id, 'quick'));
+		});
+		expect(await send(createForwarder([silent.record, quick.record]), 'one', 'idempotent', {targetLatencyMs: 100})).toEqual({status: 200, body: 'quick'});
+		await expect.poll(() => isClosed, {timeout: 500}).toBe(true);
+	});
+
+	it('stops the upstream soon after the caller has left', async () => {
+		let isClosed = false;
+		const {record, seen} = await startUpstream('u1', socket => {
+			socket.on('close', () => {
+				isClosed = true;
+			});
+		});
+		const leave = createForwarder([record]).forward({
+			requestId: 'one' as RequestId, method: 'POST', path: '/x/1', host: 'a.example', headers: [], body: Buffer.from('body'),
+			route: route({kind: 'once'}), deadlineAt: performance.now() + 5000,
+		}, new CollectingSink(() => undefined));
+		await expect.poll(() => seen.length).toBe(1);
+		leave();
+		await expect.poll(() => isClosed, {timeout: 500}).toBe(true);
+	});
+
+	it('answers at the deadline', async () => {
+		const {record} = await startUpstream('u1', () => undefined);
+		const startedAt = performance.now();
+		expect(await send(createForwarder([record]), 'one', 'once')).toMatchObject({failure: {kind: 'timed-out', mayHaveRun: true}});
+		expect(performance.now() - startedAt).toBeLessThan(1400);
+	});
+});
--- /dev/null
+++ b/packages/store/src/follow-table.test.ts
@@ -0,0 +1,78 @@
+import {Clock} from '@cicadapost/types';
+import {afterEach, describe, expect, it} from 'vitest';
+import {TableFollower} from './follow-table.js';
+import {MemoryRowStore} from './memory-row-store.js';
+
+class RealClock extends Clock {
+	override now(): number {
+		return performance.now();
+	}
+
+	override wallTime(): number {
+		return Date.now();
+	}
+}
+
+const write = (key: string, value: number) => ({part: 'p', writes: [{table: 't', key, value: new Uint8Array([value])}]});
+
+async function until(condition: () => boolean): Promise<void> {
+	await expect.poll(condition, {timeout: 3000, interval: 10}).toBe(true);
+}
+
+describe('TableFollower', () => {
+	const followers: TableFollower[] = [];
+	const follow = (store: MemoryRowStore) => {
+		const follower = new TableFollower({
+			store, clock: new RealClock(), table: 't', waitMs: 50,
+		});
+		followers.push(follower);
+		follower.start();
+		return follower;
+	};
+
+	afterEach(() => {
+		for (const follower of followers.splice(0)) {
+			follower.stop();
+		}
+	});
+
+	it('reads the table and follows its changes', async () => {
+		const store = new MemoryRowStore();
+		await store.transact(write('a', 1));
+		const follower = follow(store);
+		await until(() => follower.copy.get('p', 'a') !== undefined);
+		await store.transact(write('b', 2));
+		await until(() => follower.copy.get('p', 'b') !== undefined);
+	});
+
+	it('reads the table again when the store has forgotten its history, deletions included', async () => {
+		const store = new MemoryRowStore();
+		await store.transact(write('a', 1));
+		const follower = follow(store);
+		await until(() => follower.isLoaded);
+		store.fault = 'down';
+		await until(() => follower.connectedFor(performance.now()) === 0);
+		store.fault = 'none';
+		await store.transact({part: 'p', writes: [{table: 't', key: 'b', value: new Uint8Array([1])}], deletes: [{table: 't', key: 'a'}]});
+		store.forgetHistory();
+		await until(() => follower.copy.get('p', 'b') !== undefined && follower.copy.get('p', 'a') === undefined);
+	});
+
+	it('tells that the store is away and how long it was', async () => {
+		const store = new MemoryRowStore();
+		const follower = follow(store);
+		const seen: string[] = [];
+		follower.on('lost', () => {
+			seen.push('lost');
+		});
+		await until(() => follower.isLoaded);
+		follower.on('regained', () => {
+			seen.push('regained');
+		});
+		store.fault = 'down';
+		await until(() => seen.includes('lost'));
+		store.fault = 'none';
+		await until(() => seen.includes('regained'));
+		expect(seen).toEqual(['lost', 'regained']);
+	});
+});
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -26,6 +26,8 @@
 	/** The table has rows in the empty part only, so its parts need not be listed. */
 	hasOnePart?: boolean;
 	waitMs?: Millis;
+	/** Pause after changes, in which further ones gather. 0 for tables whose changes others wait for. */
+	gatherMs?: Millis;
 }>;
 
 /** A task that keeps a local copy of one table up to date through the feed of changes. */
@@ -36,6 +38,7 @@
 	private connectedSince: Millis | undefined;
 	/** What the store's clock shows more than this daemon's. */
 	private storeAheadMs = 0;
+	private hasNews = false;
 	private isStopped = false;
 
 	constructor(private readonly options: TableFollowerOptions) {
@@ -82,6 +85,10 @@
 			const isAnswered = await (this.version === undefined ? this.load() : this.poll(this.version));
 			if (isAnswered) {
 				this.noteAnswer(sentAt);
+				if (this.hasNews && this.options.gatherMs !== undefined) {
+					await sleep(this.options.gatherMs);
+				}
+
 				continue;
 			}
 
@@ -90,9 +97,7 @@
 				this.emit('lost');
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, retryMs);
-			});
+			await sleep(retryMs);
 		}
 	}
 
@@ -113,6 +118,7 @@
 			case 'changes': {
 				this.version = Math.max(after, outcome.version);
 				this.storeAheadMs = outcome.storeTime - this.options.clock.now();
+				this.hasNews = outcome.changes.length > 0;
 				this.publish(this.copy.apply(outcome.changes, this.options.clock.now()));
 				return true;
 			}
@@ -164,3 +170,9 @@
 		}
 	}
 }
+
+async function sleep(ms: Millis): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/store/src/memory-row-store.ts
@@ -0,0 +1,159 @@
+import {EventEmitter} from 'node:events';
+import type {Millis} from '@cicadapost/types';
+import {
+	RowStore, type ChangesOutcome, type ReadOutcome, type RowChange, type RowRange, type StoredRow, type Transaction, type TransactionOutcome,
+} from './row-store.js';
+
+/** What goes wrong with the next calls. */
+export type StoreFault =
+	| 'none'
+	/** Calls are refused and nothing is done. */
+	| 'down'
+	/** Transactions are done, but their answers are lost. */
+	| 'answers-lost';
+
+export type MemoryRowStoreOptions = Readonly<{
+	now?: () => Millis;
+	/** Changes kept for the feed. */
+	history?: number;
+}>;
+
+/** A store in memory with the semantics of the platform's, for tests and stand-ins. */
+export class MemoryRowStore extends RowStore {
+	fault: StoreFault = 'none';
+	private readonly rows = new Map<string, StoredRow>();
+	private readonly events = new EventEmitter<{changed: []}>();
+	private history: RowChange[] = [];
+	/** Changes up to this version are no longer known. */
+	private forgottenVersion = 0;
+	private version = 0;
+
+	constructor(private readonly options: MemoryRowStoreOptions = {}) {
+		super();
+		this.events.setMaxListeners(0);
+	}
+
+	override async transact(transaction: Transaction): Promise<TransactionOutcome> {
+		if (this.fault === 'down') {
+			return {kind: 'refused'};
+		}
+
+		const outcome = this.apply(transaction);
+		return this.fault === 'answers-lost' ? {kind: 'unknown'} : outcome;
+	}
+
+	override async read(range: RowRange): Promise<ReadOutcome> {
+		if (this.fault === 'down') {
+			return {kind: 'unavailable'};
+		}
+
+		const found = this.all()
+			.filter(row => row.table === range.table && row.part === range.part && row.key >= (range.from ?? '') && (range.to === undefined || row.key < range.to))
+			.sort((a, b) => (a.key < b.key ? -1 : 1));
+		const limit = range.limit ?? 500;
+		return {
+			kind: 'rows', rows: found.slice(0, limit), hasMore: found.length > limit, version: this.version, storeTime: this.now(),
+		};
+	}
+
+	override async parts(table: string): Promise<readonly string[] | undefined> {
+		return this.fault === 'down' ? undefined : [...new Set(this.all().filter(row => row.table === table).map(row => row.part))].sort();
+	}
+
+	override async changes({table, after, waitMs}: Readonly<{table: string; after: number; waitMs: Millis}>): Promise<ChangesOutcome> {
+		if (this.fault === 'down') {
+			return {kind: 'unavailable'};
+		}
+
+		if (after < this.forgottenVersion) {
+			return {kind: 'history-lost'};
+		}
+
+		const found = () => this.history.filter(change => versionOf(change) > after && tableOf(change) === table);
+		if (found().length === 0) {
+			await this.waitForChange(() => found().length > 0, waitMs);
+		}
+
+		return {
+			kind: 'changes', changes: found(), version: this.version, storeTime: this.now(),
+		};
+	}
+
+	/** Forgets the history, as the platform's store may at any time. */
+	forgetHistory(): void {
+		this.history = [];
+		this.forgottenVersion = this.version;
+	}
+
+	all(): StoredRow[] {
+		return [...this.rows.values()];
+	}
+
+	private apply(transaction: Transaction): TransactionOutcome {
+		const {part} = transaction;
+		const expected = (transaction.expected ?? []).map(({table, key, version}) => ({row: this.rows.get(placeOf({table, part, key})), version}));
+		if (expected.some(({row, version}) => (row?.version ?? 0) !== version)) {
+			return {kind: 'conflict', rows: expected.flatMap(({row}) => (row === undefined ? [] : [row]))};
+		}
+
+		this.version += 1;
+		for (const {table, key, value} of transaction.writes) {
+			const row: StoredRow = {
+				table, part, key, value: Uint8Array.from(value), version: this.version,
+			};
+			this.rows.set(placeOf(row), row);
+			this.history.push({kind: 'written', row});
+		}
+
+		for (const {table, key} of transaction.deletes ?? []) {
+			this.rows.delete(placeOf({table, part, key}));
+			this.history.push({kind: 'deleted', key: {table, part, key}, version: this.version});
+		}
+
+		this.trimHistory();
+		this.events.emit('changed');
+		return {kind: 'committed', version: this.version};
+	}
+
+	private trimHistory(): void {
+		const surplus = this.history.length - (this.options.history ?? 10_000);
+		for (const change of this.history.splice(0, Math.max(0, surplus))) {
+			this.forgottenVersion = versionOf(change);
+		}
+	}
+
+	private async waitForChange(isThere: () => boolean, waitMs: Millis): Promise<void> {
+		await new Promise<void>(resolve => {
+			const finish = () => {
+				clearTimeout(timer);
+				this.events.off('changed', look);
+				resolve();
+			};
+
+			const look = () => {
+				if (isThere()) {
+					finish();
+				}
+			};
+
+			const timer = setTimeout(finish, waitMs);
+			this.events.on('changed', look);
+		});
+	}
+
+	private now(): Millis {
+		return this.options.now?.() ?? 0;
+	}
+}
+
+function placeOf({table, part, key}: Readonly<{table: string; part: string; key: string}>): string {
+	return `${table}\n${part}\n${key}`;
+}
+
+function versionOf(change: RowChange): number {
+	return change.kind === 'written' ? change.row.version : change.version;
+}
+
+function tableOf(change: RowChange): string {
+	return change.kind === 'written' ? change.row.table : change.key.table;
+}
--- /dev/null
+++ b/packages/store/src/table-copy.test.ts
@@ -0,0 +1,50 @@
+import {describe, expect, it} from 'vitest';
+import type {RowChange} from './row-store.js';
+import {TableCopy} from './table-copy.js';
+
+const written = (key: string, version: number): RowChange => ({
+	kind: 'written', row: {
+		table: 't', part: 'p', key, value: new Uint8Array([version]), version,
+	},
+});
+const deleted = (key: string, version: number): RowChange => ({kind: 'deleted', key: {table: 't', part: 'p', key}, version});
+
+describe('TableCopy', () => {
+	describe('changes out of order', () => {
+		it('keeps the newest version, so that a late answer does not bring back an old value', () => {
+			const copy = new TableCopy('t');
+			copy.apply([written('a', 5)], 0);
+			expect(copy.apply([written('a', 4)], 1)).toEqual([]);
+			expect(copy.get('p', 'a')?.version).toBe(5);
+		});
+
+		it('does not bring back a deleted row by an older answer', () => {
+			const copy = new TableCopy('t');
+			copy.apply([written('a', 3), deleted('a', 7)], 0);
+			copy.apply([written('a', 6)], 1);
+			expect(copy.get('p', 'a')).toBeUndefined();
+			copy.apply([written('a', 8)], 2);
+			expect(copy.get('p', 'a')?.version).toBe(8);
+		});
+	});
+
+	describe('reading the whole table again', () => {
+		it('reports rows that are gone and keeps rows that are newer than the read', () => {
+			const copy = new TableCopy('t');
+			copy.apply([written('old', 2), written('new', 12)], 0);
+			const news = copy.replace([], 10, 1);
+			expect(news).toEqual([deleted('old', 10)].map(change => expect.objectContaining({kind: change.kind, version: 10})));
+			expect(copy.parts()).toEqual(['p']);
+			expect(copy.get('p', 'new')?.version).toBe(12);
+		});
+	});
+
+	it('tells when a value was learned, not when it was first written', () => {
+		const copy = new TableCopy('t');
+		copy.apply([written('a', 1)], 100);
+		copy.apply([written('a', 1)], 200);
+		expect(copy.changedAt('p', 'a')).toBe(100);
+		copy.apply([written('a', 2)], 300);
+		expect(copy.changedAt('p', 'a')).toBe(300);
+	});
+});
--- /dev/null
+++ b/packages/weights/src/weights.test.ts
@@ -0,0 +1,108 @@
+import type {DaemonId, ModelId, UpstreamId} from '@cicadapost/types';
+import {describe, expect, it} from 'vitest';
+import {
+	decodePermit, encodePermit, isPermitValid, mayAskForPermit, permitValidMs, type OrderPermit,
+} from './order-permit.js';
+import {maxConcurrentLoads, planLoads, type EngineWeights} from './plan-loads.js';
+
+const [draft, score] = ['draft', 'score'] as ModelId[] as [ModelId, ModelId];
+const engine = (name: string, versions: Record<string, number>, loading?: EngineWeights['loading']): EngineWeights => ({
+	id: name as UpstreamId, versions: new Map(Object.entries(versions)) as Map<ModelId, number>, loading,
+});
+
+/** Plays loads that end at once, for versions named in turn. */
+function play(engines: EngineWeights[], named: ReadonlyArray<Readonly<{model: ModelId; version: number}>>, models: number): number {
+	let loads = 0;
+	const newest = new Map<ModelId, number>();
+	for (const {model, version} of named) {
+		newest.set(model, version);
+		for (;;) {
+			const planned = planLoads({engines, named: [...newest].map(([name, at]) => ({model: name, version: at})), models});
+			if (planned.length === 0) {
+				break;
+			}
+
+			for (const load of planned) {
+				(engines.find(candidate => candidate.id === load.engine)?.versions as Map<ModelId, number>).set(load.model, load.version);
+				loads += 1;
+			}
+		}
+	}
+
+	return loads;
+}
+
+describe('planLoads', () => {
+	describe('two trainers that name versions in turn on six engines', () => {
+		const engines = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'].map(name => engine(name, {draft: 1, score: 1}));
+		const named = [2, 3, 4, 5].flatMap(version => [{model: draft, version}, {model: score, version}]);
+
+		it('loads each version on half of the engines, which are the free loads', () => {
+			expect(play(engines, named, 2)).toBe(named.length * 3);
+		});
+
+		it('leaves each engine with a version that the next step may use', () => {
+			for (const {versions} of engines) {
+				expect(versions.get(draft)).toBeGreaterThanOrEqual(4);
+				expect(versions.get(score)).toBeGreaterThanOrEqual(4);
+			}
+		});
+	});
+
+	it('does not load more at once than the engines bear without slowing each other down', () => {
+		const engines = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'].map(name => engine(name, {draft: 1}));
+		expect(planLoads({engines, named: [{model: draft, version: 2}], models: 1})).toHaveLength(maxConcurrentLoads);
+	});
+
+	it('counts a load that is on its way, so that two daemons do not load twice', () => {
+		const engines = [engine('e1', {draft: 1}, {model: draft, version: 2}), engine('e2', {draft: 1}), engine('e3', {score: 1})];
+		expect(planLoads({engines, named: [{model: draft, version: 2}], models: 3})).toEqual([]);
+	});
+
+	it('loads an engine that is two versions behind before one that is one behind', () => {
+		const engines = [engine('e1', {draft: 4}), engine('e2', {draft: 3})];
+		expect(planLoads({engines, named: [{model: draft, version: 5}], models: 2})).toEqual([{engine: 'e2', model: draft, version: 5}]);
+	});
+});
+
+describe('order permits', () => {
+	const permit: OrderPermit = {
+		holder: 'd1' as DaemonId, fencingToken: 4, model: draft, version: 7,
+	};
+
+	it('survives a round trip, and a row of another shape is not taken for one', () => {
+		expect(decodePermit(encodePermit(permit))).toEqual(permit);
+		expect(decodePermit(new Uint8Array([1, 2, 3]))).toBeUndefined();
+	});
+
+	describe('two holders for one engine', () => {
+		const state = {permit, self: 'd2' as DaemonId, silenceMs: 3000};
+
+		it('makes another daemon wait until an order under the old permit is old enough', () => {
+			expect(mayAskForPermit({...state, restedMs: 3000})).toBe(false);
+			expect(mayAskForPermit({...state, restedMs: permitValidMs + 3300})).toBe(true);
+		});
+
+		it('lets the holder go on', () => {
+			expect(mayAskForPermit({...state, self: 'd1' as DaemonId, restedMs: 0})).toBe(true);
+		});
+	});
+
+	describe('a holder that was suspended between its permit and its order', () => {
+		it('sends nothing if the steady clock shows it', () => {
+			expect(isPermitValid({steady: 0, wall: 0}, {steady: 4000, wall: 4000})).toBe(false);
+		});
+
+		it('sends nothing if only the time of day shows it', () => {
+			expect(isPermitValid({steady: 0, wall: 0}, {steady: 20, wall: 4000})).toBe(false);
+		});
+
+		it('sends nothing if the time of day was set back meanwhile, which could hide it', () => {
+			expect(isPermitValid({steady: 0, wall: 0}, {steady: 20, wall: -2000})).toBe(false);
+		});
+
+		it('sends in the usual case', () => {
+			expect(isPermitValid({steady: 0, wall: 0}, {steady: 12, wall: 11})).toBe(true);
+		});
+	});
+});
