--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -107,6 +107,14 @@
 		}
 
 		const outcome = await store.transact(transaction);
+		if (outcome.kind === 'committed') {
+			// The runner holds the items before the book shows the claim, which wakes the other engines of this daemon.
+			for (const target of ofBatch) {
+				onClaimed(engine.id, target, follower.age(clock.now()));
+				void runner.start(engine, target);
+			}
+		}
+
 		for (const place of places) {
 			this.claiming.delete(place);
 		}
@@ -114,11 +122,6 @@
 		switch (outcome.kind) {
 			case 'committed': {
 				follower.learn(writtenRows(transaction, outcome.version));
-				for (const target of ofBatch) {
-					onClaimed(engine.id, target, follower.age(clock.now()));
-					void runner.start(engine, target);
-				}
-
 				return true;
 			}
 
