--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -14,7 +14,10 @@
 	batchTable, claimKey, decodeBodies, decodeClaims, decodePartial, decodePlan, decodeResults, encodeBodies, encodeClaims, encodePartial, encodePlan, encodeResult,
 	planKey, resultTable, RowShapeError,
 } from './encode-rows.js';
-import {planClaims, withClaimed, type EngineRoom} from './plan-claims.js';
+import {EngineSilence} from './engine-silence.js';
+import {
+	planClaims, withClaimed, type EngineRoom, type IsHeld,
+} from './plan-claims.js';
 import {planCommit, type ItemOutcome} from './plan-commit.js';
 
 const batch = 'b1' as BatchId;
@@ -38,7 +41,7 @@
 }
 
 const room = (fields: Partial<EngineRoom> = {}): EngineRoom => ({
-	id: engineId, freeSlots: 16, versions: new Map([[model, 3]]), rank: 0, engines: 1, ...fields,
+	id: engineId, slots: 16, running: 0, versions: new Map([[model, 3]]), rank: 0, engines: 1, ...fields,
 });
 const running = (life: string): ItemClaim => ({
 	kind: 'running', failures: 0, hasPartialText: false, life, engine: 'e9',
@@ -83,45 +86,79 @@
 });
 
 describe('planClaims', () => {
-	const nobody = () => false;
+	const claim = (engine: EngineRoom, views: ReadonlyArray<Readonly<{view: BatchView; dueAt: number}>>, isHeld: IsHeld = () => false) => planClaims({
+		engine, batches: views, isHeld, now: 0,
+	});
 
 	describe('a burst of whole batches that takes several times the slots', () => {
-		it('fills the slots with the older batch first', () => {
-			const older = viewWith(planWith(1, 8));
-			const newer = viewWith(planWith(4, 8), {}, 'b2' as BatchId);
-			const targets = planClaims({engine: room(), batches: [older, newer], isHeld: nobody});
-			expect(targets.map(target => [target.batch, target.items.length])).toEqual([['b1', 8], ['b2', 8]]);
+		it('starts the group with the longest expected sample first, whichever batch it is of', () => {
+			const short = {view: viewWith(planWith(3, 8, () => 400)), dueAt: 7000};
+			const long = {view: viewWith(planWith(3, 8, group => (group === 1 ? 3000 : 400)), {}, 'b2' as BatchId), dueAt: 7500};
+			expect(claim(room({slots: 8, running: 0}), [short, long])[0]).toMatchObject({batch: 'b2', group: 1});
 		});
 
-		it('starts groups with the longest expected sample first', () => {
-			const plan = planWith(3, 8, group => [10, 900, 50][group] ?? 0);
-			const targets = planClaims({engine: room({freeSlots: 8}), batches: [viewWith(plan)], isHeld: nobody});
-			expect(targets.map(target => target.group)).toEqual([1]);
-		});
-
-		it('completes a group that is begun before it begins another', () => {
-			const plan = planWith(3, 4, group => [10, 900, 50][group] ?? 0);
-			const begun = {0: [{kind: 'listed'}, {kind: 'listed'}, unclaimed, unclaimed] as ItemClaim[]};
-			const targets = planClaims({engine: room({freeSlots: 2}), batches: [viewWith(plan, begun)], isHeld: nobody});
-			expect(targets).toEqual([{batch, group: 0, items: [2, 3]}]);
+		it('takes the batch that is due first among equal ones', () => {
+			const views = [{view: viewWith(planWith(1, 8)), dueAt: 9000}, {view: viewWith(planWith(1, 8), {}, 'b2' as BatchId), dueAt: 6000}];
+			expect(claim(room({running: 4}), views)).toMatchObject([{batch: 'b2', items: {length: 8}}]);
 		});
 
 		it('lets engines begin with different groups, so that their claims rarely conflict', () => {
 			const view = viewWith(planWith(6, 8));
-			const chosen = [0, 1, 2].map(rank => planClaims({engine: room({rank, engines: 3, freeSlots: 16}), batches: [view], isHeld: nobody}).map(target => target.group));
+			const chosen = [0, 1, 2].map(rank => claim(room({rank, engines: 3, slots: 21}), [{view, dueAt: 9000}]).map(target => target.group));
 			expect(new Set(chosen.flat()).size).toBe(6);
 		});
 	});
 
+	describe('the width of an engine', () => {
+		const taken = (dueAt: number) => claim(room(), [{view: viewWith(planWith(4, 8, () => 1000)), dueAt}]).reduce((sum, target) => sum + target.items.length, 0);
+
+		it('leaves slots free while there is slack, so that long samples run faster', () => {
+			expect(taken(7500)).toBe(12);
+		});
+
+		it('is used whole when work has little slack left', () => {
+			expect(taken(2000)).toBe(16);
+		});
+	});
+
 	it('gives no sample to an engine whose weights are older than the batch allows', () => {
-		const view = viewWith(planWith(1, 8));
-		expect(planClaims({engine: room({versions: new Map([[model, 2]])}), batches: [view], isHeld: nobody})).toEqual([]);
-		expect(planClaims({engine: room({versions: new Map()}), batches: [view], isHeld: nobody})).toEqual([]);
+		const views = [{view: viewWith(planWith(1, 8)), dueAt: 0}];
+		expect(claim(room({versions: new Map([[model, 2]])}), views)).toEqual([]);
+		expect(claim(room({versions: new Map()}), views)).toEqual([]);
 	});
 
 	it('takes over what a dead daemon ran, and leaves alone what a live one runs', () => {
 		const view = viewWith(planWith(1, 2), {0: [running('dead'), running('alive')]});
-		expect(planClaims({engine: room(), batches: [view], isHeld: claim => claim.life === 'alive'})).toEqual([{batch, group: 0, items: [0]}]);
+		expect(claim(room(), [{view, dueAt: 0}], ({life}) => life === 'alive')).toEqual([{batch, group: 0, items: [0]}]);
+	});
+});
+
+describe('EngineSilence', () => {
+	const state = {oldestSentAt: 0, isLoading: false};
+
+	it('takes an engine for gone from which nothing comes, and leaves it alone for a while', () => {
+		const silence = new EngineSilence();
+		silence.sign(engineId, 100);
+		expect(silence.isSilent(engineId, {...state, now: 600})).toBe(false);
+		expect(silence.isSilent(engineId, {...state, now: 1100})).toBe(true);
+		silence.failed(engineId, 1100);
+		expect(silence.isSuspended(engineId, 1200)).toBe(true);
+		expect(silence.isSuspended(engineId, 3000)).toBe(false);
+	});
+
+	it('waits longer for an engine that loads weights, and for a run that has only been sent', () => {
+		const silence = new EngineSilence();
+		expect(silence.isSilent(engineId, {oldestSentAt: 0, isLoading: true, now: 1500})).toBe(false);
+		expect(silence.isSilent(engineId, {oldestSentAt: 1000, isLoading: false, now: 1500})).toBe(false);
+	});
+
+	it('counts the runs of one engine that fail together as one failure', () => {
+		const silence = new EngineSilence();
+		for (let index = 0; index < 16; index++) {
+			silence.failed(engineId, 1000);
+		}
+
+		expect(silence.isSuspended(engineId, 2000)).toBe(false);
 	});
 });
 
--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -9,7 +9,7 @@
 	batchTable, claimKey, encodeClaims, endKey, planKey,
 } from './encode-rows.js';
 import {
-	planClaims, runningElsewhere, withClaimed, type ClaimTarget, type EngineRoom, type IsHeld,
+	planClaims, runningElsewhere, withClaimed, type ClaimTarget, type EligibleBatch, type EngineRoom, type IsHeld,
 } from './plan-claims.js';
 import type {CommitQueue} from './commit-queue.js';
 import {keyOf, type SampleRunner} from './run-samples.js';
@@ -35,8 +35,10 @@
 	isAlive: (life: string) => boolean;
 	/** Weight versions that new samples would run with; a model that is being loaded is left out. */
 	versionsOf: (engine: UpstreamRecord) => ReadonlyMap<ModelId, number>;
-	/** Whether the engine's service may run the batch, and its time is not over. */
-	mayRun: (batch: BatchView, engine: UpstreamRecord) => boolean;
+	/** When the batch is due, on the store's clock; undefined if the engine's service may not run it, or no longer. */
+	dueAt: (batch: BatchView, engine: UpstreamRecord) => Millis | undefined;
+	/** The present time on the store's clock. */
+	storeTime: () => Millis;
 	onClaimed: (engine: UpstreamId, target: ClaimTarget, copyAgeMs: Millis) => void;
 }>;
 
@@ -60,8 +62,9 @@
 			return;
 		}
 
-		for (const engine of this.options.ownedEngines()) {
-			if (!this.busy.has(engine.id)) {
+		const {ownedEngines, runner} = this.options;
+		for (const engine of ownedEngines()) {
+			if (!this.busy.has(engine.id) && !runner.isSuspended(engine.id)) {
 				void this.fill(engine);
 			}
 		}
@@ -76,7 +79,7 @@
 		this.busy.add(engine.id);
 		try {
 			let isMore = true;
-			while (isMore && !this.isStopped) {
+			while (isMore && !this.isStopped && !this.options.runner.isSuspended(engine.id)) {
 				isMore = await this.claimOnce(engine);
 			}
 		} finally {
@@ -142,19 +145,26 @@
 	}
 
 	private plan(engine: UpstreamRecord): ClaimTarget[] {
-		const {book, runner, directory, life, versionsOf, mayRun} = this.options;
+		const {book, runner, directory, life, versionsOf, dueAt, storeTime} = this.options;
 		const isHeld: IsHeld = (claim, place) => this.isHeld(claim.life, keyOf(place));
 		const open = book.open();
 		const peers = directory.ready(engine.service);
 		const elsewhere = runningElsewhere(engine.id, open, {life, isHeld});
 		const room: EngineRoom = {
 			id: engine.id,
-			freeSlots: engine.slots - runner.countAt(engine.id) - elsewhere,
+			slots: engine.slots,
+			running: runner.countAt(engine.id) + elsewhere,
 			versions: versionsOf(engine),
 			rank: Math.max(0, peers.findIndex(peer => peer.id === engine.id)),
 			engines: peers.length,
 		};
-		return planClaims({engine: room, batches: open.filter(batch => mayRun(batch, engine)), isHeld});
+		const batches = open.flatMap((view): EligibleBatch[] => {
+			const due = dueAt(view, engine);
+			return due === undefined ? [] : [{view, dueAt: due}];
+		});
+		return planClaims({
+			engine: room, batches, isHeld, now: storeTime(),
+		});
 	}
 
 	private isHeld(life: string, place: string): boolean {
--- a/packages/batches/src/decide-run.ts
+++ b/packages/batches/src/decide-run.ts
@@ -51,6 +51,7 @@
 				: {kind: 'release', failures: state.failures, keepText: true};
 		}
 
+		case 'unreachable':
 		case 'broken': {
 			return {kind: 'release', failures: state.failures, keepText: true};
 		}
--- a/packages/batches/src/engine-client.ts
+++ b/packages/batches/src/engine-client.ts
@@ -31,7 +31,9 @@
 	| Readonly<{kind: 'failed'; status: number}>
 	/** The item can never be done. */
 	| Readonly<{kind: 'impossible'}>
-	/** The stream broke off or the engine could not be reached. */
+	/** No connection to the engine was to be had. */
+	| Readonly<{kind: 'unreachable'; cause: string}>
+	/** The stream broke off. */
 	| Readonly<{kind: 'broken'; cause: string}>
 	| Readonly<{kind: 'aborted'}>;
 
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -7,7 +7,9 @@
 /** An engine that this daemon looks after, with room for samples. */
 export type EngineRoom = Readonly<{
 	id: UpstreamId;
-	freeSlots: number;
+	slots: number;
+	/** Samples that are at the engine. */
+	running: number;
 	/** Weight version of each model that new samples would run with. A model that is being loaded is left out. */
 	versions: ReadonlyMap<ModelId, number>;
 	/** Its place among the engines that may run the same samples, from 0, and their number. */
@@ -17,11 +19,19 @@
 
 export type ClaimTarget = Readonly<{batch: BatchId; group: number; items: readonly number[]}>;
 
+/** A batch that the engine's service may run. */
+export type EligibleBatch = Readonly<{
+	view: BatchView;
+	/** When all its results are due, on the store's clock. */
+	dueAt: Millis;
+}>;
+
 export type PlanClaimsOptions = Readonly<{
 	engine: EngineRoom;
-	/** Batches that the engine's service may run, with the most urgent first. */
-	batches: readonly BatchView[];
+	batches: readonly EligibleBatch[];
 	isHeld: IsHeld;
+	/** On the store's clock. */
+	now: Millis;
 }>;
 
 export type ItemPlace = Readonly<{batch: BatchId; group: number; item: number}>;
@@ -29,55 +39,62 @@
 /** Whether the daemon of a claim still works on the item. Other claims are void. */
 export type IsHeld = (claim: Extract<ItemClaim, {kind: 'running'}>, place: ItemPlace) => boolean;
 
+/** Time that an engine takes for a token when its usual width is in use. */
+const tokenMs = 0.9;
 /**
-Chooses the samples that an engine takes next. Answers the load of whole batches that arrive at once and take several
-times the slots there are, with lengths known only roughly:
-- older batches first, so that each trainer's step ends before its next one needs the slots;
-- groups that have been begun first, because a group counts only when it is whole;
-- then groups with the longest expected item, so that a long one does not start last;
-- engines begin at different places of that order, so that they rarely claim the same group.
+Part of an engine's slots that is used while nothing is urgent. Each further sample slows all others at the engine, and
+a step waits for its longest one.
 */
-export function planClaims({engine, batches, isHeld}: PlanClaimsOptions): ClaimTarget[] {
-	const targets: ClaimTarget[] = [];
-	let free = engine.freeSlots;
-	for (const batch of batches) {
-		if ((engine.versions.get(batch.plan.model) ?? -1) < batch.plan.minVersion) {
-			continue;
-		}
+const usualWidthShare = 0.75;
+/** Work with less slack than this may use all slots. */
+const urgentSlackMs = 2500;
 
-		for (const {group, items} of orderGroups(batch, engine, isHeld)) {
-			if (free <= 0) {
-				return targets;
-			}
+type GroupWork = Readonly<{batch: BatchId; group: number; items: readonly number[]; slackMs: Millis}>;
 
-			const taken = items.slice(0, free);
-			free -= taken.length;
-			targets.push({batch: batch.id, group, items: taken});
+/**
+Chooses the samples that an engine takes next. Answers the load of whole batches of several trainers that arrive at once
+and take several times the slots there are, with lengths known only roughly and some of them many times the others:
+- the group with the least slack first, which is the time until its batch is due less that of its longest sample; so a
+  long sample never waits for short ones, and an older batch comes before a newer one of the same kind;
+- engines begin at different places of that order, so that they rarely claim the same group;
+- a part of the slots stays free while there is slack, so that long samples run faster.
+*/
+export function planClaims({engine, batches, isHeld, now}: PlanClaimsOptions): ClaimTarget[] {
+	const work = batches
+		.filter(({view}) => (engine.versions.get(view.plan.model) ?? -1) >= view.plan.minVersion)
+		.flatMap(batch => openGroups(batch, isHeld, now))
+		.sort((a, b) => a.slackMs - b.slackMs);
+	const own = work.filter((_, index) => index % Math.max(1, engine.engines) === engine.rank);
+	const isUrgent = (work[0]?.slackMs ?? Number.POSITIVE_INFINITY) < urgentSlackMs;
+	let free = (isUrgent ? engine.slots : Math.ceil(engine.slots * usualWidthShare)) - engine.running;
+	const targets: ClaimTarget[] = [];
+	for (const {batch, group, items} of [...own, ...work.filter(candidate => !own.includes(candidate))]) {
+		if (free <= 0) {
+			break;
 		}
+
+		const taken = items.slice(0, free);
+		free -= taken.length;
+		targets.push({batch, group, items: taken});
 	}
 
 	return targets;
 }
 
-type GroupWork = Readonly<{group: number; items: readonly number[]; isBegun: boolean; longest: number}>;
-
-function orderGroups(batch: BatchView, engine: EngineRoom, isHeld: IsHeld): GroupWork[] {
-	const groups = batch.claims
-		.map((claims, group): GroupWork => ({
-			group,
-			items: claims.items
-				.map((claim, index) => ({claim, index}))
-				.filter(({claim, index}) => claim.kind === 'open' || (claim.kind === 'running' && !isHeld(claim, {batch: batch.id, group, item: index})))
-				.map(({index}) => index)
-				.sort((a, b) => expectedTokens(batch, group, b) - expectedTokens(batch, group, a)),
-			isBegun: claims.version > 0,
-			longest: Math.max(...(batch.plan.groups[group]?.items.map(item => item.expectedTokens) ?? [0])),
-		}))
-		.filter(({items}) => items.length > 0);
-	const begun = groups.filter(({isBegun}) => isBegun).sort((a, b) => a.items.length - b.items.length);
-	const fresh = groups.filter(({isBegun}) => !isBegun).sort((a, b) => b.longest - a.longest);
-	const own = fresh.filter((_, index) => index % Math.max(1, engine.engines) === engine.rank);
-	return [...begun, ...own, ...fresh.filter(group => !own.includes(group))];
+function openGroups({view, dueAt}: EligibleBatch, isHeld: IsHeld, now: Millis): GroupWork[] {
+	return view.claims.flatMap((claims, group) => {
+		const items = claims.items
+			.map((claim, item) => ({claim, item}))
+			.filter(({claim, item}) => claim.kind === 'open' || (claim.kind === 'running' && !isHeld(claim, {batch: view.id, group, item})))
+			.map(({item}) => item)
+			.sort((a, b) => expectedTokens(view, group, b) - expectedTokens(view, group, a));
+		const [longest] = items;
+		return longest === undefined
+			? []
+			: [{
+				batch: view.id, group, items, slackMs: dueAt - now - (expectedTokens(view, group, longest) * tokenMs),
+			}];
+	});
 }
 
 function expectedTokens(batch: BatchView, group: number, item: number): number {
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -11,6 +11,7 @@
 	bodyRange, decodeBodies, decodePartial, partialRange, type ItemBody,
 } from './encode-rows.js';
 import type {EngineClient, RunEnd, SampleEvent, SampleRun} from './engine-client.js';
+import {EngineSilence} from './engine-silence.js';
 import type {ClaimTarget, ItemPlace} from './plan-claims.js';
 
 /** What the route of a batch allows. */
@@ -30,6 +31,8 @@
 	commits: CommitQueue;
 	/** Rules of a batch, or undefined if no route serves it any more. */
 	rulesOf: (batch: BatchView) => BatchRules | undefined;
+	/** Whether an engine is loading weights now. */
+	isLoading: (engine: UpstreamId) => boolean;
 	/** An engine showed the version that it has. */
 	onVersion: (engine: UpstreamId, batch: BatchView, version: number) => void;
 	/** An engine's slot is free again. */
@@ -60,6 +63,7 @@
 	failures: number;
 	refusals: number;
 	lastSignAt: Millis;
+	sentAt: Millis;
 	/** Events since the run was sent to its engine. */
 	newEvents: number;
 	savedAt: Millis;
@@ -79,6 +83,7 @@
 	private readonly running = new Map<string, Running>();
 	/** Items whose bodies are being read, with their engine. */
 	private readonly starting = new Map<string, UpstreamId>();
+	private readonly silence = new EngineSilence();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(private readonly options: SampleRunnerOptions) {
@@ -102,6 +107,11 @@
 		return this.running.has(place) || this.starting.has(place);
 	}
 
+	/** Whether an engine has just failed, so that new samples go elsewhere. */
+	isSuspended(engine: UpstreamId): boolean {
+		return this.silence.isSuspended(engine, this.options.clock.now());
+	}
+
 	/** Runs claimed items. */
 	async start(engine: UpstreamRecord, target: ClaimTarget): Promise<void> {
 		const places = target.items.map(item => keyOf({...target, item}));
@@ -185,6 +195,7 @@
 			failures: options.failures,
 			refusals: 0,
 			lastSignAt: now,
+			sentAt: now,
 			newEvents: 0,
 			savedAt: now,
 			savedEvents: text?.events.length ?? 0,
@@ -211,7 +222,8 @@
 			return;
 		}
 
-		run.lastSignAt = clock.now();
+		run.sentAt = clock.now();
+		run.lastSignAt = run.sentAt;
 		run.newEvents = 0;
 		const hasText = run.text.events.length > 0;
 		run.run = client.run({
@@ -245,6 +257,7 @@
 
 		run.version = version;
 		run.lastSignAt = this.options.clock.now();
+		this.silence.sign(run.engine, run.lastSignAt);
 		if (version === undefined) {
 			return;
 		}
@@ -261,6 +274,7 @@
 		}
 
 		run.lastSignAt = this.options.clock.now();
+		this.silence.sign(run.engine, run.lastSignAt);
 		run.newEvents += 1;
 		run.version = event.version ?? run.version;
 		if (run.text.events.length > 0 && event.id !== run.text.lastEventId + 1) {
@@ -285,6 +299,12 @@
 		}
 
 		run.refusals = end.kind === 'not-run' ? run.refusals + 1 : 0;
+		if (end.kind === 'unreachable') {
+			this.silence.failed(run.engine, this.options.clock.now());
+		} else if (end.kind !== 'broken') {
+			this.silence.sign(run.engine, this.options.clock.now());
+		}
+
 		const after = decideAfterRun(end, {
 			text: run.text,
 			failures: run.failures,
@@ -366,8 +386,30 @@
 		this.options.onFreed();
 	}
 
+	/** A silent engine gives nothing any more, while each run on its own would be waited for much longer. */
+	private releaseFromSilentEngines(now: Millis): void {
+		const oldest = new Map<UpstreamId, Millis>();
+		for (const {engine, sentAt} of this.running.values()) {
+			oldest.set(engine, Math.min(sentAt, oldest.get(engine) ?? Number.POSITIVE_INFINITY));
+		}
+
+		for (const [engine, oldestSentAt] of oldest) {
+			if (!this.silence.isSilent(engine, {oldestSentAt, isLoading: this.options.isLoading(engine), now})) {
+				continue;
+			}
+
+			this.silence.failed(engine, now);
+			for (const run of this.running.values()) {
+				if (run.engine === engine) {
+					this.release(run, run.failures, 'the engine is silent');
+				}
+			}
+		}
+	}
+
 	private check(): void {
 		const now = this.options.clock.now();
+		this.releaseFromSilentEngines(now);
 		for (const run of this.running.values()) {
 			const view = this.options.book.get(run.batch);
 			const claim = view?.claims[run.group]?.items[run.item];
@@ -402,5 +444,5 @@
 		return `${end.kind} with status ${end.status}`;
 	}
 
-	return end.kind === 'broken' ? `broken: ${end.cause}` : end.kind;
+	return 'cause' in end ? `${end.kind}: ${end.cause}` : end.kind;
 }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -127,6 +127,10 @@
 			client: platform.engines,
 			commits: this.commits,
 			rulesOf: batch => this.rulesOf(batch),
+			isLoading: engine => {
+				const record = this.directory.get(engine);
+				return record !== undefined && this.versions.weights(record, clock.now()).loading !== undefined;
+			},
 			onVersion: (engine, batch, version) => {
 				const record = this.directory.get(engine);
 				if (record !== undefined) {
@@ -152,7 +156,8 @@
 			ownedEngines: () => this.ownedEngines(),
 			isAlive: life => this.membership.isAlive(life, clock.now()),
 			versionsOf: engine => this.versions.usable(engine, clock.now()),
-			mayRun: (batch, engine) => this.mayRun(batch, engine),
+			dueAt: (batch, engine) => this.dueAt(batch, engine),
+			storeTime: () => this.batchRows.storeTime(clock.now()),
 			onClaimed(engine, target, copyAgeMs) {
 				logger.info({
 					event: 'claim', batch: target.batch, engine, group: target.group, items: target.items, copyAgeMs: Math.round(copyAgeMs),
@@ -464,10 +469,12 @@
 		return route === undefined ? undefined : {maxAttempts: route.maxAttempts, isSingleVersion: route.isSingleVersion, runMs: route.maxQueueMs};
 	}
 
-	private mayRun(batch: BatchView, engine: UpstreamRecord): boolean {
+	/** When a batch is due, or undefined if the engine's service may not run it or its time is over. */
+	private dueAt(batch: BatchView, engine: UpstreamRecord): Millis | undefined {
 		const route = this.routeOf(batch);
-		return route !== undefined
-			&& route.services.some(({service, weight}) => service === engine.service && weight > 0)
-			&& this.batchRows.storeTime(this.options.clock.now()) < givenUpAt(batch, route.maxQueueMs);
+		const isServed = route?.services.some(({service, weight}) => service === engine.service && weight > 0) ?? false;
+		return route !== undefined && isServed && this.batchRows.storeTime(this.options.clock.now()) < givenUpAt(batch, route.maxQueueMs)
+			? batch.plan.submittedAt + route.batchDeadlineMs
+			: undefined;
 	}
 }
