--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -153,7 +153,9 @@
 		const room: EngineRoom = {
 			id: engine.id,
 			slots: engine.slots,
-			running: runner.countAt(engine.id) + elsewhere,
+			running: runner.countAt(engine.id) + elsewhere.running,
+			runningLong: runner.countLongAt(engine.id) + elsewhere.long,
+			isSlow: runner.isSlow(engine.id),
 			versions: versionsOf(engine),
 			rank: Math.max(0, peers.findIndex(peer => peer.id === engine.id)),
 			engines: peers.length,
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -8,8 +8,11 @@
 export type EngineRoom = Readonly<{
 	id: UpstreamId;
 	slots: number;
-	/** Samples that are at the engine. */
+	/** Samples that are at the engine, and how many of them are long. */
 	running: number;
+	runningLong: number;
+	/** Whether it makes events much more slowly than usual now. */
+	isSlow: boolean;
 	/** Weight version of each model that new samples would run with. A model that is being loaded is left out. */
 	versions: ReadonlyMap<ModelId, number>;
 	/** Its place among the engines that may run the same samples, from 0, and their number. */
@@ -39,61 +42,102 @@
 /** Whether the daemon of a claim still works on the item. Other claims are void. */
 export type IsHeld = (claim: Extract<ItemClaim, {kind: 'running'}>, place: ItemPlace) => boolean;
 
-/** Time that an engine takes for a token when its usual width is in use. */
+/** Time that an engine takes for a token when most of its slots are in use. */
 const tokenMs = 0.9;
+/** Estimates are right at the median only; this factor covers most of the others. */
+const estimateMargin = 1.5;
+/** A sample with more expected tokens than this is long: it runs for two seconds or more, others for half a second. */
+export const longSampleTokens = 3500;
 /**
-Part of an engine's slots that is used while nothing is urgent. Each further sample slows all others at the engine, and
-a step waits for its longest one.
+Samples that run beside a long one at most. An engine makes each event of all its samples in turn with the others, so it
+is a sixth faster at half of its width, and a step waits for its longest sample.
 */
-const usualWidthShare = 0.75;
-/** Work with less slack than this may use all slots. */
-const urgentSlackMs = 2500;
+const widthBesideLong = 5;
+/** Long samples do not wait longer than this for an engine that is kept for them. */
+const longPatienceMs = 600;
+/** Work with less slack than this may use all slots of each engine. */
+const urgentSlackMs = 800;
 
-type GroupWork = Readonly<{batch: BatchId; group: number; items: readonly number[]; slackMs: Millis}>;
+type ItemWork = Readonly<{batch: BatchId; group: number; item: number; isLong: boolean; waitedMs: Millis; slackMs: Millis; groupSlackMs: Millis}>;
 
 /**
 Chooses the samples that an engine takes next. Answers the load of whole batches of several trainers that arrive at once
 and take several times the slots there are, with lengths known only roughly and some of them many times the others:
-- the group with the least slack first, which is the time until its batch is due less that of its longest sample; so a
-  long sample never waits for short ones, and an older batch comes before a newer one of the same kind;
-- engines begin at different places of that order, so that they rarely claim the same group;
-- a part of the slots stays free while there is slack, so that long samples run faster.
+- as many engines as the long samples need are kept narrow and take those first, the others take the short ones;
+- the sample with the least slack comes first, which is the time until its batch is due less its own;
+- engines of one kind begin at different places of that order, so that they rarely claim the same group;
+- an engine that is slow now takes no long sample.
 */
 export function planClaims({engine, batches, isHeld, now}: PlanClaimsOptions): ClaimTarget[] {
-	const work = batches
-		.filter(({view}) => (engine.versions.get(view.plan.model) ?? -1) >= view.plan.minVersion)
-		.flatMap(batch => openGroups(batch, isHeld, now))
-		.sort((a, b) => a.slackMs - b.slackMs);
-	const own = work.filter((_, index) => index % Math.max(1, engine.engines) === engine.rank);
-	const isUrgent = (work[0]?.slackMs ?? Number.POSITIVE_INFINITY) < urgentSlackMs;
-	let free = (isUrgent ? engine.slots : Math.ceil(engine.slots * usualWidthShare)) - engine.running;
-	const targets: ClaimTarget[] = [];
-	for (const {batch, group, items} of [...own, ...work.filter(candidate => !own.includes(candidate))]) {
-		if (free <= 0) {
+	const usable = batches.filter(({view}) => (engine.versions.get(view.plan.model) ?? -1) >= view.plan.minVersion);
+	const work = usable.flatMap(batch => openItems(batch, isHeld, now));
+	const forLong = enginesForLong(batches, engine.engines);
+	const isForLong = engine.rank < forLong && !engine.isSlow;
+	const long = engine.isSlow ? [] : work.filter(item => item.isLong && (isForLong || item.waitedMs > longPatienceMs));
+	const short = work.filter(item => !item.isLong);
+	long.sort((a, b) => a.slackMs - b.slackMs);
+	short.sort((a, b) => a.groupSlackMs - b.groupSlackMs || a.slackMs - b.slackMs);
+	const isUrgent = work.some(item => item.slackMs < urgentSlackMs && item.waitedMs > longPatienceMs);
+	const ordered = isForLong
+		? [...rotate(long, engine.rank, forLong), ...short]
+		: [...rotate(short, engine.rank - forLong, engine.engines - forLong), ...long];
+	const taken: ItemWork[] = [];
+	let hasLong = engine.runningLong > 0;
+	for (const item of ordered) {
+		hasLong ||= item.isLong;
+		const width = hasLong && !isUrgent ? Math.min(engine.slots, widthBesideLong) : engine.slots;
+		if (engine.running + taken.length >= width) {
 			break;
 		}
 
-		const taken = items.slice(0, free);
-		free -= taken.length;
-		targets.push({batch, group, items: taken});
+		taken.push(item);
 	}
 
-	return targets;
+	return toTargets(taken);
 }
 
-function openGroups({view, dueAt}: EligibleBatch, isHeld: IsHeld, now: Millis): GroupWork[] {
+/** Engines that are kept for long samples: as many as those that are open or running need, at most half. */
+function enginesForLong(batches: readonly EligibleBatch[], engines: number): number {
+	const count = batches.reduce((sum, {view}) => sum + view.claims.reduce((inGroups, claims, group) => inGroups
+		+ claims.items.filter((claim, item) => claim.kind !== 'listed' && isLong(view, group, item)).length, 0), 0);
+	return Math.min(Math.floor(engines / 2), Math.ceil(count / widthBesideLong));
+}
+
+export function isLong(view: BatchView, group: number, item: number): boolean {
+	return expectedTokens(view, group, item) > longSampleTokens;
+}
+
+/** The items at every `step`-th place from `first` on come first, then the others. */
+function rotate(items: readonly ItemWork[], first: number, step: number): ItemWork[] {
+	const isOwn = (index: number) => step <= 1 || index % step === first;
+	const keys = items.map(item => `${item.batch}/${item.group}`);
+	const groups = [...new Set(keys)];
+	const own = items.filter((_, index) => isOwn(groups.indexOf(keys[index] ?? '')));
+	return [...own, ...items.filter(item => !own.includes(item))];
+}
+
+function toTargets(items: readonly ItemWork[]): ClaimTarget[] {
+	const targets = new Map<string, {batch: BatchId; group: number; items: number[]}>();
+	for (const {batch, group, item} of items) {
+		const key = `${batch}/${group}`;
+		const target = targets.get(key) ?? {batch, group, items: []};
+		target.items.push(item);
+		targets.set(key, target);
+	}
+
+	return [...targets.values()];
+}
+
+function openItems({view, dueAt}: EligibleBatch, isHeld: IsHeld, now: Millis): ItemWork[] {
 	return view.claims.flatMap((claims, group) => {
 		const items = claims.items
 			.map((claim, item) => ({claim, item}))
 			.filter(({claim, item}) => claim.kind === 'open' || (claim.kind === 'running' && !isHeld(claim, {batch: view.id, group, item})))
-			.map(({item}) => item)
-			.sort((a, b) => expectedTokens(view, group, b) - expectedTokens(view, group, a));
-		const [longest] = items;
-		return longest === undefined
-			? []
-			: [{
-				batch: view.id, group, items, slackMs: dueAt - now - (expectedTokens(view, group, longest) * tokenMs),
-			}];
+			.map(({item}) => ({item, slackMs: dueAt - now - (expectedTokens(view, group, item) * estimateMargin * tokenMs)}));
+		const groupSlackMs = Math.min(...items.map(({slackMs}) => slackMs));
+		return items.map(({item, slackMs}) => ({
+			batch: view.id, group, item, isLong: isLong(view, group, item), waitedMs: now - view.plan.submittedAt, slackMs, groupSlackMs,
+		}));
 	});
 }
 
@@ -101,20 +145,22 @@
 	return batch.plan.groups[group]?.items[item]?.expectedTokens ?? 0;
 }
 
-/** Samples of other daemons that are at an engine now, as the claims say. */
-export function runningElsewhere(engine: UpstreamId, batches: readonly BatchView[], options: Readonly<{life: DaemonLife; isHeld: IsHeld}>): number {
+/** Samples of other daemons that are at an engine now, as the claims say, and how many of them are long. */
+export function runningElsewhere(engine: UpstreamId, batches: readonly BatchView[], options: Readonly<{life: DaemonLife; isHeld: IsHeld}>): Readonly<{running: number; long: number}> {
 	let running = 0;
+	let long = 0;
 	for (const batch of batches) {
 		for (const [group, claims] of batch.claims.entries()) {
 			for (const [item, claim] of claims.items.entries()) {
 				if (claim.kind === 'running' && claim.engine === engine && claim.life !== options.life && options.isHeld(claim, {batch: batch.id, group, item})) {
 					running += 1;
+					long += isLong(batch, group, item) ? 1 : 0;
 				}
 			}
 		}
 	}
 
-	return running;
+	return {running, long};
 }
 
 /** The claims of a group after an engine's daemon has taken some of its items. */
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -11,8 +11,9 @@
 	bodyRange, decodeBodies, decodePartial, partialRange, type ItemBody,
 } from './encode-rows.js';
 import type {EngineClient, RunEnd, SampleEvent, SampleRun} from './engine-client.js';
+import {EnginePace} from './engine-pace.js';
 import {EngineSilence} from './engine-silence.js';
-import type {ClaimTarget, ItemPlace} from './plan-claims.js';
+import {isLong, type ClaimTarget, type ItemPlace} from './plan-claims.js';
 
 /** What the route of a batch allows. */
 export type BatchRules = Readonly<{
@@ -46,6 +47,7 @@
 	engine: UpstreamId;
 	outcome: string;
 	events: number;
+	expectedTokens: number;
 	tookMs: Millis;
 	failures: number;
 }>;
@@ -57,6 +59,8 @@
 	readonly engine: UpstreamId;
 	readonly startedAt: Millis;
 	readonly body: ItemBody;
+	readonly isLong: boolean;
+	readonly expectedTokens: number;
 	text: {events: string[]; lastEventId: number; versions: number[]};
 	/** Version of the weights that make the events now. */
 	version: number | undefined;
@@ -84,6 +88,7 @@
 	/** Items whose bodies are being read, with their engine. */
 	private readonly starting = new Map<string, UpstreamId>();
 	private readonly silence = new EngineSilence();
+	private readonly pace = new EnginePace();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(private readonly options: SampleRunnerOptions) {
@@ -112,6 +117,16 @@
 		return this.silence.isSuspended(engine, this.options.clock.now());
 	}
 
+	/** Whether an engine makes events much more slowly than usual now. */
+	isSlow(engine: UpstreamId): boolean {
+		return this.pace.isSlow(engine, this.options.clock.now());
+	}
+
+	/** Long samples that this daemon has at an engine. */
+	countLongAt(engine: UpstreamId): number {
+		return [...this.running.values()].filter(run => run.engine === engine && run.isLong).length;
+	}
+
 	/** Runs claimed items. */
 	async start(engine: UpstreamRecord, target: ClaimTarget): Promise<void> {
 		const places = target.items.map(item => keyOf({...target, item}));
@@ -139,7 +154,14 @@
 			}
 
 			this.begin({
-				engine, target, item, body, failures, text: this.usableText(view, texts[index]),
+				engine,
+				target,
+				item,
+				body,
+				failures,
+				text: this.usableText(view, texts[index]),
+				isLong: isLong(view, target.group, item),
+				expectedTokens: planned?.expectedTokens ?? 0,
 			});
 		}
 	}
@@ -180,7 +202,7 @@
 		return rows === undefined ? undefined : decodePartial(rows);
 	}
 
-	private begin(options: Readonly<{engine: UpstreamRecord; target: ClaimTarget; item: number; body: ItemBody; failures: number; text: SampleText | undefined}>): void {
+	private begin(options: Readonly<{engine: UpstreamRecord; target: ClaimTarget; item: number; body: ItemBody; failures: number; text: SampleText | undefined; isLong: boolean; expectedTokens: number}>): void {
 		const now = this.options.clock.now();
 		const {target, item, text} = options;
 		const run: Running = {
@@ -190,6 +212,8 @@
 			engine: options.engine.id,
 			startedAt: now,
 			body: options.body,
+			isLong: options.isLong,
+			expectedTokens: options.expectedTokens,
 			text: {events: [...text?.events ?? []], lastEventId: text?.lastEventId ?? -1, versions: [...text?.versions ?? []]},
 			version: undefined,
 			failures: options.failures,
@@ -273,8 +297,13 @@
 			return;
 		}
 
-		run.lastSignAt = this.options.clock.now();
-		this.silence.sign(run.engine, run.lastSignAt);
+		const now = this.options.clock.now();
+		if (run.newEvents > 0 && !this.options.isLoading(run.engine)) {
+			this.pace.event(run.engine, now - run.lastSignAt, now);
+		}
+
+		run.lastSignAt = now;
+		this.silence.sign(run.engine, now);
 		run.newEvents += 1;
 		run.version = event.version ?? run.version;
 		if (run.text.events.length > 0 && event.id !== run.text.lastEventId + 1) {
@@ -374,12 +403,17 @@
 		clearTimeout(run.timer);
 		run.run?.abort();
 		this.running.delete(keyOf(run));
+		if (this.countAt(run.engine) === 0) {
+			this.pace.idle(run.engine);
+		}
+
 		this.options.onNote({
 			batch: run.batch,
 			item: run.body.id,
 			engine: run.engine,
 			outcome,
 			events: run.text.events.length,
+			expectedTokens: run.expectedTokens,
 			tookMs: Math.round(this.options.clock.now() - run.startedAt),
 			failures: run.failures,
 		});
@@ -407,9 +441,19 @@
 		}
 	}
 
+	/** Long samples go on elsewhere while their engine is slow; short ones end sooner than a move takes. */
+	private releaseFromSlowEngines(now: Millis): void {
+		for (const run of this.running.values()) {
+			if (run.isLong && run.newEvents > 0 && this.pace.isSlow(run.engine, now)) {
+				this.release(run, run.failures, 'the engine is slow');
+			}
+		}
+	}
+
 	private check(): void {
 		const now = this.options.clock.now();
 		this.releaseFromSilentEngines(now);
+		this.releaseFromSlowEngines(now);
 		for (const run of this.running.values()) {
 			const view = this.options.book.get(run.batch);
 			const claim = view?.claims[run.group]?.items[run.item];
