Serve metrics, bound the log, delete old batches, let no long sample wait for a narrow engine

Cause of the last: with engines kept for long samples gone or slow, the others took short samples first and stopped at the narrow width, so a long one waited until its batch was nearly due; seen when the test of it failed with the new width. Overdue long samples now come first there, at the whole width.

--- a/packages/batches/src/batch-book.ts
+++ b/packages/batches/src/batch-book.ts
@@ -65,12 +65,14 @@
 		return rows === undefined ? undefined : viewOf(id, rows);
 	}
 
+	all(): BatchView[] {
+		return [...this.batches.keys()].map(id => this.get(id)).filter(view => view !== undefined);
+	}
+
 	/** Batches with work left, oldest first. */
 	open(): BatchView[] {
-		return [...this.batches.keys()]
-			.map(id => this.get(id))
-			.filter(view => view !== undefined && isOpen(view))
-			.map(view => view!)
+		return this.all()
+			.filter(view => isOpen(view))
 			.sort((a, b) => a.plan.submittedAt - b.plan.submittedAt || (a.id < b.id ? -1 : 1));
 	}
 
@@ -80,21 +82,39 @@
 		const rows: Rows = this.batches.get(id) ?? {head: {count: 0, version: 0}, isEnded: false, claims: new Map<number, GroupClaims>()};
 		delete rows.view;
 		if (change.kind === 'deleted') {
-			// Rows of a batch are deleted together.
-			this.batches.delete(id);
+			// Its rows are deleted one after the other, the plan last.
+			if (key === planKey) {
+				this.batches.delete(id);
+			}
+
 			return;
 		}
 
 		const {value, version} = change.row;
 		const group = groupOfKey(key);
-		if (key === planKey) {
-			rows.plan = {value: decodePlan(value), version};
-		} else if (key === headKey) {
-			rows.head = {count: decodeCount(value), version};
-		} else if (key === endKey) {
-			rows.isEnded = true;
-		} else if (group !== undefined) {
-			rows.claims.set(group, {version, items: decodeClaims(value)});
+		switch (key) {
+			case planKey: {
+				rows.plan = {value: decodePlan(value), version};
+
+				break;
+			}
+
+			case headKey: {
+				rows.head = {count: decodeCount(value), version};
+
+				break;
+			}
+
+			case endKey: {
+				rows.isEnded = true;
+
+				break;
+			}
+
+			default: {if (group !== undefined) {
+				rows.claims.set(group, {version, items: decodeClaims(value)});
+			}
+			}
 		}
 
 		this.batches.set(id, rows);
--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -4,14 +4,13 @@
 	Clock, DaemonLife, Millis, ModelId, UpstreamId,
 } from '@cicadapost/types';
 import {type BatchBook, type BatchView} from './batch-book.js';
-import {writtenRows} from './commit-queue.js';
+import {writtenRows, type CommitQueue} from './commit-queue.js';
 import {
 	batchTable, claimKey, encodeClaims, endKey, planKey,
 } from './encode-rows.js';
 import {
 	planClaims, runningElsewhere, withClaimed, type ClaimTarget, type EligibleBatch, type EngineRoom, type IsHeld,
 } from './plan-claims.js';
-import type {CommitQueue} from './commit-queue.js';
 import {keyOf, type SampleRunner} from './run-samples.js';
 
 /** An older copy of the batches may miss the end of one, so nothing is started from it. */
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -59,7 +59,13 @@
 
 export function encodePlan(plan: BatchPlan): Uint8Array {
 	return packr.pack([
-		plan.host, plan.path, plan.step, plan.model, plan.minVersion, plan.targetGroups, plan.submittedAt,
+		plan.host,
+		plan.path,
+		plan.step,
+		plan.model,
+		plan.minVersion,
+		plan.targetGroups,
+		plan.submittedAt,
 		plan.groups.map(group => group.items.map(item => [item.id, item.expectedTokens])),
 	]);
 }
@@ -87,21 +93,23 @@
 const claimCodes = {open: 0, running: 1, listed: 2} as const;
 
 export function encodeClaims(claims: readonly ItemClaim[]): Uint8Array {
-	return packr.pack(claims.map(claim => {
-		switch (claim.kind) {
-			case 'open': {
-				return [claimCodes.open, claim.failures, claim.hasPartialText];
-			}
+	return packr.pack(claims.map(claim => fieldsOf(claim)));
+}
 
-			case 'running': {
-				return [claimCodes.running, claim.failures, claim.hasPartialText, claim.life, claim.engine];
-			}
+function fieldsOf(claim: ItemClaim): unknown[] {
+	switch (claim.kind) {
+		case 'open': {
+			return [claimCodes.open, claim.failures, claim.hasPartialText];
+		}
 
-			case 'listed': {
-				return [claimCodes.listed];
-			}
+		case 'running': {
+			return [claimCodes.running, claim.failures, claim.hasPartialText, claim.life, claim.engine];
 		}
-	}));
+
+		case 'listed': {
+			return [claimCodes.listed];
+		}
+	}
 }
 
 export function decodeClaims(value: Uint8Array): ItemClaim[] {
@@ -113,7 +121,9 @@
 			}
 
 			case claimCodes.running: {
-				return {kind: 'running', ...common, life: String(life), engine: String(engine)};
+				return {
+					kind: 'running', ...common, life: String(life), engine: String(engine),
+				};
 			}
 
 			case claimCodes.listed: {
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -13,3 +13,4 @@
 export * from './plan-claims.js';
 export * from './plan-commit.js';
 export * from './run-samples.js';
+export * from './sweep-batches.js';
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -52,7 +52,7 @@
 Samples that run beside a long one at most. An engine makes each event of all its samples in turn with the others, so it
 is a sixth faster at half of its width, and a step waits for its longest sample.
 */
-const widthBesideLong = 5;
+export const widthBesideLong = 5;
 /** Long samples do not wait longer than this for an engine that is kept for them. */
 const longPatienceMs = 600;
 /** Work with less slack than this may use all slots of each engine. */
@@ -80,12 +80,12 @@
 	const isUrgent = work.some(item => item.slackMs < urgentSlackMs && item.waitedMs > longPatienceMs);
 	const ordered = isForLong
 		? [...rotate(long, engine.rank, forLong), ...short]
-		: [...rotate(short, engine.rank - forLong, engine.engines - forLong), ...long];
+		: [...long, ...rotate(short, engine.rank - forLong, engine.engines - forLong)];
 	const taken: ItemWork[] = [];
 	let hasLong = engine.runningLong > 0;
 	for (const item of ordered) {
 		hasLong ||= item.isLong;
-		const width = hasLong && !isUrgent ? Math.min(engine.slots, widthBesideLong) : engine.slots;
+		const width = isForLong && hasLong && !isUrgent ? Math.min(engine.slots, widthBesideLong) : engine.slots;
 		if (engine.running + taken.length >= width) {
 			break;
 		}
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -6,11 +6,15 @@
 import type {BatchBook, BatchView} from './batch-book.js';
 import type {SampleText} from './batch.js';
 import type {CommitQueue} from './commit-queue.js';
-import {areVersionsValid, decideAfterRun, isStalled, type AfterRun} from './decide-run.js';
+import {
+	areVersionsValid, decideAfterRun, isStalled, type AfterRun,
+} from './decide-run.js';
 import {
 	bodyRange, decodeBodies, decodePartial, partialRange, type ItemBody,
 } from './encode-rows.js';
-import type {EngineClient, RunEnd, SampleEvent, SampleRun} from './engine-client.js';
+import type {
+	EngineClient, RunEnd, SampleEvent, SampleRun,
+} from './engine-client.js';
 import {EnginePace} from './engine-pace.js';
 import {EngineSilence} from './engine-silence.js';
 import {isLong, type ClaimTarget, type ItemPlace} from './plan-claims.js';
@@ -241,7 +245,7 @@
 			return;
 		}
 
-		if (engine === undefined || engine.state !== 'ready') {
+		if (engine?.state !== 'ready') {
 			this.release(run, run.failures, 'the engine is leaving');
 			return;
 		}
--- a/packages/cli/src/commands/entry/run-entry.ts
+++ b/packages/cli/src/commands/entry/run-entry.ts
@@ -3,8 +3,8 @@
 import {createLogger} from '@cicadapost/observability';
 import {createPlatform} from '@cicadapost/platform-adapter';
 import {SystemClock} from '@cicadapost/types';
-import {watchSettings} from './watch-settings.js';
 import {readSettingsFile} from '../../read-settings-file.js';
+import {watchSettings} from './watch-settings.js';
 
 /** Builds an entry daemon from its settings file and runs it until it is told to stop. */
 export async function runEntry(file: string): Promise<void> {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -45,7 +45,7 @@
 			.demandCommand(1, 'name a command')
 			.recommendCommands()
 			.strict()
-			.version(false)
+			.version(process.env.CICADAPOST_VERSION ?? 'unknown')
 			.help()
 			.epilogue('Exit codes: 0 success, 1 failure, 2 wrong command line, 3 faulty settings, 4 conflict')
 			.exitProcess(false)
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -10,7 +10,6 @@
 import type {DaemonSettings} from '@cicadapost/settings';
 import {SystemClock, type DaemonId} from '@cicadapost/types';
 import {container, type DependencyContainer} from 'tsyringe';
-
 import {tokens} from './tokens.js';
 
 /** Registers what a daemon is built from. Tests register other parts in place of these. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,7 +12,6 @@
 	AttemptId, CallId, Clock, DaemonId, DataCentreId, MemberId, Millis, RegionId, RequestId, TrainerAnswer, TrainerCall, UpstreamId,
 } from '@cicadapost/types';
 import {inject, injectable} from 'tsyringe';
-
 import {readHistory, recordHistory} from './configuration-history.js';
 import {isPlatformAction, PlatformTask} from './platform-task.js';
 import {RequestObserver} from './request-observer.js';
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,11 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import {
-	BatchBook, BatchService, batchTable, ClaimWorker, CommitQueue, givenUpAt, SampleRunner, type BatchRules, type BatchView, type EngineClient,
+	BatchBook, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, givenUpAt, isOutdated, SampleRunner, type BatchRules, type BatchView, type EngineClient,
 } from '@cicadapost/batches';
 import {assignEngines, UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
 import {
 	type ConnectionPool, Forwarder, HealthBook, matchRoute, type Route, type RoutingConfiguration, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
+import {ownerOf} from '@cicadapost/membership';
 import type {Logger} from '@cicadapost/observability';
 import {TableFollower, type RowChange, type RowStore} from '@cicadapost/store';
 import type {
@@ -15,6 +16,7 @@
 	EngineVersions, WeightLoader, type EngineService, type NamedVersion, type OrderClient,
 } from '@cicadapost/weights';
 import type {CallerProtocol} from './caller-protocol.js';
+import {EntryMetrics} from './entry-metrics.js';
 import {splitAddress, type EntrySettings} from './entry-settings.js';
 import {FrontServer} from './front-server.js';
 import {HealthServer} from './health-server.js';
@@ -64,6 +66,7 @@
 	private readonly pool: ConnectionPool;
 	private readonly book = new BatchBook();
 	private readonly versions = new EngineVersions();
+	private readonly metrics = new EntryMetrics();
 	private readonly named = new Map<ModelId, number>();
 	private readonly operator: TableFollower;
 	private readonly upstreams: TableFollower;
@@ -74,6 +77,7 @@
 	private readonly runner: SampleRunner;
 	private readonly claims: ClaimWorker;
 	private readonly loader: WeightLoader;
+	private readonly sweeper: BatchSweeper;
 	private readonly front: FrontServer;
 	private readonly healthServer: HealthServer;
 	private readonly timer: NodeJS.Timeout;
@@ -140,7 +144,8 @@
 			onFreed: () => {
 				this.claims.wake();
 			},
-			onNote(note) {
+			onNote: note => {
+				this.metrics.sample(note.outcome, note.tookMs);
 				logger.info({event: 'sample', ...note}, note.outcome);
 			},
 		});
@@ -174,13 +179,27 @@
 			silenceMs: settings.orderSilenceMs,
 			services: () => this.engineServices(),
 			isOwner: engine => this.owners().get(engine) === settings.vm,
-			onNote(note) {
+			onNote: note => {
+				this.metrics.order(note.outcome);
 				logger.info({event: 'order', ...note}, note.outcome);
 			},
 			onLoaded: () => {
 				this.claims.wake();
 			},
 		});
+		this.sweeper = new BatchSweeper({
+			store,
+			book: this.book,
+			isOwner: batch => ownerOf(batch, this.membership.members(clock.now()).map(member => member.daemon)) === settings.vm,
+			isOutdated: view => isOutdated(view, {
+				storeTime: this.batchRows.storeTime(clock.now()),
+				retentionMs: settings.resultRetentionSeconds * 1000,
+				givenUpAt: givenUpAt(view, this.routeOf(view)?.maxQueueMs ?? 0),
+			}),
+			onDeleted(batch) {
+				logger.info({event: 'batch-deleted', batch}, 'rows of an old batch deleted');
+			},
+		});
 		this.front = new FrontServer({
 			clock,
 			protocol: platform.callers,
@@ -192,7 +211,11 @@
 				protocol: platform.upstreams,
 				dataCentre: settings.dataCentre as DataCentreId,
 				random: options.random ?? Math.random,
-				onNote(note) {
+				onNote: note => {
+					if (note.tookMs !== undefined) {
+						this.metrics.request(String(note.inputs.route), note.outcome, note.tookMs);
+					}
+
 					logger.info({event: 'request', ...note}, note.outcome);
 				},
 			}),
@@ -200,7 +223,8 @@
 				clock, store, follower: this.batchRows, book: this.book, storeTime: () => this.batchRows.storeTime(clock.now()),
 			}),
 			configuration: () => this.configuration,
-			onNote(note) {
+			onNote: note => {
+				this.metrics.call(note.outcome);
 				logger.info({event: 'call', ...note}, note.outcome);
 			},
 		});
@@ -216,6 +240,7 @@
 		this.connect();
 		for (const follower of this.followers()) {
 			follower.on('lost', () => {
+				this.metrics.storeLost(follower.copy.table);
 				logger.warn({event: 'store-lost', table: follower.copy.table}, 'the store stopped answering');
 			});
 			follower.on('regained', awayMs => {
@@ -228,6 +253,7 @@
 		await Promise.all([
 			this.front.listen(splitAddress(settings.listen.callers)),
 			this.healthServer.listen(splitAddress(settings.listen.health)),
+			...(settings.listen.metrics === undefined ? [] : [this.metrics.listen(splitAddress(settings.listen.metrics))]),
 		]);
 		logger.info({event: 'start', life: this.life}, 'daemon started');
 	}
@@ -283,8 +309,10 @@
 
 		this.membership.stop();
 		this.runner.stop();
+		this.sweeper.stop();
 		this.front.close();
 		this.healthServer.close();
+		this.metrics.close();
 		this.pool.close();
 	}
 
@@ -364,7 +392,9 @@
 		const before = this.configuration?.version;
 		this.configuration = configuration;
 		this.front.applyLimits(configuration.limits);
-		this.options.logger.info({event: 'configuration', version: configuration.version, before, routes: configuration.routes.length}, 'configuration in force');
+		this.options.logger.info({
+			event: 'configuration', version: configuration.version, before, routes: configuration.routes.length,
+		}, 'configuration in force');
 	}
 
 	private onUpstreamRows(changes: readonly RowChange[]): void {
@@ -404,7 +434,9 @@
 	private expireUpstreams(): void {
 		const expired = this.directory.expire(this.options.clock.now());
 		for (const record of expired) {
-			this.options.logger.info({event: 'upstream', upstream: record.id, before: record.state, after: undefined}, 'upstream did not return');
+			this.options.logger.info({
+				event: 'upstream', upstream: record.id, before: record.state, after: undefined,
+			}, 'upstream did not return');
 			this.pool.forget(record.id);
 			this.health.forget(record.id);
 		}
--- /dev/null
+++ b/packages/entry/src/entry-metrics.ts
@@ -0,0 +1,97 @@
+import {createServer, type Server} from 'node:http';
+import type {Millis} from '@cicadapost/types';
+import {Counter, Histogram, Registry} from 'prom-client';
+
+/** Limits of the classes of latency, in milliseconds: from an answer at once to a whole step. */
+const latencyBuckets = [5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12_800];
+/** Routes beyond this number share one label, so that a large configuration does not use up the memory. */
+const maxRoutes = 200;
+
+/** Counters and latency histograms for each route, served as text. */
+export class EntryMetrics {
+	private readonly registry = new Registry();
+	private readonly routes = new Set<string>();
+	private readonly requests = this.counter('requests_total', 'Plain requests by route and outcome', ['route', 'outcome']);
+	private readonly calls = this.counter('calls_total', 'Calls on batches and refusals of the front by outcome', ['outcome']);
+	private readonly samples = this.counter('samples_total', 'Runs of samples by outcome', ['outcome']);
+	private readonly orders = this.counter('orders_total', 'Orders to engines by outcome', ['outcome']);
+	private readonly storeLosses = this.counter('store_lost_total', 'Times that the store stopped answering, by table', ['table']);
+	private readonly latency = this.histogram('request_duration_ms', 'Time to the answer of plain requests', ['route']);
+	private readonly sampleTime = this.histogram('sample_duration_ms', 'Time of runs of samples', ['outcome']);
+	private server: Server | undefined;
+
+	request(route: string, outcome: string, tookMs: Millis): void {
+		const label = this.bound(route);
+		this.requests.inc({route: label, outcome: kindOf(outcome)});
+		this.latency.observe({route: label}, tookMs);
+	}
+
+	call(outcome: string): void {
+		this.calls.inc({outcome: kindOf(outcome)});
+	}
+
+	sample(outcome: string, tookMs: Millis): void {
+		this.samples.inc({outcome: kindOf(outcome)});
+		this.sampleTime.observe({outcome: kindOf(outcome)}, tookMs);
+	}
+
+	order(outcome: string): void {
+		this.orders.inc({outcome: kindOf(outcome)});
+	}
+
+	storeLost(table: string): void {
+		this.storeLosses.inc({table});
+	}
+
+	async text(): Promise<string> {
+		return this.registry.metrics();
+	}
+
+	async listen(address: Readonly<{host: string; port: number}>): Promise<void> {
+		const server = createServer((req, res) => {
+			void this.serve(res);
+		});
+		this.server = server;
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(address, resolve);
+		});
+	}
+
+	close(): void {
+		this.server?.close();
+		this.server?.closeAllConnections();
+	}
+
+	private async serve(res: Readonly<{writeHead: (status: number, headers: Record<string, string>) => unknown; end: (text: string) => unknown}>): Promise<void> {
+		const text = await this.text();
+		res.writeHead(200, {'Content-Type': this.registry.contentType});
+		res.end(text);
+	}
+
+	private counter(name: string, help: string, labelNames: string[]): Counter {
+		return new Counter({
+			name: `cicadapost_${name}`, help, labelNames, registers: [this.registry],
+		});
+	}
+
+	private histogram(name: string, help: string, labelNames: string[]): Histogram {
+		return new Histogram({
+			name: `cicadapost_${name}`, help, labelNames, buckets: latencyBuckets, registers: [this.registry],
+		});
+	}
+
+	private bound(route: string): string {
+		if (!this.routes.has(route) && this.routes.size >= maxRoutes) {
+			return 'other';
+		}
+
+		this.routes.add(route);
+		return route;
+	}
+}
+
+/** The part of an outcome before its details, so that labels stay few. */
+function kindOf(outcome: string): string {
+	return outcome.split(/[:,]| with | for /v)[0] ?? outcome;
+}
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -27,6 +27,8 @@
 	shutdownSeconds: z.number().positive(),
 	/** Silence between orders of two holders to one engine, in milliseconds. */
 	orderSilenceMs: z.number().nonnegative(),
+	/** Time from a batch's submission for which its results can be read. */
+	resultRetentionSeconds: z.number().positive().default(120),
 	log: z.strictObject({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 	}).prefault({}),
--- a/packages/fleet/src/engine-ownership.ts
+++ b/packages/fleet/src/engine-ownership.ts
@@ -1,5 +1,7 @@
 import {rankedFor} from '@cicadapost/membership';
-import type {DaemonId, DataCentreId, RegionId, UpstreamId} from '@cicadapost/types';
+import type {
+	DaemonId, DataCentreId, RegionId, UpstreamId,
+} from '@cicadapost/types';
 import type {MemberRecord} from './members.js';
 import type {UpstreamRecord} from './upstream.js';
 
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -123,7 +123,7 @@
 		try {
 			connection.client.dispatch({
 				path: req.path,
-				method: req.method as Dispatcher.HttpMethod,
+				method: req.method,
 				headers: [...req.headers],
 				body: req.body === undefined || req.body.length === 0 ? null : Buffer.from(req.body.buffer, req.body.byteOffset, req.body.byteLength),
 			}, handler);
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -46,6 +46,8 @@
 	requestId: RequestId | undefined;
 	upstream: UpstreamId | undefined;
 	outcome: string;
+	/** Set with the end of the request: time since it was received, in milliseconds. */
+	tookMs: Millis | undefined;
 	/** What the choice rested on. */
 	inputs: Readonly<Record<string, unknown>>;
 }>;
@@ -93,6 +95,7 @@
 	private sent = 0;
 	private mayHaveRun = false;
 	private isOver = false;
+	private readonly startedAt: Millis;
 	private hedgeTimer: NodeJS.Timeout | undefined;
 	private deadlineTimer: NodeJS.Timeout | undefined;
 
@@ -100,7 +103,9 @@
 		private readonly options: ForwarderOptions,
 		private readonly req: PlainRequest,
 		private readonly sink: AnswerSink,
-	) {}
+	) {
+		this.startedAt = options.clock.now();
+	}
 
 	start(): () => void {
 		this.deadlineTimer = setTimeout(() => {
@@ -392,7 +397,7 @@
 		this.isOver = true;
 		clearTimeout(this.hedgeTimer);
 		clearTimeout(this.deadlineTimer);
-		this.note(kept ?? [...this.attempts][0], outcome, inputs);
+		this.note(kept ?? [...this.attempts][0], outcome, inputs, this.options.clock.now() - this.startedAt);
 		this.stopOthers(kept);
 	}
 
@@ -404,12 +409,15 @@
 		}
 	}
 
-	private note(attempt: Attempt | undefined, outcome: string, inputs: Readonly<Record<string, unknown>> = {}): void {
+	private note(attempt: Attempt | undefined, outcome: string, inputs: Readonly<Record<string, unknown>> = {}, tookMs?: Millis): void {
 		this.options.onNote({
 			requestId: this.req.requestId,
 			upstream: attempt?.upstream.id,
 			outcome,
-			inputs: {...inputs, route: this.req.route.name, sent: this.sent, remainingMs: Math.round(this.remainingMs())},
+			tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
+			inputs: {
+				...inputs, route: this.req.route.name, sent: this.sent, remainingMs: Math.round(this.remainingMs()),
+			},
 		});
 	}
 }
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,4 +1,5 @@
 /** Structured logs and metrics. */
 
+export * from './bounded-stream.js';
 export * from './logger.js';
 export * from './metrics.js';
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -1,5 +1,6 @@
 import {createLogger as createBunyan, type LogLevelString} from 'bunyan';
 import type Logger from 'bunyan';
+import {BoundedStream} from './bounded-stream.js';
 
 export type LoggerOptions = Readonly<{
 	daemon: string;
@@ -7,10 +8,11 @@
 	level?: LogLevelString;
 }>;
 
-/** A logger that writes JSON lines to standard output. */
+/** A logger that writes JSON lines to standard output, bounded in volume and without waiting for a reader. */
 export function createLogger(options: LoggerOptions): Logger {
+	const stream = new BoundedStream({sink: process.stdout, now: () => performance.now()});
 	return createBunyan({
-		name: 'cicadapost', daemon: options.daemon, dataCentre: options.dataCentre, level: options.level ?? 'info', stream: process.stdout,
+		name: 'cicadapost', daemon: options.daemon, dataCentre: options.dataCentre, level: options.level ?? 'info', streams: [{type: 'stream', stream: stream as unknown as NodeJS.WritableStream}],
 	});
 }
 
--- a/packages/store/src/follow-table.test.ts
+++ b/packages/store/src/follow-table.test.ts
@@ -1,5 +1,7 @@
 import {Clock} from '@cicadapost/types';
-import {afterEach, describe, expect, it} from 'vitest';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
 import {TableFollower} from './follow-table.js';
 import {MemoryRowStore} from './memory-row-store.js';
 
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -1,6 +1,8 @@
 import {EventEmitter} from 'node:events';
 import type {Clock, Millis} from '@cicadapost/types';
-import {readAll, type RowChange, type RowStore, type StoredRow} from './row-store.js';
+import {
+	readAll, type RowChange, type RowStore, type StoredRow,
+} from './row-store.js';
 import {TableCopy} from './table-copy.js';
 
 /** How long one call for changes waits. Short, because a connection that went silent shows only when the answer is overdue. */
@@ -14,7 +16,7 @@
 	/** Rows that changed, in the order of their versions. */
 	changed: [changes: readonly RowChange[]];
 	/** The store stopped answering this task. */
-	lost: [];
+	lost: never[];
 	/** The store answers again; `awayMs` since the last answer before. */
 	regained: [awayMs: Millis];
 };
--- a/packages/store/src/memory-row-store.ts
+++ b/packages/store/src/memory-row-store.ts
@@ -22,7 +22,7 @@
 export class MemoryRowStore extends RowStore {
 	fault: StoreFault = 'none';
 	private readonly rows = new Map<string, StoredRow>();
-	private readonly events = new EventEmitter<{changed: []}>();
+	private readonly events = new EventEmitter<{changed: never[]}>();
 	private history: RowChange[] = [];
 	/** Changes up to this version are no longer known. */
 	private forgottenVersion = 0;
--- a/packages/store/src/row-store.ts
+++ b/packages/store/src/row-store.ts
@@ -58,7 +58,7 @@
 /** Reads a range to its end, page by page. Undefined if a page could not be read. */
 export async function readAll(store: RowStore, range: Omit<RowRange, 'limit'>): Promise<readonly StoredRow[] | undefined> {
 	const rows: StoredRow[] = [];
-	let from = range.from;
+	let {from} = range;
 	for (;;) {
 		const outcome = await store.read({...range, ...(from === undefined ? {} : {from})});
 		if (outcome.kind === 'unavailable') {
