Blame an upstream for a timeout only after 700 ms; repeat reports of deaths until they are counted

The report is now sent again until the owner's list of suspects shows it, and a death counts once for each attempt.

--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -11,6 +11,7 @@
 	Acquire, AttemptId, DaemonId, DataCentreId, Millis, PoolId, RegionId, RequestId, ShardId, UpstreamId,
 } from '@cicadapost/types';
 import {createCaps, type CapsState} from './caps-part.js';
+import type {DeathReports} from './death-reports.js';
 import type {HeldGrants} from './held-grants.js';
 import type {PoolLease} from './pool-leases.js';
 import {createRelays, type RelaysState} from './relays.js';
@@ -55,6 +56,8 @@
 	grants: HeldGrants;
 	/** Fingerprints that were on dead upstreams, shared with all daemons. */
 	suspects: SuspectTable;
+	/** Deaths that this daemon has reported and that are not known to be counted. */
+	deathReports: DeathReports;
 	/** When the state of each upstream of an owned shard is read next. */
 	stateReads: Map<UpstreamId, Millis>;
 	caps: CapsState;
@@ -92,6 +95,7 @@
 		acquires: new Map(),
 		grants: new Map(),
 		suspects: createSuspectTable(),
+		deathReports: new Map(),
 		stateReads: new Map(),
 		caps: createCaps(),
 		poolLeases: new Map(),
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -27,6 +27,7 @@
 	endUnderCap, isCapMessage, isCapsCall, receiveCapMessage, receiveCapRow, refreshMeters, startUnderCap, tickCaps, type CapsAction, type CapsContext, type CapUse,
 } from './caps-part.js';
 import type {DaemonState, OpenAcquire, Origin} from './daemon-state.js';
+import {dueReports, noteDeath} from './death-reports.js';
 import type {DaemonAction, DaemonEvent} from './events.js';
 import {moveGrants, withdrawal} from './held-grants.js';
 import {documentFault, parseDocument} from './parse-document.js';
@@ -216,6 +217,7 @@
 		this.route({kind: 'tick'});
 		this.cap((context, caps) => tickCaps(caps, context));
 		this.askAgain();
+		this.repeatDeathReports();
 		this.sendFrames();
 		this.rollOut({kind: 'tick'});
 		for (const shard of this.state.schedulers.keys()) {
@@ -791,6 +793,7 @@
 				const owner = shardOwner(this.state.membership, action.release.shard);
 				this.state.acquires.delete(action.release.attempt);
 				this.state.grants.delete(action.release.attempt);
+				noteDeath(this.state.deathReports, action.release, this.state.suspects, this.now);
 				if (owner !== undefined) {
 					this.sendOrReceive(owner, action.release);
 				}
@@ -1104,6 +1107,15 @@
 	}
 
 	/** An answer may have been lost. The owner knows the attempt, so that asking again changes no place in its queue. */
+	private repeatDeathReports(): void {
+		for (const release of dueReports(this.state.deathReports, this.state.suspects, this.now)) {
+			const owner = shardOwner(this.state.membership, release.shard);
+			if (owner !== undefined) {
+				this.sendOrReceive(owner, release);
+			}
+		}
+	}
+
 	private askAgain(): void {
 		for (const open of this.state.acquires.values()) {
 			if (open.askAgainAt <= this.now) {
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -65,11 +65,14 @@
 
 /** Retry-After when no upstream takes a request: short enough to come back within a short deadline. */
 const busyRetryMs = 80;
+/** An upstream that had a request for less than this is not to blame for a timeout: routes may allow less than the work takes. */
+const blameAfterMs = 700;
 /** Answers up to this size are passed on only when they are whole. */
 const wholeAnswerBytes = 4 * 1024 * 1024;
 
 type Attempt = {
 	readonly upstream: UpstreamRecord;
+	readonly sentAt: Millis;
 	exchange: Exchange | undefined;
 	head: AnswerHead | undefined;
 	marks: AnswerMarks | undefined;
@@ -159,7 +162,7 @@
 		const {pool, health, protocol} = this.options;
 		const {req} = this;
 		const attempt: Attempt = {
-			upstream, exchange: undefined, head: undefined, marks: undefined, chunks: [], size: 0, isStreaming: false,
+			upstream, sentAt: this.options.clock.now(), exchange: undefined, head: undefined, marks: undefined, chunks: [], size: 0, isStreaming: false,
 		};
 		this.attempts.add(attempt);
 		health.started(upstream.id);
@@ -356,8 +359,11 @@
 		}
 
 		const isStreaming = [...this.attempts].some(attempt => attempt.isStreaming);
+		const now = this.options.clock.now();
 		for (const attempt of this.attempts) {
-			this.options.health.failed(attempt.upstream.id, this.options.clock.now());
+			if (now - attempt.sentAt >= blameAfterMs) {
+				this.options.health.failed(attempt.upstream.id, now);
+			}
 		}
 
 		this.finish('timed out');
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -195,7 +195,7 @@
 		};
 	};
 
-	const createForwarder = (records: readonly UpstreamRecord[]) => {
+	const createForwarder = (records: readonly UpstreamRecord[], health = new HealthBook()) => {
 		const directory = new UpstreamDirectory();
 		for (const record of records) {
 			directory.upsert(record);
@@ -204,17 +204,17 @@
 		const pool = new ConnectionPool();
 		pools.push(pool);
 		return new Forwarder({
-			clock: new SystemClock(), directory, pool, health: new HealthBook(), protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0,
+			clock: new SystemClock(), directory, pool, health, protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0,
 			onNote() {
 				// Not looked at here.
 			},
 		});
 	};
 
-	const send = async (forwarder: Forwarder, id: string, kind: RequestKind = 'idempotent', fields: Partial<Route> = {}): Promise<Answer> => new Promise(resolve => {
+	const send = async (forwarder: Forwarder, id: string, kind: RequestKind = 'idempotent', fields: Partial<Route> = {}, timeoutMs = 900): Promise<Answer> => new Promise(resolve => {
 		forwarder.forward({
 			requestId: id as RequestId, method: 'POST', path: '/x/1', host: 'a.example', headers: [], body: Buffer.from('body'),
-			route: route({kind, ...fields}), deadlineAt: performance.now() + 900,
+			route: route({kind, ...fields}), deadlineAt: performance.now() + timeoutMs,
 		}, new CollectingSink(resolve));
 	});
 
@@ -296,6 +296,16 @@
 		await expect.poll(() => isClosed, {timeout: 500}).toBe(true);
 	});
 
+	it('blames an upstream for a timeout only if it had the request for long, since a route may allow less than the work takes', async () => {
+		const {record} = await startUpstream('u1', () => undefined);
+		const health = new HealthBook();
+		const forwarder = createForwarder([record], health);
+		await send(forwarder, 'one', 'once', {}, 60);
+		expect(health.health(record.id, false).avoidUntil).toBe(0);
+		await send(forwarder, 'two', 'once', {}, 900);
+		expect(health.health(record.id, false).avoidUntil).toBeGreaterThan(0);
+	});
+
 	it('answers at the deadline', async () => {
 		const {record} = await startUpstream('u1', () => undefined);
 		const startedAt = performance.now();
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -333,16 +333,14 @@
 	return [{kind: 'share-suspects', entries}, ...refreshSuspects(state, now)];
 }
 
-const sameDeathMs = 1000;
-
-/** A death under an attempt that a former owner granted. Reports within a second are taken for the same death. */
-function recordUnknownDeath(state: SchedulerState, death: NonNullable<Release['death']>, now: Millis): SchedulerAction[] {
+/** A death under an attempt that a former owner granted, or whose first report was lost. A report that is repeated counts once. */
+function recordUnknownDeath(state: SchedulerState, death: NonNullable<Release['death']>, reportedBy: AttemptId, now: Millis): SchedulerAction[] {
 	const upstream = state.upstreams.get(death.upstream);
 	if (upstream !== undefined) {
 		takeOutOfService(upstream, now);
 	}
 
-	const entries = recordDeath(state.suspects, [death.fingerprint], `${death.upstream}/${Math.floor(now / sameDeathMs)}`, now);
+	const entries = recordDeath(state.suspects, [death.fingerprint], `${death.upstream}/${reportedBy}`, now);
 	return [{kind: 'share-suspects', entries}, ...refreshSuspects(state, now)];
 }
 
@@ -409,7 +407,7 @@
 			remove(state.queue, waiting);
 		}
 
-		return ended.death === undefined ? [] : recordUnknownDeath(state, ended.death, now);
+		return ended.death === undefined ? [] : recordUnknownDeath(state, ended.death, ended.attempt, now);
 	}
 
 	const {upstream, request: {fingerprint}} = running;
--- a/packages/scheduling/src/suspects.ts
+++ b/packages/scheduling/src/suspects.ts
@@ -33,6 +33,12 @@
 	return {suspects: new Map(), proven: new Map()};
 }
 
+/** Ids of the deaths that the fingerprint was present at. */
+export function deathIdsOf(table: SuspectTable, fingerprint: Fingerprint, now: Millis): string[] {
+	const suspect = table.suspects.get(fingerprint);
+	return suspect === undefined || suspect.expiresAt <= now ? [] : [...suspect.deaths];
+}
+
 /** Number of upstream deaths that the fingerprint was present at. */
 export function deathsOf(table: SuspectTable, fingerprint: Fingerprint, now: Millis): number {
 	const suspect = table.suspects.get(fingerprint);
