--- /dev/null
+++ b/packages/decision/src/members-part.ts
@@ -0,0 +1,77 @@
+import {decideMembership, type MembershipAction, type MembershipEvent} from '@cicadapost/membership';
+import type {DaemonId, DataCentreId} from '@cicadapost/types';
+import {TurnPart} from './turn-part.js';
+
+/** Who is alive, and what follows when that changes. */
+export class MembersPart extends TurnPart {
+	dataCentreOf(daemon: DaemonId): DataCentreId | undefined {
+		const {peers, listed} = this.state.membership;
+		return peers.get(daemon)?.dataCentre ?? listed.get(daemon)?.dataCentre;
+	}
+
+	updateMembership(event: MembershipEvent): void {
+		const outcome = decideMembership(this.state.membership, event, this.now);
+		this.state.membership = outcome.state;
+		for (const action of outcome.actions) {
+			this.applyMembership(action);
+		}
+	}
+
+	private applyMembership(action: MembershipAction): void {
+		switch (action.kind) {
+			case 'connect':
+			case 'disconnect': {
+				this.actions.push(action);
+				break;
+			}
+
+			case 'send-heartbeat': {
+				const {incarnation, configuration} = this.state;
+				this.actions.push({
+					kind: 'send', to: action.to, message: {...action.heartbeat, incarnation, configurationVersion: configuration.version},
+				});
+				break;
+			}
+
+			case 'read-vm-list': {
+				this.actions.push(action);
+				break;
+			}
+
+			case 'daemon-lost': {
+				this.loseDaemon(action.daemon);
+				break;
+			}
+
+			case 'changed': {
+				this.turn.shards.refreshShards();
+				this.turn.rollouts.refreshSteps();
+				break;
+			}
+		}
+	}
+
+	/** Relays that ran on a lost daemon have failed; those that ran for it have no reader any more. */
+	private loseDaemon(daemon: DaemonId): void {
+		for (const shard of this.state.schedulers.keys()) {
+			this.turn.shards.schedule(shard, {kind: 'daemon-lost', daemon});
+		}
+
+		// Collected first, since a retry may go to the same daemon after its restart.
+		const lost = [...this.state.relays.sentTo].filter(([, to]) => to === daemon).map(([attempt]) => attempt);
+		for (const attempt of lost) {
+			this.state.relays.sentTo.delete(attempt);
+			this.turn.router.route({
+				kind: 'failed', attempt, failure: 'relay-lost', sent: true,
+			});
+		}
+
+		for (const [requestId, stream] of this.state.relays.streams) {
+			const entry = this.state.router.requests.get(requestId);
+			// A request that must run at most once is not stopped half way.
+			if (stream.to === daemon && entry?.request.idempotent === true) {
+				this.turn.relays.cancelRelayed(stream.attempt);
+			}
+		}
+	}
+}
