--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	readAll, type RowStore, type TableFollower, type Transaction,
 } from '@cicadapost/store';
@@ -237,9 +238,7 @@
 				return mayBeDone ? 'unknown' : 'refused';
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, retryMs);
-			});
+			await sleep(retryMs);
 		}
 	}
 }
--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RowStore, TableFollower, Transaction} from '@cicadapost/store';
 import type {
@@ -135,9 +136,7 @@
 			case 'refused':
 			case 'unknown': {
 				// A claim that was applied without an answer names this life, which does not hold it, so it is claimed again.
-				await new Promise(resolve => {
-					setTimeout(resolve, retryMs);
-				});
+				await sleep(retryMs);
 				return false;
 			}
 		}
--- a/packages/batches/src/commit-queue.ts
+++ b/packages/batches/src/commit-queue.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {RowStore, StoredRow, TableFollower} from '@cicadapost/store';
 import type {BatchId, DaemonLife} from '@cicadapost/types';
 import type {BatchBook} from './batch-book.js';
@@ -117,9 +118,3 @@
 function isNews(rows: readonly StoredRow[], expected: ReadonlyArray<Readonly<{key: string; version: number}>>): boolean {
 	return rows.some(row => expected.some(({key, version}) => key === row.key && version !== row.version));
 }
-
-async function sleep(ms: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -1,5 +1,5 @@
+import {decodeList, encodeList} from '@cicadapost/store';
 import type {BatchId, ItemId, ModelId} from '@cicadapost/types';
-import {Packr} from 'msgpackr';
 import type {
 	BatchItem, BatchPlan, ItemClaim, SampleResult, SampleText,
 } from './batch.js';
@@ -26,21 +26,13 @@
 	}
 }
 
-const packr = new Packr({useRecords: false});
-
 function unpack(value: Uint8Array, what: string): unknown[] {
-	let decoded: unknown;
-	try {
-		decoded = packr.unpack(value);
-	} catch {
-		throw new RowShapeError(what);
-	}
-
-	if (!Array.isArray(decoded)) {
+	const fields = decodeList(value);
+	if (fields === undefined) {
 		throw new RowShapeError(what);
 	}
 
-	return decoded;
+	return fields;
 }
 
 export function claimKey(group: number): string {
@@ -58,7 +50,7 @@
 }
 
 export function encodePlan(plan: BatchPlan): Uint8Array {
-	return packr.pack([
+	return encodeList([
 		plan.host,
 		plan.path,
 		plan.step,
@@ -93,7 +85,7 @@
 const claimCodes = {open: 0, running: 1, listed: 2} as const;
 
 export function encodeClaims(claims: readonly ItemClaim[]): Uint8Array {
-	return packr.pack(claims.map(claim => fieldsOf(claim)));
+	return encodeList(claims.map(claim => fieldsOf(claim)));
 }
 
 function fieldsOf(claim: ItemClaim): unknown[] {
@@ -138,7 +130,7 @@
 }
 
 export function encodeCount(count: number): Uint8Array {
-	return packr.pack([count]);
+	return encodeList([count]);
 }
 
 export function decodeCount(value: Uint8Array): number {
@@ -151,7 +143,7 @@
 }
 
 export function encodeText(text: SampleText): Uint8Array {
-	return packr.pack([text.events, text.lastEventId, text.versions]);
+	return encodeList([text.events, text.lastEventId, text.versions]);
 }
 
 export function decodeText(value: Uint8Array): SampleText {
@@ -194,7 +186,7 @@
 
 /** Rows of a batch's bodies: the items of a group together, so that who runs a group reads no more than that. */
 export function encodeBodies(groups: ReadonlyArray<readonly BatchItem[]>): SplitRow[] {
-	return groups.flatMap((items, group) => split(pad(group), packr.pack(items.map(item => [item.id, item.path, item.headers, item.body]))));
+	return groups.flatMap((items, group) => split(pad(group), encodeList(items.map(item => [item.id, item.path, item.headers, item.body]))));
 }
 
 export type ItemBody = Readonly<{id: ItemId; path: string; headers: readonly string[]; body: Uint8Array}>;
@@ -213,7 +205,7 @@
 }
 
 export function encodeResult(position: number, result: SampleResult): SplitRow[] {
-	return split(pad(position), packr.pack([result.id, result.state, result.output, result.versions]));
+	return split(pad(position), encodeList([result.id, result.state, result.output, result.versions]));
 }
 
 /** First key of the results at and after a position. */
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,8 +1,9 @@
 import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	BatchBook, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, givenUpAt, isOutdated, SampleRunner, type BatchRules, type BatchView, type EngineClient,
 } from '@cicadapost/batches';
-import {assignEngines, UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
 import {
 	type ConnectionPool, Forwarder, HealthBook, matchRoute, type Route, type RoutingConfiguration, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
@@ -10,14 +11,15 @@
 import type {Logger} from '@cicadapost/observability';
 import {TableFollower, type RowChange, type RowStore} from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonLife, DataCentreId, Millis, ModelId, RegionId, ServiceId, UpstreamId,
+	Clock, DaemonId, DaemonLife, DataCentreId, Millis, ModelId, RegionId, UpstreamId,
 } from '@cicadapost/types';
 import {
-	EngineVersions, WeightLoader, type EngineService, type NamedVersion, type OrderClient,
+	EngineVersions, WeightLoader, type OrderClient,
 } from '@cicadapost/weights';
 import type {CallerProtocol} from './caller-protocol.js';
 import {EntryMetrics} from './entry-metrics.js';
 import {splitAddress, type EntrySettings} from './entry-settings.js';
+import {FleetView} from './fleet-view.js';
 import {FrontServer} from './front-server.js';
 import {HealthServer} from './health-server.js';
 import {fleetTable} from './member-rows.js';
@@ -73,6 +75,7 @@
 	private readonly batchRows: TableFollower;
 	private readonly fleet: TableFollower;
 	private readonly membership: MembershipTask;
+	private readonly view: FleetView;
 	private readonly commits: CommitQueue;
 	private readonly runner: SampleRunner;
 	private readonly claims: ClaimWorker;
@@ -111,6 +114,13 @@
 				region: settings.region as RegionId,
 			},
 		});
+		this.view = new FleetView({
+			clock,
+			self: settings.vm as DaemonId,
+			directory: this.directory,
+			members: now => this.membership.members(now),
+			regionOf: dataCentre => settings.dataCentres[dataCentre] as RegionId | undefined,
+		});
 		this.commits = new CommitQueue({
 			store,
 			follower: this.batchRows,
@@ -158,7 +168,7 @@
 			runner: this.runner,
 			commits: this.commits,
 			life: this.life,
-			ownedEngines: () => this.ownedEngines(),
+			ownedEngines: () => this.view.ownedEngines(),
 			isAlive: life => this.membership.isAlive(life, clock.now()),
 			versionsOf: engine => this.versions.usable(engine, clock.now()),
 			dueAt: (batch, engine) => this.dueAt(batch, engine),
@@ -177,8 +187,8 @@
 			versions: this.versions,
 			self: settings.vm as DaemonId,
 			silenceMs: settings.orderSilenceMs,
-			services: () => this.engineServices(),
-			isOwner: engine => this.owners().get(engine) === settings.vm,
+			services: () => this.view.engineServices(this.named),
+			isOwner: engine => this.view.isOwner(engine),
 			onNote: note => {
 				this.metrics.order(note.outcome);
 				logger.info({event: 'order', ...note}, note.outcome);
@@ -292,9 +302,7 @@
 				break;
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, stopPollMs);
-			});
+			await sleep(stopPollMs);
 		}
 
 		this.close();
@@ -335,7 +343,7 @@
 			this.claims.wake();
 		});
 		this.fleet.on('changed', () => {
-			this.ownersCache = undefined;
+			this.view.invalidate();
 		});
 	}
 
@@ -426,7 +434,7 @@
 			}
 		}
 
-		this.ownersCache = undefined;
+		this.view.invalidate();
 		this.loader.wake();
 		this.claims.wake();
 	}
@@ -442,53 +450,8 @@
 		}
 
 		if (expired.length > 0) {
-			this.ownersCache = undefined;
-		}
-	}
-
-	private ownersCache: Readonly<{at: Millis; owners: ReadonlyMap<UpstreamId, DaemonId>}> | undefined;
-
-	/** Who looks after each engine. Computed again at most some times a second, since silence alone changes it. */
-	private owners(): ReadonlyMap<UpstreamId, DaemonId> {
-		const {clock, settings} = this.options;
-		const now = clock.now();
-		if (this.ownersCache === undefined || now - this.ownersCache.at > 300) {
-			const owners = assignEngines({
-				engines: this.directory.all().filter(record => record.models.size > 0 && record.state === 'ready'),
-				members: this.membership.members(now),
-				regionOf: dataCentre => settings.dataCentres[dataCentre] as RegionId | undefined,
-			});
-			this.ownersCache = {at: now, owners};
-		}
-
-		return this.ownersCache.owners;
-	}
-
-	private ownedEngines(): UpstreamRecord[] {
-		const {settings} = this.options;
-		return [...this.owners().entries()]
-			.filter(([, owner]) => owner === settings.vm)
-			.map(([id]) => this.directory.get(id))
-			.filter(record => record !== undefined);
-	}
-
-	private engineServices(): EngineService[] {
-		const services = new Map<ServiceId, UpstreamRecord[]>();
-		for (const record of this.directory.all()) {
-			if (record.models.size > 0 && record.state === 'ready') {
-				services.set(record.service, [...services.get(record.service) ?? [], record]);
-			}
+			this.view.invalidate();
 		}
-
-		return [...services.entries()].map(([service, engines]) => {
-			const models = new Set(engines.flatMap(engine => [...engine.models.keys()]));
-			const named: NamedVersion[] = [...this.named.entries()]
-				.filter(([model]) => models.has(model))
-				.map(([model, version]) => ({model, version}));
-			return {
-				service, engines, named, models: models.size,
-			};
-		});
 	}
 
 	private routeOf(batch: BatchView): Route | undefined {
--- a/packages/entry/src/member-rows.ts
+++ b/packages/entry/src/member-rows.ts
@@ -1,33 +1,20 @@
 import type {MemberRecord} from '@cicadapost/fleet';
+import {decodeList, encodeList} from '@cicadapost/store';
 import type {
 	DaemonId, DaemonLife, DataCentreId, RegionId,
 } from '@cicadapost/types';
-import {Packr} from 'msgpackr';
 
 /** Table of the daemons and of the permits for orders. The part is the daemon or the engine. */
 export const fleetTable = 'fleet';
 export const memberKey = 'member';
 
-const packr = new Packr({useRecords: false});
-
 export function encodeMember(member: MemberRecord): Uint8Array {
-	return packr.pack([member.daemon, member.life, member.peerAddress, member.dataCentre, member.region, member.state, member.beat]);
+	return encodeList([member.daemon, member.life, member.peerAddress, member.dataCentre, member.region, member.state, member.beat]);
 }
 
 /** Undefined for a row of another shape. */
 export function decodeMember(value: Uint8Array): MemberRecord | undefined {
-	let decoded: unknown;
-	try {
-		decoded = packr.unpack(value);
-	} catch {
-		return undefined;
-	}
-
-	if (!Array.isArray(decoded)) {
-		return undefined;
-	}
-
-	const [daemon, life, peerAddress, dataCentre, region, state, beat] = decoded as unknown[];
+	const [daemon, life, peerAddress, dataCentre, region, state, beat] = decodeList(value) ?? [];
 	if (typeof daemon !== 'string' || typeof life !== 'string' || typeof peerAddress !== 'string' || typeof dataCentre !== 'string' || typeof region !== 'string') {
 		return undefined;
 	}
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -1,4 +1,5 @@
 import {EventEmitter} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock, Millis} from '@cicadapost/types';
 import {
 	readAll, type RowChange, type RowStore, type StoredRow,
@@ -172,9 +173,3 @@
 		}
 	}
 }
-
-async function sleep(ms: Millis): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,5 +1,6 @@
 /** The platform's store as the product sees it, and local copies of its tables. */
 
+export * from './encode-list.js';
 export * from './follow-table.js';
 export * from './row-store.js';
 export * from './table-copy.js';
--- a/packages/weights/src/load-weights.ts
+++ b/packages/weights/src/load-weights.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamRecord} from '@cicadapost/fleet';
 import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
@@ -113,9 +114,7 @@
 			}
 
 			if (outcome?.kind !== 'accepted' && outcome?.kind !== 'holds') {
-				await new Promise(resolve => {
-					setTimeout(resolve, retryMs);
-				});
+				await sleep(retryMs);
 			}
 		} finally {
 			this.busy.delete(engine.id);
--- a/packages/weights/src/order-permit.ts
+++ b/packages/weights/src/order-permit.ts
@@ -1,7 +1,7 @@
+import {decodeList, encodeList} from '@cicadapost/store';
 import type {
 	DaemonId, Millis, ModelId,
 } from '@cicadapost/types';
-import {Packr} from 'msgpackr';
 
 /**
 Permits for orders to one engine. Before a daemon sends an order it writes this row under the condition that it has not
@@ -17,26 +17,13 @@
 
 export const permitKey = 'order';
 
-const packr = new Packr({useRecords: false});
-
 export function encodePermit(permit: OrderPermit): Uint8Array {
-	return packr.pack([permit.holder, permit.fencingToken, permit.model, permit.version]);
+	return encodeList([permit.holder, permit.fencingToken, permit.model, permit.version]);
 }
 
 /** Undefined for a row of another shape; such a row is never overwritten. */
 export function decodePermit(value: Uint8Array): OrderPermit | undefined {
-	let decoded: unknown;
-	try {
-		decoded = packr.unpack(value);
-	} catch {
-		return undefined;
-	}
-
-	if (!Array.isArray(decoded)) {
-		return undefined;
-	}
-
-	const [holder, fencingToken, model, version] = decoded as unknown[];
+	const [holder, fencingToken, model, version] = decodeList(value) ?? [];
 	return typeof holder === 'string' && typeof fencingToken === 'number' && typeof model === 'string' && typeof version === 'number'
 		? {
 			holder: holder as DaemonId, fencingToken, model: model as ModelId, version,
