--- a/packages/batches/src/commit-queue.ts
+++ b/packages/batches/src/commit-queue.ts
@@ -15,7 +15,6 @@
 	follower: TableFollower;
 	book: BatchBook;
 	life: DaemonLife;
-	onCommitted: (batch: BatchId, outcomes: readonly ItemOutcome[]) => void;
 	onTrouble: (batch: BatchId, what: string) => void;
 }>;
 
@@ -60,7 +59,7 @@
 	}
 
 	private async commitOnce(batch: BatchId): Promise<void> {
-		const {store, follower, book, life, onCommitted, onTrouble} = this.options;
+		const {store, follower, book, life, onTrouble} = this.options;
 		const outcomes = this.waiting.get(batch) ?? [];
 		const view = book.get(batch);
 		if (view === undefined) {
@@ -80,7 +79,6 @@
 			case 'committed': {
 				follower.learn(writtenRows(plan.transaction, outcome.version));
 				this.remove(batch, [...plan.included, ...plan.obsolete]);
-				onCommitted(batch, plan.included);
 				break;
 			}
 
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -126,9 +126,6 @@
 			follower: this.batchRows,
 			book: this.book,
 			life: this.life,
-			onCommitted() {
-				// The book learns of it through the follower.
-			},
 			onTrouble(batch, what) {
 				logger.warn({event: 'commit-trouble', batch}, what);
 			},
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -28,7 +28,7 @@
 
 /** Retry-After while this daemon knows no configuration: it is read within some tens of milliseconds. */
 const noConfigurationRetryMs = 100;
-/** Node.js takes the limit of headers at the start only, when no configuration is known; the configured limit is checked after. */
+/** Node.js takes the limit of headers at the start only, when no configuration is known. Wider than any configured limit. */
 const maxHeaderBytes = 128 * 1024;
 /** How often Node.js looks for requests whose headers are late. */
 const checkConnectionsMs = 500;
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -32,7 +32,7 @@
 
 /** Receives the answer of one request. Each method is called at most once, but for `data`. */
 export abstract class AnswerSink {
-	/** The head of an answer whose body follows; `isWhole` if the body comes in one piece. */
+	/** The head of an answer; the body follows with `data`. */
 	abstract head(status: number, headers: readonly string[]): void;
 	abstract data(chunk: Uint8Array): void;
 	abstract end(): void;
