Take no life for dead before its first heartbeat can have been read

Cause: the copy of the members gathers changes for 350 ms, so a daemon that had just started claimed samples under a life that others did not know yet; they took it for dead and ran its samples a second time. No rule is broken by it, since an item may run twice, but the slots are lost. A claim names the version of its row; a life that is missing from a copy of at least that version has ended, since a daemon claims only after its first heartbeat.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -32,7 +32,8 @@
 	life: DaemonLife;
 	/** Engines that this daemon looks after now. */
 	ownedEngines: () => UpstreamRecord[];
-	isAlive: (life: string) => boolean;
+	/** Whether a daemon's life goes on, which had claimed something by this version of the store. */
+	isAlive: (life: string, claimedVersion: number) => boolean;
 	/** Weight versions that new samples would run with; a model that is being loaded is left out. */
 	versionsOf: (engine: UpstreamRecord) => ReadonlyMap<ModelId, number>;
 	/** When the batch is due, on the store's clock; undefined if the engine's service may not run it, or no longer. */
@@ -144,7 +145,7 @@
 
 	private plan(engine: UpstreamRecord): ClaimTarget[] {
 		const {book, runner, directory, life, versionsOf, dueAt, storeTime} = this.options;
-		const isHeld: IsHeld = (claim, place) => this.isHeld(claim.life, keyOf(place));
+		const isHeld: IsHeld = (claim, place, rowVersion) => this.isHeld(claim.life, keyOf(place), rowVersion);
 		const open = book.open();
 		const peers = directory.ready(engine.service);
 		const elsewhere = runningElsewhere(engine.id, open, {life, isHeld});
@@ -167,11 +168,11 @@
 		});
 	}
 
-	private isHeld(life: string, place: string): boolean {
+	private isHeld(life: string, place: string, rowVersion: number): boolean {
 		const {runner, commits} = this.options;
 		return life === this.options.life
 			? this.claiming.has(place) || runner.holds(place) || commits.holds(place)
-			: this.options.isAlive(life);
+			: this.options.isAlive(life, rowVersion);
 	}
 }
 
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -39,8 +39,8 @@
 
 export type ItemPlace = Readonly<{batch: BatchId; group: number; item: number}>;
 
-/** Whether the daemon of a claim still works on the item. Other claims are void. */
-export type IsHeld = (claim: Extract<ItemClaim, {kind: 'running'}>, place: ItemPlace) => boolean;
+/** Whether the daemon of a claim still works on the item. Other claims are void. `rowVersion` is that of the row with the claim. */
+export type IsHeld = (claim: Extract<ItemClaim, {kind: 'running'}>, place: ItemPlace, rowVersion: number) => boolean;
 
 /** Time that an engine takes for a token when most of its slots are in use. */
 const tokenMs = 0.9;
@@ -132,7 +132,7 @@
 	return view.claims.flatMap((claims, group) => {
 		const items = claims.items
 			.map((claim, item) => ({claim, item}))
-			.filter(({claim, item}) => claim.kind === 'open' || (claim.kind === 'running' && !isHeld(claim, {batch: view.id, group, item})))
+			.filter(({claim, item}) => claim.kind === 'open' || (claim.kind === 'running' && !isHeld(claim, {batch: view.id, group, item}, claims.version)))
 			.map(({item}) => ({item, slackMs: dueAt - now - (expectedTokens(view, group, item) * estimateMargin * tokenMs)}));
 		const groupSlackMs = Math.min(...items.map(({slackMs}) => slackMs));
 		return items.map(({item, slackMs}) => ({
@@ -152,7 +152,7 @@
 	for (const batch of batches) {
 		for (const [group, claims] of batch.claims.entries()) {
 			for (const [item, claim] of claims.items.entries()) {
-				if (claim.kind === 'running' && claim.engine === engine && claim.life !== options.life && options.isHeld(claim, {batch: batch.id, group, item})) {
+				if (claim.kind === 'running' && claim.engine === engine && claim.life !== options.life && options.isHeld(claim, {batch: batch.id, group, item}, claims.version)) {
 					running += 1;
 					long += isLong(batch, group, item) ? 1 : 0;
 				}
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -166,7 +166,7 @@
 			commits: this.commits,
 			life: this.life,
 			ownedEngines: () => this.view.ownedEngines(),
-			isAlive: life => this.membership.isAlive(life, clock.now()),
+			isAlive: (life, claimedVersion) => this.membership.isAlive(life, claimedVersion, clock.now()),
 			versionsOf: engine => this.versions.usable(engine, clock.now()),
 			dueAt: (batch, engine) => this.dueAt(batch, engine),
 			storeTime: () => this.batchRows.storeTime(clock.now()),
--- /dev/null
+++ b/packages/entry/src/membership-task.test.ts
@@ -0,0 +1,48 @@
+import {TableFollower} from '@cicadapost/store';
+import {MemoryRowStore} from '@cicadapost/store/testing';
+import {
+	SystemClock, type DaemonId, type DaemonLife, type DataCentreId, type RegionId,
+} from '@cicadapost/types';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {encodeMember, fleetTable, memberKey} from './member-rows.js';
+import {MembershipTask} from './membership-task.js';
+
+const member = (life: string) => ({
+	daemon: life.split('#')[0] as DaemonId, life: life as DaemonLife, peerAddress: '', dataCentre: 'dc' as DataCentreId, region: 'r' as RegionId,
+});
+
+describe('MembershipTask', () => {
+	const followers: TableFollower[] = [];
+
+	afterEach(() => {
+		for (const follower of followers.splice(0)) {
+			follower.stop();
+		}
+	});
+
+	it('does not take a daemon for dead whose first heartbeat it has not read yet, but one that has started anew', async () => {
+		const store = new MemoryRowStore();
+		const clock = new SystemClock();
+		const announce = async (life: string) => store.transact({
+			part: member(life).daemon, writes: [{table: fleetTable, key: memberKey, value: encodeMember({...member(life), state: 'live', beat: 1})}],
+		});
+		await announce('d2#new');
+		const follower = new TableFollower({
+			store, clock, table: fleetTable, waitMs: 20,
+		});
+		followers.push(follower);
+		const task = new MembershipTask({
+			clock, store, follower, self: member('d1#1'),
+		});
+		// Nothing has been read: the claim may be of a life that this daemon will hear of.
+		expect(task.isAlive('d2#new', 2, clock.now())).toBe(true);
+		follower.start();
+		await expect.poll(() => follower.copyVersion, {timeout: 2000}).toBe(1);
+		expect(task.isAlive('d2#new', 1, clock.now())).toBe(true);
+		expect(task.isAlive('d2#old', 1, clock.now())).toBe(false);
+		expect(task.isAlive('d3#1', 2, clock.now())).toBe(true);
+		expect(task.isAlive('d3#1', 1, clock.now())).toBe(false);
+	});
+});
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -50,17 +50,23 @@
 		return liveMembers({sightings: this.sightings(), connectedForMs: follower.connectedFor(now), now});
 	}
 
-	/** Whether a process that claimed something still runs, or may still run. */
-	isAlive(life: string, now: Millis): boolean {
+	/**
+	Whether a process that had claimed something by `claimedVersion` still runs, or may still run. A daemon claims only after
+	its first heartbeat, so a life that is missing from a copy of at least that version has ended.
+	*/
+	isAlive(life: string, claimedVersion: number, now: Millis): boolean {
 		const {follower, self} = this.options;
 		if (life === self.life) {
 			return true;
 		}
 
 		const sighting = this.sightings().find(candidate => candidate.record.life === life);
+		if (sighting === undefined) {
+			return follower.copyVersion < claimedVersion;
+		}
+
 		// A daemon that is leaving keeps what it runs until it gives it back.
-		return sighting !== undefined
-			&& liveMembers({sightings: [{...sighting, record: {...sighting.record, state: 'live'}}], connectedForMs: follower.connectedFor(now), now}).length > 0;
+		return liveMembers({sightings: [{...sighting, record: {...sighting.record, state: 'live'}}], connectedForMs: follower.connectedFor(now), now}).length > 0;
 	}
 
 	private sightings(): MemberSighting[] {
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -62,6 +62,11 @@
 		return this.version !== undefined;
 	}
 
+	/** Version of the store up to which the copy is complete; 0 before the first read. */
+	get copyVersion(): number {
+		return this.version ?? 0;
+	}
+
 	/** Age of the copy: time since the last call that the store answered was sent; infinite before the first. */
 	age(now: Millis): Millis {
 		return this.answeredAt === undefined ? Number.POSITIVE_INFINITY : now - this.answeredAt;
