Check a sample for silence again after it was sent again

Cause: `SampleRunner` kept the timer of a resend in `run.timer` after it had fired, and the check for a stalled run skips runs that have a timer. A sample that its engine refused once was no longer checked on its own; only the check of the whole engine held. Ruled out: the check of the whole engine is not enough, since other runs at the engine keep it from looking silent. Change: sending clears the timer. The test failed before (the run was not aborted within 10 s) and passes now. Beside it: the options of `begin` are a named type, and three functions of encode-rows.ts are no longer exported.

--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -142,11 +142,11 @@
 	return count;
 }
 
-export function encodeText(text: SampleText): Uint8Array {
+function encodeText(text: SampleText): Uint8Array {
 	return encodeList([text.events, text.lastEventId, text.versions]);
 }
 
-export function decodeText(value: Uint8Array): SampleText {
+function decodeText(value: Uint8Array): SampleText {
 	const [events, lastEventId, versions] = unpack(value, 'a partial text');
 	if (!Array.isArray(events) || typeof lastEventId !== 'number' || !Array.isArray(versions)) {
 		throw new RowShapeError('a partial text');
@@ -234,7 +234,7 @@
 }
 
 /** Key of the partial text of an item. */
-export function partialName(group: number, item: number): string {
+function partialName(group: number, item: number): string {
 	return `${pad(group)}.${pad(item)}`;
 }
 
--- /dev/null
+++ b/packages/batches/src/run-samples.test.ts
@@ -0,0 +1,116 @@
+import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {MemoryRowStore} from '@cicadapost/store/testing';
+import {
+	Clock, type BatchId, type DataCentreId, type ItemId, type Millis, type ModelId, type ServiceId, type UpstreamId,
+} from '@cicadapost/types';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {BatchBook} from './batch-book.js';
+import type {BatchPlan} from './batch.js';
+import {
+	batchTable, bodyTable, encodeBodies, encodePlan, planKey,
+} from './encode-rows.js';
+import {
+	EngineClient, type SampleCall, type SampleHandlers, type SampleRun,
+} from './engine-client.js';
+import type {ItemOutcome} from './plan-commit.js';
+import {SampleRunner} from './run-samples.js';
+
+const batch = 'b1' as BatchId;
+const engine: UpstreamRecord = {
+	id: 'e1' as UpstreamId, service: 's' as ServiceId, address: '10.0.0.1:80', dataCentre: 'a' as DataCentreId, slots: 4, state: 'ready', warmUpMs: 0, models: new Map(), bornAt: 0,
+};
+const items = ['i0', 'i1'] as ItemId[];
+const plan: BatchPlan = {
+	host: 'h', path: '/p/', step: 1, model: 'draft' as ModelId, minVersion: 3, targetGroups: 1, submittedAt: 0, groups: [{items: items.map(id => ({id, expectedTokens: 100}))}],
+};
+
+class TestClock extends Clock {
+	override now(): Millis {
+		return Date.now();
+	}
+
+	override wallTime(): Millis {
+		return Date.now();
+	}
+}
+
+/** Holds the handlers of each run, so that a test says what the engine does. */
+class ScriptedEngineClient extends EngineClient {
+	readonly runs: Array<{call: SampleCall; handlers: SampleHandlers; isAborted: boolean}> = [];
+
+	override run(call: SampleCall, handlers: SampleHandlers): SampleRun {
+		const run = {call, handlers, isAborted: false};
+		this.runs.push(run);
+		return {
+			abort() {
+				run.isAborted = true;
+			},
+		};
+	}
+}
+
+let client: ScriptedEngineClient;
+let outcomes: ItemOutcome[];
+let runner: SampleRunner;
+
+beforeEach(async () => {
+	vi.useFakeTimers();
+	client = new ScriptedEngineClient();
+	outcomes = [];
+	const store = new MemoryRowStore();
+	const bodies = items.map(id => ({
+		id, path: '/p/', headers: [], body: new Uint8Array([1]), tokens: 100, group: 'g0', expectedTokens: 100,
+	}));
+	await store.transact({
+		part: batch,
+		writes: [{table: batchTable, key: planKey, value: encodePlan(plan)}, ...encodeBodies([bodies]).map(row => ({...row, table: bodyTable}))],
+	});
+	const book = new BatchBook();
+	book.apply(store.all().filter(row => row.table === batchTable).map(row => ({kind: 'written', row})));
+	const directory = new UpstreamDirectory();
+	directory.upsert(engine);
+	runner = new SampleRunner({
+		clock: new TestClock(),
+		store,
+		book,
+		directory,
+		client,
+		commits: {
+			push(_batch, outcome) {
+				outcomes.push(outcome);
+			},
+		},
+		rulesOf: () => ({maxAttempts: 3, isSingleVersion: false, runMs: 60_000}),
+		isLoading: () => false,
+		onVersion() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		onFreed() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		onNote() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	});
+	await runner.start(engine, {batch, group: 0, items: [0, 1]});
+});
+
+afterEach(() => {
+	runner.stop();
+	vi.useRealTimers();
+});
+
+describe('a sample', () => {
+	it('that an engine refused and that was sent again is given back when no event comes, so that it does not hang', async () => {
+		client.runs[0]!.handlers.onEnd({kind: 'not-run', status: 429});
+		await vi.advanceTimersByTimeAsync(100);
+		expect(client.runs).toHaveLength(3);
+		const again = client.runs.at(-1);
+		again!.handlers.onStart(3);
+		again!.handlers.onEvent({id: 0, data: 'x', version: 3});
+		// The other run keeps the engine from being silent as a whole.
+		for (let id = 0; id < 200; id++) {
+			client.runs[1]!.handlers.onEvent({id, data: 'y', version: 3});
+			await vi.advanceTimersByTimeAsync(50);
+		}
+
+		expect(again!.isAborted).toBe(true);
+		expect(outcomes.map(({kind}) => kind)).toContain('released');
+	});
+});
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -33,7 +33,7 @@
 	book: BatchBook;
 	directory: UpstreamDirectory;
 	client: EngineClient;
-	commits: CommitQueue;
+	commits: Pick<CommitQueue, 'push'>;
 	/** Rules of a batch, or undefined if no route serves it any more. */
 	rulesOf: (batch: BatchView) => BatchRules | undefined;
 	/** Whether an engine is loading weights now. */
@@ -81,6 +81,18 @@
 	isOver: boolean;
 };
 
+type BeginOptions = Readonly<{
+	engine: UpstreamRecord;
+	target: ClaimTarget;
+	item: number;
+	body: ItemBody;
+	failures: number;
+	/** What the item has generated so far, if the run may go on from it. */
+	text: SampleText | undefined;
+	isLong: boolean;
+	expectedTokens: number;
+}>;
+
 /** How often runs are checked for silence, for an end of their batch and for text to keep. */
 const checkMs = 200;
 /** Text of a run that is older than this is kept in the store this often, so that a dead daemon's runs go on elsewhere. */
@@ -206,7 +218,7 @@
 		return rows === undefined ? undefined : decodePartial(rows);
 	}
 
-	private begin(options: Readonly<{engine: UpstreamRecord; target: ClaimTarget; item: number; body: ItemBody; failures: number; text: SampleText | undefined; isLong: boolean; expectedTokens: number}>): void {
+	private begin(options: BeginOptions): void {
 		const now = this.options.clock.now();
 		const {target, item, text} = options;
 		const run: Running = {
@@ -250,6 +262,7 @@
 			return;
 		}
 
+		run.timer = undefined;
 		run.sentAt = clock.now();
 		run.lastSignAt = run.sentAt;
 		run.newEvents = 0;
