Hold callers to the limits of the configuration for heads and for bodies that stop coming

Cause: the front took heads of up to 128 KiB whatever the configuration said, and waited without end for the rest of a body. Found by 17 tests over plain sockets (pipelined, chunked, doubled lengths, malformed, slow, oversized, left early, kept connections, stopping); two failed first: a head beyond the limit got 200, a body that stopped got no answer. Ruled out: the request timeout of Node.js, since it bounds the whole body and large bodies on slow lines are allowed. Change: a head beyond the limit is answered 431, a body without a byte for the idle limit 408, which promises that the request has not run. Both close the connection.

--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -1,6 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {AddressInfo} from 'node:net';
 import type {BatchService} from '@cicadapost/batches';
 import {
 	AnswerSink, matchRoute, type CallerLimits, type ForwardFailure, type Forwarder, type Route, type RoutingConfiguration,
@@ -20,8 +21,8 @@
 export type FrontServerOptions = Readonly<{
 	clock: Clock;
 	protocol: CallerProtocol;
-	forwarder: Forwarder;
-	batches: BatchService;
+	forwarder: Pick<Forwarder, 'forward'>;
+	batches: Pick<BatchService, 'submit' | 'results' | 'body' | 'end'>;
 	configuration: () => RoutingConfiguration | undefined;
 	onNote: (note: FrontNote) => void;
 }>;
@@ -66,6 +67,11 @@
 		});
 	}
 
+	/** The port that it listens on. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
 	applyLimits(limits: CallerLimits): void {
 		this.server.headersTimeout = limits.headerTimeoutMs;
 		this.server.keepAliveTimeout = limits.idleTimeoutMs * idleMargin;
@@ -114,6 +120,11 @@
 			return;
 		}
 
+		if (headBytes(req) > configuration.limits.headerBytes) {
+			this.failAndClose(res, 431, `the head has more than ${configuration.limits.headerBytes} bytes; send fewer or shorter headers`);
+			return;
+		}
+
 		switch (call.kind) {
 			case 'invalid': {
 				this.fail(res, 400, call.detail);
@@ -128,22 +139,16 @@
 					return;
 				}
 
-				const body = await readWholeBody(req, configuration.limits.bodyBytes);
-				if (body.kind === 'broken') {
-					return;
-				}
-
-				if (body.kind === 'too-large') {
-					res.setHeader('Connection', 'close');
-					this.fail(res, 413, `the body has more than ${configuration.limits.bodyBytes} bytes; send a smaller one`);
+				const body = await this.readBody(req, res, configuration.limits);
+				if (body === undefined) {
 					return;
 				}
 
 				if (route.kind === 'batch') {
-					await this.submit(req, res, {call, body: body.body});
+					await this.submit(req, res, {call, body});
 				} else {
 					this.forward(req, res, {
-						call, route, body: body.body, arrivedAt,
+						call, route, body, arrivedAt,
 					});
 				}
 
@@ -160,6 +165,30 @@
 		}
 	}
 
+	/** The whole body, or undefined if the request has been answered or its caller has left. */
+	private async readBody(req: IncomingMessage, res: ServerResponse, limits: CallerLimits): Promise<Uint8Array | undefined> {
+		const outcome = await readWholeBody(req, {bytes: limits.bodyBytes, idleMs: limits.idleTimeoutMs});
+		switch (outcome.kind) {
+			case 'body': {
+				return outcome.body;
+			}
+
+			case 'too-large': {
+				this.failAndClose(res, 413, `the body has more than ${limits.bodyBytes} bytes; send a smaller one`);
+				return undefined;
+			}
+
+			case 'stalled': {
+				this.failAndClose(res, 408, `nothing came for ${limits.idleTimeoutMs} ms; send the request again`);
+				return undefined;
+			}
+
+			case 'broken': {
+				return undefined;
+			}
+		}
+	}
+
 	private async submit(req: IncomingMessage, res: ServerResponse, {call, body}: Readonly<{call: Extract<CallerCall, {kind: 'routed'}>; body: Uint8Array}>): Promise<void> {
 		if (req.method !== 'POST' || call.requestId === undefined) {
 			this.fail(res, 400, 'a batch is submitted with POST and an id of its own');
@@ -299,6 +328,13 @@
 		this.fail(res, 503, detail);
 	}
 
+	/** For requests whose rest is not read. */
+	private failAndClose(res: ServerResponse, status: number, detail: string): void {
+		this.note(undefined, 'beyond a limit', {status, detail});
+		res.setHeader('Connection', 'close');
+		this.fail(res, status, detail);
+	}
+
 	private fail(res: ServerResponse, status: number, detail: string): void {
 		if (res.headersSent) {
 			res.destroy();
@@ -319,6 +355,14 @@
 	}
 }
 
+/** Length of the head of a request as HTTP/1.1 writes it. */
+function headBytes({method, url, rawHeaders}: IncomingMessage): number {
+	const lineEnd = 2;
+	const requestLine = `${method} ${url} HTTP/1.1`.length + lineEnd;
+	// Each name is followed by ": ", each value by the end of the line.
+	return rawHeaders.reduce((sum, text) => sum + text.length + 2, requestLine) + lineEnd;
+}
+
 /** Writes one answer of an upstream to a caller. */
 class ResponseSink extends AnswerSink {
 	constructor(private readonly res: ServerResponse, private readonly onFail: (failure: ForwardFailure) => void) {
--- a/packages/entry/src/read-whole-body.ts
+++ b/packages/entry/src/read-whole-body.ts
@@ -1,20 +1,38 @@
 import type {IncomingMessage} from 'node:http';
+import type {Millis} from '@cicadapost/types';
 
 export type BodyOutcome =
 	| Readonly<{kind: 'body'; body: Uint8Array}>
 	| Readonly<{kind: 'too-large'}>
+	/** Nothing more came for the time allowed. */
+	| Readonly<{kind: 'stalled'}>
 	/** The caller left, or its message was not valid. */
 	| Readonly<{kind: 'broken'}>;
 
+export type BodyLimits = Readonly<{
+	bytes: number;
+	/** Longest pause between two parts of the body. */
+	idleMs: Millis;
+}>;
+
 /** Reads the body of a request up to a limit in bytes. */
-export async function readWholeBody(req: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
+export async function readWholeBody(req: IncomingMessage, limits: BodyLimits): Promise<BodyOutcome> {
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
+		const settle = (outcome: BodyOutcome) => {
+			clearTimeout(timer);
+			resolve(outcome);
+		};
+
+		const timer = setTimeout(() => {
+			settle({kind: 'stalled'});
+		}, limits.idleMs);
 		req.on('data', (chunk: Uint8Array) => {
+			timer.refresh();
 			size += chunk.length;
-			if (size > maxBytes) {
-				resolve({kind: 'too-large'});
+			if (size > limits.bytes) {
+				settle({kind: 'too-large'});
 				req.pause();
 				return;
 			}
@@ -22,13 +40,13 @@
 			chunks.push(chunk);
 		});
 		req.on('end', () => {
-			resolve({kind: 'body', body: chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)});
+			settle({kind: 'body', body: chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)});
 		});
 		req.on('error', () => {
-			resolve({kind: 'broken'});
+			settle({kind: 'broken'});
 		});
 		req.on('close', () => {
-			resolve({kind: 'broken'});
+			settle({kind: 'broken'});
 		});
 	});
 }
