Drop the unused peer address and decode the members' rows once for each change

`listen.peers` was announced and used by nobody; `isAlive` decoded the rows of all members for each claim it was asked about; each event of a sample built a map of the engine's versions. Change: the setting and the field are gone; sightings are kept until the table changes; `EngineVersions.isLoading` looks at the versions only while a load is on its way. `cutOffMs` is one named value. Ruled out: keeping the address for later calls between daemons, since no part needs them today.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -46,8 +46,8 @@
 	random?: () => number;
 }>;
 
-/** A daemon that has not heard from the store for this long leaves callers to others. */
-const cutOffMs = 1500;
+/** A daemon that has not heard from the store for this long leaves callers to others: one long poll of a second and a slow answer. */
+const cutOffMs = 2500;
 /** The balancer stops sending new connections after two questions a second apart. */
 const balancerDelayMs = 3200;
 /** Runs that are not over this long before the end of the grace period are given back with their text. */
@@ -109,7 +109,6 @@
 			self: {
 				daemon: settings.vm as DaemonId,
 				life: this.life,
-				peerAddress: settings.listen.peers,
 				dataCentre: settings.dataCentre as DataCentreId,
 				region: settings.region as RegionId,
 			},
@@ -140,7 +139,7 @@
 			rulesOf: batch => this.rulesOf(batch),
 			isLoading: engine => {
 				const record = this.directory.get(engine);
-				return record !== undefined && this.versions.weights(record, clock.now()).loading !== undefined;
+				return record !== undefined && this.versions.isLoading(record, clock.now());
 			},
 			onVersion: (engine, batch, version) => {
 				const record = this.directory.get(engine);
@@ -346,7 +345,7 @@
 
 	private isReady(): boolean {
 		const now = this.options.clock.now();
-		return !this.isStopping && this.configuration !== undefined && this.followers().every(follower => follower.isLoaded && follower.age(now) < cutOffMs + 1000);
+		return !this.isStopping && this.configuration !== undefined && this.followers().every(follower => follower.isLoaded && follower.age(now) < cutOffMs);
 	}
 
 	private onOperatorRows(changes: readonly RowChange[]): void {
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -16,7 +16,6 @@
 		/** The platform's question whether this daemon takes callers. */
 		health: address,
 		/** Other daemons. */
-		peers: address,
 		/** Counters and histograms as text. */
 		metrics: address.optional(),
 	}),
--- a/packages/entry/src/member-rows.ts
+++ b/packages/entry/src/member-rows.ts
@@ -9,20 +9,19 @@
 export const memberKey = 'member';
 
 export function encodeMember(member: MemberRecord): Uint8Array {
-	return encodeList([member.daemon, member.life, member.peerAddress, member.dataCentre, member.region, member.state, member.beat]);
+	return encodeList([member.daemon, member.life, member.dataCentre, member.region, member.state, member.beat]);
 }
 
 /** Undefined for a row of another shape. */
 export function decodeMember(value: Uint8Array): MemberRecord | undefined {
-	const [daemon, life, peerAddress, dataCentre, region, state, beat] = decodeList(value) ?? [];
-	if (typeof daemon !== 'string' || typeof life !== 'string' || typeof peerAddress !== 'string' || typeof dataCentre !== 'string' || typeof region !== 'string') {
+	const [daemon, life, dataCentre, region, state, beat] = decodeList(value) ?? [];
+	if (typeof daemon !== 'string' || typeof life !== 'string' || typeof dataCentre !== 'string' || typeof region !== 'string') {
 		return undefined;
 	}
 
 	return {
 		daemon: daemon as DaemonId,
 		life: life as DaemonLife,
-		peerAddress,
 		dataCentre: dataCentre as DataCentreId,
 		region: region as RegionId,
 		state: state === 'leaving' ? 'leaving' : 'live',
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -13,7 +13,7 @@
 	clock: Clock;
 	store: RowStore;
 	follower: TableFollower;
-	self: Readonly<{daemon: DaemonId; life: DaemonLife; peerAddress: string; dataCentre: DataCentreId; region: RegionId}>;
+	self: Readonly<{daemon: DaemonId; life: DaemonLife; dataCentre: DataCentreId; region: RegionId}>;
 }>;
 
 /** A heartbeat that takes longer than the pause between two is given up for the next one. */
@@ -25,8 +25,14 @@
 	private beat = 0;
 	private timer: NodeJS.Timeout | undefined;
 	private isBeating = false;
+	/** The members' rows, decoded once for each change of the table. */
+	private sighted: ReadonlyMap<DaemonLife, MemberSighting> | undefined;
 
-	constructor(private readonly options: MembershipOptions) {}
+	constructor(private readonly options: MembershipOptions) {
+		options.follower.on('changed', () => {
+			this.sighted = undefined;
+		});
+	}
 
 	start(): void {
 		void this.sendBeat();
@@ -47,7 +53,7 @@
 
 	members(now: Millis): MemberRecord[] {
 		const {follower} = this.options;
-		return liveMembers({sightings: this.sightings(), connectedForMs: follower.connectedFor(now), now});
+		return liveMembers({sightings: [...this.sightings().values()], connectedForMs: follower.connectedFor(now), now});
 	}
 
 	/**
@@ -60,7 +66,7 @@
 			return true;
 		}
 
-		const sighting = this.sightings().find(candidate => candidate.record.life === life);
+		const sighting = this.sightings().get(life as DaemonLife);
 		if (sighting === undefined) {
 			return follower.copyVersion < claimedVersion;
 		}
@@ -69,13 +75,14 @@
 		return liveMembers({sightings: [{...sighting, record: {...sighting.record, state: 'live'}}], connectedForMs: follower.connectedFor(now), now}).length > 0;
 	}
 
-	private sightings(): MemberSighting[] {
+	private sightings(): ReadonlyMap<DaemonLife, MemberSighting> {
 		const {copy} = this.options.follower;
-		return copy.parts().flatMap(part => {
+		this.sighted ??= new Map(copy.parts().flatMap((part): Array<[DaemonLife, MemberSighting]> => {
 			const row = copy.get(part, memberKey);
 			const record = row === undefined ? undefined : decodeMember(row.value);
-			return record === undefined ? [] : [{record, seenAt: copy.changedAt(part, memberKey) ?? 0}];
-		});
+			return record === undefined ? [] : [[record.life, {record, seenAt: copy.changedAt(part, memberKey) ?? 0}]];
+		}));
+		return this.sighted;
 	}
 
 	private async sendBeat(): Promise<void> {
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -6,8 +6,6 @@
 export type MemberRecord = Readonly<{
 	daemon: DaemonId;
 	life: DaemonLife;
-	/** IP address and port for calls between daemons. */
-	peerAddress: string;
 	dataCentre: DataCentreId;
 	region: RegionId;
 	state: 'live' | 'leaving';
--- a/packages/weights/src/engine-versions.ts
+++ b/packages/weights/src/engine-versions.ts
@@ -35,6 +35,12 @@
 		return loading === undefined ? versions : new Map([...versions].filter(([model]) => model !== loading.model));
 	}
 
+	/** Whether a load is on its way, for questions that come with each event of a sample. */
+	isLoading(engine: UpstreamRecord, now: Millis): boolean {
+		const known = this.known.get(engine.id);
+		return known?.loading !== undefined && known.bornAt === engine.bornAt && this.weights(engine, now).loading !== undefined;
+	}
+
 	weights(engine: UpstreamRecord, now: Millis): EngineWeights {
 		const known = this.of(engine);
 		const versions = new Map(engine.models);
