Take an engine for slow from 2.8 times its usual pace on

After the outage of the store six engines filled with prompts at once; events came 50 to 63 ms apart instead of 34, four engines passed the limit of 1.7 times the usual, and 34 long samples were moved, some three times, each with its prompt read again. None of these engines had a fault. Ruled out: a norm for each width of the batch, since the prompts and not the width make the difference; moving later only, since the burst lasts longer than a useful delay. Change: the limit lies between the 2.5 of busy neighbours and the 4 of a lasting fault; a verdict needs 0.6 s; a slowdown is no longer learned as the usual course, which made a slow engine look recovered after seconds. Two tests failed first: an engine that fills up is not slow, and one that is slowed for long stays so.

--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -176,6 +176,20 @@
 		expect(pace.isSlow(engineId, now)).toBe(false);
 	});
 
+	it('does not take an engine for slow that fills with prompts after a pause, so that its long samples stay where they are', () => {
+		const pace = new EnginePace();
+		let now = feed(pace, 34, 0, 2000);
+		now = feed(pace, 75, now, 600);
+		expect(pace.isSlow(engineId, now)).toBe(false);
+	});
+
+	it('knows the usual course after seconds of a slowdown, so that the engine is not taken for recovered', () => {
+		const pace = new EnginePace();
+		let now = feed(pace, 40, 0, 2000);
+		now = feed(pace, 160, now, 4000);
+		expect(pace.isSlow(engineId, now)).toBe(true);
+	});
+
 	it('does not take one long gap of all runs for a slow engine', () => {
 		const pace = new EnginePace();
 		let now = feed(pace, 40, 0, 2000);
--- a/packages/batches/src/engine-pace.ts
+++ b/packages/batches/src/engine-pace.ts
@@ -16,10 +16,16 @@
 const presentWeight = 0.02;
 /** Gaps that have to be seen before a verdict. */
 const leastSamples = 200;
-/** An engine counts as slow from this ratio on; its neighbours slow it by 2.5 for moments, other faults for seconds. */
-const slowRatio = 1.7;
+/**
+An engine counts as slow from this ratio on. Prompts that fill an empty engine slow its events to twice the usual, neighbours
+slow it by 2.5 for moments, and faults that last make them take four times as long.
+*/
+const slowRatio = 2.8;
 /** A slowdown that is over sooner costs less than a move. */
-const slowForMs = 400;
+const slowForMs = 600;
+/** From this ratio on the usual course is learned at a fifth of the rate, so that the start of a slowdown does not become usual. */
+const unusualRatio = 1.5;
+const unusualWeight = 0.0001;
 /** A verdict stands for this long, so that an engine which lost its runs to it does not get them back at once. */
 const verdictMs = 1200;
 /** A single long gap, as at a load of weights, says nothing about the pace. */
@@ -41,9 +47,10 @@
 		seen.samples += 1;
 		const gap = seen.samples < leastSamples ? gapMs : Math.min(gapMs, seen.usualMs * maxGapRatio);
 		// The first gaps count equally, so that one odd gap at the start does not stand for the usual course.
-		seen.usualMs += (gap - seen.usualMs) * Math.max(usualWeight, 1 / seen.samples);
+		const weight = seen.presentMs > seen.usualMs * unusualRatio ? unusualWeight : usualWeight;
 		seen.presentMs += (gap - seen.presentMs) * Math.max(presentWeight, 1 / seen.samples);
 		const isSlow = seen.samples >= leastSamples && seen.presentMs > seen.usualMs * slowRatio;
+		seen.usualMs += isSlow ? 0 : (gap - seen.usualMs) * Math.max(weight, seen.samples < leastSamples ? 1 / seen.samples : 0);
 		seen.slowSince = isSlow ? seen.slowSince ?? now : undefined;
 		if (seen.slowSince !== undefined && now - seen.slowSince >= slowForMs) {
 			seen.slowUntil = now + verdictMs;
