Send a request that crashes its upstreams to no further one after the third

Cause: `cicadapost entry` remembered nothing of requests whose upstream ended under them, so that a request that comes again at any daemon could end one upstream after the other. Ruled out: counting each broken connection, since resets and partitions break those of healthy upstreams too; a count in one daemon, since the request comes again elsewhere; a 503, since it promises that the request has not run. Change: after a connection was closed before the whole answer, the daemon asks the upstream's address for a connection; only a refusal counts as a crash. Each crash is a row of its own in the fleet's table (part: fingerprint of method, host, path and body; key: upstream and its start), so that reports of several daemons add up without conditions. From three on the request gets 502 at once. Rows are deleted after 15 minutes. A fingerprint is computed only while such rows exist.

--- /dev/null
+++ b/packages/entry/src/crash-reports.test.ts
@@ -0,0 +1,119 @@
+import {createServer} from 'node:net';
+import {TableFollower} from '@cicadapost/store';
+import {MemoryRowStore} from '@cicadapost/store/testing';
+import {SystemClock, type UpstreamId} from '@cicadapost/types';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {CrashReports} from './crash-reports.js';
+import {fleetTable} from './member-rows.js';
+
+const req = {
+	method: 'POST', host: 'h', path: '/p', body: Buffer.from('body'),
+};
+const upstream = (id: string, address = '127.0.0.1:1') => ({id: id as UpstreamId, address, bornAt: 1});
+
+let store: MemoryRowStore;
+const open: Array<Readonly<{stop: () => void}>> = [];
+
+function startDaemon(isRefused?: (address: string) => Promise<boolean>): CrashReports {
+	const clock = new SystemClock();
+	const follower = new TableFollower({
+		store, clock, table: fleetTable, waitMs: 20,
+	});
+	const reports = new CrashReports({
+		clock,
+		store,
+		follower,
+		isOwner: () => true,
+		onCrash() {
+			// Not looked at here.
+		},
+		...(isRefused === undefined ? {} : {isRefused}),
+	});
+	follower.start();
+	open.push(follower, reports);
+	return reports;
+}
+
+beforeEach(() => {
+	store = new MemoryRowStore();
+});
+
+afterEach(() => {
+	for (const task of open.splice(0)) {
+		task.stop();
+	}
+
+	vi.restoreAllMocks();
+});
+
+describe('reports of crashes', () => {
+	it('of several daemons add up, so that a request that goes round them is blocked at all', async () => {
+		const daemons = [startDaemon(async () => true), startDaemon(async () => true), startDaemon(async () => true), startDaemon()];
+		for (const [index, daemon] of daemons.slice(0, 3).entries()) {
+			expect(daemon.isBlocked(req)).toBe(false);
+			daemon.suspect(req, upstream(`u${index}`));
+		}
+
+		await expect.poll(() => daemons.every(daemon => daemon.isBlocked(req)), {timeout: 2000}).toBe(true);
+		expect(daemons[3]!.isBlocked({...req, path: '/other'})).toBe(false);
+	});
+
+	it('are not made of an upstream that still listens, so that resets of connections block nothing', async () => {
+		const server = createServer();
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as {port: number};
+		const daemon = startDaemon();
+		for (const id of ['u1', 'u2', 'u3']) {
+			daemon.suspect(req, upstream(id, `127.0.0.1:${port}`));
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 200);
+		});
+		expect(daemon.isBlocked(req)).toBe(false);
+		await new Promise(resolve => {
+			server.close(resolve);
+		});
+		for (const id of ['u1', 'u2', 'u3']) {
+			daemon.suspect(req, upstream(id, `127.0.0.1:${port}`));
+		}
+
+		await expect.poll(() => daemon.isBlocked(req)).toBe(true);
+	});
+
+	it('reach the others after an outage of the store', async () => {
+		const [first, second] = [startDaemon(async () => true), startDaemon()];
+		store.fault = 'down';
+		for (const id of ['u1', 'u2', 'u3']) {
+			first.suspect(req, upstream(id));
+		}
+
+		await expect.poll(() => first.isBlocked(req)).toBe(true);
+		expect(second.isBlocked(req)).toBe(false);
+		store.fault = 'none';
+		await expect.poll(() => second.isBlocked(req), {timeout: 4000}).toBe(true);
+	});
+
+	it('are deleted when they are old, so that the request may be tried again on mended upstreams', async () => {
+		const daemon = startDaemon(async () => true);
+		for (const id of ['u1', 'u2', 'u3']) {
+			daemon.suspect(req, upstream(id));
+		}
+
+		await expect.poll(() => store.all().length, {timeout: 2000}).toBe(3);
+		await daemon.sweep();
+		expect(store.all()).toHaveLength(3);
+		const sixteenMinutesLater = performance.now() + (16 * 60_000);
+		vi.spyOn(performance, 'now').mockReturnValue(sixteenMinutesLater);
+		await expect.poll(async () => {
+			await daemon.sweep();
+			return store.all().length;
+		}, {timeout: 2000}).toBe(0);
+		vi.restoreAllMocks();
+		await expect.poll(() => daemon.isBlocked(req), {timeout: 2000}).toBe(false);
+	});
+});
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -17,6 +17,7 @@
 	EngineVersions, WeightLoader, type OrderClient,
 } from '@cicadapost/weights';
 import type {CallerProtocol} from './caller-protocol.js';
+import {CrashReports} from './crash-reports.js';
 import {EntryMetrics} from './entry-metrics.js';
 import {splitAddress, type EntrySettings} from './entry-settings.js';
 import {FleetView} from './fleet-view.js';
@@ -76,6 +77,7 @@
 	private readonly fleet: TableFollower;
 	private readonly membership: MembershipTask;
 	private readonly view: FleetView;
+	private readonly crashes: CrashReports;
 	private readonly commits: CommitQueue;
 	private readonly runner: SampleRunner;
 	private readonly claims: ClaimWorker;
@@ -120,6 +122,15 @@
 			members: now => this.membership.members(now),
 			regionOf: dataCentre => settings.dataCentres[dataCentre] as RegionId | undefined,
 		});
+		this.crashes = new CrashReports({
+			clock,
+			store,
+			follower: this.fleet,
+			isOwner: part => this.isOwnerOf(part),
+			onCrash(fingerprint, life) {
+				logger.warn({event: 'crash', fingerprint, ...life}, 'a request has ended an upstream');
+			},
+		});
 		this.commits = new CommitQueue({
 			store,
 			follower: this.batchRows,
@@ -196,7 +207,7 @@
 		this.sweeper = new BatchSweeper({
 			store,
 			book: this.book,
-			isOwner: batch => ownerOf(batch, this.membership.members(clock.now()).map(member => member.daemon)) === settings.vm,
+			isOwner: batch => this.isOwnerOf(batch),
 			isOutdated: view => isOutdated(view, {
 				storeTime: this.batchRows.storeTime(clock.now()),
 				retentionMs: settings.resultRetentionSeconds * 1000,
@@ -215,6 +226,7 @@
 				pool: this.pool,
 				health: this.health,
 				protocol: platform.upstreams,
+				crashes: this.crashes,
 				dataCentre: settings.dataCentre as DataCentreId,
 				random: options.random ?? Math.random,
 				onNote: note => {
@@ -314,6 +326,7 @@
 		this.membership.stop();
 		this.runner.stop();
 		this.sweeper.stop();
+		this.crashes.stop();
 		this.front.close();
 		this.healthServer.close();
 		this.metrics.close();
@@ -343,6 +356,12 @@
 		});
 	}
 
+	/** Whether this daemon cleans up what belongs to a part of a table. */
+	private isOwnerOf(part: string): boolean {
+		const {clock, settings} = this.options;
+		return ownerOf(part, this.membership.members(clock.now()).map(member => member.daemon)) === settings.vm;
+	}
+
 	private isReady(): boolean {
 		const now = this.options.clock.now();
 		return !this.isStopping && this.configuration !== undefined && this.followers().every(follower => follower.isLoaded && follower.age(now) < cutOffMs);
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -15,7 +15,6 @@
 		callers: address,
 		/** The platform's question whether this daemon takes callers. */
 		health: address,
-		/** Other daemons. */
 		/** Counters and histograms as text. */
 		metrics: address.optional(),
 	}),
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -3,6 +3,7 @@
 	Clock, DataCentreId, Millis, RequestId, UpstreamId,
 } from '@cicadapost/types';
 import type {AnswerHead, ConnectionPool, Exchange} from './connection-pool.js';
+import {mayHaveCrashed, type CrashGuard} from './crash-book.js';
 import {decideNextStep, hedgeDelay, type AttemptOutcome} from './decide-attempt.js';
 import {pickService, type Route} from './route.js';
 import type {HealthBook} from './upstream-health.js';
@@ -58,6 +59,7 @@
 	pool: ConnectionPool;
 	health: HealthBook;
 	protocol: UpstreamProtocol;
+	crashes: CrashGuard;
 	dataCentre: DataCentreId;
 	random: () => number;
 	onNote: (note: AttemptNote) => void;
@@ -114,7 +116,9 @@
 		this.deadlineTimer = setTimeout(() => {
 			this.timeOut();
 		}, Math.max(1, this.remainingMs()));
-		if (!this.tryNext()) {
+		if (this.options.crashes.isBlocked(this.req)) {
+			this.block();
+		} else if (!this.tryNext()) {
 			this.refuse('no upstream of the service is ready');
 		}
 
@@ -133,7 +137,7 @@
 	}
 
 	private hasCandidate(): boolean {
-		return this.candidates().some(candidate => !this.tried.has(candidate.id));
+		return !this.options.crashes.isBlocked(this.req) && this.candidates().some(candidate => !this.tried.has(candidate.id));
 	}
 
 	private tryNext(): boolean {
@@ -276,6 +280,10 @@
 
 	private onFailure(attempt: Attempt, failure: Readonly<{kind: 'not-sent' | 'broken'; cause: string}>): void {
 		this.options.health.failed(attempt.upstream.id, this.options.clock.now());
+		if (mayHaveCrashed(failure)) {
+			this.options.crashes.suspect(this.req, attempt.upstream);
+		}
+
 		if (attempt.isStreaming) {
 			this.finish(`stream broke off: ${failure.cause}`, attempt);
 			this.sink.breakOff(failure.cause);
@@ -348,6 +356,12 @@
 		this.sink.end();
 	}
 
+	/** A refusal would promise that the request has not run, which does not hold for one that has ended upstreams. */
+	private block(): void {
+		this.finish('blocked', undefined, {reason: 'the request has ended several upstreams'});
+		this.sink.fail({kind: 'failed', reason: 'the request has ended several upstreams and is sent to no further one'});
+	}
+
 	private refuse(reason: string): void {
 		this.finish('refused', undefined, {reason});
 		this.sink.fail({kind: 'refused', retryAfterMs: busyRetryMs, reason});
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -9,6 +9,9 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {ConnectionPool, headerOf, type AnswerHead} from './connection-pool.js';
+import {
+	CrashBook, CrashGuard, fingerprintOf, mayHaveCrashed,
+} from './crash-book.js';
 import {decideNextStep, hedgeDelay, type AttemptState} from './decide-attempt.js';
 import {AnswerSink, Forwarder, type ForwardFailure} from './forward-request.js';
 import {
@@ -99,6 +102,39 @@
 	});
 });
 
+describe('CrashBook', () => {
+	const req = {
+		method: 'POST', host: 'h', path: '/p', body: Buffer.from('body'),
+	};
+	const life = (upstream: string, bornAt = 1) => ({upstream: upstream as UpstreamId, bornAt});
+
+	it('counts each start of an upstream once, so that several reports of one crash do not add up', () => {
+		const book = new CrashBook();
+		const fingerprint = fingerprintOf(req);
+		expect(book.record(fingerprint, life('u1'))).toBe(true);
+		expect(book.record(fingerprint, life('u1'))).toBe(false);
+		book.record(fingerprint, life('u1', 2));
+		expect(book.isBlocked(fingerprint)).toBe(false);
+		book.record(fingerprint, life('u2'));
+		expect(book.isBlocked(fingerprint)).toBe(true);
+		book.forget(fingerprint, life('u2'));
+		expect(book.isBlocked(fingerprint)).toBe(false);
+	});
+
+	it('tells requests apart by what they ask for', () => {
+		const others = [{...req, method: 'PUT'}, {...req, host: 'g'}, {...req, path: '/q'}, {...req, body: Buffer.from('other')}];
+		expect(new Set([req, ...others].map(one => fingerprintOf(one))).size).toBe(5);
+		expect(fingerprintOf({...req})).toBe(fingerprintOf(req));
+	});
+
+	it('suspects a crash only where the connection was closed', () => {
+		expect(mayHaveCrashed({kind: 'broken', cause: 'ECONNRESET'})).toBe(true);
+		expect(mayHaveCrashed({kind: 'broken', cause: 'the answer belongs to another request'})).toBe(false);
+		expect(mayHaveCrashed({kind: 'not-sent', cause: 'ECONNREFUSED'})).toBe(false);
+		expect(mayHaveCrashed({kind: 'aborted'})).toBe(false);
+	});
+});
+
 class TestProtocol extends UpstreamProtocol {
 	override requestHeaders({requestId, deadlineMs, host}: ForwardedHeaders): string[] {
 		return ['Host', host, 'Id', requestId ?? '', 'Deadline', String(deadlineMs)];
@@ -114,6 +150,21 @@
 	}
 }
 
+/** Takes each suspicion for a crash. */
+class RecordingGuard extends CrashGuard {
+	readonly book = new CrashBook();
+	readonly suspected: string[] = [];
+
+	override isBlocked(req: Parameters<typeof fingerprintOf>[0]): boolean {
+		return this.book.isBlocked(fingerprintOf(req));
+	}
+
+	override suspect(req: Parameters<typeof fingerprintOf>[0], upstream: Readonly<{id: UpstreamId; bornAt: number}>): void {
+		this.suspected.push(upstream.id);
+		this.book.record(fingerprintOf(req), {upstream: upstream.id, bornAt: upstream.bornAt});
+	}
+}
+
 type Answer = Readonly<{status?: number; body?: string; failure?: ForwardFailure; isBroken?: boolean}>;
 
 class CollectingSink extends AnswerSink {
@@ -195,7 +246,7 @@
 		};
 	};
 
-	const createForwarder = (records: readonly UpstreamRecord[], health = new HealthBook()) => {
+	const createForwarder = (records: readonly UpstreamRecord[], health = new HealthBook(), crashes: CrashGuard = new RecordingGuard()) => {
 		const directory = new UpstreamDirectory();
 		for (const record of records) {
 			directory.upsert(record);
@@ -204,7 +255,7 @@
 		const pool = new ConnectionPool();
 		pools.push(pool);
 		return new Forwarder({
-			clock: new SystemClock(), directory, pool, health, protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0,
+			clock: new SystemClock(), directory, pool, health, protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0, crashes,
 			onNote() {
 				// Not looked at here.
 			},
@@ -306,6 +357,38 @@
 		expect(health.health(record.id, false).avoidUntil).toBeGreaterThan(0);
 	});
 
+	describe('a request that crashes each upstream', () => {
+		const startCrashing = async () => Promise.all(['u1', 'u2', 'u3', 'u4', 'u5', 'u6'].map(async name => startUpstream(name, socket => {
+			socket.destroy();
+		})));
+
+		it('reaches three of them and then none, whatever its id', async () => {
+			const upstreams = await startCrashing();
+			const forwarder = createForwarder(upstreams.map(({record}) => record));
+			for (const id of ['one', 'two', 'three', 'four']) {
+				expect(await send(forwarder, id, 'idempotent', {maxAttempts: 2})).toMatchObject({failure: {kind: 'failed'}});
+			}
+
+			expect(upstreams.filter(({seen}) => seen.length > 0)).toHaveLength(3);
+		});
+
+		it('is not suspected when its answer is refused, late or garbled', async () => {
+			const guard = new RecordingGuard();
+			const full = await startUpstream('u1', (socket, id) => {
+				socket.write(`HTTP/1.1 503 Full\r\nId: ${id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`);
+			});
+			const garbling = await startUpstream('u2', socket => {
+				socket.write('no HTTP at all\r\n\r\n');
+			});
+			const silent = await startUpstream('u3', () => undefined);
+			for (const {record} of [full, garbling, silent]) {
+				await send(createForwarder([record], new HealthBook(), guard), 'one', 'once', {}, 100);
+			}
+
+			expect(guard.suspected).toEqual([]);
+		});
+	});
+
 	it('answers at the deadline', async () => {
 		const {record} = await startUpstream('u1', () => undefined);
 		const startedAt = performance.now();
