Give an engine no grant before its state has been read after a takeover or a pause

Change: decision/src/state-reads.ts keeps for each engine whether its state is known. Unknown engines are in the shard and get no grant, so that requests wait and are not refused. An engine without an answer is used after 2 s of ticks, in which a second read fits; ticks are counted, since a pause would use up a time limit at once. Two tests of membership.test.ts failed first (a new owner, and one that wakes, granted at once). The check now forgets an engine's leaving when it starts again; oracle.test.ts holds what the check still finds. Ruled out: refusing acquires of such a shard, since callers would come back for a second in vain.

--- a/packages/decision/src/bench.test-helper.ts
+++ b/packages/decision/src/bench.test-helper.ts
@@ -68,6 +68,15 @@
 		const outcome = decide(this.state, event, this.now);
 		this.state = outcome.state;
 		this.actions.push(...outcome.actions);
+		for (const action of outcome.actions) {
+			if (action.kind === 'read-state') {
+				this.post({
+					kind: 'upstream-state', upstream: action.upstream, status: {
+						leaving: false, version: 1, swapping: false, fence: 0,
+					},
+				});
+			}
+		}
 	}
 
 	message(message: PeerMessage): void {
--- a/packages/decision/src/daemon-state.ts
+++ b/packages/decision/src/daemon-state.ts
@@ -8,13 +8,14 @@
 import {createSuspectTable, type SchedulerState, type SuspectTable} from '@cicadapost/scheduling';
 import type {SiteConfiguration} from '@cicadapost/settings';
 import type {
-	Acquire, AttemptId, DaemonId, DataCentreId, Millis, PoolId, RegionId, RequestId, ShardId, UpstreamId,
+	Acquire, AttemptId, DaemonId, DataCentreId, Millis, PoolId, RegionId, RequestId, ShardId,
 } from '@cicadapost/types';
 import {createCaps, type CapsState} from './caps-part.js';
 import type {DeathReports} from './death-reports.js';
 import type {HeldGrants} from './held-grants.js';
 import type {PoolLease} from './pool-leases.js';
 import {createRelays, type RelaysState} from './relays.js';
+import type {StateReads} from './state-reads.js';
 
 /** Where the result of a request goes. */
 export type Origin =
@@ -58,8 +59,10 @@
 	suspects: SuspectTable;
 	/** Deaths that this daemon has reported and that are not known to be counted. */
 	deathReports: DeathReports;
-	/** When the state of each upstream of an owned shard is read next. */
-	stateReads: Map<UpstreamId, Millis>;
+	/** The engines of the owned shards. */
+	stateReads: StateReads;
+	/** Time of the last decision, which shows whether the process was paused. */
+	lastTurnAt: Millis;
 	caps: CapsState;
 	/** Leases of the pools of engines in this data centre. */
 	poolLeases: Map<PoolId, PoolLease>;
@@ -97,6 +100,7 @@
 		suspects: createSuspectTable(),
 		deathReports: new Map(),
 		stateReads: new Map(),
+		lastTurnAt: Number.POSITIVE_INFINITY,
 		caps: createCaps(),
 		poolLeases: new Map(),
 		leaving: false,
--- a/packages/decision/src/decide.ts
+++ b/packages/decision/src/decide.ts
@@ -51,6 +51,7 @@
 	receive(event: DaemonEvent): void {
 		// A process that was paused drops the views that have become old before it decides anything by them.
 		this.members.updateMembership({kind: 'time'});
+		this.shards.noticePause();
 		switch (event.kind) {
 			case 'request': {
 				this.requests.startRequest(event.request);
@@ -109,10 +110,7 @@
 
 			case 'upstream-state': {
 				receiveOrderStatus(this.state, event.upstream, event.status, this.now);
-				if (event.status !== undefined && this.state.stateReads.has(event.upstream)) {
-					this.members.updateMembership({kind: 'upstream-state', upstream: event.upstream, leaving: event.status.leaving});
-				}
-
+				this.shards.receiveState(event.upstream, event.status?.leaving);
 				break;
 			}
 
@@ -191,7 +189,7 @@
 		this.configuration.configure({kind: 'tick', call: this.nextCall(), isPoller: ownsInDataCentre(this.state.membership, configurationKey)});
 		this.requests.claim({kind: 'tick'});
 		this.actions.push(...tickPoolLeases(this.state, this.now, () => this.nextCall()));
-		this.shards.readStates();
+		this.shards.tickStates();
 		this.router.route({kind: 'tick'});
 		this.requests.cap((context, caps) => tickCaps(caps, context));
 		this.grants.askAgain();
--- a/packages/decision/src/membership.test.ts
+++ b/packages/decision/src/membership.test.ts
@@ -81,6 +81,44 @@
 		expect(bench.actions('open-attempt', 'a2')).toHaveLength(1);
 	});
 
+	it('gets no grant from a new owner that has not read its state yet, so that work does not go to it after a takeover', () => {
+		const first = owner();
+		bench.answersStates = false;
+		bench.daemons.delete(first);
+		const viewer = otherThan(first);
+		for (let waited = 0; owner(viewer) === first && waited < 10_000; waited += 50) {
+			bench.run(50, 50);
+		}
+
+		call(owner(viewer), 'r1');
+		expect(bench.actions('open-attempt')).toEqual([]);
+		expect(bench.actions('fail')).toEqual([]);
+		bench.run(3000);
+		expect(bench.actions('open-attempt')).toHaveLength(1);
+	});
+
+	it('gets no grant from an owner that wakes after a pause, so that its old view does not send work there', () => {
+		const first = owner();
+		for (const daemon of ['a1', 'a2', 'a3']) {
+			if (daemon !== first) {
+				bench.daemons.delete(daemon as DaemonId);
+			}
+		}
+
+		bench.run(5000);
+		bench.paused.add(first);
+		for (const name of upstreams) {
+			bench.statuses.set(name, {
+				leaving: true, version: 1, swapping: false, fence: 0,
+			});
+		}
+
+		bench.run(5000);
+		bench.paused.delete(first);
+		call(first, 'r1');
+		expect(bench.actions('open-attempt')).toEqual([]);
+	});
+
 	it('that says so itself gets no grant although the list calls it live, so that a lagging list does no harm', () => {
 		bench.statuses.set('e1', {
 			leaving: true, version: 1, swapping: false, fence: 0,
--- a/packages/decision/src/shards-part.ts
+++ b/packages/decision/src/shards-part.ts
@@ -1,5 +1,5 @@
 import {
-	allSuspects, createScheduler, decideScheduling, mergeSuspects, type SchedulerAction, type SchedulerEvent,
+	allSuspects, createScheduler, decideScheduling, mergeSuspects, type SchedulerAction, type SchedulerEvent, type ShardUpstream,
 } from '@cicadapost/scheduling';
 import type {
 	DaemonId, PeerMessage, ShardId, SuspectEntry, UpstreamId,
@@ -7,11 +7,11 @@
 import {refreshMeters} from './caps-part.js';
 import {moveGrants, withdrawal} from './held-grants.js';
 import {shardOwner, shardPolicy, shardsOf} from './shards.js';
+import {
+	countTick, createStateRead, forgetAfterPause, isUnread, noteAnswer, noteNoAnswer, takeDueReads,
+} from './state-reads.js';
 import {notOwnerRetryMs, TurnPart} from './turn-part.js';
 
-/** The VM list lags, so an upstream is asked itself whether it is leaving. */
-const stateReadIntervalMs = 1000;
-
 /** Shards that this daemon owns: their schedulers, their upstreams and the suspects. */
 export class ShardsPart extends TurnPart {
 	/** A death that is reported to a former owner goes on to the present one. Other releases only withdraw what that owner knew. */
@@ -102,18 +102,58 @@
 		this.turn.sendOrReceive(to, message);
 	}
 
+	/** After a pause of the process, engines get no grant until their state has been read again. */
+	noticePause(): void {
+		const {stateReads, lastTurnAt} = this.state;
+		this.state.lastTurnAt = this.now;
+		if (forgetAfterPause(stateReads, lastTurnAt, this.now)) {
+			this.refreshShards();
+		}
+	}
+
 	/** Reads the state of each engine of the owned shards about once a second. */
-	readStates(): void {
-		for (const [upstream, readAt] of this.state.stateReads) {
-			if (this.now >= readAt) {
-				this.state.stateReads.set(upstream, this.now + stateReadIntervalMs);
-				this.actions.push({kind: 'read-state', upstream});
-			}
+	tickStates(): void {
+		this.readStates();
+		if (countTick(this.state.stateReads)) {
+			this.refreshShards();
 		}
 	}
 
-	private useOwnedUpstreams(upstreams: ReadonlySet<UpstreamId>): void {
+	/** `isLeaving` is undefined if the engine gave no answer. */
+	receiveState(upstream: UpstreamId, isLeaving: boolean | undefined): void {
+		const read = this.state.stateReads.get(upstream);
+		if (read === undefined) {
+			return;
+		}
+
+		if (isLeaving === undefined) {
+			noteNoAnswer(read, this.now);
+			return;
+		}
+
+		const isUsable = noteAnswer(read);
+		this.turn.members.updateMembership({kind: 'upstream-state', upstream, leaving: isLeaving});
+		if (isUsable) {
+			this.refreshShards();
+		}
+	}
+
+	private readStates(): void {
+		for (const upstream of takeDueReads(this.state.stateReads, this.now)) {
+			this.actions.push({kind: 'read-state', upstream});
+		}
+	}
+
+	private ownedEngines(shards: ReadonlyMap<ShardId, readonly ShardUpstream[]>): Set<UpstreamId> {
+		const {site, membership, self} = this.state;
+		const isEngine = (upstream: UpstreamId) => site?.pools[site.upstreams[upstream]?.pool ?? '']?.kind === 'engine';
+		const owned = [...shards].filter(([shard]) => shardOwner(membership, shard) === self);
+		return new Set(owned.flatMap(([, upstreams]) => upstreams.map(({upstream}) => upstream).filter(upstream => isEngine(upstream))));
+	}
+
+	private useOwnedEngines(shards: ReadonlyMap<ShardId, readonly ShardUpstream[]>): void {
 		const {stateReads} = this.state;
+		const upstreams = this.ownedEngines(shards);
 		this.turn.members.updateMembership({kind: 'upstreams-owned', upstreams});
 		for (const upstream of stateReads.keys()) {
 			if (!upstreams.has(upstream)) {
@@ -123,9 +163,11 @@
 
 		for (const upstream of upstreams) {
 			if (!stateReads.has(upstream)) {
-				stateReads.set(upstream, this.now);
+				stateReads.set(upstream, createStateRead(this.now));
 			}
 		}
+
+		this.readStates();
 	}
 
 	/** Takes over shards that this daemon owns now, gives up the others, and repeats `acquire` at new owners. */
@@ -136,25 +178,21 @@
 		}
 
 		const shards = shardsOf(site, dataCentre, membership.leavingUpstreams);
+		this.useOwnedEngines(shards);
 		for (const shard of schedulers.keys()) {
 			if (!shards.has(shard) || shardOwner(membership, shard) !== self) {
 				schedulers.delete(shard);
 			}
 		}
 
-		const owned = new Set<UpstreamId>();
-		for (const [shard, upstreams] of shards) {
+		for (const [shard, members] of shards) {
 			if (shardOwner(membership, shard) === self) {
-				for (const {upstream} of upstreams.filter(({upstream}) => site.pools[site.upstreams[upstream]?.pool ?? '']?.kind === 'engine')) {
-					owned.add(upstream);
-				}
-
+				const upstreams = members.map(member => ({...member, isUnread: isUnread(this.state.stateReads.get(member.upstream))}));
 				schedulers.set(shard, schedulers.get(shard) ?? createScheduler({suspects: this.state.suspects}));
 				this.schedule(shard, {kind: 'upstreams-changed', upstreams, ...shardPolicy(site, shard)});
 			}
 		}
 
-		this.useOwnedUpstreams(owned);
 		this.turn.requests.cap((context, caps) => {
 			refreshMeters(caps, context);
 			return [];
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -62,6 +62,11 @@
 			leavingSince.set(event.upstream, leavingSince.get(event.upstream) ?? event.at);
 		}
 
+		// An engine that starts again is in service: its state and the VM list say so.
+		if (event.kind === 'upstream-started') {
+			leavingSince.delete(event.upstream);
+		}
+
 		if (event.kind === 'upstream-received') {
 			const since = leavingSince.get(event.upstream);
 			if (since !== undefined && event.at > since + leavingGraceMs) {
--- a/packages/scheduling/src/events.ts
+++ b/packages/scheduling/src/events.ts
@@ -9,6 +9,8 @@
 	upstream: UpstreamId;
 	/** A leaving upstream gets no new grant. */
 	leaving: boolean;
+	/** Nobody has told this daemon yet whether the upstream is leaving: requests wait for it, and none is granted. */
+	isUnread?: boolean;
 	/** Smallest window, and the one to start with. */
 	initialWindow: number;
 	maxWindow: number;
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -42,7 +42,7 @@
 
 function openingOf(state: SchedulerState, upstream: UpstreamState, isAnyUp: boolean, now: Millis): Opening | undefined {
 	const {settings, health, window, running, reservedFor} = upstream;
-	if (settings.leaving) {
+	if (settings.leaving || settings.isUnread === true) {
 		return undefined;
 	}
 
