Let heartbeats slow down with the fleet, and assign engines only when members or engines change

Cause: measured at the sizes to come. Every daemon reads every heartbeat; 370 members at 0.7 s are 530 rows a second, five times what 16 KB/s allow. `assignEngines` hashed each member for each engine and looked each one up in a list, three times a second. Change: the pause between heartbeats is 9.4 ms for each member, at least 0.7 s, and silence is counted in these pauses, so that fleets up to 74 members behave as before. Ruled out: a table of heartbeats for each data centre, since an engine whose data centre has no daemon left needs one from another.

--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -14,18 +14,20 @@
 	regionOf: (dataCentre: DataCentreId) => RegionId | undefined;
 }>;
 
-/** Owners are computed again after this time, since silence alone changes them. */
+/** Members are looked at again after this time, since silence alone changes them. */
 const ownersValidMs = 300;
 
 /** Which daemon looks after which engine, as this daemon sees it. */
 export class FleetView {
-	private cached: Readonly<{at: Millis; owners: ReadonlyMap<UpstreamId, DaemonId>}> | undefined;
+	/** Time of the last look at the members; undefined if they or the upstreams have changed since. */
+	private lookedAt: Millis | undefined;
+	private assigned: Readonly<{key: string; owners: ReadonlyMap<UpstreamId, DaemonId>}> = {key: '', owners: new Map()};
 
 	constructor(private readonly options: FleetViewOptions) {}
 
 	/** Members or upstreams have changed. */
 	invalidate(): void {
-		this.cached = undefined;
+		this.lookedAt = undefined;
 	}
 
 	isOwner(engine: UpstreamId): boolean {
@@ -59,12 +61,22 @@
 	}
 
 	private owners(): ReadonlyMap<UpstreamId, DaemonId> {
-		const {clock, members, regionOf} = this.options;
+		const {clock, members} = this.options;
 		const now = clock.now();
-		if (this.cached === undefined || now - this.cached.at > ownersValidMs) {
-			this.cached = {at: now, owners: assignEngines({engines: this.readyEngines(), members: members(now), regionOf})};
+		if (this.lookedAt === undefined || now - this.lookedAt > ownersValidMs) {
+			this.lookedAt = now;
+			this.assign(members(now), this.readyEngines());
 		}
 
-		return this.cached.owners;
+		return this.assigned.owners;
+	}
+
+	/** Most looks find the same members and engines, so that the owners stay. */
+	private assign(members: readonly MemberRecord[], engines: readonly UpstreamRecord[]): void {
+		const {regionOf} = this.options;
+		const key = JSON.stringify([members.map(member => [member.daemon, member.dataCentre, member.region]), engines.map(engine => [engine.id, engine.dataCentre])]);
+		if (key !== this.assigned.key) {
+			this.assigned = {key, owners: assignEngines({engines, members, regionOf})};
+		}
 	}
 }
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -1,5 +1,5 @@
 import {
-	liveMembers, memberBeatMs, type MemberRecord, type MemberSighting,
+	isRunning, liveMembers, memberBeatMs, type FleetClock, type MemberRecord, type MemberSighting,
 } from '@cicadapost/fleet';
 import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
@@ -34,11 +34,12 @@
 		});
 	}
 
+	/** Begins to send heartbeats. */
 	start(): void {
 		void this.sendBeat();
-		this.timer = setInterval(() => {
-			void this.sendBeat();
-		}, memberBeatMs);
+		this.timer = setTimeout(() => {
+			this.start();
+		}, memberBeatMs(this.sightings().size));
 	}
 
 	/** Tells the others at once that this daemon takes no more work. */
@@ -48,12 +49,11 @@
 	}
 
 	stop(): void {
-		clearInterval(this.timer);
+		clearTimeout(this.timer);
 	}
 
 	members(now: Millis): MemberRecord[] {
-		const {follower} = this.options;
-		return liveMembers({sightings: [...this.sightings().values()], connectedForMs: follower.connectedFor(now), now});
+		return liveMembers([...this.sightings().values()], this.fleetClock(now));
 	}
 
 	/**
@@ -72,7 +72,11 @@
 		}
 
 		// A daemon that is leaving keeps what it runs until it gives it back.
-		return liveMembers({sightings: [{...sighting, record: {...sighting.record, state: 'live'}}], connectedForMs: follower.connectedFor(now), now}).length > 0;
+		return isRunning(sighting, this.fleetClock(now));
+	}
+
+	private fleetClock(now: Millis): FleetClock {
+		return {members: this.sightings().size, connectedForMs: this.options.follower.connectedFor(now), now};
 	}
 
 	private sightings(): ReadonlyMap<DaemonLife, MemberSighting> {
--- a/packages/fleet/src/engine-ownership.ts
+++ b/packages/fleet/src/engine-ownership.ts
@@ -23,24 +23,28 @@
 	const owned = new Map<DaemonId, number>();
 	const owners = new Map<UpstreamId, DaemonId>();
 	const sorted = engines.toSorted((a, b) => (a.id < b.id ? -1 : 1));
+	const nearTo = new Map<DataCentreId, DaemonId[]>();
 	for (const engine of sorted) {
-		const ranks = rankedFor(engine.id, members.map(member => member.daemon), members.length);
-		const ranked = members.map(member => ({
-			member,
-			near: nearnessOf(member, engine, regionOf),
-			load: owned.get(member.daemon) ?? 0,
-			rank: ranks.indexOf(member.daemon),
-		})).sort((a, b) => b.near - a.near || a.load - b.load || a.rank - b.rank);
-		const [best] = ranked;
+		const near = nearTo.get(engine.dataCentre) ?? nearest(members, engine, regionOf);
+		nearTo.set(engine.dataCentre, near);
+		const leastLoad = Math.min(...near.map(daemon => owned.get(daemon) ?? 0));
+		const [best] = rankedFor(engine.id, near.filter(daemon => (owned.get(daemon) ?? 0) === leastLoad), 1);
 		if (best !== undefined) {
-			owners.set(engine.id, best.member.daemon);
-			owned.set(best.member.daemon, best.load + 1);
+			owners.set(engine.id, best);
+			owned.set(best, leastLoad + 1);
 		}
 	}
 
 	return owners;
 }
 
+/** The members of the nearest level that has any. */
+function nearest(members: readonly MemberRecord[], engine: UpstreamRecord, regionOf: OwnershipOptions['regionOf']): DaemonId[] {
+	const levels = members.map(member => nearnessOf(member, engine, regionOf));
+	const best = Math.max(...levels);
+	return members.filter((_, index) => levels[index] === best).map(member => member.daemon);
+}
+
 function nearnessOf(member: MemberRecord, engine: UpstreamRecord, regionOf: OwnershipOptions['regionOf']): number {
 	if (member.dataCentre === engine.dataCentre) {
 		return nearness.sameDataCentre;
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -4,7 +4,9 @@
 import {describe, expect, it} from 'vitest';
 import {chooseUpstream, type UpstreamHealth} from './choose-upstream.js';
 import {assignEngines} from './engine-ownership.js';
-import {liveMembers, memberSilenceMs, type MemberRecord} from './members.js';
+import {
+	liveMembers, memberBeatMs, memberSilenceMs, type MemberRecord,
+} from './members.js';
 import {returnGraceMs, UpstreamDirectory} from './upstream-directory.js';
 import type {UpstreamRecord} from './upstream.js';
 
@@ -101,12 +103,25 @@
 	const sighting = {record: member('d1'), seenAt: 0};
 
 	it('takes a member without heartbeats for dead', () => {
-		expect(liveMembers({sightings: [sighting], connectedForMs: 60_000, now: memberSilenceMs - 1})).toHaveLength(1);
-		expect(liveMembers({sightings: [sighting], connectedForMs: 60_000, now: memberSilenceMs})).toHaveLength(0);
+		const silenceMs = memberSilenceMs(9);
+		expect(liveMembers([sighting], {members: 9, connectedForMs: 60_000, now: silenceMs - 1})).toHaveLength(1);
+		expect(liveMembers([sighting], {members: 9, connectedForMs: 60_000, now: silenceMs})).toHaveLength(0);
 	});
 
 	it('takes nobody for dead after an outage of the store, in which no heartbeat could arrive', () => {
-		expect(liveMembers({sightings: [sighting], connectedForMs: 500, now: 60_000})).toHaveLength(1);
+		expect(liveMembers([sighting], {members: 9, connectedForMs: 500, now: 60_000})).toHaveLength(1);
+	});
+
+	it('sends no more heartbeats through the table than the control budget of each reader allows, at any size', () => {
+		const bytesPerBeat = 150;
+		const budget = 16 * 1024;
+		for (const members of [9, 82, 370, 1000]) {
+			expect(members / memberBeatMs(members) * 1000 * bytesPerBeat).toBeLessThan(budget);
+			expect(memberSilenceMs(members)).toBeGreaterThan(3 * memberBeatMs(members));
+		}
+
+		// Small fleets keep their pace, so that a death is noticed as soon as before.
+		expect(memberSilenceMs(12)).toBe(2600);
 	});
 });
 
