--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -12,7 +12,8 @@
 import {
 	planClaims, runningElsewhere, withClaimed, type ClaimTarget, type EligibleBatch, type EngineRoom, type IsHeld,
 } from './plan-claims.js';
-import {keyOf, type SampleRunner} from './run-samples.js';
+import type {SampleRunner} from './run-samples.js';
+import {keyOf} from './sample-run.js';
 
 /** An older copy of the batches may miss the end of one, so nothing is started from it. */
 const maxCopyAgeMs = 2000;
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -17,7 +17,10 @@
 } from './engine-client.js';
 import {EnginePace} from './engine-pace.js';
 import {EngineSilence} from './engine-silence.js';
-import {isLong, type ClaimTarget, type ItemPlace} from './plan-claims.js';
+import {isLong, type ClaimTarget} from './plan-claims.js';
+import {
+	copyOf, createRun, describeEnd, keyOf, type BeginOptions, type RunNote, type Running,
+} from './sample-run.js';
 
 /** What the route of a batch allows. */
 export type BatchRules = Readonly<{
@@ -45,54 +48,6 @@
 	onNote: (note: RunNote) => void;
 }>;
 
-export type RunNote = Readonly<{
-	batch: BatchId;
-	item: string;
-	engine: UpstreamId;
-	outcome: string;
-	events: number;
-	expectedTokens: number;
-	tookMs: Millis;
-	failures: number;
-}>;
-
-type Running = {
-	readonly batch: BatchId;
-	readonly group: number;
-	readonly item: number;
-	readonly engine: UpstreamId;
-	readonly startedAt: Millis;
-	readonly body: ItemBody;
-	readonly isLong: boolean;
-	readonly expectedTokens: number;
-	text: {events: string[]; lastEventId: number; versions: number[]};
-	/** Version of the weights that make the events now. */
-	version: number | undefined;
-	failures: number;
-	refusals: number;
-	lastSignAt: Millis;
-	sentAt: Millis;
-	/** Events since the run was sent to its engine. */
-	newEvents: number;
-	savedAt: Millis;
-	savedEvents: number;
-	run: SampleRun | undefined;
-	timer: NodeJS.Timeout | undefined;
-	isOver: boolean;
-};
-
-type BeginOptions = Readonly<{
-	engine: UpstreamRecord;
-	target: ClaimTarget;
-	item: number;
-	body: ItemBody;
-	failures: number;
-	/** What the item has generated so far, if the run may go on from it. */
-	text: SampleText | undefined;
-	isLong: boolean;
-	expectedTokens: number;
-}>;
-
 /** How often runs are checked for silence, for an end of their batch and for text to keep. */
 const checkMs = 200;
 /** Text of a run that is older than this is kept in the store this often, so that a dead daemon's runs go on elsewhere. */
@@ -219,30 +174,7 @@
 	}
 
 	private begin(options: BeginOptions): void {
-		const now = this.options.clock.now();
-		const {target, item, text} = options;
-		const run: Running = {
-			batch: target.batch,
-			group: target.group,
-			item,
-			engine: options.engine.id,
-			startedAt: now,
-			body: options.body,
-			isLong: options.isLong,
-			expectedTokens: options.expectedTokens,
-			text: {events: [...text?.events ?? []], lastEventId: text?.lastEventId ?? -1, versions: [...text?.versions ?? []]},
-			version: undefined,
-			failures: options.failures,
-			refusals: 0,
-			lastSignAt: now,
-			sentAt: now,
-			newEvents: 0,
-			savedAt: now,
-			savedEvents: text?.events.length ?? 0,
-			run: undefined,
-			timer: undefined,
-			isOver: false,
-		};
+		const run = createRun(options, this.options.clock.now());
 		this.running.set(keyOf(run), run);
 		this.send(run);
 	}
@@ -490,20 +422,3 @@
 		}
 	}
 }
-
-/** One text for the place of an item, as a key of sets. */
-export function keyOf({batch, group, item}: ItemPlace): string {
-	return `${batch}/${group}/${item}`;
-}
-
-function copyOf(text: Running['text']): SampleText {
-	return {events: [...text.events], lastEventId: text.lastEventId, versions: [...text.versions]};
-}
-
-function describeEnd(end: RunEnd): string {
-	if ('status' in end) {
-		return `${end.kind} with status ${end.status}`;
-	}
-
-	return 'cause' in end ? `${end.kind}: ${end.cause}` : end.kind;
-}
