Show cicadapost entry in the demo, with callers and a trainer that check what they get

`npm run demo` starts four entry daemons, four engines, two plain upstreams and the store, kills a daemon that runs samples, takes the store away for 1.5 s and names a version; it fails if a call is lost or a result is wrong. `npm run demo -- serve` is the demo as it was.

--- /dev/null
+++ b/packages/demo/src/platform-demo.ts
@@ -0,0 +1,180 @@
+/** `cicadapost entry` on stand-ins of the platform: four daemons, four engines, two plain upstreams, callers and a trainer, and three failures. */
+
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	EntryProcess, faultsOf, readAllResults, standInConfiguration, standInModel, StandInEngine, StandInService, StandInStore, submission, tryCall,
+} from '@cicadapost/platform-adapter/testing';
+
+const dataCentres = ['west-a', 'west-b'] as const;
+const eventsPerSample = 40;
+const groups = 4;
+const samplesPerGroup = 4;
+const steps = 4;
+const callEveryMs = 60;
+/** Time that a caller waits for an answer, with all its tries. */
+const callerPatienceMs = 4000;
+
+type Measured = {calls: number; lost: number; tries: number; latencies: number[]};
+
+class DemoPlatform {
+	readonly store = new StandInStore();
+	readonly engines: StandInEngine[] = [];
+	readonly entries: EntryProcess[] = [];
+	private readonly services: StandInService[] = [];
+
+	async start(): Promise<void> {
+		const storeAddress = await this.store.listen();
+		await this.store.write('op', 'config', standInConfiguration(1));
+		for (const dataCentre of dataCentres) {
+			const service = new StandInService({
+				id: `desk-${dataCentre}`, service: 'desk', dataCentre, workMs: 15,
+			});
+			this.services.push(service);
+			await service.listen();
+			await this.store.write('servers', service.options.id, service.entry());
+			for (const index of [1, 2]) {
+				const engine = new StandInEngine({
+					id: `engine-${dataCentre}-${index}`, service: 'lm', model: standInModel, dataCentre, slots: 8, eventMs: 25, events: eventsPerSample,
+				});
+				this.engines.push(engine);
+				await engine.listen();
+				await this.store.write('servers', engine.options.id, engine.entry());
+				this.entries.push(await EntryProcess.start({
+					vm: `entry-${dataCentre}-${index}`, dataCentre, store: storeAddress, orderSilenceMs: 300,
+				}));
+			}
+		}
+
+		for (const entry of this.entries) {
+			while (!await entry.isReady()) {
+				await sleep(100);
+			}
+		}
+	}
+
+	/** A version is named, and the engines say in the list which one they have. */
+	async nameVersion(version: number): Promise<void> {
+		await this.store.write('op', `version/${standInModel}`, {model: standInModel, version});
+		const until = performance.now() + 8000;
+		while (performance.now() < until && !this.engines.every(engine => engine.version === version)) {
+			await sleep(50);
+		}
+
+		for (const engine of this.engines) {
+			await this.store.write('servers', engine.options.id, engine.entry());
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.entries.map(async entry => entry.close()));
+		for (const standIn of [this.store, ...this.services, ...this.engines]) {
+			standIn.close();
+		}
+	}
+}
+
+function log(text: string): void {
+	process.stdout.write(`${text}\n`);
+}
+
+/** One caller: asks the next daemon after a failure or a refusal, as behind a load balancer. */
+async function callDesk(entries: readonly EntryProcess[], index: number, measured: Measured): Promise<void> {
+	const startedAt = performance.now();
+	measured.calls++;
+	for (let attempt = 0; performance.now() - startedAt < callerPatienceMs; attempt++) {
+		measured.tries++;
+		const entry = entries[(index + attempt) % entries.length]!;
+		const reply = await tryCall(entry.url, 'POST', `/desk/${index}`, {id: `call-${index}-${attempt}`, deadlineMs: 1500, body: 'x'});
+		if (reply?.status === 200) {
+			measured.latencies.push(performance.now() - startedAt);
+			return;
+		}
+
+		await sleep(Number(reply?.retryAfter ?? 0.05) * 1000);
+	}
+
+	measured.lost++;
+}
+
+async function callUntil(isOver: () => boolean, entries: readonly EntryProcess[]): Promise<Measured> {
+	const measured: Measured = {
+		calls: 0, lost: 0, tries: 0, latencies: [],
+	};
+	const calls: Array<Promise<void>> = [];
+	for (let index = 0; !isOver(); index++) {
+		calls.push(callDesk(entries, index, measured));
+		await sleep(callEveryMs);
+	}
+
+	await Promise.all(calls);
+	return measured;
+}
+
+/** Submits a batch to one daemon after the other until one accepts it, and checks all results. */
+async function runStep(entries: readonly EntryProcess[], step: number, minVersion: number): Promise<string[]> {
+	const id = `step-${step}`;
+	const body = submission(groups, samplesPerGroup, {step, minVersion});
+	const startedAt = performance.now();
+	for (let attempt = 0; ; attempt++) {
+		const reply = await tryCall(entries[attempt % entries.length]!.url, 'POST', '/draft/', {id, body});
+		if (reply?.status === 202) {
+			break;
+		}
+
+		await sleep(Number(reply?.retryAfter ?? 0.1) * 1000);
+	}
+
+	const results = await readAllResults(entries.map(entry => entry.url), id);
+	const faults = faultsOf(results, {count: groups * samplesPerGroup, events: eventsPerSample});
+	const versions = [...new Set(results.flatMap(result => result.versions))].sort((a, b) => a - b).join(',');
+	log(`step ${step}: ${results.length} samples whole in ${((performance.now() - startedAt) / 1000).toFixed(1)} s, versions ${versions}, ${faults.length} faults`);
+	return faults;
+}
+
+/** Runs the deployment to its end. Rejects if a call was lost or a result is wrong. */
+export async function runPlatformDemo(): Promise<void> {
+	const platform = new DemoPlatform();
+	try {
+		await platform.start();
+		const {entries, store} = platform;
+		log(`${entries.length} daemons and ${platform.engines.length} engines in ${dataCentres.length} data centres are ready`);
+		let isOver = false;
+		const calling = callUntil(() => isOver, entries);
+		const failures: ReadonlyArray<() => Promise<void>> = [
+			async () => undefined,
+			async () => {
+				entries.find(entry => entry.lines.some(line => line.event === 'claim'))?.signal('SIGKILL');
+				log('killed a daemon that runs samples');
+			},
+			async () => {
+				store.rows.fault = 'down';
+				await sleep(1500);
+				store.rows.fault = 'none';
+				log('the store was away for 1.5 s');
+			},
+			async () => {
+				await platform.nameVersion(2);
+				log('named version 2; all engines have it');
+			},
+		];
+		const faults: string[] = [];
+		for (let step = 0; step < steps; step++) {
+			const running = runStep(entries, step, 1);
+			await sleep(400);
+			await failures[step]?.();
+			faults.push(...await running);
+		}
+
+		isOver = true;
+		const {calls, lost, tries, latencies} = await calling;
+		const sorted = latencies.toSorted((a, b) => a - b);
+		const at = (share: number) => Math.round(sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0);
+		log(`${calls} calls in ${tries} tries: ${lost} lost, p50 ${at(0.5)} ms, p99 ${at(0.99)} ms, max ${at(1)} ms`);
+		if (lost > 0 || faults.length > 0) {
+			throw new Error([`${lost} calls got no answer`, ...faults].join('\n'));
+		}
+	} finally {
+		await platform.close();
+	}
+}
--- /dev/null
+++ b/packages/demo/src/serve-demo.ts
@@ -0,0 +1,219 @@
+/** `cicadapost serve`: runs a small deployment as separate processes, breaks two of them, and prints what each member got. */
+
+import {createHash} from 'node:crypto';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {request} from 'undici';
+import {freePort} from './free-port.js';
+import {Processes, type Started} from './processes.js';
+import {
+	changeWeights, printStep, startTrainer, stepOwnerIndex,
+} from './training-step.js';
+
+const binary = path.resolve('dist/cicadapost');
+const standIns = path.resolve('dist/stand-ins.cjs');
+const operatorKey = 'operator-key-of-the-demo';
+const members = {
+	inspectors: {key: 'inspectors-key-of-the-demo', weight: 3, role: 'caller'},
+	clerks: {key: 'clerks-key-of-the-demo', weight: 1, role: 'caller'},
+} as const;
+const trainer = {name: 'netmodel-trainer', key: 'trainer-key-of-the-demo', step: 7} as const;
+const dataCentres = {'alpen-west-1': 'alpen-west', 'lage-landen-1': 'lage-landen'} as const;
+
+type MemberName = keyof typeof members;
+type Measured = {calls: number; lost: number; tokens: number; latencies: number[]; versions: Set<number>};
+
+function hash(key: string): string {
+	return createHash('sha256').update(key).digest('hex');
+}
+
+async function post(url: string, body: unknown, headers: Record<string, string> = {}): Promise<{status: number; text: string}> {
+	const res = await request(url, {method: 'POST', headers: {'content-type': 'application/json', ...headers}, body: JSON.stringify(body)});
+	return {status: res.statusCode, text: await res.body.text()};
+}
+
+type Deployment = {
+	daemons: Started[];
+	engines: Started[];
+};
+
+async function startDeployment(processes: Processes, directory: string): Promise<Deployment> {
+	const platform = await processes.start(process.execPath, [standIns, 'platform']);
+	const platformUrl = `http://127.0.0.1:${platform.port}`;
+	const engines: Started[] = [];
+	const daemons: Started[] = [];
+	const vms: unknown[] = [];
+	const overlays: string[] = [];
+	for (const [dataCentre, region] of Object.entries(dataCentres)) {
+		const upstreams: Record<string, unknown> = {};
+		for (const index of [1, 2]) {
+			const name = `${dataCentre}-engine-${index}`;
+			const engine = await processes.start(process.execPath, [standIns, 'engine', '--name', name]);
+			engines.push(engine);
+			upstreams[name] = {pool: 'netmodel', url: `http://127.0.0.1:${engine.port}`};
+		}
+
+		const overlayFile = path.join(directory, `${dataCentre}.jsonc`);
+		writeFileSync(overlayFile, JSON.stringify({upstreams}));
+		overlays.push('--overlay', overlayFile);
+		for (const index of [1, 2]) {
+			const daemon = `${dataCentre}-entry-${index}`;
+			const peerPort = await freePort();
+			vms.push({
+				id: daemon, role: 'entry', dataCentre, state: 'live', peerAddress: `127.0.0.1:${peerPort}`,
+			});
+			const settingsFile = path.join(directory, `${daemon}.jsonc`);
+			writeFileSync(settingsFile, JSON.stringify({
+				daemon,
+				dataCentre,
+				region,
+				listen: {api: {port: 0}, peers: {port: peerPort}},
+				platform: {tableService: platformUrl, objectStore: platformUrl, vmList: platformUrl},
+				operatorKeyHashes: [hash(operatorKey)],
+				peerSecret: 'peer-secret-of-the-demo',
+			}));
+			daemons.push(await processes.start(binary, ['serve', '--settings', settingsFile]));
+		}
+	}
+
+	await post(`${platformUrl}/control`, {vms});
+	const baseFile = path.join(directory, 'base.jsonc');
+	writeFileSync(baseFile, JSON.stringify({
+		members: {
+			...Object.fromEntries(Object.entries(members).map(([name, member]) => [name, {
+				weight: member.weight, keys: [{sha256: hash(member.key), role: member.role}],
+			}])),
+			[trainer.name]: {weight: 1, keys: [{sha256: hash(trainer.key), role: 'trainer'}]},
+		},
+		pools: {netmodel: {kind: 'engine'}},
+		dataCentres: Object.fromEntries(Object.entries(dataCentres).map(([name, region]) => [name, {region}])),
+	}));
+	await apply(daemons[0]!, baseFile, overlays);
+	return {daemons, engines};
+}
+
+async function apply(daemon: Started, baseFile: string, overlays: readonly string[]): Promise<void> {
+	const {execFile} = await import('node:child_process');
+	await new Promise<void>((resolve, reject) => {
+		execFile(binary, ['config', 'apply', '--daemon', `http://127.0.0.1:${daemon.port}`, '--base', baseFile, ...overlays], {
+			env: {...process.env, CICADAPOST_KEY: operatorKey},
+		}, (err, stdout, stderr) => {
+			if (err === null) {
+				process.stdout.write(stdout);
+				resolve();
+				return;
+			}
+
+			reject(new Error(`config apply failed: ${stderr}`));
+		});
+	});
+}
+
+async function waitUntilReady(daemons: readonly Started[]): Promise<void> {
+	for (const daemon of daemons) {
+		for (;;) {
+			const {status} = await post(`http://127.0.0.1:${daemon.port}/v1/completions`, {model: 'netmodel', prompt: 'ready?', max_tokens: 1}, {
+				authorization: `Bearer ${members.inspectors.key}`, 'x-deadline-ms': '2000',
+			});
+			if (status === 200) {
+				break;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, 100);
+			});
+		}
+	}
+}
+
+async function call(daemons: readonly Started[], member: MemberName, index: number, measured: Measured): Promise<void> {
+	const startedAt = performance.now();
+	const headers = {authorization: `Bearer ${members[member].key}`, 'x-deadline-ms': '10000'};
+	const body = {
+		model: 'netmodel', prompt: `${member} asks ${index}`, max_tokens: 24, stream: index % 5 === 0,
+	};
+	measured.calls++;
+	for (let attempt = 0; attempt < 4; attempt++) {
+		// The load balancer in front of the daemons sends a caller to another one after a failure.
+		const daemon = daemons[(index + attempt) % daemons.length]!;
+		try {
+			const {status, text} = await post(`http://127.0.0.1:${daemon.port}/v1/completions`, body, headers);
+			if (status === 200) {
+				measured.latencies.push(performance.now() - startedAt);
+				measured.tokens += 24;
+				for (const match of text.matchAll(/"version":(?<version>\d+)/gv)) {
+					measured.versions.add(Number(match.groups!.version));
+				}
+
+				return;
+			}
+		} catch {
+			// The daemon was killed.
+		}
+	}
+
+	measured.lost++;
+}
+
+/** Runs the deployment to its end. Rejects if a call got no answer. */
+export async function runServeDemo(): Promise<void> {
+	const directory = mkdtempSync(path.join(tmpdir(), 'cicadapost-demo-'));
+	const processes = new Processes();
+	try {
+		const {daemons, engines} = await startDeployment(processes, directory);
+		await waitUntilReady(daemons);
+		const results: Record<MemberName, Measured> = {
+			inspectors: {
+				calls: 0, lost: 0, tokens: 0, latencies: [], versions: new Set(),
+			},
+			clerks: {
+				calls: 0, lost: 0, tokens: 0, latencies: [], versions: new Set(),
+			},
+		};
+		const names = Object.keys(members) as MemberName[];
+		const callsInParallel = 20;
+		const training = startTrainer(processes, {daemons, key: trainer.key, step: trainer.step});
+		for (const round of [0, 1, 2]) {
+			if (round === 1) {
+				const owner = await stepOwnerIndex(daemons, operatorKey);
+				processes.kill(daemons[owner]!);
+				processes.kill(engines[0]!);
+				process.stdout.write('killed the daemon that runs the training step, and one engine\n');
+			}
+
+			if (round === 2) {
+				await changeWeights(engines.slice(1), 2);
+				process.stdout.write('changed the weights; the change failed on one engine\n');
+			}
+
+			await Promise.all(names.flatMap(name => Array.from({length: callsInParallel}, async (_, index) => call(daemons, name, (round * callsInParallel) + index, results[name]))));
+		}
+
+		const totalTokens = names.reduce((sum, name) => sum + results[name].tokens, 0);
+		process.stdout.write('member      calls  share  p50 ms  max ms  versions  lost\n');
+		for (const name of names) {
+			const {calls, tokens, latencies, versions, lost} = results[name];
+			const sorted = latencies.toSorted((a, b) => a - b);
+			const share = `${Math.round(100 * tokens / totalTokens)}%`;
+			process.stdout.write(`${[
+				name.padEnd(10),
+				String(calls).padStart(6),
+				share.padStart(6),
+				String(Math.round(sorted[Math.floor(sorted.length / 2)] ?? 0)).padStart(7),
+				String(Math.round(sorted.at(-1) ?? 0)).padStart(7),
+				[...versions].join(',').padStart(9),
+				String(lost).padStart(5),
+			].join(' ')}\n`);
+		}
+
+		printStep(await training);
+		const lost = names.reduce((sum, name) => sum + results[name].lost, 0);
+		if (lost > 0) {
+			throw new Error(`${lost} calls got no answer`);
+		}
+	} finally {
+		processes.stopAll();
+		rmSync(directory, {recursive: true, force: true});
+	}
+}
