Keep sorted views of the upstreams and let looks for work rest, so that cost grows less with the fleet

What each daemon does for the whole fleet: each request and each look for work sorted all upstreams; each heartbeat of an upstream woke the looks for work and for loads; each claim and result anywhere led to a look at all open samples, and the order of the samples was quadratic in their number. Change: `UpstreamDirectory` keeps its sorted views until a record says something new; heartbeats that say nothing new wake nobody; an engine without a free slot is not planned for; after a look for work the next one rests nine times as long as it took, at most 100 ms; own samples are found in one pass. Old crash reports are looked for before their owner is computed.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -19,6 +19,13 @@
 const maxCopyAgeMs = 2000;
 /** Looks for work again this often even if nothing happened, since time alone frees the claims of dead daemons. */
 const idleCheckMs = 400;
+/**
+Rest after a look for work, as a multiple of the time that it took. Each claim and each result of the whole fleet changes the
+batches; looking at all of them each time would take most of a core at a hundred daemons. Here it takes a tenth at most.
+*/
+const restFactor = 9;
+/** Longest rest, so that free slots do not wait. */
+const maxRestMs = 100;
 /** Pause after the store refused or did not answer. */
 const retryMs = 150;
 
@@ -51,6 +58,9 @@
 	private readonly claiming = new Set<string>();
 	private readonly timer: NodeJS.Timeout;
 	private isStopped = false;
+	/** Until then changes of batches only set a timer. */
+	private restUntil = 0;
+	private restTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: ClaimWorkerOptions) {
 		this.timer = setInterval(() => {
@@ -60,6 +70,15 @@
 
 	/** Looks for work for each engine that has room. */
 	wake(): void {
+		const restMs = this.restUntil - this.options.clock.now();
+		if (restMs > 0) {
+			this.restTimer ??= setTimeout(() => {
+				this.restTimer = undefined;
+				this.wake();
+			}, restMs);
+			return;
+		}
+
 		if (this.isStopped || this.options.follower.age(this.options.clock.now()) > maxCopyAgeMs) {
 			return;
 		}
@@ -75,6 +94,7 @@
 	stop(): void {
 		this.isStopped = true;
 		clearInterval(this.timer);
+		clearTimeout(this.restTimer);
 	}
 
 	private async fill(engine: UpstreamRecord): Promise<void> {
@@ -92,7 +112,14 @@
 	/** Returns whether another look is worth while. */
 	private async claimOnce(engine: UpstreamRecord): Promise<boolean> {
 		const {store, follower, book, runner, clock, life, onClaimed} = this.options;
+		if (runner.countAt(engine.id) >= engine.slots) {
+			return false;
+		}
+
+		const plannedAt = clock.now();
 		const targets = this.plan(engine);
+		const now = clock.now();
+		this.restUntil = now + Math.min(maxRestMs, (now - plannedAt) * restFactor);
 		const [first] = targets;
 		if (first === undefined) {
 			return false;
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -108,12 +108,22 @@
 }
 
 /** The items at every `step`-th place from `first` on come first, then the others. */
-function rotate(items: readonly ItemWork[], first: number, step: number): ItemWork[] {
-	const isOwn = (index: number) => step <= 1 || index % step === first;
-	const keys = items.map(item => `${item.batch}/${item.group}`);
-	const groups = [...new Set(keys)];
-	const own = items.filter((_, index) => isOwn(groups.indexOf(keys[index] ?? '')));
-	return [...own, ...items.filter(item => !own.includes(item))];
+function rotate(items: readonly ItemWork[], first: number, step: number): readonly ItemWork[] {
+	if (step <= 1) {
+		return items;
+	}
+
+	const places = new Map<string, number>();
+	const own: ItemWork[] = [];
+	const others: ItemWork[] = [];
+	for (const item of items) {
+		const key = `${item.batch}/${item.group}`;
+		const place = places.get(key) ?? places.size;
+		places.set(key, place);
+		(place % step === first ? own : others).push(item);
+	}
+
+	return [...own, ...others];
 }
 
 function toTargets(items: readonly ItemWork[]): ClaimTarget[] {
--- a/packages/entry/src/crash-reports.ts
+++ b/packages/entry/src/crash-reports.ts
@@ -65,9 +65,9 @@
 		const {follower, store, isOwner, clock} = this.options;
 		const oldest = follower.storeTime(clock.now()) - retentionMs;
 		const {copy} = follower;
-		for (const part of copy.parts().filter(part => isOwner(part))) {
+		for (const part of copy.parts()) {
 			const old = copy.part(part).filter(row => row.key.startsWith(keyPrefix) && reportedAt(row.value) < oldest);
-			if (old.length > 0) {
+			if (old.length > 0 && isOwner(part)) {
 				await store.transact({part, writes: [], deletes: old.map(({key}) => ({table: fleetTable, key}))});
 			}
 		}
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -423,6 +423,7 @@
 	private onUpstreamRows(changes: readonly RowChange[]): void {
 		const {platform, clock, logger} = this.options;
 		const now = clock.now();
+		let isNews = false;
 		for (const change of changes) {
 			const id = (change.kind === 'written' ? change.row.key : change.key.key) as UpstreamId;
 			const before = this.directory.get(id);
@@ -432,11 +433,13 @@
 				const record = platform.tables.readUpstreamRow(change.row);
 				if (record === undefined) {
 					this.directory.discard(id);
-				} else {
-					this.directory.upsert(record);
+				} else if (!this.directory.upsert(record)) {
+					continue;
 				}
 			}
 
+			isNews = true;
+
 			const after = this.directory.get(id);
 			if (before?.state !== after?.state || before?.bornAt !== after?.bornAt) {
 				logger.info({
@@ -449,9 +452,11 @@
 			}
 		}
 
-		this.view.invalidate();
-		this.loader.wake();
-		this.claims.wake();
+		if (isNews) {
+			this.view.invalidate();
+			this.loader.wake();
+			this.claims.wake();
+		}
 	}
 
 	private expireUpstreams(): void {
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -21,6 +21,7 @@
 export class FleetView {
 	/** Time of the last look at the members; undefined if they or the upstreams have changed since. */
 	private lookedAt: Millis | undefined;
+	private engines: Readonly<{of: readonly UpstreamRecord[]; ready: readonly UpstreamRecord[]}> = {of: [], ready: []};
 	private assigned: Readonly<{key: string; owners: ReadonlyMap<UpstreamId, DaemonId>}> = {key: '', owners: new Map()};
 
 	constructor(private readonly options: FleetViewOptions) {}
@@ -56,8 +57,13 @@
 		});
 	}
 
-	private readyEngines(): UpstreamRecord[] {
-		return this.options.directory.all().filter(record => record.models.size > 0 && record.state === 'ready');
+	private readyEngines(): readonly UpstreamRecord[] {
+		const all = this.options.directory.all();
+		if (this.engines.of !== all) {
+			this.engines = {of: all, ready: all.filter(record => record.models.size > 0 && record.state === 'ready')};
+		}
+
+		return this.engines.ready;
 	}
 
 	private owners(): ReadonlyMap<UpstreamId, DaemonId> {
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -58,6 +58,36 @@
 	});
 });
 
+describe('the sorted views of the directory', () => {
+	const desk = 'desk' as ServiceId;
+	it('follow each change, and stay the same while heartbeats say nothing new', () => {
+		const directory = new UpstreamDirectory();
+		expect(directory.upsert(upstream('u2'))).toBe(true);
+		expect(directory.upsert(upstream('u1'))).toBe(true);
+		const before = directory.all();
+		expect(directory.ready(desk).map(({id}) => id)).toEqual(['u1', 'u2']);
+		expect(directory.upsert(upstream('u1'))).toBe(false);
+		expect(directory.all()).toBe(before);
+		expect(directory.upsert({...upstream('u1'), state: 'leaving'})).toBe(true);
+		expect(directory.ready(desk).map(({id}) => id)).toEqual(['u2']);
+		directory.discard('u2' as UpstreamId);
+		expect(directory.ready(desk)).toEqual([]);
+		expect(directory.all().map(({id}) => id)).toEqual(['u1']);
+	});
+
+	it('drop an upstream whose time to return is over', () => {
+		const directory = new UpstreamDirectory();
+		directory.upsert(upstream('u1'));
+		directory.remove('u1' as UpstreamId, {connectedForMs: 0}, 0);
+		expect(directory.ready(desk)).toHaveLength(1);
+		expect(directory.upsert(upstream('u1'))).toBe(false);
+		directory.expire(60_000);
+		expect(directory.ready(desk)).toHaveLength(1);
+		directory.remove('u1' as UpstreamId, {connectedForMs: 60_000}, 0);
+		expect(directory.ready(desk)).toEqual([]);
+	});
+});
+
 describe('chooseUpstream', () => {
 	const idle: UpstreamHealth = {outstanding: 0, avoidUntil: 0, hasIdleConnection: true};
 	const choose = (health: Record<string, Partial<UpstreamHealth>>, tried: string[] = []) => chooseUpstream({
--- a/packages/fleet/src/upstream-directory.ts
+++ b/packages/fleet/src/upstream-directory.ts
@@ -1,3 +1,4 @@
+import {isDeepStrictEqual} from 'node:util';
 import type {Millis, ServiceId, UpstreamId} from '@cicadapost/types';
 import type {UpstreamRecord} from './upstream.js';
 
@@ -21,9 +22,23 @@
 /** The upstreams of the platform's list. Decides what a missing entry means. */
 export class UpstreamDirectory {
 	private readonly entries = new Map<UpstreamId, Entry>();
+	/** Sorted views, which requests and claims ask for many times a second; empty after a change. */
+	private sorted: readonly UpstreamRecord[] | undefined;
+	private readonly readyOf = new Map<ServiceId, readonly UpstreamRecord[]>();
 
-	upsert(record: UpstreamRecord): void {
-		this.entries.set(record.id, {record});
+	/** Returns whether the record says anything new. Most heartbeats of upstreams do not. */
+	upsert(record: UpstreamRecord): boolean {
+		const known = this.entries.get(record.id);
+		if (known !== undefined && isDeepStrictEqual(known.record, record)) {
+			if (known.missingUntil !== undefined) {
+				this.entries.set(record.id, {record: known.record});
+			}
+
+			return false;
+		}
+
+		this.set(record.id, {record});
+		return true;
 	}
 
 	/**
@@ -42,19 +57,19 @@
 			return;
 		}
 
-		this.entries.delete(id);
+		this.set(id, undefined);
 	}
 
 	/** Removes an entry that names no usable upstream. */
 	discard(id: UpstreamId): void {
-		this.entries.delete(id);
+		this.set(id, undefined);
 	}
 
 	/** Drops entries whose time to return is over. */
 	expire(now: Millis): UpstreamRecord[] {
 		const expired = [...this.entries.values()].filter(entry => entry.missingUntil !== undefined && entry.missingUntil <= now);
 		for (const entry of expired) {
-			this.entries.delete(entry.record.id);
+			this.set(entry.record.id, undefined);
 		}
 
 		return expired.map(entry => entry.record);
@@ -65,11 +80,26 @@
 	}
 
 	/** Upstreams of a service that take new work, in the order of their ids. */
-	ready(service: ServiceId): UpstreamRecord[] {
-		return this.all().filter(record => record.service === service && record.state === 'ready');
+	ready(service: ServiceId): readonly UpstreamRecord[] {
+		const known = this.readyOf.get(service) ?? this.all().filter(record => record.service === service && record.state === 'ready');
+		this.readyOf.set(service, known);
+		return known;
 	}
 
-	all(): UpstreamRecord[] {
-		return [...this.entries.values()].map(entry => entry.record).sort((a, b) => (a.id < b.id ? -1 : 1));
+	/** In the order of their ids. */
+	all(): readonly UpstreamRecord[] {
+		this.sorted ??= [...this.entries.values()].map(entry => entry.record).sort((a, b) => (a.id < b.id ? -1 : 1));
+		return this.sorted;
+	}
+
+	private set(id: UpstreamId, entry: Entry | undefined): void {
+		if (entry === undefined) {
+			this.entries.delete(id);
+		} else {
+			this.entries.set(id, entry);
+		}
+
+		this.sorted = undefined;
+		this.readyOf.clear();
 	}
 }
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -131,7 +131,7 @@
 		return this.req.deadlineAt - this.options.clock.now();
 	}
 
-	private candidates(): UpstreamRecord[] {
+	private candidates(): readonly UpstreamRecord[] {
 		const service = pickService(this.req.route, this.options.random());
 		return service === undefined ? [] : this.options.directory.ready(service);
 	}
