Take outages of the store out of sync-store.ts

sync-store.ts had 507 lines with two subjects: the calls of one group, and what a daemon does when the store goes away and comes back. The second stands in store-outage.ts now. No change of behaviour; the tests of the package pass.

--- a/packages/rollouts/src/decide-rollouts.ts
+++ b/packages/rollouts/src/decide-rollouts.ts
@@ -12,8 +12,9 @@
 	addText, cancelRuns, failRun, finishRun, hedgeStragglers, startRuns,
 } from './run-samples.js';
 import {settleWaiters, takeCall} from './serve-trainer.js';
+import {markDown, markUp, probe} from './store-outage.js';
 import {
-	isDirty, markDown, markUp, probe, readRows, receiveObject, receiveRow, receiveRows, syncGroup, type StoreResult,
+	isDirty, readRows, receiveObject, receiveRow, receiveRows, syncGroup, type StoreResult,
 } from './sync-store.js';
 
 /** A step that no call was about for this long leaves memory; its rows stay. */
--- a/packages/rollouts/src/sync-store.ts
+++ b/packages/rollouts/src/sync-store.ts
@@ -12,8 +12,6 @@
 } from './rollout-state.js';
 import {cancelRuns, finishedSamples, replaceSamples} from './run-samples.js';
 
-const probeIntervalMs = 1000;
-
 export function createSlots(seed: number, samples: number): Slot[] {
 	return Array.from({length: samples}, (_, index) => ({
 		index, seed: sampleSeed(seed, index), runs: [], result: undefined, durationMs: 0, retryAt: 0, failures: 0,
@@ -470,38 +468,3 @@
 
 	group.load = undefined;
 }
-
-/** Notes that the store can't be reached. */
-export function markDown(state: RolloutState, now: Millis): void {
-	state.store.isUp = false;
-	state.store.probeAt = now + probeIntervalMs;
-	for (const step of state.steps.values()) {
-		step.rows = step.rows === 'reading' ? 'unread' : step.rows;
-	}
-}
-
-/** Notes that the store answers again: what was left over is written at the limited rate. */
-export function markUp(state: RolloutState, now: Millis): void {
-	state.store.isUp = true;
-	state.store.refilledAt = now;
-	state.store.tokens = 0;
-	for (const step of state.steps.values()) {
-		for (const group of step.groups.values()) {
-			group.isBacklog = isDirty(group);
-			state.store.isCatchingUp ||= group.isBacklog;
-		}
-	}
-}
-
-/** While the store is down, a read now and then finds out whether it is back. */
-export function probe(state: RolloutState, now: Millis): RolloutAction[] {
-	if (state.store.isUp || now < state.store.probeAt || state.steps.size === 0) {
-		return [];
-	}
-
-	state.store.probeAt = now + probeIntervalMs;
-	const call = freshCall(state, {kind: 'probe'});
-	return [{
-		kind: 'read-row', call, table: groupsTable, key: 'probe',
-	}];
-}
