Measure the order of samples in virtual time against three baselines

The case batch-order plays two trainers with overlapping steps before six engines, with lengths that are often far off, and compares `planClaims` with submission order, shortest first and longest first at the full width.

--- a/packages/measure/src/bench.ts
+++ b/packages/measure/src/bench.ts
@@ -11,6 +11,8 @@
 export type Variant = Readonly<{name: string}> & (
 	| Readonly<{kind: 'policy'; pool?: Readonly<Record<string, unknown>>; policy?: Readonly<Record<string, unknown>>; hasFixedWindows?: boolean; hasNoWeights?: boolean; hasNoPrefixKeys?: boolean; hasNoClasses?: boolean}>
 	| Readonly<{kind: 'dispatcher'; rule: Rule}>
+	/** What orders the samples of batches; only the case batch-order knows it. */
+	| Readonly<{kind: 'planner'; planner: 'product' | 'submission-order' | 'shortest-first' | 'longest-first'}>
 );
 
 export const policy: Variant = {name: 'policy', kind: 'policy'};
@@ -96,7 +98,7 @@
 
 		if (options.variant.kind === 'dispatcher') {
 			this.dispatcher = new Dispatcher(this.world, options.variant.rule);
-		} else {
+		} else if (options.variant.kind === 'policy') {
 			this.startDaemons(options.variant);
 		}
 
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -6,6 +6,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import type {MeasurementCase} from './case.js';
+import {batchOrder} from './cases/batch-order.js';
 import {crash} from './cases/crash.js';
 import {headOfLine} from './cases/head-of-line.js';
 import {link} from './cases/link.js';
@@ -22,7 +23,7 @@
 import {barChart, lineChart} from './svg.js';
 import {writeIndex} from './write-index.js';
 
-const cases: readonly MeasurementCase[] = [tail, headOfLine, share, overload, crash, step, prefix, link];
+const cases: readonly MeasurementCase[] = [tail, headOfLine, share, overload, crash, step, prefix, link, batchOrder];
 const defaultDirectory = 'docs/measurements';
 
 function commit(): string {
