Call what is there already: ownerOf, longSampleTokens, one name for a life of an upstream

`assignEngines` took the first of `rankedFor`, which is `ownerOf`; batch-order repeated the figure of `longSampleTokens`; the text of an upstream's life was built in crash-book.ts and in crash-reports.ts; the content of a request had a derived type written five times and has a name now. No change of behaviour.

--- a/packages/entry/src/crash-reports.ts
+++ b/packages/entry/src/crash-reports.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	CrashBook, CrashGuard, fingerprintOf, type UpstreamLife,
+	CrashBook, CrashGuard, fingerprintOf, lifeName, type RequestContent, type UpstreamLife,
 } from '@cicadapost/forwarding';
 import {
 	decodeList, encodeList, type RowChange, type RowStore, type TableFollower,
@@ -48,11 +48,11 @@
 		}, sweepMs);
 	}
 
-	override isBlocked(req: Parameters<typeof fingerprintOf>[0]): boolean {
+	override isBlocked(req: RequestContent): boolean {
 		return !this.book.isEmpty && this.book.isBlocked(fingerprintOf(req));
 	}
 
-	override suspect(req: Parameters<typeof fingerprintOf>[0], upstream: Readonly<{id: UpstreamId; address: string; bornAt: number}>): void {
+	override suspect(req: RequestContent, upstream: Readonly<{id: UpstreamId; address: string; bornAt: number}>): void {
 		void this.confirm(fingerprintOf(req), upstream);
 	}
 
@@ -114,8 +114,8 @@
 	}
 }
 
-function keyOfLife({upstream, bornAt}: UpstreamLife): string {
-	return `${keyPrefix}${upstream}#${bornAt}`;
+function keyOfLife(life: UpstreamLife): string {
+	return `${keyPrefix}${lifeName(life)}`;
 }
 
 function lifeOfKey(key: string): UpstreamLife | undefined {
--- a/packages/fleet/src/engine-ownership.ts
+++ b/packages/fleet/src/engine-ownership.ts
@@ -1,4 +1,4 @@
-import {rankedFor} from '@cicadapost/membership';
+import {ownerOf} from '@cicadapost/membership';
 import type {
 	DaemonId, DataCentreId, RegionId, UpstreamId,
 } from '@cicadapost/types';
@@ -28,7 +28,7 @@
 		const near = nearTo.get(engine.dataCentre) ?? nearest(members, engine, regionOf);
 		nearTo.set(engine.dataCentre, near);
 		const leastLoad = Math.min(...near.map(daemon => owned.get(daemon) ?? 0));
-		const [best] = rankedFor(engine.id, near.filter(daemon => (owned.get(daemon) ?? 0) === leastLoad), 1);
+		const best = ownerOf(engine.id, near.filter(daemon => (owned.get(daemon) ?? 0) === leastLoad));
 		if (best !== undefined) {
 			owners.set(engine.id, best);
 			owned.set(best, leastLoad + 1);
--- a/packages/forwarding/src/crash-book.ts
+++ b/packages/forwarding/src/crash-book.ts
@@ -10,8 +10,11 @@
 /** Causes of a connection that the other side closed or reset, as Node.js and undici name them. */
 const closedCauses = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
 
+/** What a request asks for. */
+export type RequestContent = Readonly<{method: string; host: string; path: string; body: Uint8Array}>;
+
 /** Equal for requests that ask for the same work, whoever sends them and whatever their ids. */
-export function fingerprintOf(req: Readonly<{method: string; host: string; path: string; body: Uint8Array}>): Fingerprint {
+export function fingerprintOf(req: RequestContent): Fingerprint {
 	const hash = createHash('sha256').update(`${req.method} ${req.host} ${req.path}\n`).update(req.body);
 	return hash.digest('base64url').slice(0, 22) as Fingerprint;
 }
@@ -32,14 +35,14 @@
 	record(fingerprint: Fingerprint, life: UpstreamLife): boolean {
 		const known = this.lives.get(fingerprint) ?? new Set<string>();
 		const before = known.size;
-		known.add(nameOf(life));
+		known.add(lifeName(life));
 		this.lives.set(fingerprint, known);
 		return known.size > before;
 	}
 
 	forget(fingerprint: Fingerprint, life: UpstreamLife): void {
 		const known = this.lives.get(fingerprint);
-		known?.delete(nameOf(life));
+		known?.delete(lifeName(life));
 		if (known?.size === 0) {
 			this.lives.delete(fingerprint);
 		}
@@ -58,11 +61,12 @@
 /** What the forwarder asks and tells about requests that end their upstreams. */
 export abstract class CrashGuard {
 	/** Whether the request has ended so many upstreams that no further one gets it. */
-	abstract isBlocked(req: Parameters<typeof fingerprintOf>[0]): boolean;
+	abstract isBlocked(req: RequestContent): boolean;
 	/** The request was at an upstream that closed the connection before its answer was whole. */
-	abstract suspect(req: Parameters<typeof fingerprintOf>[0], upstream: Readonly<{id: UpstreamId; address: string; bornAt: number}>): void;
+	abstract suspect(req: RequestContent, upstream: Readonly<{id: UpstreamId; address: string; bornAt: number}>): void;
 }
 
-function nameOf({upstream, bornAt}: UpstreamLife): string {
+/** One text for a life, as a key of sets and rows. */
+export function lifeName({upstream, bornAt}: UpstreamLife): string {
 	return `${upstream}#${bornAt}`;
 }
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -10,7 +10,7 @@
 } from 'vitest';
 import {ConnectionPool, headerOf, type AnswerHead} from './connection-pool.js';
 import {
-	CrashBook, CrashGuard, fingerprintOf, mayHaveCrashed,
+	CrashBook, CrashGuard, fingerprintOf, mayHaveCrashed, type RequestContent,
 } from './crash-book.js';
 import {decideNextStep, hedgeDelay, type AttemptState} from './decide-attempt.js';
 import {AnswerSink, Forwarder, type ForwardFailure} from './forward-request.js';
@@ -155,11 +155,11 @@
 	readonly book = new CrashBook();
 	readonly suspected: string[] = [];
 
-	override isBlocked(req: Parameters<typeof fingerprintOf>[0]): boolean {
+	override isBlocked(req: RequestContent): boolean {
 		return this.book.isBlocked(fingerprintOf(req));
 	}
 
-	override suspect(req: Parameters<typeof fingerprintOf>[0], upstream: Readonly<{id: UpstreamId; bornAt: number}>): void {
+	override suspect(req: RequestContent, upstream: Readonly<{id: UpstreamId; bornAt: number}>): void {
 		this.suspected.push(upstream.id);
 		this.book.record(fingerprintOf(req), {upstream: upstream.id, bornAt: upstream.bornAt});
 	}
--- a/packages/measure/src/cases/batch-order.ts
+++ b/packages/measure/src/cases/batch-order.ts
@@ -1,5 +1,5 @@
 import {
-	planClaims, unclaimed, type BatchPlan, type BatchView, type ClaimTarget, type ItemClaim,
+	longSampleTokens, planClaims, unclaimed, type BatchPlan, type BatchView, type ClaimTarget, type ItemClaim,
 } from '@cicadapost/batches';
 import {Random} from '@cicadapost/fakes';
 import type {
@@ -162,7 +162,7 @@
 
 		return planClaims({
 			engine: {
-				id: engine.id, slots, running: engine.running.length, runningLong: engine.running.filter(sample => sample.expected > 3500).length, isSlow: false,
+				id: engine.id, slots, running: engine.running.length, runningLong: engine.running.filter(sample => sample.expected > longSampleTokens).length, isSlow: false,
 				versions: new Map([[model, 1]]), rank, engines: engineCount,
 			},
 			batches: open.map(batch => ({view: viewOf(batch), dueAt: batch.plan.submittedAt + deadlineMs})),
