Order results by the store's transactions instead of a count that all engines contend for

Callers saw steps end seconds late on deployments with 31 to 34 engines.

Cause: each result got its position by a conditional write to the batch's count of results, so of all transactions in flight for a batch only one succeeded. 24 daemons with one result each needed 300 transactions, and a daemon far from the store loses against all nearer ones.

Change: the transaction that stores results adds a row to the table "listings", which is never rewritten. The store gives each transaction a higher version than those before, so the versions of these rows order the results: a new one is always last, and a position never changes. Conditions remain on the plan and on the claims of the groups, so that an item is listed once. The order is read as of one moment even over several pages.

Ruled out: one daemon per batch that assigns positions. It costs a round trip more, and the results wait while it is found dead.

--- a/packages/batches/src/batch-cache.ts
+++ b/packages/batches/src/batch-cache.ts
@@ -4,7 +4,7 @@
 	itemCount, unclaimed, type BatchPlan, type ItemClaim,
 } from './batch.js';
 import {
-	decodeClaims, decodeCount, decodePlan, endKey, groupOfKey, headKey, planKey, RowShapeError,
+	decodeClaims, decodePlan, endKey, groupOfKey, planKey, RowShapeError,
 } from './encode-rows.js';
 
 export type GroupClaims = Readonly<{
@@ -20,14 +20,14 @@
 	planVersion: number;
 	/** Number of listed results, which are those with a position. */
 	count: number;
-	headVersion: number;
 	isEnded: boolean;
 	claims: readonly GroupClaims[];
 }>;
 
 type BatchRows = {
 	plan?: Readonly<{value: BatchPlan; version: number}>;
-	head: Readonly<{count: number; version: number}>;
+	/** Number of listed items in `claims`. */
+	count: number;
 	isEnded: boolean;
 	claims: Map<number, GroupClaims>;
 	view?: BatchView;
@@ -79,7 +79,7 @@
 	private applyChange(change: RowChange): void {
 		const {part, key} = change.kind === 'written' ? change.row : change.key;
 		const id = part as BatchId;
-		const rows: BatchRows = this.batches.get(id) ?? {head: {count: 0, version: 0}, isEnded: false, claims: new Map<number, GroupClaims>()};
+		const rows: BatchRows = this.batches.get(id) ?? {count: 0, isEnded: false, claims: new Map<number, GroupClaims>()};
 		delete rows.view;
 		if (change.kind === 'deleted') {
 			// The rows of a batch are deleted one by one, the plan last.
@@ -99,21 +99,18 @@
 				break;
 			}
 
-			case headKey: {
-				rows.head = {count: decodeCount(value), version};
-
-				break;
-			}
-
 			case endKey: {
 				rows.isEnded = true;
 
 				break;
 			}
 
-			default: {if (group !== undefined) {
-				rows.claims.set(group, {version, items: decodeClaims(value)});
-			}
+			default: {
+				if (group !== undefined) {
+					const items = decodeClaims(value);
+					rows.count += countListed(items) - countListed(rows.claims.get(group)?.items ?? []);
+					rows.claims.set(group, {version, items});
+				}
 			}
 		}
 
@@ -121,6 +118,10 @@
 	}
 }
 
+function countListed(items: readonly ItemClaim[]): number {
+	return items.filter(({kind}) => kind === 'listed').length;
+}
+
 function buildView(id: BatchId, rows: BatchRows): BatchView | undefined {
 	if (rows.plan === undefined) {
 		return undefined;
@@ -130,8 +131,7 @@
 		id,
 		plan: rows.plan.value,
 		planVersion: rows.plan.version,
-		count: rows.head.count,
-		headVersion: rows.head.version,
+		count: rows.count,
 		isEnded: rows.isEnded,
 		claims: rows.plan.value.groups.map((group, index) => rows.claims.get(index) ?? {version: 0, items: group.items.map(() => unclaimed)}),
 	};
--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	readAll, type RowStore, type TableFollower, type Transaction,
+	readAll, readAppendOnly, type RowStore, type TableFollower, type Transaction,
 } from '@cicadapost/store';
 import type {
 	BatchId, Clock, ItemId, Millis,
@@ -11,8 +11,9 @@
 } from './batch.js';
 import {writtenRows} from './commit-queue.js';
 import {
-	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeBodies, encodePlan, endKey, planKey, resultKeyFrom, resultTable,
+	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeBodies, encodePlan, endKey, listingTable, planKey, resultRange,
 } from './encode-rows.js';
+import {orderResults} from './result-order.js';
 
 export type SubmitOutcome =
 	/** The whole batch is in the store. */
@@ -55,8 +56,8 @@
 const maxTransactionBytes = 600 * 1024;
 /** Maximum size of the results in one response, which is limited to 1 MB. */
 const maxPageBytes = 800 * 1024;
-/** Maximum number of rows read for one response. */
-const pageRows = 200;
+/** Maximum number of results in one response. */
+const maxPageResults = 100;
 
 /** Handles the batch calls of trainers. Responses are based on the store, so all daemons give the same ones. */
 export class BatchService {
@@ -115,14 +116,19 @@
 			await this.waitForCount(id, options.after, options);
 		}
 
-		const outcome = await this.options.store.read({
-			table: resultTable, part: id, from: resultKeyFrom(options.after), limit: pageRows,
-		});
-		if (outcome.kind === 'unavailable') {
+		const {store} = this.options;
+		const listings = await readAppendOnly(store, {table: listingTable, part: id});
+		if (listings === undefined) {
+			return {kind: 'unavailable'};
+		}
+
+		const wanted = orderResults(listings).slice(options.after, options.after + maxPageResults);
+		const rows = wanted.length === 0 ? [] : await readAll(store, resultRange(id, wanted));
+		if (rows === undefined) {
 			return {kind: 'unavailable'};
 		}
 
-		const results = limitBytes(decodeResults(outcome.rows, options.after), maxPageBytes);
+		const results = limitBytes(decodeResults(rows, wanted), maxPageBytes);
 		return {kind: 'page', page: {total, next: options.after + results.length, results}};
 	}
 
--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -12,7 +12,7 @@
 import {decideFollowUp, type RunState} from './decide-run.js';
 import {
 	batchTable, claimKey, decodeBodies, decodeClaims, decodePartial, decodePlan, decodeResults, encodeBodies, encodeClaims, encodePartial, encodePlan, encodeResult,
-	planKey, resultTable, RowShapeError,
+	listingKey, listingTable, planKey, resultTable, RowShapeError,
 } from './encode-rows.js';
 import {SlowdownDetector} from './slowdown-detector.js';
 import {LivenessMonitor} from './liveness-monitor.js';
@@ -20,6 +20,7 @@
 	planClaims, maxRunsBesideLong, applyClaim, type EngineCapacity, type IsClaimLive,
 } from './plan-claims.js';
 import {planCommit, type ItemOutcome} from './plan-commit.js';
+import {orderResults} from './result-order.js';
 import {BatchSweeper, isExpired} from './sweep-batches.js';
 
 const batch = 'b1' as BatchId;
@@ -37,7 +38,7 @@
 
 function viewWith(plan: BatchPlan, claims: Record<number, ItemClaim[]> = {}, id = batch): BatchView {
 	return {
-		id, plan, planVersion: 1, count: 0, headVersion: 0, isEnded: false,
+		id, plan, planVersion: 1, count: 0, isEnded: false,
 		claims: plan.groups.map((group, index) => ({version: claims[index] === undefined ? 0 : 2, items: claims[index] ?? group.items.map(() => unclaimed)})),
 	};
 }
@@ -64,10 +65,11 @@
 		const result = {
 			id: 'i' as ItemId, state: 'completed', output, versions: [3],
 		} as const;
-		const rows = encodeResult(12, result);
+		const reference = {listing: '7.d1#1.1', index: 12};
+		const rows = encodeResult(reference, result);
 		expect(rows.length).toBeGreaterThan(3);
-		expect(decodeResults(rows, 12)).toEqual([result]);
-		expect(decodeResults(rows.slice(1), 12)).toEqual([]);
+		expect(decodeResults(rows, [reference])).toEqual([result]);
+		expect(decodeResults(rows.slice(1), [reference])).toEqual([]);
 		const item: BatchItem = {
 			id: 'i' as ItemId, path: '/p', headers: ['A', 'b'], body: new Uint8Array(150_000).fill(7), tokens: 1, group: 'g', expectedTokens: 1,
 		};
@@ -260,6 +262,7 @@
 class MinimalDaemon {
 	readonly batchCache = new BatchCache();
 	readonly incarnation: DaemonIncarnation;
+	private sequence = 0;
 
 	constructor(private readonly store: MemoryRowStore, name: string) {
 		this.incarnation = name as DaemonIncarnation;
@@ -284,7 +287,12 @@
 	async commit(outcomes: readonly ItemOutcome[]): Promise<void> {
 		const view = this.batchCache.get(batch);
 		if (view !== undefined) {
-			const plan = planCommit(view, outcomes, this.incarnation);
+			this.sequence += 1;
+			const plan = planCommit(view, outcomes, {
+				incarnation: this.incarnation,
+				// Earlier listings of a daemon may have later times, as after a step of its clock.
+				listing: listingKey({storeTime: 1000 - this.sequence, incarnation: this.incarnation, sequence: this.sequence}),
+			});
 			if (plan.included.length > 0) {
 				await this.send(plan.transaction);
 			}
@@ -315,7 +323,7 @@
 
 	it('leaves no rows behind, even if the store fails during a sweep', async () => {
 		const store = new MemoryRowStore();
-		const writes = [batchTable, resultTable].flatMap(table => Array.from({length: 120}, (_, index) => ({table, key: `k${index}`, value: new Uint8Array([1])})));
+		const writes = [batchTable, listingTable, resultTable].flatMap(table => Array.from({length: 120}, (_, index) => ({table, key: `k${index}`, value: new Uint8Array([1])})));
 		await store.transact({part: batch, writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(planWith(1, 2))}]});
 		const batchCache = new BatchCache();
 		batchCache.apply(store.all().filter(row => row.key === planKey).map(row => ({kind: 'written', row})));
@@ -382,8 +390,9 @@
 					}
 				}
 
-				const rows = store.all().filter(row => row.table === resultTable).sort((a, b) => (a.key < b.key ? -1 : 1));
-				const listed = decodeResults(rows, 0).map(found => `${found.id} of ${found.output}`);
+				const rows = store.all().filter(row => row.table === resultTable);
+				const order = orderResults(store.all().filter(row => row.table === listingTable));
+				const listed = decodeResults(rows, order).map(found => `${found.id} of ${found.output}`);
 				expect(listed).toHaveLength(rows.length);
 				expect(listed.slice(0, seen.length)).toEqual(seen);
 				expect(new Set(listed.map(text => text.split(' ')[0])).size).toBe(listed.length);
--- a/packages/batches/src/commit-queue.ts
+++ b/packages/batches/src/commit-queue.ts
@@ -1,8 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {RowStore, StoredRow, TableFollower} from '@cicadapost/store';
-import type {BatchId, DaemonIncarnation} from '@cicadapost/types';
+import type {BatchId, Clock, DaemonIncarnation} from '@cicadapost/types';
 import type {BatchCache} from './batch-cache.js';
-import {batchTable} from './encode-rows.js';
+import {batchTable, listingKey} from './encode-rows.js';
 import {planCommit, type ItemOutcome} from './plan-commit.js';
 
 /** Delay for collecting outcomes into one transaction. */
@@ -11,6 +11,7 @@
 const retryMs = 150;
 
 export type CommitQueueOptions = Readonly<{
+	clock: Clock;
 	store: RowStore;
 	follower: TableFollower;
 	batchCache: BatchCache;
@@ -22,6 +23,8 @@
 export class CommitQueue {
 	private readonly waiting = new Map<BatchId, ItemOutcome[]>();
 	private readonly busy = new Set<BatchId>();
+	/** Number of transactions planned so far. */
+	private sequence = 0;
 
 	constructor(private readonly options: CommitQueueOptions) {}
 
@@ -59,7 +62,7 @@
 	}
 
 	private async commitOnce(batch: BatchId): Promise<void> {
-		const {store, follower, batchCache, incarnation, onCommitFailure} = this.options;
+		const {clock, store, follower, batchCache, incarnation, onCommitFailure} = this.options;
 		const outcomes = this.waiting.get(batch) ?? [];
 		const view = batchCache.get(batch);
 		if (view === undefined) {
@@ -68,7 +71,10 @@
 			return;
 		}
 
-		const plan = planCommit(view, outcomes, incarnation);
+		this.sequence += 1;
+		const plan = planCommit(view, outcomes, {
+			incarnation, listing: listingKey({storeTime: follower.storeTime(clock.now()), incarnation, sequence: this.sequence}),
+		});
 		if (plan.included.length === 0) {
 			this.remove(batch, plan.obsolete);
 			return;
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -1,20 +1,24 @@
 import {decodeList, encodeList} from '@cicadapost/store';
-import type {BatchId, ItemId, ModelId} from '@cicadapost/types';
+import type {
+	BatchId, DaemonIncarnation, ItemId, Millis, ModelId,
+} from '@cicadapost/types';
 import type {
 	BatchItem, BatchPlan, ItemClaim, SampleResult, SampleText,
 } from './batch.js';
+import type {ResultReference} from './result-order.js';
 
-/** Table that all daemons follow, with plans, claims, result counts and end markers. Each batch is a part of the table. */
+/** Table that all daemons follow, with plans, claims and end markers. Each batch is a part of the table. */
 export const batchTable = 'batches';
 /** Table of the request bodies of items. */
 export const bodyTable = 'bodies';
 /** Table of listed results. */
 export const resultTable = 'results';
+/** Table with a row for each transaction that has listed results. The versions of these rows order the results of a batch. */
+export const listingTable = 'listings';
 /** Table of the partial output of unfinished runs. */
 export const partialTable = 'partials';
 
 export const planKey = 'plan';
-export const headKey = 'head';
 export const endKey = 'end';
 const claimPrefix = 'claim/';
 
@@ -129,17 +133,23 @@
 	});
 }
 
-export function encodeCount(count: number): Uint8Array {
-	return encodeList([count]);
+/** Returns a key that no other transaction uses. Keys sort roughly by time, so that successive results can be read as a range. */
+export function listingKey({storeTime, incarnation, sequence}: Readonly<{storeTime: Millis; incarnation: DaemonIncarnation; sequence: number}>): string {
+	return `${String(Math.max(0, Math.round(storeTime))).padStart(15, '0')}.${incarnation}.${sequence}`;
+}
+
+/** Encodes a listing, which holds the number of results that its transaction has stored. */
+export function encodeListing(results: number): Uint8Array {
+	return encodeList([results]);
 }
 
-export function decodeCount(value: Uint8Array): number {
-	const [count] = decodeFields(value, 'the count of results');
-	if (typeof count !== 'number') {
-		throw new RowShapeError('the count of results');
+export function decodeListing(value: Uint8Array): number {
+	const [results] = decodeFields(value, 'a listing');
+	if (typeof results !== 'number') {
+		throw new RowShapeError('a listing');
 	}
 
-	return count;
+	return results;
 }
 
 function encodeText(text: SampleText): Uint8Array {
@@ -204,20 +214,30 @@
 	};
 }
 
-export function encodeResult(position: number, result: SampleResult): ValueChunk[] {
-	return splitValue(padNumber(position), encodeList([result.id, result.state, result.output, result.versions]));
+/** Returns the key prefix of a result. */
+function resultName({listing, index}: ResultReference): string {
+	return `${listing}/${padNumber(index)}`;
 }
 
-/** Returns the first key of the results from a position on. */
-export function resultKeyFrom(position: number): string {
-	return `${padNumber(position)}/`;
+export function encodeResult(reference: ResultReference, result: SampleResult): ValueChunk[] {
+	return splitValue(resultName(reference), encodeList([result.id, result.state, result.output, result.versions]));
+}
+
+/** Returns the smallest range of rows that holds all of the results. */
+export function resultRange(batch: BatchId, references: readonly ResultReference[]): Readonly<{table: string; part: string; from: string; to: string}> {
+	const listings = references.map(({listing}) => listing).sort();
+	return {
+		table: resultTable, part: batch, from: `${listings[0] ?? ''}/`, to: `${listings.at(-1) ?? ''}0`,
+	};
 }
 
-/** Decodes results in the order of their positions, from `first` up to the first gap. */
-export function decodeResults(rows: readonly ValueChunk[], first: number): SampleResult[] {
+/** Decodes results in the order of `references`, up to the first one that is missing from the rows. */
+export function decodeResults(rows: readonly ValueChunk[], references: readonly ResultReference[]): SampleResult[] {
+	const values = new Map(joinChunks(rows).map(({name, value}) => [name, value]));
 	const results: SampleResult[] = [];
-	for (const {name, value} of joinChunks(rows)) {
-		if (Number(name) !== first + results.length) {
+	for (const reference of references) {
+		const value = values.get(resultName(reference));
+		if (value === undefined) {
 			break;
 		}
 
--- a/packages/batches/src/plan-commit.ts
+++ b/packages/batches/src/plan-commit.ts
@@ -3,12 +3,12 @@
 import type {BatchView} from './batch-cache.js';
 import type {ItemClaim, SampleResult, SampleText} from './batch.js';
 import {
-	batchTable, claimKey, encodeClaims, encodeCount, encodePartial, encodeResult, headKey, partialTable, planKey, resultTable,
+	batchTable, claimKey, encodeClaims, encodeListing, encodePartial, encodeResult, listingTable, partialTable, planKey, resultTable,
 } from './encode-rows.js';
 
 /** Outcome, or intermediate state, of an item that this daemon ran. */
 export type ItemOutcome = Readonly<{group: number; item: number}> & (
-	/** The result gets the next position. */
+	/** The result gets the position after all those that were listed before. */
 	| Readonly<{kind: 'result'; result: SampleResult}>
 	/** Another engine may run the item, resuming from the text if there is one. */
 	| Readonly<{kind: 'released'; failures: number; text: SampleText | undefined}>
@@ -32,43 +32,50 @@
 	claims: Map<number, ItemClaim[]>;
 	writes: Array<{table: string; key: string; value: Uint8Array}>;
 	bytes: number;
-	count: number;
+	/** Number of results that the transaction lists. */
+	results: number;
 };
 
+export type PlanCommitOptions = Readonly<{
+	incarnation: DaemonIncarnation;
+	/** Key of the listing that the transaction adds if it has results; no other transaction uses it. */
+	listing: string;
+}>;
+
 /**
-Builds the transaction that records outcomes. It only succeeds if the result count and the claims still match `view`, so
-two daemons can never assign the same position, nor list an item twice.
+Builds the transaction that records outcomes. It only succeeds if the claims of its groups still match `view`, so an item is
+never listed twice. Daemons that run different groups of a batch do not contend, since listings are ordered by the store.
 */
-export function planCommit(view: BatchView, outcomes: readonly ItemOutcome[], incarnation: DaemonIncarnation): CommitPlan {
+export function planCommit(view: BatchView, outcomes: readonly ItemOutcome[], options: PlanCommitOptions): CommitPlan {
 	const draft: TransactionDraft = {
-		claims: new Map(), writes: [], bytes: 0, count: view.count,
+		claims: new Map(), writes: [], bytes: 0, results: 0,
 	};
 	const included: ItemOutcome[] = [];
 	const obsolete: ItemOutcome[] = [];
 	for (const outcome of outcomes) {
-		// Each group adds an expected and a written row, and the head another two.
+		// Each group adds an expected and a written row, and the listing another two.
 		if (draft.writes.length + (2 * draft.claims.size) + 8 > maxEntries || draft.bytes > maxBytes) {
 			break;
 		}
 
-		if (addOutcome(draft, view, outcome, incarnation)) {
+		if (addOutcome(draft, view, outcome, options)) {
 			included.push(outcome);
 		} else {
 			obsolete.push(outcome);
 		}
 	}
 
-	const hasResults = draft.count > view.count;
+	const hasResults = draft.results > 0;
 	return {
 		transaction: {
 			part: view.id,
 			expected: [
 				{table: batchTable, key: planKey, version: view.planVersion},
-				...(hasResults ? [{table: batchTable, key: headKey, version: view.headVersion}] : []),
+				...(hasResults ? [{table: listingTable, key: options.listing, version: 0}] : []),
 				...[...draft.claims.keys()].map(group => ({table: batchTable, key: claimKey(group), version: view.claims[group]?.version ?? 0})),
 			],
 			writes: [
-				...(hasResults ? [{table: batchTable, key: headKey, value: encodeCount(draft.count)}] : []),
+				...(hasResults ? [{table: listingTable, key: options.listing, value: encodeListing(draft.results)}] : []),
 				...[...draft.claims.entries()].map(([group, claims]) => ({table: batchTable, key: claimKey(group), value: encodeClaims(claims)})),
 				...draft.writes,
 			],
@@ -79,7 +86,7 @@
 }
 
 /** Adds an outcome to the draft. Returns false if the outcome is obsolete. */
-function addOutcome(draft: TransactionDraft, view: BatchView, outcome: ItemOutcome, incarnation: DaemonIncarnation): boolean {
+function addOutcome(draft: TransactionDraft, view: BatchView, outcome: ItemOutcome, {incarnation, listing}: PlanCommitOptions): boolean {
 	const claims = draft.claims.get(outcome.group) ?? [...view.claims[outcome.group]?.items ?? []];
 	const claim = claims[outcome.item];
 	if (claim === undefined || claim.kind === 'listed') {
@@ -89,8 +96,8 @@
 	switch (outcome.kind) {
 		case 'result': {
 			claims[outcome.item] = {kind: 'listed'};
-			addRows(draft, resultTable, encodeResult(draft.count, outcome.result));
-			draft.count += 1;
+			addRows(draft, resultTable, encodeResult({listing, index: draft.results}, outcome.result));
+			draft.results += 1;
 			break;
 		}
 
--- a/packages/batches/src/sweep-batches.ts
+++ b/packages/batches/src/sweep-batches.ts
@@ -2,7 +2,7 @@
 import type {BatchId, Millis} from '@cicadapost/types';
 import type {BatchCache, BatchView} from './batch-cache.js';
 import {
-	batchTable, bodyTable, partialTable, planKey, resultTable,
+	batchTable, bodyTable, listingTable, partialTable, planKey, resultTable,
 } from './encode-rows.js';
 
 /** Safety margin added to the retention time, for clock differences and late responses. */
@@ -63,7 +63,7 @@
 	private async delete(batch: BatchId): Promise<boolean> {
 		const {store} = this.options;
 		// The plan is deleted last: as long as it exists, a later sweep finds the remaining rows.
-		for (const table of [bodyTable, partialTable, resultTable, batchTable]) {
+		for (const table of [bodyTable, partialTable, resultTable, listingTable, batchTable]) {
 			const rows = await readAll(store, {table, part: batch});
 			if (rows === undefined) {
 				return false;
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -150,6 +150,7 @@
 			},
 		});
 		this.commitQueue = new CommitQueue({
+			clock,
 			store,
 			follower: this.batchFollower,
 			batchCache: this.batchCache,
--- a/packages/measure/src/cases/batch-order.ts
+++ b/packages/measure/src/cases/batch-order.ts
@@ -65,7 +65,7 @@
 
 function toBatchView(batch: Batch): BatchView {
 	return {
-		id: batch.id, plan: batch.plan, planVersion: 1, count: 0, headVersion: 0, isEnded: false, claims: batch.claims,
+		id: batch.id, plan: batch.plan, planVersion: 1, count: 0, isEnded: false, claims: batch.claims,
 	};
 }
 
--- a/packages/store/src/row-store.ts
+++ b/packages/store/src/row-store.ts
@@ -55,20 +55,39 @@
 	abstract changes(options: Readonly<{table: string; after: number; waitMs: Millis}>): Promise<ChangesOutcome>;
 }
 
+type PageRange = Omit<RowRange, 'limit'>;
+
 /** Reads all pages of a range. Returns undefined if a page could not be read. */
-export async function readAll(store: RowStore, range: Omit<RowRange, 'limit'>): Promise<readonly StoredRow[] | undefined> {
+export async function readAll(store: RowStore, range: PageRange): Promise<readonly StoredRow[] | undefined> {
+	const pages = await readPages(store, range);
+	return pages?.rows;
+}
+
+/**
+Reads the rows of a range as of a single moment. Only for ranges whose rows are never rewritten or deleted: rows that were
+added while the pages were read are left out. Returns undefined if a page could not be read.
+*/
+export async function readAppendOnly(store: RowStore, range: PageRange): Promise<readonly StoredRow[] | undefined> {
+	const pages = await readPages(store, range);
+	return pages?.rows.filter(row => row.version <= pages.version);
+}
+
+/** Reads all pages of a range. `version` is the store's version at the first page. */
+async function readPages(store: RowStore, range: PageRange): Promise<Readonly<{rows: readonly StoredRow[]; version: number}> | undefined> {
 	const rows: StoredRow[] = [];
 	let {from} = range;
+	let version: number | undefined;
 	for (;;) {
 		const outcome = await store.read({...range, ...(from === undefined ? {} : {from})});
 		if (outcome.kind === 'unavailable') {
 			return undefined;
 		}
 
+		version ??= outcome.version;
 		rows.push(...outcome.rows);
 		const last = outcome.rows.at(-1);
 		if (!outcome.hasMore || last === undefined) {
-			return rows;
+			return {rows, version};
 		}
 
 		// The smallest key greater than the last one.
