Give every model its share of loads, and scale concurrent loads with the engines

Cause: at most two loads ran at a time whatever the number of engines, and the model that was named first always came first. With 34 engines, three models and a version every 4 s each, 33 loads of 0.9 s are due every 4 s and 9 were possible. In a logged play the first model got 60 loads, the second 21 and the third none, though its trainer had named versions 2 to 6, so no engine could run its batches: they waited 4 to 12 s for a first claim, beside free slots.

Change: the model whose version has reached the fewest engines goes first; three tenths of the engines may load at a time, at least two. The number of loads per version is unchanged.

Ruled out: late claims by daemons far from the store (the first batches are claimed within 0.1 to 0.5 s) and full engines (a third of the slots is used).

Test: weights.test.ts simulates three trainers on 34 engines.

--- a/packages/weights/src/weights.test.ts
+++ b/packages/weights/src/weights.test.ts
@@ -50,8 +50,55 @@
 	});
 
 	it('does not exceed the number of concurrent loads above which they slow each other down', () => {
-		const engines = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'].map(name => engine(name, {draft: 1}));
-		expect(planLoads({engines, named: [{model: draft, version: 2}], models: 1})).toHaveLength(maxConcurrentLoads);
+		const engines = (count: number) => Array.from({length: count}, (_, index) => engine(`e${index}`, {draft: 1}));
+		const loadsOn = (count: number) => planLoads({engines: engines(count), named: [{model: draft, version: 2}], models: 1}).length;
+		expect(loadsOn(6)).toBe(2);
+		expect([27, 31, 34].map(count => loadsOn(count))).toEqual([8, 9, 10]);
+	});
+
+	describe('with three trainers that each name a version every 4 s on 34 engines', () => {
+		const loadMs = 900;
+		const nameMs = 4000;
+		/** Simulates loads for 10 versions of each model. Returns for each naming the number of engines that had the version 4 s later. */
+		const simulate = () => {
+			const models = ['draft', 'score', 'classify'] as ModelId[];
+			const fleet = Array.from({length: 34}, (_, index) => ({
+				id: `e${index}` as UpstreamId, versions: new Map(models.map(name => [name, 1])), loading: undefined as EngineWeights['loading'], loadedAt: 0,
+			}));
+			const newest = new Map<ModelId, number>();
+			const reached: Array<Readonly<{model: ModelId; version: number; engines: number}>> = [];
+			for (let now = 0; now < 10 * nameMs; now += 100) {
+				for (const target of fleet) {
+					if (target.loading !== undefined && now >= target.loadedAt) {
+						target.versions.set(target.loading.model, target.loading.version);
+						target.loading = undefined;
+					}
+				}
+
+				for (const [index, model] of models.entries()) {
+					if ((now - (index * 1300)) % nameMs === 0 && now >= index * 1300) {
+						const version = newest.get(model) ?? 1;
+						reached.push({model, version, engines: fleet.filter(({versions}) => versions.get(model)! >= version).length});
+						newest.set(model, version + 1);
+					}
+				}
+
+				for (const load of planLoads({engines: fleet, named: [...newest].map(([model, version]) => ({model, version})), models: models.length})) {
+					Object.assign(fleet.find(({id}) => id === load.engine)!, {loading: load, loadedAt: now + loadMs});
+				}
+			}
+
+			return reached;
+		};
+
+		it('brings every version to its share of the engines before the next one is named, so that no trainer waits for engines', () => {
+			expect(simulate().filter(({engines}) => engines < 11)).toEqual([]);
+		});
+	});
+
+	it('lets the model with the fewest engines go first, so that no model is never loaded', () => {
+		const engines = Array.from({length: 12}, (_, index) => engine(`e${index}`, {draft: index < 3 ? 2 : 1, score: 1}));
+		expect(planLoads({engines, named: [{model: draft, version: 2}, {model: score, version: 2}], models: 2}).map(load => load.model)).toEqual([score, score, score]);
 	});
 
 	it('counts loads in progress, so that two daemons do not load the same version twice', () => {
