Let changes to batches accumulate between two polls

Each claim and each result in the fleet is a change of the table of batches, and every daemon polled again at once.

Change: a daemon that owns an engine, runs samples or has a waiting trainer polls again after 80 ms, any other after 700 ms. A trainer that starts to wait ends the pause. Ruled out: not following the table at daemons without an engine, as they must be able to take over engines at once.

Test: follow-table.test.ts failed before (60 polls for 60 changes).

--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -61,8 +61,15 @@
 
 /** Handles the batch calls of trainers. Responses are based on the store, so all daemons give the same ones. */
 export class BatchService {
+	private waitingCalls = 0;
+
 	constructor(private readonly options: BatchServiceOptions) {}
 
+	/** Number of calls that wait for a result. */
+	get waiting(): number {
+		return this.waitingCalls;
+	}
+
 	/** Stores a batch. Repeated submissions of the same batch have no further effect. */
 	async submit(submission: BatchSubmission): Promise<SubmitOutcome> {
 		const {clock, follower, batchCache} = this.options;
@@ -193,6 +200,8 @@
 			return;
 		}
 
+		this.waitingCalls += 1;
+		follower.hurry();
 		await new Promise<void>(resolve => {
 			const finish = () => {
 				clearTimeout(timer);
@@ -211,6 +220,7 @@
 			follower.on('changed', onChanged);
 			signal.addEventListener('abort', finish);
 		});
+		this.waitingCalls -= 1;
 	}
 
 	/** Retries a write until the store has given a definite response or the time limit is reached. */
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -8,6 +8,7 @@
 export * from './decide-run.js';
 export * from './encode-rows.js';
 export * from './engine-client.js';
+export * from './feed-pause.js';
 export * from './liveness-monitor.js';
 export * from './plan-claims.js';
 export * from './plan-commit.js';
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	BatchCache, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type BatchRules, type BatchView, type EngineClient,
+	batchFeedPause, BatchCache, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type BatchRules, type BatchView, type EngineClient,
 } from '@cicadapost/batches';
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
 import {
@@ -82,6 +82,7 @@
 	private readonly membership: MembershipTask;
 	private readonly fleetView: FleetView;
 	private readonly crashReports: CrashReports;
+	private readonly batchService: BatchService;
 	private readonly commitQueue: CommitQueue;
 	private readonly sampleRunner: SampleRunner;
 	private readonly claimWorker: ClaimWorker;
@@ -116,11 +117,18 @@
 			store, clock, table: platform.tables.operatorTable, hasSinglePart: true,
 		});
 		this.upstreamFollower = new TableFollower({
-			store, clock, table: platform.tables.upstreamTable, hasSinglePart: true, coalesceMs: upstreamCoalesceMs,
+			store, clock, table: platform.tables.upstreamTable, hasSinglePart: true, coalesceMs: () => upstreamCoalesceMs,
+		});
+		this.batchFollower = new TableFollower({
+			store,
+			clock,
+			table: batchTable,
+			coalesceMs: () => batchFeedPause({
+				ownsEngines: this.fleetView.ownedEngines().length > 0, running: this.sampleRunner.count, waiting: this.batchService.waiting,
+			}),
 		});
-		this.batchFollower = new TableFollower({store, clock, table: batchTable});
 		this.fleetFollower = new TableFollower({
-			store, clock, table: fleetTable, coalesceMs: fleetCoalesceMs,
+			store, clock, table: fleetTable, coalesceMs: () => fleetCoalesceMs,
 		});
 		this.membership = new MembershipTask({
 			clock,
@@ -149,6 +157,9 @@
 				logger.warn({event: 'crash', fingerprint, ...incarnation}, 'a request has crashed an upstream');
 			},
 		});
+		this.batchService = new BatchService({
+			clock, store, follower: this.batchFollower, batchCache: this.batchCache, storeTime: () => this.batchFollower.storeTime(clock.now()),
+		});
 		this.commitQueue = new CommitQueue({
 			clock,
 			store,
@@ -259,9 +270,7 @@
 					logger.info({event: 'request', ...report}, report.outcome);
 				},
 			}),
-			batches: new BatchService({
-				clock, store, follower: this.batchFollower, batchCache: this.batchCache, storeTime: () => this.batchFollower.storeTime(clock.now()),
-			}),
+			batches: this.batchService,
 			configuration: () => this.configuration,
 			onCallReport: report => {
 				this.metrics.recordCall(report.outcome);
--- a/packages/store/src/follow-table.test.ts
+++ b/packages/store/src/follow-table.test.ts
@@ -23,9 +23,9 @@
 
 describe('TableFollower', () => {
 	const followers: TableFollower[] = [];
-	const follow = (store: MemoryRowStore) => {
+	const follow = (store: MemoryRowStore, coalesceMs?: () => number) => {
 		const follower = new TableFollower({
-			store, clock: new RealClock(), table: 't', waitMs: 50,
+			store, clock: new RealClock(), table: 't', waitMs: 50, ...(coalesceMs === undefined ? {} : {coalesceMs}),
 		});
 		followers.push(follower);
 		follower.start();
@@ -77,4 +77,45 @@
 		await until(() => emittedEvents.includes('regained'));
 		expect(emittedEvents).toEqual(['lost', 'regained']);
 	});
+
+	describe('with a delay between polls', () => {
+		/** Counts the polls that returned changes. */
+		class CountingStore extends MemoryRowStore {
+			polls = 0;
+
+			override async changes(options: Parameters<MemoryRowStore['changes']>[0]): ReturnType<MemoryRowStore['changes']> {
+				const outcome = await super.changes(options);
+				this.polls += outcome.kind === 'changes' && outcome.changes.length > 0 ? 1 : 0;
+				return outcome;
+			}
+		}
+
+		it('receives many changes in few polls, so that the polls of a daemon do not grow with the fleet', async () => {
+			const store = new CountingStore();
+			const follower = follow(store, () => 100);
+			await until(() => follower.isLoaded);
+			for (let value = 0; value < 60; value++) {
+				await store.transact(write(`k${value}`, 1));
+				await new Promise(resolve => {
+					setTimeout(resolve, 5);
+				});
+			}
+
+			await until(() => follower.copy.get('p', 'k59') !== undefined);
+			expect(store.polls).toBeLessThan(20);
+		});
+
+		it('polls at once for a caller that needs the newest rows', async () => {
+			const store = new MemoryRowStore();
+			const follower = follow(store, () => 60_000);
+			await until(() => follower.isLoaded);
+			await store.transact(write('a', 1));
+			await until(() => follower.copy.get('p', 'a') !== undefined);
+			await store.transact(write('b', 1));
+			await until(() => {
+				follower.hurry();
+				return follower.copy.get('p', 'b') !== undefined;
+			});
+		});
+	});
 });
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -29,8 +29,8 @@
 	/** All rows are in the part with the empty name, so the parts need not be listed. */
 	hasSinglePart?: boolean;
 	waitMs?: Millis;
-	/** Delay after received changes, so that further ones arrive in one poll. Omit it for tables whose changes are latency-sensitive. */
-	coalesceMs?: Millis;
+	/** Returns the delay after received changes, so that further ones arrive in one poll. Omit it for tables whose changes are latency-sensitive. */
+	coalesceMs?: () => Millis;
 }>;
 
 /** Keeps a local copy of one table up to date by polling the store's change feed. */
@@ -43,6 +43,8 @@
 	private storeClockOffsetMs = 0;
 	private hasReceivedChanges = false;
 	private isStopped = false;
+	/** Ends the current delay between two polls. */
+	private pauseEnd: AbortController | undefined;
 
 	constructor(private readonly options: TableFollowerOptions) {
 		super();
@@ -57,6 +59,11 @@
 		this.isStopped = true;
 	}
 
+	/** Polls without further delay, for a caller that needs the newest rows now. */
+	hurry(): void {
+		this.pauseEnd?.abort();
+	}
+
 	/** Whether the table has been loaded at least once. */
 	get isLoaded(): boolean {
 		return this.version !== undefined;
@@ -94,7 +101,7 @@
 			if (isSuccessful) {
 				this.recordSuccess(sentAt);
 				if (this.hasReceivedChanges && this.options.coalesceMs !== undefined) {
-					await sleep(this.options.coalesceMs);
+					await this.pause(this.options.coalesceMs());
 				}
 
 				continue;
@@ -109,6 +116,18 @@
 		}
 	}
 
+	private async pause(ms: Millis): Promise<void> {
+		const end = new AbortController();
+		this.pauseEnd = end;
+		try {
+			await sleep(ms, undefined, {signal: end.signal});
+		} catch {
+			// Rejects when `hurry` ends the pause.
+		} finally {
+			this.pauseEnd = undefined;
+		}
+	}
+
 	private recordSuccess(sentAt: Millis): void {
 		const now = this.options.clock.now();
 		const before = this.lastSuccessfulCallSentAt;
