End responses that never end, and never report their requests as not run

An upstream that sent a status line or the extension of a chunk without end held its request until the deadline. An engine that sent a stream without line ends filled the daemon's memory; the test process ran out of it.

Cause: the limit on buffered bodies aborted the attempt as if the caller had left, so that it did not count as one that may have run; undici limits headers only; neither the parser of events nor the reader of reports had a limit.

Change: a handler of data returns false for a response that is too long, which ends the exchange as broken. A connection is closed when its upstream sends 256 KiB without a piece of a response. Streams are limited to 1 MiB between two events or line ends. An engine that exceeds a limit counts as failed, so that it is suspended like one that can't be reached.

Limits of the store's responses are unchanged.

--- a/packages/batches/src/decide-run.ts
+++ b/packages/batches/src/decide-run.ts
@@ -52,6 +52,7 @@
 		}
 
 		case 'unreachable':
+		case 'invalid':
 		case 'broken': {
 			return {kind: 'release', failures: state.failures, keepText: true};
 		}
--- a/packages/batches/src/engine-client.ts
+++ b/packages/batches/src/engine-client.ts
@@ -35,6 +35,8 @@
 	| Readonly<{kind: 'unreachable'; cause: string}>
 	/** The stream ended prematurely. */
 	| Readonly<{kind: 'broken'; cause: string}>
+	/** The engine sent bytes that are no response. */
+	| Readonly<{kind: 'invalid'; cause: string}>
 	| Readonly<{kind: 'aborted'}>;
 
 export type SampleHandlers = Readonly<{
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -277,7 +277,7 @@
 		}
 
 		run.refusals = end.kind === 'not-run' ? run.refusals + 1 : 0;
-		if (end.kind === 'unreachable') {
+		if (end.kind === 'unreachable' || end.kind === 'invalid') {
 			this.liveness.recordFailure(run.engine, this.options.clock.now());
 		} else if (end.kind !== 'broken') {
 			this.liveness.recordActivity(run.engine, this.options.clock.now());
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -1,6 +1,7 @@
 import {EventEmitter} from 'node:events';
+import type {Socket} from 'node:net';
 import type {UpstreamId} from '@cicadapost/types';
-import {Client, type Dispatcher} from 'undici';
+import {buildConnector, Client, type Dispatcher} from 'undici';
 
 /** Time limit for establishing a connection. The latency between two data centres is at most 30 ms. */
 const connectTimeoutMs = 600;
@@ -22,7 +23,8 @@
 export type ExchangeHandlers = Readonly<{
 	/** Returns false to discard the response, for example because it belongs to another request. */
 	onHead: (head: ResponseHead) => boolean;
-	onData: (chunk: Uint8Array) => void;
+	/** Returns false to discard a response that is longer than any valid one. */
+	onData: (chunk: Uint8Array) => boolean;
 	/** Called exactly once, when the exchange has ended. */
 	onEnd: (end: ExchangeEnd) => void;
 }>;
@@ -41,14 +43,36 @@
 	abort: () => void;
 }>;
 
+/** Cause of a `broken` exchange whose upstream sent more bytes than a valid response has. */
+export const responseTooLong = 'the response is too long';
+/**
+Maximum number of bytes that an upstream may send between two pieces of a response. Undici limits the size of headers, but
+not that of a status line or of the extension of a chunk.
+*/
+const maxUnparsedBytes = 256 * 1024;
+
+const connectSocket = buildConnector({timeout: connectTimeoutMs});
+
 class Connection {
 	readonly client: Client;
 	isOpen = false;
+	private socket: Socket | undefined;
+	/** Number of bytes that the socket had received when the last piece of a response was parsed. */
+	private parsedBytes = 0;
 
 	constructor(address: string) {
 		this.client = new Client(`http://${address}`, {
 			pipelining: 1,
-			connect: {timeout: connectTimeoutMs},
+			connect: (options, callback) => {
+				connectSocket(options, (...result) => {
+					const [, socket] = result;
+					if (socket !== null) {
+						this.watch(socket);
+					}
+
+					callback(...result);
+				});
+			},
 			keepAliveTimeout: idleTimeoutMs,
 			// Callers of this class enforce deadlines, since they know how much time is left.
 			headersTimeout: 0,
@@ -62,9 +86,23 @@
 		});
 	}
 
+	/** Records that a piece of a response has been parsed, or that a request is about to be sent. */
+	recordProgress(): void {
+		this.parsedBytes = this.socket?.bytesRead ?? 0;
+	}
+
 	destroy(): void {
 		void this.client.destroy();
 	}
+
+	private watch(socket: Socket): void {
+		this.socket = socket;
+		socket.on('readable', () => {
+			if (socket.bytesRead - this.parsedBytes > maxUnparsedBytes) {
+				socket.destroy(new Error(responseTooLong));
+			}
+		});
+	}
 }
 
 type PoolEvents = {
@@ -104,13 +142,15 @@
 				isSent = true;
 			},
 			onResponseStart(controller, status, headers) {
+				connection.recordProgress();
 				if (!isOver && status >= 200 && !handlers.onHead({status, headers})) {
 					finish({kind: 'broken', cause: 'the response belongs to another request'});
 				}
 			},
 			onResponseData(controller, chunk) {
-				if (!isOver) {
-					handlers.onData(chunk);
+				connection.recordProgress();
+				if (!isOver && !handlers.onData(chunk)) {
+					finish({kind: 'broken', cause: responseTooLong});
 				}
 			},
 			onResponseEnd() {
@@ -120,6 +160,7 @@
 				finish({kind: isSent ? 'broken' : 'not-sent', cause: errorCodeOrMessage(err)});
 			},
 		};
+		connection.recordProgress();
 		try {
 			connection.client.dispatch({
 				path: req.path,
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -71,6 +71,9 @@
 const timeoutFailureThresholdMs = 700;
 /** Maximum size of a buffered response, which is passed on only when complete. An attempt with a longer response fails. */
 const maxBufferedResponseBytes = 4 * 1024 * 1024;
+/** Maximum length of a line in a stream of events. Longer ones are no events, and a caller's parser would have to keep them. */
+const maxStreamLineBytes = 1024 * 1024;
+const lineFeed = 0x0A;
 
 type Attempt = {
 	readonly upstream: UpstreamRecord;
@@ -79,6 +82,7 @@
 	head: ResponseHead | undefined;
 	metadata: ResponseMetadata | undefined;
 	chunks: Uint8Array[];
+	/** Size of `chunks`, or of the current line of a stream. */
 	size: number;
 	isStreaming: boolean;
 };
@@ -179,9 +183,7 @@
 			body: req.body,
 		}, {
 			onHead: head => this.onHead(attempt, head),
-			onData: chunk => {
-				this.onData(attempt, chunk);
-			},
+			onData: chunk => this.onData(attempt, chunk),
 			onEnd: end => {
 				health.recordEnd(upstream.id);
 				this.attempts.delete(attempt);
@@ -230,23 +232,26 @@
 		return true;
 	}
 
-	private onData(attempt: Attempt, chunk: Uint8Array): void {
+	/** Returns false if the response is too long. */
+	private onData(attempt: Attempt, chunk: Uint8Array): boolean {
 		if (this.isOver) {
-			return;
+			return true;
 		}
 
-		if (attempt.isStreaming) {
-			this.receiver.data(chunk);
-			return;
+		if (!attempt.isStreaming) {
+			attempt.chunks.push(chunk);
+			attempt.size += chunk.length;
+			return attempt.size <= maxBufferedResponseBytes;
 		}
 
-		attempt.chunks.push(chunk);
-		attempt.size += chunk.length;
-		if (attempt.size > maxBufferedResponseBytes) {
-			this.reportOutcome(attempt, 'answer too long');
-			attempt.exchange?.abort();
-			this.onAttemptEnd(attempt, {kind: 'broken', cause: 'the response is too long'});
+		const lineEnd = chunk.lastIndexOf(lineFeed);
+		attempt.size = lineEnd === -1 ? attempt.size + chunk.length : chunk.length - lineEnd - 1;
+		if (attempt.size > maxStreamLineBytes) {
+			return false;
 		}
+
+		this.receiver.data(chunk);
+		return true;
 	}
 
 	private onResponseComplete(attempt: Attempt): void {
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -357,6 +357,67 @@
 		expect(health.healthOf(record.id, false).avoidUntil).toBeGreaterThan(0);
 	});
 
+	describe('with an upstream that sends bytes without end', () => {
+		/** Sends `start` and then filler until the peer closes the connection. */
+		const flood = (start: string): Script => (socket, id) => {
+			const filler = Buffer.alloc(64 * 1024, 'a');
+			const write = () => {
+				while (!socket.destroyed && socket.write(filler)) {
+					// The socket buffers no more than its high-water mark.
+				}
+			};
+
+			socket.on('drain', write);
+			socket.write(start.replace('ID', id));
+			write();
+		};
+
+		const starts = {
+			'a status line': 'HTTP/1.1 200 ',
+			'a header': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\nLong: ',
+			'a body without a length': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\n\r\n',
+			'a body whose announced length is never reached': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\nContent-Length: 99999999999\r\n\r\n',
+			'a chunk of a body': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n',
+			'the extension of a chunk': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\nTransfer-Encoding: chunked\r\n\r\n1;',
+			'bytes that are no response': 'a',
+		};
+
+		describe.each(Object.entries(starts))('in %s', (_, start) => {
+			it('closes the connection before the deadline and serves an idempotent request at another upstream', async () => {
+				const endless = await startUpstream('u1', flood(start));
+				const whole = await startUpstream('u2', (socket, id) => {
+					socket.write(sealed(id, 'whole'));
+				});
+				const forwarder = createForwarder([endless.record, whole.record]);
+				expect(await send(forwarder, 'one', 'idempotent', {targetLatencyMs: 60_000}, 5000)).toEqual({status: 200, body: 'whole'});
+				await expect.poll(() => sockets[0]?.destroyed, {timeout: 1000}).toBe(true);
+			});
+
+			it('does not report a `once` request as not run, since the upstream may have run it', async () => {
+				const endless = await startUpstream('u1', flood(start));
+				expect(await send(createForwarder([endless.record]), 'one', 'once', {}, 5000)).toMatchObject({failure: {kind: 'failed'}});
+			});
+		});
+
+		it('truncates a stream without line ends, so that neither this daemon nor the caller keeps it in memory', async () => {
+			const endless = await startUpstream('u1', flood('HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\n\r\ndata: '));
+			let received = 0;
+			const receiver = (onResponse: (response: CollectedResponse) => void) => new class extends CollectingReceiver {
+				override data(chunk: Uint8Array): void {
+					received += chunk.length;
+				}
+			}(onResponse);
+			const response = await new Promise<CollectedResponse>(resolve => {
+				createForwarder([endless.record]).forward({
+					requestId: 'one' as RequestId, method: 'POST', path: '/x/1', host: 'a.example', headers: [], body: Buffer.from('body'),
+					route: route({kind: 'stream'}), deadlineAt: performance.now() + 5000,
+				}, receiver(resolve));
+			});
+			expect(response).toEqual({isBroken: true});
+			expect(received).toBeLessThan(2 * 1024 * 1024);
+		});
+	});
+
 	describe('a request that crashes each upstream', () => {
 		const startCrashing = async () => Promise.all(['u1', 'u2', 'u3', 'u4', 'u5', 'u6'].map(async name => startUpstream(name, socket => {
 			socket.destroy();
