Don't blame samples of a training step for crashes of engines

In "cicadapost serve" a sample whose engines had crashed three times was blocked for ten minutes like a live request that crashes engines. After a burst of crashes the sample of a step was therefore refused while engines were idle, and its step could not end.

Cause: every request that ran on a crashed engine became a suspect, whatever its class. A trainer's sample is handed in for later and owed, and no caller repeats it.

Change: only live requests become suspects. Deaths of engines under samples still take the engine out of service.

Test: scheduler.test.ts, a sample under which four engines crash is granted and completes; before, the fourth run was refused as blocked.

--- a/packages/decision/src/death-reports.ts
+++ b/packages/decision/src/death-reports.ts
@@ -1,9 +1,12 @@
 /** Reports of upstream deaths, which are sent again until the shard owner is known to have counted them. */
 
 import {deathIdsOf, type SuspectTable} from '@cicadapost/scheduling';
-import type {AttemptId, Millis, Release} from '@cicadapost/types';
+import type {
+	AttemptId, Fingerprint, Millis, Release, UpstreamId,
+} from '@cicadapost/types';
 
-type DeathRelease = Release & Readonly<{death: NonNullable<Release['death']>}>;
+type CountedDeath = Readonly<{upstream: UpstreamId; fingerprint: Fingerprint}>;
+type DeathRelease = Release & Readonly<{death: CountedDeath}>;
 
 type DeathReport = {
 	readonly release: DeathRelease;
@@ -20,14 +23,15 @@
 /** Time after which a report is dropped. A shard that has no owner for this long has bigger problems. */
 const reportTimeoutMs = 15_000;
 
-function countedDeaths(table: SuspectTable, {upstream, fingerprint}: DeathRelease['death'], now: Millis): string[] {
+function countedDeaths(table: SuspectTable, {upstream, fingerprint}: CountedDeath, now: Millis): string[] {
 	return deathIdsOf(table, fingerprint, now).filter(death => death.startsWith(`${upstream}/`));
 }
 
-/** Tracks a release that reports a death. Other releases need no acknowledgement. */
+/** Tracks a release that reports a death of a suspect. Other releases need no acknowledgement. */
 export function trackDeathReport(reports: DeathReports, release: Release, table: SuspectTable, now: Millis): void {
-	const {death} = release;
-	if (death !== undefined) {
+	const {upstream, fingerprint} = release.death ?? {};
+	if (upstream !== undefined && fingerprint !== undefined) {
+		const death = {upstream, fingerprint};
 		reports.set(release.attempt, {
 			release: {...release, death}, countedBefore: new Set(countedDeaths(table, death, now)), expiresAt: now + reportTimeoutMs, resendAt: now + resendIntervalMs,
 		});
--- a/packages/routing/src/attempts.ts
+++ b/packages/routing/src/attempts.ts
@@ -1,7 +1,7 @@
 /** Starts and ends the attempts of a request. */
 
-import type {
-	Acquire, AttemptId, Millis, Release, ReleaseResult, RequestSummary,
+import {
+	canBeSuspect, type Acquire, type AttemptId, type Millis, type Release, type ReleaseResult, type RequestSummary,
 } from '@cicadapost/types';
 import {
 	mayHaveSent, type Attempt, type RequestEntry, type Destination, type RouterState,
@@ -111,7 +111,7 @@
 			tokens: attempt.tokens,
 			...(attempt.firstTokenAt === undefined ? {} : {firstTokenMs: attempt.firstTokenAt - attempt.openedAt}),
 			generationMs: attempt.firstTokenAt === undefined ? 0 : now - attempt.firstTokenAt,
-			...(result === 'upstream-died' && upstream !== undefined ? {death: {upstream, fingerprint: entry.request.fingerprint}} : {}),
+			...(result === 'upstream-died' && upstream !== undefined ? {death: {upstream, ...(canBeSuspect(entry.request) ? {fingerprint: entry.request.fingerprint} : {})}} : {}),
 		};
 }
 
--- a/packages/scheduling/src/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler.test.ts
@@ -504,6 +504,28 @@
 		expect(bench.refused.filter(({name, reason}) => !name.startsWith('poison') && reason === 'blocked')).toEqual([]);
 	});
 
+	it('are never samples of a training step, so that a burst of crashes does not block a sample that is still owed', () => {
+		const bench = new Bench(['u1', 'u2', 'u3', 'u4', 'u5']);
+		for (let crash = 0; crash < 4; crash++) {
+			const name = `sample-${crash}`;
+			bench.sendRequest({
+				name, fingerprint: 'sample', requestClass: 'training', tokens: 100,
+			});
+			bench.run(20);
+			const grant = bench.granted.find(granted => granted.name === name);
+			expect(grant).toBeDefined();
+			bench.dead.add(grant!.upstream);
+			bench.run(20);
+		}
+
+		bench.sendRequest({
+			name: 'sample-again', fingerprint: 'sample', requestClass: 'training', tokens: 100,
+		});
+		bench.run(10_000);
+		expect(bench.refused).toEqual([]);
+		expect(bench.finished.map(({name}) => name)).toEqual(['sample-again']);
+	});
+
 	it('run on at most two upstreams at a time while unproven', () => {
 		const bench = new Bench(['u1', 'u2', 'u3', 'u4']);
 		for (let i = 0; i < 16; i++) {
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -1,7 +1,7 @@
 /** Schedules the requests of one shard: admits or refuses them and grants them slots on upstreams. */
 
-import type {
-	AttemptId, DaemonId, Fingerprint, Millis, DecisionResult, RefusalReason, Release, RequestClass,
+import {
+	canBeSuspect, type AttemptId, type DaemonId, type Fingerprint, type Millis, type DecisionResult, type RefusalReason, type Release, type RequestClass,
 } from '@cicadapost/types';
 import {
 	maxAcceptableWait, advanceAdmission, expireRetrySlots, reserveRetrySlot, maxWaitingRequests, recordEnd, claimRetrySlot, waitEstimate, type Capacity,
@@ -318,13 +318,15 @@
 	return actions;
 }
 
-/** Takes a crashed upstream out of service. Each request that was running on it becomes a suspect. */
+/** Takes a crashed upstream out of service. Each live request that was running on it becomes a suspect. */
 function recordUpstreamDeath(state: SchedulerState, upstream: UpstreamState, reportedBy: AttemptId, now: Millis): SchedulerAction[] {
 	const fingerprints = new Set<Fingerprint>();
 	for (const running of state.running.values()) {
 		if (running.upstream === upstream && !running.isDeathCounted) {
 			running.isDeathCounted = true;
-			fingerprints.add(running.request.fingerprint);
+			if (canBeSuspect(running.request)) {
+				fingerprints.add(running.request.fingerprint);
+			}
 		}
 	}
 
@@ -341,6 +343,10 @@
 		takeOutOfService(upstream, now);
 	}
 
+	if (death.fingerprint === undefined) {
+		return [];
+	}
+
 	const entries = recordDeath(state.suspects, [death.fingerprint], `${death.upstream}/${reportedBy}`, now);
 	return [{kind: 'share-suspects', entries}, ...refreshSuspects(state, now)];
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -4,7 +4,7 @@
 export * from './ids.js';
 export * from './messages.js';
 export type * from './outcome.js';
-export type * from './request.js';
+export * from './request.js';
 export type * from './rollout.js';
 export type * from './row.js';
 export type * from './vm.js';
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -70,8 +70,8 @@
 	firstTokenMs?: Millis;
 	/** Time from the first token to the last. */
 	generationMs: Millis;
-	/** Set if the upstream died, so that an owner that does not know the attempt still counts the death. */
-	death?: Readonly<{upstream: UpstreamId; fingerprint: Fingerprint}>;
+	/** Set if the upstream died, so that an owner that does not know the attempt still counts the death. `fingerprint` is absent if the request can't be a suspect. */
+	death?: Readonly<{upstream: UpstreamId; fingerprint?: Fingerprint}>;
 	/** Forwarded once, by a daemon that is no longer the owner. */
 	isForwarded?: boolean;
 }>;
--- a/packages/types/src/request.ts
+++ b/packages/types/src/request.ts
@@ -19,6 +19,14 @@
 	prefixKey: string;
 }>;
 
+/**
+Whether a request may be blamed for crashes of the upstreams that ran it. A sample of a training step never is: it is owed
+to its trainer, who cannot take it back, so a burst of crashes must not block it.
+*/
+export function canBeSuspect(request: Pick<RequestSummary, 'requestClass'>): boolean {
+	return request.requestClass === 'live';
+}
+
 /** The HTTP request that is sent to an upstream. */
 export type Payload = Readonly<{
 	method: string;
