--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -65,8 +65,8 @@
 			pipelining: 1,
 			connect: (options, callback) => {
 				connectSocket(options, (...result) => {
-					const [, socket] = result;
-					if (socket !== null) {
+					const [err, socket] = result;
+					if (!err) {
 						this.watch(socket);
 					}
 
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -317,6 +317,14 @@
 		expect(await send(createForwarder([full.record]), 'two', 'once')).toMatchObject({failure: {kind: 'refused'}});
 	});
 
+	it('reports a request as not run if no upstream accepts a connection', async () => {
+		const {record} = await startUpstream('u1', () => undefined);
+		await new Promise(resolve => {
+			servers.pop()!.close(resolve);
+		});
+		expect(await send(createForwarder([record]), 'one', 'once')).toMatchObject({failure: {kind: 'refused'}});
+	});
+
 	it('hedges to a second upstream while the first is silent, and aborts the slower attempt', async () => {
 		let isClosed = false;
 		const silent = await startUpstream('u1', socket => {
