--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -1,7 +1,7 @@
 import {
 	mayBeRunning, liveMembers, heartbeatIntervalMs, type LivenessContext, type MemberRecord, type MemberObservation,
 } from '@cicadapost/fleet';
-import type {RowStore, TableFollower} from '@cicadapost/store';
+import type {RowChange, RowStore, TableFollower} from '@cicadapost/store';
 import type {
 	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
 } from '@cicadapost/types';
@@ -25,12 +25,14 @@
 	private heartbeatCount = 0;
 	private timer: NodeJS.Timeout | undefined;
 	private isSendingHeartbeat = false;
-	/** Decoded member rows, cached until the table changes. */
+	/** Decoded member rows by daemon. Each row is decoded once per change. */
+	private readonly observed = new Map<string, MemberObservation>();
+	/** The same by incarnation, cached until a row changes. */
 	private cachedObservations: ReadonlyMap<DaemonIncarnation, MemberObservation> | undefined;
 
 	constructor(private readonly options: MembershipOptions) {
-		options.follower.on('changed', () => {
-			this.cachedObservations = undefined;
+		options.follower.on('changed', changes => {
+			this.apply(changes);
 		});
 	}
 
@@ -79,13 +81,26 @@
 		return {members: this.observations().size, connectedForMs: this.options.follower.connectedFor(now), now};
 	}
 
-	private observations(): ReadonlyMap<DaemonIncarnation, MemberObservation> {
+	private apply(changes: readonly RowChange[]): void {
 		const {copy} = this.options.follower;
-		this.cachedObservations ??= new Map(copy.parts().flatMap((part): Array<[DaemonIncarnation, MemberObservation]> => {
-			const row = copy.get(part, memberKey);
-			const record = row === undefined ? undefined : decodeMember(row.value);
-			return record === undefined ? [] : [[record.incarnation, {record, seenAt: copy.changedAt(part, memberKey) ?? 0}]];
-		}));
+		for (const change of changes) {
+			const {part, key} = change.kind === 'written' ? change.row : change.key;
+			if (key !== memberKey) {
+				continue;
+			}
+
+			this.cachedObservations = undefined;
+			const record = change.kind === 'written' ? decodeMember(change.row.value) : undefined;
+			if (record === undefined) {
+				this.observed.delete(part);
+			} else {
+				this.observed.set(part, {record, seenAt: copy.changedAt(part, memberKey) ?? 0});
+			}
+		}
+	}
+
+	private observations(): ReadonlyMap<DaemonIncarnation, MemberObservation> {
+		this.cachedObservations ??= new Map([...this.observed.values()].map(observation => [observation.record.incarnation, observation]));
 		return this.cachedObservations;
 	}
 
