Plan loads only at daemons that own an engine of the service

Half of the daemons of the grown deployments own no engine, and planned the loads of all 34 engines four times per second and on each change of the list without ever ordering one. When such a daemon becomes an owner, its next plan reads the loads of others from their permits, as before.

--- a/packages/weights/src/load-weights.ts
+++ b/packages/weights/src/load-weights.ts
@@ -71,6 +71,10 @@
 		const {services, isOwner, clock} = this.options;
 		const now = clock.now();
 		for (const service of services()) {
+			if (!service.engines.some(engine => isOwner(engine.id))) {
+				continue;
+			}
+
 			this.recordRemoteLoads(service);
 			const loads = planLoads({
 				engines: service.engines.map(engine => this.options.versions.weights(engine, now)),
