--- a/packages/batches/src/crash-burst.test.ts
+++ b/packages/batches/src/crash-burst.test.ts
@@ -1,3 +1,4 @@
+import {EventEmitter} from 'node:events';
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
 import {TableFollower} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
@@ -78,15 +79,15 @@
 		const commits = new CommitQueue({
 			clock, store, follower, batchCache, incarnation, onCommitFailure: vi.fn(),
 		});
-		let worker: ClaimWorker | undefined;
+		const freed = new EventEmitter();
 		const runner = new SampleRunner({
 			clock, store, batchCache, directory, client, commits, rulesOf: () => ({maxAttempts, isSingleVersion: false, runMs: 60_000}), isLoading: () => false, onVersion: vi.fn(),
 			onSlotFreed() {
-				worker?.wake();
+				freed.emit('slot');
 			},
 			onRunReport: vi.fn(),
 		});
-		worker = new ClaimWorker({
+		const worker = new ClaimWorker({
 			clock, store, follower, batchCache, directory, runner, commits, incarnation,
 			ownedEngines: () => [...directory.all()],
 			isAlive: () => true,
@@ -96,6 +97,9 @@
 			onPlanned: vi.fn(),
 			onClaimed: vi.fn(),
 		});
+		freed.on('slot', () => {
+			worker.wake();
+		});
 		follower.on('changed', changes => {
 			batchCache.apply(changes);
 			worker.wake();
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -60,13 +60,10 @@
 	private readonly starting = new Map<string, UpstreamId>();
 	private readonly liveness = new LivenessMonitor();
 	private readonly slowdowns = new SlowdownDetector();
-	private readonly timer: NodeJS.Timeout;
+	/** Set while there are runs to check. */
+	private timer: NodeJS.Timeout | undefined;
 
-	constructor(private readonly options: SampleRunnerOptions) {
-		this.timer = setInterval(() => {
-			this.check();
-		}, checkIntervalMs);
-	}
+	constructor(private readonly options: SampleRunnerOptions) {}
 
 	/** Number of samples that this daemon has on an engine, including those whose request bodies are still being read. */
 	countAt(engine: UpstreamId): number {
@@ -176,6 +173,9 @@
 	private startRun(options: RunOptions): void {
 		const run = createRun(options, this.options.clock.now());
 		this.running.set(itemKeyOf(run), run);
+		this.timer ??= setInterval(() => {
+			this.check();
+		}, checkIntervalMs);
 		this.send(run);
 	}
 
@@ -400,6 +400,12 @@
 	}
 
 	private check(): void {
+		if (this.running.size === 0) {
+			clearInterval(this.timer);
+			this.timer = undefined;
+			return;
+		}
+
 		const now = this.options.clock.now();
 		this.releaseFromSilentEngines(now);
 		this.releaseFromSlowEngines(now);
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -57,9 +57,11 @@
 /** Runs still active this long before the end of the grace period are released together with their partial text. */
 const releaseMarginMs = 2500;
 /** Each upstream writes a heartbeat about once per second. The delay is acceptable, because a leaving upstream stays usable for some seconds. */
-const upstreamCoalesceMs = 150;
+const upstreamCoalesceMs = 400;
 /** Each daemon writes a heartbeat more than once per second. The delay is acceptable, because a daemon expires only after several missed ones. */
 const fleetCoalesceMs = 350;
+/** Delay at a daemon without engines, which needs the members only to learn that it becomes an owner. */
+const idleFleetCoalesceMs = 700;
 /** The process exits this long before the platform would kill it. */
 const exitMarginMs = 500;
 const shutdownPollMs = 50;
@@ -128,7 +130,7 @@
 			}),
 		});
 		this.fleetFollower = new TableFollower({
-			store, clock, table: fleetTable, coalesceMs: () => fleetCoalesceMs,
+			store, clock, table: fleetTable, coalesceMs: () => (this.fleetView.ownedEngines().length > 0 ? fleetCoalesceMs : idleFleetCoalesceMs),
 		});
 		this.membership = new MembershipTask({
 			clock,
