Keep the age of copies within its limits between two polls

A poll that returned changes at the end of its wait, a pause and another full poll then made a copy 2.1 to 2.7 s old (3 s while the store is slow): older than the 2 s within which a daemon claims samples, so that the wake-up by a new batch was lost for up to 0.4 s, and than the 2.5 s after which a daemon reports itself as not ready.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -16,7 +16,7 @@
 import {itemKeyOf} from './sample-run.js';
 
 /** A copy of the batches older than this may miss that a batch has ended, so no work is started based on it. */
-const maxCopyAgeMs = 2000;
+export const maxCopyAgeMs = 2000;
 /** Interval for looking for work in the absence of events, since the claims of dead daemons are freed by the passage of time alone. */
 const pollIntervalMs = 400;
 /**
--- a/packages/batches/src/feed-pause.ts
+++ b/packages/batches/src/feed-pause.ts
@@ -12,7 +12,7 @@
 /** Delay between polls of a daemon that needs the batches. A sample runs for a second on average, so the delay hardly counts. */
 const activePauseMs = 80;
 /** Delay of a daemon that does not need them. It must stay ready to take over engines. */
-const idlePauseMs = 700;
+const idlePauseMs = 500;
 
 /**
 Returns for how long a daemon lets changes to batches accumulate before it polls again. Each claim and result in the fleet
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -51,7 +51,7 @@
 }>;
 
 /** A daemon without a response from the store for this long reports itself as not ready. Allows for a long poll of one second and a slow response. */
-const maxStoreSilenceMs = 2500;
+export const maxStoreSilenceMs = 2500;
 /** The load balancer stops sending new connections after two failed probes, one second apart. */
 const loadBalancerDrainMs = 3200;
 /** Runs still active this long before the end of the grace period are released together with their partial text. */
@@ -61,7 +61,7 @@
 /** Each daemon writes a heartbeat more than once per second. The delay is acceptable, because a daemon expires only after several missed ones. */
 const fleetCoalesceMs = 350;
 /** Delay at a daemon without engines, which needs the members only to learn that it becomes an owner. */
-const idleFleetCoalesceMs = 700;
+export const idleFleetCoalesceMs = 500;
 /** The process exits this long before the platform would kill it. */
 const exitMarginMs = 500;
 const shutdownPollMs = 50;
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -7,7 +7,7 @@
 import {TableCopy} from './table-copy.js';
 
 /** Duration of a long poll. Kept short because a dead connection is detected only once the response is overdue. */
-const defaultPollWaitMs = 1000;
+export const defaultPollWaitMs = 700;
 /** Delay after a failed call. Prevents a busy loop and a thundering herd when the store recovers. */
 const retryDelayMs = 120;
 /** Parts that are read concurrently when a whole table is loaded. */
