Log the limits that upstreams name, and count the requests that they get

Cause of the change: an upstream in need names in its responses how many requests per second it takes from all daemons together. Nothing in the daemons read that header, so logs and metrics could not tell whether a daemon knew of a limit, nor whether second attempts made up the excess.

Change: the adapter decodes the header. A new package, rate-limits, keeps what upstreams have named. The event upstream-limit, limitedRequests in the event load and cicadapost_limited_requests_total show limits and the requests sent to limited upstreams by reason: first, retry, hedge, sample. Requests are sent as before.

--- a/packages/batches/src/crash-burst.test.ts
+++ b/packages/batches/src/crash-burst.test.ts
@@ -1,5 +1,6 @@
 import {EventEmitter} from 'node:events';
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {UnlimitedRequests} from '@cicadapost/rate-limits/testing';
 import {TableFollower} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
@@ -81,7 +82,8 @@
 		});
 		const freed = new EventEmitter();
 		const runner = new SampleRunner({
-			clock, store, batchCache, directory, client, commits, rulesOf: () => ({maxAttempts, isSingleVersion: false, runMs: 60_000}), isLoading: () => false, onVersion: vi.fn(),
+			clock, store, batchCache, directory, client, limits: new UnlimitedRequests(), commits,
+			rulesOf: () => ({maxAttempts, isSingleVersion: false, runMs: 60_000}), isLoading: () => false, onVersion: vi.fn(),
 			onSlotFreed() {
 				freed.emit('slot');
 			},
--- a/packages/batches/src/engine-client.ts
+++ b/packages/batches/src/engine-client.ts
@@ -40,6 +40,8 @@
 	| Readonly<{kind: 'aborted'}>;
 
 export type SampleHandlers = Readonly<{
+	/** The engine responded; its limit in requests per second, or undefined if it has none. */
+	onLimit: (requestsPerSecond: number | undefined) => void;
 	/** The run has started, with this version of the weights. */
 	onStart: (version: number | undefined) => void;
 	onEvent: (event: SampleEvent) => void;
--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -1,4 +1,5 @@
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {UnlimitedRequests} from '@cicadapost/rate-limits/testing';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
 	Clock, type BatchId, type DataCentreId, type ItemId, type Millis, type ModelId, type ServiceId, type UpstreamId,
@@ -77,6 +78,7 @@
 		batchCache,
 		directory,
 		client,
+		limits: new UnlimitedRequests(),
 		commits: {
 			push(_batch, outcome) {
 				outcomes.push(outcome);
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -1,4 +1,5 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
+import type {RequestLimits} from '@cicadapost/rate-limits';
 import {readAll, type RowStore} from '@cicadapost/store';
 import type {
 	BatchId, Clock, Millis, UpstreamId,
@@ -36,6 +37,7 @@
 	batchCache: BatchCache;
 	directory: UpstreamDirectory;
 	client: EngineClient;
+	limits: RequestLimits;
 	commits: Pick<CommitQueue, 'push'>;
 	/** Returns the rules of a batch, or undefined if no route serves it any more. */
 	rulesOf: (batch: BatchView) => BatchRules | undefined;
@@ -198,6 +200,8 @@
 		run.sentAt = clock.now();
 		run.lastActivityAt = run.sentAt;
 		run.eventsSinceSent = 0;
+		this.options.limits.recordSend(engine, 'sample');
+		const {sentAt} = run;
 		const hasText = run.text.events.length > 0;
 		run.engineRun = client.run({
 			engine,
@@ -209,6 +213,9 @@
 			deadlineMs: rules.runMs,
 			resumeAfter: hasText ? run.text.lastEventId : undefined,
 		}, {
+			onLimit: requestsPerSecond => {
+				this.options.limits.recordResponse(engine, {requestsPerSecond, sentAt});
+			},
 			onStart: version => {
 				this.onStart(run, view, version);
 			},
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -9,6 +9,7 @@
 } from '@cicadapost/forwarding';
 import {ownerOf} from '@cicadapost/membership';
 import type {Logger} from '@cicadapost/observability';
+import {RateLimiter} from '@cicadapost/rate-limits';
 import {
 	ObservedRowStore, TableFollower, type RowChange, type RowStore,
 } from '@cicadapost/store';
@@ -84,6 +85,7 @@
 	private readonly membership: MembershipTask;
 	private readonly fleetView: FleetView;
 	private readonly crashReports: CrashReports;
+	private readonly rateLimiter: RateLimiter;
 	private readonly batchService: BatchService;
 	private readonly commitQueue: CommitQueue;
 	private readonly sampleRunner: SampleRunner;
@@ -159,6 +161,16 @@
 				logger.warn({event: 'crash', fingerprint, ...incarnation}, 'a request has crashed an upstream');
 			},
 		});
+		this.rateLimiter = new RateLimiter({
+			clock,
+			onLimitReport(report) {
+				logger.info({event: 'upstream-limit', ...report}, report.requestsPerSecond === undefined ? 'limit of an upstream lifted' : 'upstream has a limit');
+			},
+			onLimitedSend: (upstream, reason) => {
+				this.metrics.recordLimitedRequest(reason);
+				this.loadReporter.recordLimitedRequest(upstream, reason);
+			},
+		});
 		this.batchService = new BatchService({
 			clock, store, follower: this.batchFollower, batchCache: this.batchCache, storeTime: () => this.batchFollower.storeTime(clock.now()),
 		});
@@ -178,6 +190,7 @@
 			batchCache: this.batchCache,
 			directory: this.directory,
 			client: platform.engines,
+			limits: this.rateLimiter,
 			commits: this.commitQueue,
 			rulesOf: batch => this.rulesOf(batch),
 			isLoading: engine => {
@@ -262,6 +275,7 @@
 				health: this.health,
 				protocol: platform.upstreams,
 				crashes: this.crashReports,
+				limits: this.rateLimiter,
 				dataCentre: settings.dataCentre as DataCentreId,
 				random: options.random ?? Math.random,
 				onRequestReport: report => {
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import type {SendReason} from '@cicadapost/rate-limits';
 import type {StoreCallReport} from '@cicadapost/store';
 import type {Millis} from '@cicadapost/types';
 import {Counter, Histogram, Registry} from 'prom-client';
@@ -19,6 +20,7 @@
 	private readonly storeLosses = this.counter('store_lost_total', 'Times that the store stopped answering, by table', ['table']);
 	private readonly storeCalls = this.counter('store_calls_total', 'Calls to the store by call, table and outcome', ['call', 'table', 'outcome']);
 	private readonly storeRows = this.counter('store_rows_total', 'Rows that the store returned, by call and table', ['call', 'table']);
+	private readonly limitedRequests = this.counter('limited_requests_total', 'Requests to upstreams that have named a limit, by reason', ['reason']);
 	private readonly requestLatency = this.histogram('request_duration_ms', 'Time to the answer of plain requests', ['route']);
 	private readonly sampleLatency = this.histogram('sample_duration_ms', 'Time of runs of samples', ['outcome']);
 	private server: Server | undefined;
@@ -51,6 +53,10 @@
 		this.storeRows.inc({call, table}, rows);
 	}
 
+	recordLimitedRequest(reason: SendReason): void {
+		this.limitedRequests.inc({reason});
+	}
+
 	async text(): Promise<string> {
 		return this.registry.metrics();
 	}
--- a/packages/entry/src/load-reporter.test.ts
+++ b/packages/entry/src/load-reporter.test.ts
@@ -1,3 +1,4 @@
+import type {UpstreamId} from '@cicadapost/types';
 import {describe, expect, it} from 'vitest';
 import {type LoadReport, LoadReporter} from './load-reporter.js';
 
@@ -22,6 +23,7 @@
 		});
 		reporter.recordClaimPlan(1.2);
 		reporter.recordClaimPlan(0.6);
+		reporter.recordLimitedRequest('u1' as UpstreamId, 'hedge');
 		processorMs = 450;
 		reporter.report(11_000);
 		reporter.report(21_000);
@@ -33,9 +35,10 @@
 				storeRows: {'changes batches': 5, 'transact batches': 1},
 				claimPlans: 2,
 				claimPlanMs: 2,
+				limitedRequests: {'u1 hedge': 1},
 			},
 			{
-				intervalMs: 10_000, processorMs: 0, storeCalls: {}, storeRows: {}, claimPlans: 0, claimPlanMs: 0,
+				intervalMs: 10_000, processorMs: 0, storeCalls: {}, storeRows: {}, claimPlans: 0, claimPlanMs: 0, limitedRequests: {},
 			},
 		]);
 	});
--- a/packages/entry/src/load-reporter.ts
+++ b/packages/entry/src/load-reporter.ts
@@ -1,5 +1,6 @@
+import type {SendReason} from '@cicadapost/rate-limits';
 import type {StoreCallReport} from '@cicadapost/store';
-import type {Millis} from '@cicadapost/types';
+import type {Millis, UpstreamId} from '@cicadapost/types';
 
 /** What the daemon has done in one interval. */
 export type LoadReport = Readonly<{
@@ -12,6 +13,8 @@
 	storeRows: Readonly<Record<string, number>>;
 	claimPlans: number;
 	claimPlanMs: Millis;
+	/** Number of requests to upstreams with a limit, by upstream and reason, such as `i-1 hedge`. */
+	limitedRequests: Readonly<Record<string, number>>;
 }>;
 
 export type LoadReporterOptions = Readonly<{
@@ -24,6 +27,7 @@
 export class LoadReporter {
 	private storeCalls = new Map<string, number>();
 	private storeRows = new Map<string, number>();
+	private limitedRequests = new Map<string, number>();
 	private claimPlans = 0;
 	private claimPlanMs = 0;
 	private processorMs: Millis;
@@ -44,6 +48,10 @@
 		this.claimPlanMs += tookMs;
 	}
 
+	recordLimitedRequest(upstream: UpstreamId, reason: SendReason): void {
+		increase(this.limitedRequests, `${upstream} ${reason}`, 1);
+	}
+
 	/** Reports what was recorded since the last report, and starts over. */
 	report(now: Millis): void {
 		const {processorTime, onLoadReport} = this.options;
@@ -55,11 +63,13 @@
 			storeRows: Object.fromEntries(this.storeRows),
 			claimPlans: this.claimPlans,
 			claimPlanMs: Math.round(this.claimPlanMs),
+			limitedRequests: Object.fromEntries(this.limitedRequests),
 		});
 		this.reportedAt = now;
 		this.processorMs = processorMs;
 		this.storeCalls = new Map();
 		this.storeRows = new Map();
+		this.limitedRequests = new Map();
 		this.claimPlans = 0;
 		this.claimPlanMs = 0;
 	}
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -1,4 +1,5 @@
 import {chooseUpstream, type UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import type {RequestLimits, SendReason} from '@cicadapost/rate-limits';
 import type {
 	Clock, DataCentreId, Millis, RequestId, UpstreamId,
 } from '@cicadapost/types';
@@ -7,7 +8,7 @@
 import {decideNextStep, hedgeDelay, type AttemptOutcome} from './decide-attempt.js';
 import {pickService, type Route} from './route.js';
 import type {UpstreamHealthTracker} from './upstream-health.js';
-import type {ResponseMetadata, UpstreamProtocol} from './upstream-protocol.js';
+import {isFromUpstream, type ResponseMetadata, type UpstreamProtocol} from './upstream-protocol.js';
 
 export type PlainRequest = Readonly<{
 	requestId: RequestId | undefined;
@@ -60,6 +61,7 @@
 	health: UpstreamHealthTracker;
 	protocol: UpstreamProtocol;
 	crashes: CrashGuard;
+	limits: RequestLimits;
 	dataCentre: DataCentreId;
 	random: () => number;
 	onRequestReport: (report: RequestReport) => void;
@@ -122,7 +124,7 @@
 		}, Math.max(1, this.remainingMs()));
 		if (this.options.crashes.isBlocked(this.req)) {
 			this.rejectBlocked();
-		} else if (!this.tryNext()) {
+		} else if (!this.tryNext('first')) {
 			this.refuse('no upstream of the service is ready');
 		}
 
@@ -144,7 +146,7 @@
 		return !this.options.crashes.isBlocked(this.req) && this.candidates().some(candidate => !this.tried.has(candidate.id));
 	}
 
-	private tryNext(): boolean {
+	private tryNext(reason: SendReason): boolean {
 		const {clock, health, pool, dataCentre, random} = this.options;
 		const now = clock.now();
 		const upstream = chooseUpstream({
@@ -161,19 +163,22 @@
 
 		this.tried.add(upstream.id);
 		this.sent += 1;
-		this.send(upstream);
+		this.send(upstream, reason);
 		this.scheduleHedge();
 		return true;
 	}
 
-	private send(upstream: UpstreamRecord): void {
-		const {pool, health, protocol} = this.options;
+	private send(upstream: UpstreamRecord, reason: SendReason): void {
+		const {
+			pool, health, protocol, limits,
+		} = this.options;
 		const {req} = this;
 		const attempt: Attempt = {
 			upstream, sentAt: this.options.clock.now(), exchange: undefined, head: undefined, metadata: undefined, chunks: [], size: 0, isStreaming: false,
 		};
 		this.attempts.add(attempt);
 		health.recordStart(upstream.id);
+		limits.recordSend(upstream, reason);
 		attempt.exchange = pool.exchange(upstream, {
 			method: req.method,
 			path: req.path,
@@ -217,6 +222,10 @@
 			return false;
 		}
 
+		if (isFromUpstream(metadata, head.status)) {
+			this.options.limits.recordResponse(attempt.upstream, {requestsPerSecond: metadata.requestsPerSecond, sentAt: attempt.sentAt});
+		}
+
 		attempt.head = head;
 		attempt.metadata = metadata;
 		if (metadata.load !== undefined) {
@@ -323,7 +332,7 @@
 			}
 
 			case 'try-next': {
-				if (!this.tryNext()) {
+				if (!this.tryNext('retry')) {
 					this.refuse('no upstream is left');
 				}
 
@@ -407,7 +416,7 @@
 		}
 
 		this.hedgeTimer = setTimeout(() => {
-			if (!this.isOver && this.tryNext()) {
+			if (!this.isOver && this.tryNext('hedge')) {
 				this.reportOutcome(undefined, 'hedged', {afterMs: delay});
 			}
 		}, delay);
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -2,6 +2,7 @@
 	createServer as createTcpServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {UnlimitedRequests} from '@cicadapost/rate-limits/testing';
 import {
 	SystemClock, type DataCentreId, type RequestId, type ServiceId, type UpstreamId,
 } from '@cicadapost/types';
@@ -255,7 +256,7 @@
 		const pool = new ConnectionPool();
 		pools.push(pool);
 		return new Forwarder({
-			clock: new SystemClock(), directory, pool, health, protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0, crashes,
+			clock: new SystemClock(), directory, pool, health, protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0, crashes, limits: new UnlimitedRequests(),
 			onRequestReport() {
 				// These tests do not check reports.
 			},
--- a/packages/forwarding/src/upstream-protocol.ts
+++ b/packages/forwarding/src/upstream-protocol.ts
@@ -11,10 +11,19 @@
 	/** Whether the upstream states that it has not run the request. */
 	didNotRun: boolean;
 	load?: LoadReport;
+	/** Number of requests per second that the upstream takes from all daemons together. Absent if it has no limit. */
+	requestsPerSecond?: number;
 	/** Version of the weights at the start of the response. */
 	weightVersion?: number;
 }>;
 
+const misdirectedRequest = 421;
+
+/** Whether a response comes from the intended upstream: it is not garbled, and not from another process at the same address. */
+export function isFromUpstream({isSigned, didNotRun}: ResponseMetadata, status: number): boolean {
+	return (isSigned || didNotRun) && status !== misdirectedRequest;
+}
+
 export type ForwardedHeaders = Readonly<{
 	/** Alternating names and values, as the caller sent them. */
 	received: readonly string[];
