Move the list of upstreams and the routes of batches out of the entry daemon

Change: upstream-list.ts keeps the directory in line with the platform's table, batch-routes.ts answers what the configuration allows for a batch. The daemon creates them and connects their events. No change of behaviour; the interval for expired entries has a name.

--- /dev/null
+++ b/packages/entry/src/batch-routes.ts
@@ -0,0 +1,36 @@
+import {queueDeadlineOf, type BatchRules, type BatchView} from '@cicadapost/batches';
+import type {UpstreamRecord} from '@cicadapost/fleet';
+import {matchRoute, type Route, type RoutingConfiguration} from '@cicadapost/forwarding';
+import type {Millis} from '@cicadapost/types';
+
+export type BatchRoutesOptions = Readonly<{
+	configuration: () => RoutingConfiguration | undefined;
+	/** Returns the current time on the store's clock. */
+	storeTime: () => Millis;
+}>;
+
+/** What the current configuration allows for a batch. */
+export class BatchRoutes {
+	constructor(private readonly options: BatchRoutesOptions) {}
+
+	/** Returns undefined if no route serves the batch any more. */
+	routeOf(batch: BatchView): Route | undefined {
+		const configuration = this.options.configuration();
+		const route = configuration === undefined ? undefined : matchRoute(configuration, batch.plan.host, batch.plan.path);
+		return route?.kind === 'batch' ? route : undefined;
+	}
+
+	rulesOf(batch: BatchView): BatchRules | undefined {
+		const route = this.routeOf(batch);
+		return route === undefined ? undefined : {maxAttempts: route.maxAttempts, isSingleVersion: route.isSingleVersion, runMs: route.maxQueueMs};
+	}
+
+	/** Time at which a batch is due, or undefined if the engine's service must not run it or the batch has expired. */
+	dueAt(batch: BatchView, engine: UpstreamRecord): Millis | undefined {
+		const route = this.routeOf(batch);
+		const isServed = route?.services.some(({service, weight}) => service === engine.service && weight > 0) ?? false;
+		return route !== undefined && isServed && this.options.storeTime() < queueDeadlineOf(batch, route.maxQueueMs)
+			? batch.plan.submittedAt + route.batchDeadlineMs
+			: undefined;
+	}
+}
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,11 +1,11 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	batchFeedPause, BatchCache, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type BatchRules, type BatchView, type EngineClient,
+	batchFeedPause, BatchCache, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type EngineClient,
 } from '@cicadapost/batches';
-import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {UpstreamDirectory} from '@cicadapost/fleet';
 import {
-	type ConnectionPool, Forwarder, UpstreamHealthTracker, matchRoute, type Route, type RoutingConfiguration, type UpstreamProtocol,
+	type ConnectionPool, Forwarder, UpstreamHealthTracker, type RoutingConfiguration, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
 import {ownerOf} from '@cicadapost/membership';
 import type {Logger} from '@cicadapost/observability';
@@ -14,11 +14,12 @@
 	ObservedRowStore, TableFollower, type RowChange, type RowStore,
 } from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, ModelId, RegionId, UpstreamId,
+	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, ModelId, RegionId,
 } from '@cicadapost/types';
 import {
 	EngineVersions, WeightLoader, type OrderClient,
 } from '@cicadapost/weights';
+import {BatchRoutes} from './batch-routes.js';
 import type {CallerProtocol} from './caller-protocol.js';
 import {CrashReports} from './crash-reports.js';
 import {EntryMetrics} from './entry-metrics.js';
@@ -30,6 +31,7 @@
 import {fleetTable} from './member-rows.js';
 import {MembershipTask} from './membership-task.js';
 import type {PlatformTables} from './platform-tables.js';
+import {UpstreamList} from './upstream-list.js';
 
 /** The interfaces that a platform adapter implements for the daemon. */
 export type PlatformAdapter = Readonly<{
@@ -75,6 +77,7 @@
 	private readonly health = new UpstreamHealthTracker();
 	private readonly pool: ConnectionPool;
 	private readonly batchCache = new BatchCache();
+	private readonly batchRoutes: BatchRoutes;
 	private readonly versions = new EngineVersions();
 	private readonly metrics = new EntryMetrics();
 	private readonly namedVersions = new Map<ModelId, number>();
@@ -94,7 +97,7 @@
 	private readonly batchSweeper: BatchSweeper;
 	private readonly frontServer: FrontServer;
 	private readonly healthServer: HealthServer;
-	private readonly expiryTimer: NodeJS.Timeout;
+	private readonly upstreamList: UpstreamList;
 	private readonly loadReporter: LoadReporter;
 	private readonly loadReportTimer: NodeJS.Timeout;
 	private configuration: RoutingConfiguration | undefined;
@@ -174,6 +177,10 @@
 		this.batchService = new BatchService({
 			clock, store, follower: this.batchFollower, batchCache: this.batchCache, storeTime: () => this.batchFollower.storeTime(clock.now()),
 		});
+		this.batchRoutes = new BatchRoutes({
+			configuration: () => this.configuration,
+			storeTime: () => this.batchFollower.storeTime(clock.now()),
+		});
 		this.commitQueue = new CommitQueue({
 			clock,
 			store,
@@ -192,7 +199,7 @@
 			client: platform.engines,
 			limits: this.rateLimiter,
 			commits: this.commitQueue,
-			rulesOf: batch => this.rulesOf(batch),
+			rulesOf: batch => this.batchRoutes.rulesOf(batch),
 			isLoading: engine => {
 				const record = this.directory.get(engine);
 				return record !== undefined && this.versions.isLoading(record, clock.now());
@@ -223,7 +230,7 @@
 			ownedEngines: () => this.fleetView.ownedEngines(),
 			isAlive: (incarnation, claimedVersion) => this.membership.isAlive(incarnation, claimedVersion, clock.now()),
 			versionsOf: engine => this.versions.usableVersions(engine, clock.now()),
-			dueAt: (batch, engine) => this.dueAt(batch, engine),
+			dueAt: (batch, engine) => this.batchRoutes.dueAt(batch, engine),
 			storeTime: () => this.batchFollower.storeTime(clock.now()),
 			onPlanned: tookMs => {
 				this.loadReporter.recordClaimPlan(tookMs);
@@ -259,7 +266,7 @@
 			isExpired: view => isExpired(view, {
 				storeTime: this.batchFollower.storeTime(clock.now()),
 				retentionMs: settings.resultRetentionSeconds * 1000,
-				queueDeadline: queueDeadlineOf(view, this.routeOf(view)?.maxQueueMs ?? 0),
+				queueDeadline: queueDeadlineOf(view, this.batchRoutes.routeOf(view)?.maxQueueMs ?? 0),
 			}),
 			onDeleted(batch) {
 				logger.info({event: 'batch-deleted', batch}, 'deleted the rows of an expired batch');
@@ -294,9 +301,23 @@
 			},
 		});
 		this.healthServer = new HealthServer({readyPath: platform.callers.readyPath, isReady: () => this.isReady()});
-		this.expiryTimer = setInterval(() => {
-			this.expireUpstreams();
-		}, 200);
+		this.upstreamList = new UpstreamList({
+			clock,
+			logger,
+			tables: platform.tables,
+			follower: this.upstreamFollower,
+			directory: this.directory,
+			pool: this.pool,
+			health: this.health,
+			onChanged: () => {
+				this.fleetView.invalidate();
+				this.weightLoader.wake();
+				this.claimWorker.wake();
+			},
+			onExpired: () => {
+				this.fleetView.invalidate();
+			},
+		});
 		this.loadReportTimer = setInterval(() => {
 			this.loadReporter.report(clock.now());
 		}, loadReportIntervalMs);
@@ -368,7 +389,7 @@
 	}
 
 	private close(): void {
-		clearInterval(this.expiryTimer);
+		this.upstreamList.stop();
 		clearInterval(this.loadReportTimer);
 		for (const follower of this.followers()) {
 			follower.stop();
@@ -392,9 +413,6 @@
 		this.operatorFollower.on('changed', changes => {
 			this.onOperatorRows(changes);
 		});
-		this.upstreamFollower.on('changed', changes => {
-			this.onUpstreamRows(changes);
-		});
 		this.batchFollower.on('changed', changes => {
 			for (const err of this.batchCache.apply(changes)) {
 				this.options.logger.warn({event: 'unreadable-row'}, err.message);
@@ -470,77 +488,4 @@
 			event: 'configuration', version: configuration.version, before, routes: configuration.routes.length,
 		}, 'configuration applied');
 	}
-
-	private onUpstreamRows(changes: readonly RowChange[]): void {
-		const {platform, clock, logger} = this.options;
-		const now = clock.now();
-		let hasChanges = false;
-		for (const change of changes) {
-			const id = (change.kind === 'written' ? change.row.key : change.key.key) as UpstreamId;
-			const before = this.directory.get(id);
-			if (change.kind === 'deleted') {
-				this.directory.remove(id, {connectedForMs: this.upstreamFollower.connectedFor(now)}, now);
-			} else {
-				const record = platform.tables.parseUpstreamRow(change.row);
-				if (record === undefined) {
-					this.directory.discard(id);
-				} else if (!this.directory.upsert(record)) {
-					continue;
-				}
-			}
-
-			hasChanges = true;
-
-			const after = this.directory.get(id);
-			if (before?.state !== after?.state || before?.bornAt !== after?.bornAt) {
-				logger.info({
-					event: 'upstream', upstream: id, before: before?.state, after: after?.state, storeConnectedMs: Math.round(this.upstreamFollower.connectedFor(now)),
-				}, 'upstream changed');
-			}
-
-			if (after?.state !== 'ready') {
-				this.pool.closeIdle(id);
-			}
-		}
-
-		if (hasChanges) {
-			this.fleetView.invalidate();
-			this.weightLoader.wake();
-			this.claimWorker.wake();
-		}
-	}
-
-	private expireUpstreams(): void {
-		const expired = this.directory.expire(this.options.clock.now());
-		for (const record of expired) {
-			this.options.logger.info({
-				event: 'upstream', upstream: record.id, before: record.state, after: undefined,
-			}, 'upstream expired');
-			this.pool.closeIdle(record.id);
-			this.health.forget(record.id);
-		}
-
-		if (expired.length > 0) {
-			this.fleetView.invalidate();
-		}
-	}
-
-	private routeOf(batch: BatchView): Route | undefined {
-		const route = this.configuration === undefined ? undefined : matchRoute(this.configuration, batch.plan.host, batch.plan.path);
-		return route?.kind === 'batch' ? route : undefined;
-	}
-
-	private rulesOf(batch: BatchView): BatchRules | undefined {
-		const route = this.routeOf(batch);
-		return route === undefined ? undefined : {maxAttempts: route.maxAttempts, isSingleVersion: route.isSingleVersion, runMs: route.maxQueueMs};
-	}
-
-	/** Time at which a batch is due, or undefined if the engine's service must not run it or the batch has expired. */
-	private dueAt(batch: BatchView, engine: UpstreamRecord): Millis | undefined {
-		const route = this.routeOf(batch);
-		const isServed = route?.services.some(({service, weight}) => service === engine.service && weight > 0) ?? false;
-		return route !== undefined && isServed && this.batchFollower.storeTime(this.options.clock.now()) < queueDeadlineOf(batch, route.maxQueueMs)
-			? batch.plan.submittedAt + route.batchDeadlineMs
-			: undefined;
-	}
 }
--- /dev/null
+++ b/packages/entry/src/upstream-list.ts
@@ -0,0 +1,105 @@
+import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
+import type {ConnectionPool, UpstreamHealthTracker} from '@cicadapost/forwarding';
+import type {Logger} from '@cicadapost/observability';
+import type {RowChange, TableFollower} from '@cicadapost/store';
+import type {Clock, UpstreamId} from '@cicadapost/types';
+import type {PlatformTables} from './platform-tables.js';
+
+export type UpstreamListOptions = Readonly<{
+	clock: Clock;
+	logger: Logger;
+	tables: PlatformTables;
+	/** Follows the platform's table of upstreams. */
+	follower: TableFollower;
+	directory: UpstreamDirectory;
+	pool: ConnectionPool;
+	health: UpstreamHealthTracker;
+	/** Called after upstreams have appeared, changed or left. */
+	onChanged: () => void;
+	/** Called after entries have expired. */
+	onExpired: () => void;
+}>;
+
+/** Interval for removing entries that have not reappeared after an outage of the store. */
+const expiryIntervalMs = 200;
+
+/** Keeps the directory of upstreams in line with the platform's list. */
+export class UpstreamList {
+	private readonly timer: NodeJS.Timeout;
+
+	constructor(private readonly options: UpstreamListOptions) {
+		options.follower.on('changed', changes => {
+			this.apply(changes);
+		});
+		this.timer = setInterval(() => {
+			this.expire();
+		}, expiryIntervalMs);
+	}
+
+	stop(): void {
+		clearInterval(this.timer);
+	}
+
+	private apply(changes: readonly RowChange[]): void {
+		const {clock, logger, follower, directory, pool} = this.options;
+		const now = clock.now();
+		let hasChanges = false;
+		for (const change of changes) {
+			const id = (change.kind === 'written' ? change.row.key : change.key.key) as UpstreamId;
+			const before = directory.get(id);
+			if (!this.applyOne(change, id)) {
+				continue;
+			}
+
+			hasChanges = true;
+			const after = directory.get(id);
+			if (before?.state !== after?.state || before?.bornAt !== after?.bornAt) {
+				logger.info({
+					event: 'upstream', upstream: id, before: before?.state, after: after?.state, storeConnectedMs: Math.round(follower.connectedFor(now)),
+				}, 'upstream changed');
+			}
+
+			if (after?.state !== 'ready') {
+				pool.closeIdle(id);
+			}
+		}
+
+		if (hasChanges) {
+			this.options.onChanged();
+		}
+	}
+
+	/** Returns false if a heartbeat of the upstream has changed nothing else. */
+	private applyOne(change: RowChange, id: UpstreamId): boolean {
+		const {clock, tables, follower, directory} = this.options;
+		const now = clock.now();
+		if (change.kind === 'deleted') {
+			directory.remove(id, {connectedForMs: follower.connectedFor(now)}, now);
+			return true;
+		}
+
+		const record: UpstreamRecord | undefined = tables.parseUpstreamRow(change.row);
+		if (record === undefined) {
+			directory.discard(id);
+			return true;
+		}
+
+		return directory.upsert(record);
+	}
+
+	private expire(): void {
+		const {clock, logger, directory, pool, health, onExpired} = this.options;
+		const expired = directory.expire(clock.now());
+		for (const record of expired) {
+			logger.info({
+				event: 'upstream', upstream: record.id, before: record.state, after: undefined,
+			}, 'upstream expired');
+			pool.closeIdle(record.id);
+			health.forget(record.id);
+		}
+
+		if (expired.length > 0) {
+			onExpired();
+		}
+	}
+}
