Keep the requests of all daemons to an upstream within the limit that it names

Callers were answered, the upstream in need got no relief.

Cause: nothing looked at the limit when a request was sent. A limit kept by each daemon alone would not do either: nine daemons share 1 request per second. Class of fault: a limit on a sum that no one adds up.

Change: daemons tell each other of a limit in the fleet's table. A request that gets no turn in time goes elsewhere or is refused at once, with the time until the queue has room as Retry-After. Hedges never go to limited upstreams. Samples wait for turns as well; no more are claimed for a limited engine than begin within a second.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -1,10 +1,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
+import type {RequestLimits} from '@cicadapost/rate-limits';
 import type {RowStore, TableFollower, Transaction} from '@cicadapost/store';
 import type {
 	Clock, DaemonIncarnation, Millis, ModelId, UpstreamId,
 } from '@cicadapost/types';
 import {type BatchCache, type BatchView} from './batch-cache.js';
+import {claimableSlots} from './claimable-slots.js';
 import {writtenRows, type CommitQueue} from './commit-queue.js';
 import {
 	batchTable, claimKey, encodeClaims, endKey, planKey,
@@ -37,6 +39,7 @@
 	batchCache: BatchCache;
 	directory: UpstreamDirectory;
 	runner: SampleRunner;
+	limits: RequestLimits;
 	commits: CommitQueue;
 	incarnation: DaemonIncarnation;
 	/** Returns the engines that this daemon currently owns. */
@@ -176,15 +179,18 @@
 	}
 
 	private plan(engine: UpstreamRecord): ClaimTarget[] {
-		const {batchCache, runner, directory, incarnation, versionsOf, dueAt, storeTime} = this.options;
+		const {batchCache, runner, limits, directory, incarnation, versionsOf, dueAt, storeTime} = this.options;
 		const isClaimLive: IsClaimLive = (claim, item, rowVersion) => this.isClaimLive(claim.incarnation, itemKeyOf(item), rowVersion);
 		const open = batchCache.open();
 		const peers = directory.ready(engine.service);
 		const remoteRuns = countRemoteRuns(engine.id, open, {incarnation, isClaimLive});
+		const running = runner.countAt(engine.id) + remoteRuns.running;
 		const capacity: EngineCapacity = {
 			id: engine.id,
-			slots: engine.slots,
-			running: runner.countAt(engine.id) + remoteRuns.running,
+			slots: claimableSlots({
+				slots: engine.slots, running, starting: runner.countStartingAt(engine.id), limit: limits.limitOf(engine),
+			}),
+			running,
 			runningLong: runner.countLongAt(engine.id) + remoteRuns.long,
 			isSlow: runner.isSlow(engine.id),
 			versions: versionsOf(engine),
--- a/packages/batches/src/crash-burst.test.ts
+++ b/packages/batches/src/crash-burst.test.ts
@@ -90,7 +90,7 @@
 			onRunReport: vi.fn(),
 		});
 		const worker = new ClaimWorker({
-			clock, store, follower, batchCache, directory, runner, commits, incarnation,
+			clock, store, follower, batchCache, directory, runner, limits: new UnlimitedRequests(), commits, incarnation,
 			ownedEngines: () => [...directory.all()],
 			isAlive: () => true,
 			versionsOf: (engine: UpstreamRecord) => engine.models,
--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -1,8 +1,10 @@
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
+import {RateLimiter, type RequestLimits} from '@cicadapost/rate-limits';
 import {UnlimitedRequests} from '@cicadapost/rate-limits/testing';
+import {TableCopy} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
-	Clock, type BatchId, type DataCentreId, type ItemId, type Millis, type ModelId, type ServiceId, type UpstreamId,
+	Clock, type BatchId, type DaemonId, type DataCentreId, type ItemId, type Millis, type ModelId, type ServiceId, type UpstreamId,
 } from '@cicadapost/types';
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
@@ -56,8 +58,7 @@
 let outcomes: ItemOutcome[];
 let runner: SampleRunner;
 
-beforeEach(async () => {
-	vi.useFakeTimers();
+async function startRunner(limits: RequestLimits): Promise<void> {
 	client = new ScriptedEngineClient();
 	outcomes = [];
 	const store = new MemoryRowStore();
@@ -78,7 +79,7 @@
 		batchCache,
 		directory,
 		client,
-		limits: new UnlimitedRequests(),
+		limits,
 		commits: {
 			push(_batch, outcome) {
 				outcomes.push(outcome);
@@ -91,6 +92,11 @@
 		onRunReport() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	});
 	await runner.start(engine, {batch, group: 0, items: [0, 1]});
+}
+
+beforeEach(async () => {
+	vi.useFakeTimers();
+	await startRunner(new UnlimitedRequests());
 });
 
 afterEach(() => {
@@ -99,6 +105,68 @@
 });
 
 describe('SampleRunner', () => {
+	describe('an engine that limits its rate', () => {
+		const requestsPerSecond = 2;
+
+		/** Refuses each run and names the limit. Returns the times at which runs arrived. */
+		const refuseRuns = async (durationMs: Millis) => {
+			const arrivals: Millis[] = [];
+			for (const endAt = Date.now() + durationMs; Date.now() < endAt;) {
+				for (const {handlers} of client.runs.splice(0)) {
+					arrivals.push(Date.now());
+					handlers.onLimit(requestsPerSecond);
+					handlers.onEnd({kind: 'not-run', status: 503});
+				}
+
+				await vi.advanceTimersByTimeAsync(10);
+			}
+
+			return arrivals;
+		};
+
+		const mostIn4Seconds = (arrivals: readonly Millis[]) => Math.max(...arrivals.map(start => arrivals.filter(at => at >= start && at < start + 4000).length));
+
+		const startLimitedRunner = async () => {
+			runner.stop();
+			await startRunner(new RateLimiter({
+				clock: new TestClock(),
+				store: new MemoryRowStore(),
+				follower: {
+					copy: new TableCopy('fleet'), on: vi.fn(), mergeRows: vi.fn(), storeTime: now => now, connectedFor: () => 0,
+				},
+				self: 'd1' as DaemonId,
+				daemons: () => ['d1' as DaemonId],
+				isListed: () => true,
+				isOwner: () => false,
+				onLimitReport: vi.fn(),
+				onLimitedSend: vi.fn(),
+			}));
+		};
+
+		it('gets more than its limit from refused samples if they are sent again without a turn, so that the next case can fail', async () => {
+			expect(mostIn4Seconds(await refuseRuns(8000))).toBeGreaterThan((requestsPerSecond * 4 * 1.5) + 5);
+		});
+
+		it('gets refused samples again within its limit', async () => {
+			await startLimitedRunner();
+			expect(mostIn4Seconds(await refuseRuns(8000))).toBeLessThanOrEqual((requestsPerSecond * 4) + 2);
+		});
+
+		it('does not count as silent while samples wait for their turn', async () => {
+			await startLimitedRunner();
+			client.runs[0]!.handlers.onLimit(0.25);
+			client.runs[0]!.handlers.onEnd({kind: 'not-run', status: 503});
+			client.runs[1]!.handlers.onStart(3);
+			for (let id = 0; id < 100; id++) {
+				client.runs[1]!.handlers.onEvent({id, data: 'y', version: 3});
+				await vi.advanceTimersByTimeAsync(50);
+			}
+
+			expect(client.runs[1]!.isAborted).toBe(false);
+			expect(runner.isSuspended(engine.id)).toBe(false);
+		});
+	});
+
 	it('releases a sample that was refused and sent again if its events stop, so that it does not hang', async () => {
 		client.runs[0]!.handlers.onEnd({kind: 'not-run', status: 429});
 		await vi.advanceTimersByTimeAsync(100);
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -54,6 +54,8 @@
 const checkIntervalMs = 200;
 /** Interval for saving the text of a run in the store, so that other daemons can resume the runs of a dead one. */
 const saveIntervalMs = 1200;
+/** Maximum wait for a turn at an engine that limits its rate. Another engine may have room after that. */
+const maxTurnWaitMs = 2000;
 
 /** A background task that runs samples on engines, from the claim to the recorded outcome. */
 export class SampleRunner {
@@ -69,14 +71,18 @@
 
 	/** Number of samples that this daemon has on an engine, including those whose request bodies are still being read. */
 	countAt(engine: UpstreamId): number {
-		return [...this.starting.values()].filter(id => id === engine).length
-			+ [...this.running.values()].filter(run => run.engine === engine).length;
+		return this.countStartingAt(engine) + [...this.running.values()].filter(run => run.engine === engine).length;
 	}
 
 	get count(): number {
 		return this.running.size + this.starting.size;
 	}
 
+	/** Number of samples for an engine whose request bodies are still being read. */
+	countStartingAt(engine: UpstreamId): number {
+		return [...this.starting.values()].filter(id => id === engine).length;
+	}
+
 	/** Whether an item is running here or about to start. `itemKey` is a key from `itemKeyOf`. */
 	hasItem(itemKey: string): boolean {
 		return this.running.has(itemKey) || this.starting.has(itemKey);
@@ -181,7 +187,26 @@
 		this.send(run);
 	}
 
+	/** Sends a run to its engine, after waiting for its turn if the engine limits its rate. */
 	private send(run: ActiveRun): void {
+		const {limits, directory} = this.options;
+		const engine = directory.get(run.engine);
+		if (engine === undefined || limits.limitOf(engine) === undefined) {
+			this.sendNow(run);
+			return;
+		}
+
+		run.withdrawTurn = limits.requestTurn(engine, maxTurnWaitMs, turn => {
+			run.withdrawTurn = undefined;
+			if (turn === 'granted') {
+				this.sendNow(run);
+			} else {
+				this.release(run, run.failures, 'the engine limits its rate');
+			}
+		});
+	}
+
+	private sendNow(run: ActiveRun): void {
 		const {batchCache, directory, client, clock} = this.options;
 		const view = batchCache.get(run.batch);
 		const rules = view === undefined ? undefined : this.options.rulesOf(view);
@@ -357,6 +382,7 @@
 
 		run.isOver = true;
 		clearTimeout(run.resendTimer);
+		run.withdrawTurn?.();
 		run.engineRun?.abort();
 		this.running.delete(itemKeyOf(run));
 		if (this.countAt(run.engine) === 0) {
@@ -379,7 +405,8 @@
 	/** Releases all runs of silent engines. This detects a dead engine much sooner than the timeouts of single runs. */
 	private releaseFromSilentEngines(now: Millis): void {
 		const oldest = new Map<UpstreamId, Millis>();
-		for (const {engine, sentAt} of this.running.values()) {
+		const sent = [...this.running.values()].filter(run => run.withdrawTurn === undefined);
+		for (const {engine, sentAt} of sent) {
 			oldest.set(engine, Math.min(sentAt, oldest.get(engine) ?? Number.POSITIVE_INFINITY));
 		}
 
@@ -423,7 +450,7 @@
 				this.end(run, 'batch is over');
 			} else if (claim?.kind === 'listed') {
 				this.end(run, 'listed by another daemon');
-			} else if (run.resendTimer === undefined && isStalled({sinceLastEventMs: now - run.lastActivityAt, hasEvents: run.eventsSinceSent > 0})) {
+			} else if (run.resendTimer === undefined && run.withdrawTurn === undefined && isStalled({sinceLastEventMs: now - run.lastActivityAt, hasEvents: run.eventsSinceSent > 0})) {
 				this.release(run, run.failures, `no event for ${Math.round(now - run.lastActivityAt)} ms`);
 			} else if (now - run.savedAt > saveIntervalMs && run.text.events.length > run.savedEvents) {
 				run.savedAt = now;
--- a/packages/batches/src/sample-run.ts
+++ b/packages/batches/src/sample-run.ts
@@ -40,6 +40,8 @@
 	savedEvents: number;
 	engineRun: SampleRun | undefined;
 	resendTimer: NodeJS.Timeout | undefined;
+	/** Set while the run waits for its turn at an engine that limits its rate. */
+	withdrawTurn: (() => void) | undefined;
 	isOver: boolean;
 };
 
@@ -78,6 +80,7 @@
 		savedEvents: text?.events.length ?? 0,
 		engineRun: undefined,
 		resendTimer: undefined,
+		withdrawTurn: undefined,
 		isOver: false,
 	};
 }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -166,6 +166,12 @@
 		});
 		this.rateLimiter = new RateLimiter({
 			clock,
+			store,
+			follower: this.fleetFollower,
+			self: settings.vm as DaemonId,
+			daemons: () => this.membership.members(clock.now()).map(member => member.daemon),
+			isListed: upstream => this.directory.get(upstream.id)?.bornAt === upstream.bornAt,
+			isOwner: upstream => this.isPartOwner(upstream),
 			onLimitReport(report) {
 				logger.info({event: 'upstream-limit', ...report}, report.requestsPerSecond === undefined ? 'limit of an upstream lifted' : 'upstream has a limit');
 			},
@@ -225,6 +231,7 @@
 			batchCache: this.batchCache,
 			directory: this.directory,
 			runner: this.sampleRunner,
+			limits: this.rateLimiter,
 			commits: this.commitQueue,
 			incarnation: this.incarnation,
 			ownedEngines: () => this.fleetView.ownedEngines(),
@@ -399,6 +406,7 @@
 		this.sampleRunner.stop();
 		this.batchSweeper.stop();
 		this.crashReports.stop();
+		this.rateLimiter.stop();
 		this.frontServer.close();
 		this.healthServer.close();
 		this.metrics.close();
--- a/packages/fleet/src/choose-upstream.ts
+++ b/packages/fleet/src/choose-upstream.ts
@@ -19,12 +19,18 @@
 const otherDataCentreCost = 0.1;
 /** A new connection costs a round trip and is billed. */
 const newConnectionCost = 0.1;
+/** Cost of a turn at an upstream that limits its rate: reserving it takes a store call. */
+const turnCost = 1;
+/** Cost of each millisecond until the turn begins. 30 ms are about the duration of a short request. */
+const turnWaitCostPerMs = 1 / 30;
 /** Cost added to an upstream that has just failed, so that it is chosen last. */
 const avoidedCost = 1000;
 
 export type ChooseUpstreamOptions = Readonly<{
 	candidates: readonly UpstreamRecord[];
 	health: (id: UpstreamId) => UpstreamHealth;
+	/** Returns the time until an upstream that limits its rate may take another request, or undefined if it has no limit. */
+	turnWaitMs?: (upstream: UpstreamRecord) => Millis | undefined;
 	dataCentre: DataCentreId;
 	/** Upstreams on which this request has already been tried. */
 	tried: ReadonlySet<UpstreamId>;
@@ -50,7 +56,8 @@
 	return costs[0]?.candidate;
 }
 
-function costOf(candidate: UpstreamRecord, {health, dataCentre, now}: ChooseUpstreamOptions): number {
+function costOf(candidate: UpstreamRecord, {health, turnWaitMs, dataCentre, now}: ChooseUpstreamOptions): number {
+	const waitMs = turnWaitMs?.(candidate);
 	const observed = health(candidate.id);
 	const report = observed.load !== undefined && now - observed.load.at < loadReportValidMs ? observed.load.report : undefined;
 	const slots = Math.max(1, candidate.slots);
@@ -59,5 +66,6 @@
 	return (slowdown * (1 + (occupied / slots))) + (observed.outstanding / slots)
 		+ (candidate.dataCentre === dataCentre ? 0 : otherDataCentreCost)
 		+ (observed.hasIdleConnection ? 0 : newConnectionCost)
+		+ (waitMs === undefined ? 0 : turnCost + (waitMs * turnWaitCostPerMs))
 		+ (observed.avoidUntil > now ? avoidedCost : 0);
 }
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -1,59 +1,18 @@
 import {chooseUpstream, type UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
-import type {RequestLimits, SendReason} from '@cicadapost/rate-limits';
+import {
+	maxTurnWaitMs, type RequestLimits, type SendReason, type Turn,
+} from '@cicadapost/rate-limits';
 import type {
-	Clock, DataCentreId, Millis, RequestId, UpstreamId,
+	Clock, DataCentreId, Millis, UpstreamId,
 } from '@cicadapost/types';
 import type {ResponseHead, ConnectionPool, Exchange} from './connection-pool.js';
 import {mayHaveCrashed, type CrashGuard} from './crash-registry.js';
 import {decideNextStep, hedgeDelay, type AttemptOutcome} from './decide-attempt.js';
-import {pickService, type Route} from './route.js';
+import type {PlainRequest, RequestReport, ResponseReceiver} from './plain-request.js';
+import {pickService} from './route.js';
 import type {UpstreamHealthTracker} from './upstream-health.js';
 import {isFromUpstream, type ResponseMetadata, type UpstreamProtocol} from './upstream-protocol.js';
 
-export type PlainRequest = Readonly<{
-	requestId: RequestId | undefined;
-	method: string;
-	/** Path including the query string. */
-	path: string;
-	host: string;
-	/** Alternating names and values, as received. */
-	headers: readonly string[];
-	body: Uint8Array;
-	route: Route;
-	/** The caller's deadline or the end of the route's timeout, whichever is first, on this daemon's clock. */
-	deadlineAt: Millis;
-}>;
-
-/** Why a request got no response from an upstream. */
-export type ForwardFailure =
-	/** The request did not run and will not run. */
-	| Readonly<{kind: 'refused'; retryAfterMs: Millis; reason: string}>
-	/** The request may have run. */
-	| Readonly<{kind: 'failed'; reason: string}>
-	| Readonly<{kind: 'timed-out'; mayHaveRun: boolean}>;
-
-/** Receives the response to one request. Each method except `data` is called at most once. */
-export abstract class ResponseReceiver {
-	/** Receives the status and headers; the body follows through `data`. */
-	abstract head(status: number, headers: readonly string[]): void;
-	abstract data(chunk: Uint8Array): void;
-	abstract end(): void;
-	/** The response was interrupted after its head was passed on. */
-	abstract truncate(reason: string): void;
-	abstract fail(failure: ForwardFailure): void;
-}
-
-/** The outcome of an attempt or of a whole request, for logs and metrics. */
-export type RequestReport = Readonly<{
-	requestId: RequestId | undefined;
-	upstream: UpstreamId | undefined;
-	outcome: string;
-	/** Time since the request was received, in milliseconds. Set only in the last report of a request. */
-	tookMs: Millis | undefined;
-	/** Inputs of the decision that is reported. */
-	inputs: Readonly<Record<string, unknown>>;
-}>;
-
 export type ForwarderOptions = Readonly<{
 	clock: Clock;
 	directory: UpstreamDirectory;
@@ -76,6 +35,8 @@
 /** Maximum length of a line in a stream of events. Longer ones are no events, and a caller's parser would have to keep them. */
 const maxStreamLineBytes = 1024 * 1024;
 const lineFeed = 0x0A;
+/** A request waits for a turn for this much longer than elsewhere: about two calls to a store in another region. */
+const turnPatienceMs = 60;
 
 type Attempt = {
 	readonly upstream: UpstreamRecord;
@@ -102,7 +63,12 @@
 /** Manages the attempts of one request until it has a response. */
 class ForwardedRequest {
 	private readonly attempts = new Set<Attempt>();
+	/** Upstreams that have had the request, or twice had no turn for it. */
 	private readonly tried = new Set<UpstreamId>();
+	/** Upstreams that had no turn for the request in time. Only after that does this daemon know how long their queue is. */
+	private readonly withoutTurn = new Set<UpstreamId>();
+	/** Withdraws the request for a turn at an upstream that limits its rate. */
+	private withdrawTurn: (() => void) | undefined;
 	private sent = 0;
 	private mayHaveRun = false;
 	private isOver = false;
@@ -137,21 +103,35 @@
 		return this.req.deadlineAt - this.options.clock.now();
 	}
 
-	private candidates(): readonly UpstreamRecord[] {
+	private readyUpstreams(): readonly UpstreamRecord[] {
 		const service = pickService(this.req.route, this.options.random());
 		return service === undefined ? [] : this.options.directory.ready(service);
 	}
 
-	private hasCandidate(): boolean {
-		return !this.options.crashes.isBlocked(this.req) && this.candidates().some(candidate => !this.tried.has(candidate.id));
+	/** Upstreams that have not had the request and can take it in time. A hedge must not use up the rate of a limited upstream. */
+	private candidates(reason: SendReason): readonly UpstreamRecord[] {
+		return this.readyUpstreams().filter(upstream => {
+			const limit = this.options.limits.limitOf(upstream);
+			const canTake = limit === undefined || (reason !== 'hedge' && limit.waitMs <= this.maxWaitMs(limit.requestsPerSecond));
+			return canTake && !this.tried.has(upstream.id);
+		});
+	}
+
+	private maxWaitMs(requestsPerSecond: number): Millis {
+		return maxTurnWaitMs({remainingMs: this.remainingMs(), targetLatencyMs: this.req.route.targetLatencyMs, requestsPerSecond});
+	}
+
+	private hasCandidate(reason: SendReason): boolean {
+		return !this.options.crashes.isBlocked(this.req) && this.candidates(reason).length > 0;
 	}
 
 	private tryNext(reason: SendReason): boolean {
-		const {clock, health, pool, dataCentre, random} = this.options;
+		const {clock, health, limits, pool, dataCentre, random} = this.options;
 		const now = clock.now();
 		const upstream = chooseUpstream({
-			candidates: this.candidates(),
+			candidates: this.candidates(reason),
 			health: id => health.healthOf(id, pool.hasIdle(id)),
+			turnWaitMs: candidate => limits.limitOf(candidate)?.waitMs,
 			dataCentre,
 			tried: this.tried,
 			now,
@@ -161,11 +141,56 @@
 			return false;
 		}
 
+		const limit = limits.limitOf(upstream);
+		if (limit === undefined) {
+			this.sendAttempt(upstream, reason);
+		} else {
+			const maxWaitMs = Math.min(this.maxWaitMs(limit.requestsPerSecond), this.waitElsewhereMs(upstream, reason) + turnPatienceMs);
+			this.requestTurn(upstream, {reason, maxWaitMs});
+		}
+
+		return true;
+	}
+
+	/** Shortest expected wait at another upstream that works; infinite if there is none. */
+	private waitElsewhereMs(chosen: UpstreamRecord, reason: SendReason): Millis {
+		const {clock, health, limits} = this.options;
+		const others = this.candidates(reason).filter(({id}) => id !== chosen.id && health.healthOf(id, false).avoidUntil <= clock.now());
+		return Math.min(...others.map(upstream => limits.limitOf(upstream)?.waitMs ?? 0));
+	}
+
+	/** Waits for a turn at an upstream that limits its rate, and looks for another one if none is free in time. */
+	private requestTurn(upstream: UpstreamRecord, {reason, maxWaitMs}: Readonly<{reason: SendReason; maxWaitMs: Millis}>): void {
+		this.withdrawTurn = this.options.limits.requestTurn(upstream, maxWaitMs, turn => {
+			this.withdrawTurn = undefined;
+			this.onTurn(upstream, turn, reason);
+		});
+	}
+
+	private onTurn(upstream: UpstreamRecord, turn: Turn, reason: SendReason): void {
+		if (this.isOver) {
+			return;
+		}
+
+		const current = this.options.directory.get(upstream.id);
+		if (turn === 'granted' && current?.state === 'ready' && current.bornAt === upstream.bornAt) {
+			this.sendAttempt(upstream, reason);
+			return;
+		}
+
+		if (this.withoutTurn.has(upstream.id)) {
+			this.tried.add(upstream.id);
+		}
+
+		this.withoutTurn.add(upstream.id);
+		this.decideNextStep(undefined, {kind: 'not-sent', cause: turn === 'none' ? 'the upstream limits its rate' : 'the upstream has left'});
+	}
+
+	private sendAttempt(upstream: UpstreamRecord, reason: SendReason): void {
 		this.tried.add(upstream.id);
 		this.sent += 1;
 		this.send(upstream, reason);
 		this.scheduleHedge();
-		return true;
 	}
 
 	private send(upstream: UpstreamRecord, reason: SendReason): void {
@@ -278,7 +303,7 @@
 		}
 
 		if (metadata.didNotRun) {
-			this.onAttemptEnd(attempt, {kind: 'not-run', status: head.status});
+			this.decideNextStep(attempt, {kind: 'not-run', status: head.status});
 			return;
 		}
 
@@ -289,7 +314,7 @@
 
 		this.options.health.recordSuccess(attempt.upstream.id);
 		this.mayHaveRun = true;
-		this.onAttemptEnd(attempt, {kind: 'answered', status: head.status});
+		this.decideNextStep(attempt, {kind: 'answered', status: head.status});
 	}
 
 	private onFailure(attempt: Attempt, failure: Readonly<{kind: 'not-sent' | 'broken'; cause: string}>): void {
@@ -308,16 +333,17 @@
 			this.mayHaveRun = true;
 		}
 
-		this.onAttemptEnd(attempt, failure);
+		this.decideNextStep(attempt, failure);
 	}
 
-	private onAttemptEnd(attempt: Attempt, outcome: AttemptOutcome): void {
+	/** Decides what to do after an attempt has ended, or without one after an upstream had no turn for the request. */
+	private decideNextStep(attempt: Attempt | undefined, outcome: AttemptOutcome): void {
 		const step = decideNextStep(outcome, {
 			requestKind: this.req.route.kind,
 			sent: this.sent,
 			maxAttempts: this.req.route.maxAttempts,
-			running: this.attempts.size,
-			hasCandidate: this.hasCandidate(),
+			running: this.attempts.size + (this.withdrawTurn === undefined ? 0 : 1),
+			hasCandidate: this.hasCandidate('retry'),
 			mayHaveRun: this.mayHaveRun || this.attempts.size > 0,
 			remainingMs: this.remainingMs(),
 		});
@@ -356,9 +382,9 @@
 		}
 	}
 
-	private respond(attempt: Attempt): void {
-		const {head} = attempt;
-		if (head === undefined) {
+	private respond(attempt: Attempt | undefined): void {
+		const head = attempt?.head;
+		if (attempt === undefined || head === undefined) {
 			return;
 		}
 
@@ -377,8 +403,18 @@
 	}
 
 	private refuse(reason: string): void {
-		this.finish('refused', undefined, {reason});
-		this.receiver.fail({kind: 'refused', retryAfterMs: refusalRetryMs, reason});
+		const retryAfterMs = Math.max(refusalRetryMs, this.waitForTurnMs());
+		this.finish('refused', undefined, {reason, retryAfterMs: Math.round(retryAfterMs)});
+		this.receiver.fail({kind: 'refused', retryAfterMs, reason});
+	}
+
+	/** Time until an upstream that limits its rate may have room in its queue; 0 if one has no limit. */
+	private waitForTurnMs(): Millis {
+		const waits = this.readyUpstreams().map(upstream => {
+			const limit = this.options.limits.limitOf(upstream);
+			return limit === undefined ? 0 : limit.waitMs - this.maxWaitMs(limit.requestsPerSecond);
+		});
+		return waits.length === 0 ? 0 : Math.max(0, Math.min(...waits));
 	}
 
 	private onDeadline(): void {
@@ -409,7 +445,7 @@
 			targetLatencyMs: this.req.route.targetLatencyMs,
 			sent: this.sent,
 			maxAttempts: this.req.route.maxAttempts,
-			hasCandidate: this.hasCandidate(),
+			hasCandidate: this.hasCandidate('hedge'),
 		});
 		if (delay === undefined) {
 			return;
@@ -431,6 +467,7 @@
 		this.isOver = true;
 		clearTimeout(this.hedgeTimer);
 		clearTimeout(this.deadlineTimer);
+		this.withdrawTurn?.();
 		this.reportOutcome(kept ?? [...this.attempts][0], outcome, inputs, this.options.clock.now() - this.startedAt);
 		this.abortOtherAttempts(kept);
 	}
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -14,7 +14,8 @@
 	CrashRegistry, CrashGuard, fingerprintOf, mayHaveCrashed, type RequestContent,
 } from './crash-registry.js';
 import {decideNextStep, hedgeDelay, type AttemptState} from './decide-attempt.js';
-import {ResponseReceiver, Forwarder, type ForwardFailure} from './forward-request.js';
+import {Forwarder} from './forward-request.js';
+import {ResponseReceiver, type ForwardFailure} from './plain-request.js';
 import {
 	matchRoute, pickService, type RequestKind, type Route,
 } from './route.js';
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export * from './crash-registry.js';
 export * from './decide-attempt.js';
 export * from './forward-request.js';
+export * from './plain-request.js';
 export * from './route.js';
 export * from './upstream-health.js';
 export * from './upstream-protocol.js';
--- /dev/null
+++ b/packages/forwarding/src/plain-request.ts
@@ -0,0 +1,46 @@
+import type {Millis, RequestId, UpstreamId} from '@cicadapost/types';
+import type {Route} from './route.js';
+
+export type PlainRequest = Readonly<{
+	requestId: RequestId | undefined;
+	method: string;
+	/** Path including the query string. */
+	path: string;
+	host: string;
+	/** Alternating names and values, as received. */
+	headers: readonly string[];
+	body: Uint8Array;
+	route: Route;
+	/** The caller's deadline or the end of the route's timeout, whichever is first, on this daemon's clock. */
+	deadlineAt: Millis;
+}>;
+
+/** Why a request got no response from an upstream. */
+export type ForwardFailure =
+	/** The request did not run and will not run. */
+	| Readonly<{kind: 'refused'; retryAfterMs: Millis; reason: string}>
+	/** The request may have run. */
+	| Readonly<{kind: 'failed'; reason: string}>
+	| Readonly<{kind: 'timed-out'; mayHaveRun: boolean}>;
+
+/** Receives the response to one request. Each method except `data` is called at most once. */
+export abstract class ResponseReceiver {
+	/** Receives the status and headers; the body follows through `data`. */
+	abstract head(status: number, headers: readonly string[]): void;
+	abstract data(chunk: Uint8Array): void;
+	abstract end(): void;
+	/** The response was interrupted after its head was passed on. */
+	abstract truncate(reason: string): void;
+	abstract fail(failure: ForwardFailure): void;
+}
+
+/** The outcome of an attempt or of a whole request, for logs and metrics. */
+export type RequestReport = Readonly<{
+	requestId: RequestId | undefined;
+	upstream: UpstreamId | undefined;
+	outcome: string;
+	/** Time since the request was received, in milliseconds. Set only in the last report of a request. */
+	tookMs: Millis | undefined;
+	/** Inputs of the decision that is reported. */
+	inputs: Readonly<Record<string, unknown>>;
+}>;
--- a/packages/rate-limits/src/request-limits.ts
+++ b/packages/rate-limits/src/request-limits.ts
@@ -11,12 +11,8 @@
 	waitMs: Millis;
 }>;
 
-/** The answer to the request for a turn. */
-export type Turn =
-	/** The request may be sent now. */
-	| Readonly<{kind: 'granted'}>
-	/** No turn is free in time. `retryAfterMs` is the time after which one is expected to be. */
-	| Readonly<{kind: 'none'; retryAfterMs: Millis}>;
+/** Whether a request may be sent now, or no turn is free in time. */
+export type Turn = 'granted' | 'none';
 
 /** What the senders of requests need to know about the limits of upstreams. */
 export abstract class RequestLimits {
--- a/packages/rate-limits/src/unlimited-requests.ts
+++ b/packages/rate-limits/src/unlimited-requests.ts
@@ -7,7 +7,7 @@
 	}
 
 	override requestTurn(upstream: unknown, maxWaitMs: unknown, onTurn: (turn: Turn) => void): () => void {
-		onTurn({kind: 'granted'});
+		onTurn('granted');
 		return () => {}; // eslint-disable-line @typescript-eslint/no-empty-function
 	}
 
