Log the software versions of engines that a sample's text is from

Cause of the change: upstreams of two software versions may serve side by side in one service, and their output must not be joined. The daemons kept no software version, so no log could show whether a text went on at another one.

Runs resume as before.

--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -1,5 +1,5 @@
 import type {
-	BatchId, ItemId, Millis, ModelId,
+	BatchId, ItemId, Millis, ModelId, SoftwareVersion,
 } from '@cicadapost/types';
 
 /** A sample requested by a trainer. */
@@ -40,6 +40,8 @@
 	/** Id of the last event. */
 	lastEventId: number;
 	versions: readonly number[];
+	/** Software version of the engines that generated it. Undefined for texts that earlier builds have stored. */
+	softwareVersion: SoftwareVersion | undefined;
 }>;
 
 export type SampleResult = Readonly<{
--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -1,7 +1,7 @@
 import {MemoryRowStore, type StoreFault} from '@cicadapost/store/testing';
 import type {StoredRow, Transaction} from '@cicadapost/store';
 import type {
-	BatchId, DaemonIncarnation, ItemId, ModelId, UpstreamId,
+	BatchId, DaemonIncarnation, ItemId, ModelId, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
 import * as fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
@@ -23,6 +23,7 @@
 import {orderResults} from './result-order.js';
 import {BatchSweeper, isExpired} from './sweep-batches.js';
 
+const softwareVersion = 'v1' as SoftwareVersion;
 const batch = 'b1' as BatchId;
 const model = 'draft' as ModelId;
 const engineId = 'e1' as UpstreamId;
@@ -56,7 +57,9 @@
 		expect(decodePlan(encodePlan(plan))).toEqual(plan);
 		const claims: ItemClaim[] = [unclaimed, running('d1#1'), {kind: 'listed'}];
 		expect(decodeClaims(encodeClaims(claims))).toEqual(claims);
-		const text = {events: ['a', 'b'], lastEventId: 1, versions: [3, 4]};
+		const text = {
+			events: ['a', 'b'], lastEventId: 1, versions: [3, 4], softwareVersion,
+		};
 		expect(decodePartial(encodePartial(0, 1, text))).toEqual(text);
 	});
 
@@ -232,7 +235,9 @@
 
 describe('decideFollowUp', () => {
 	const state: RunState = {
-		text: {events: ['a'], lastEventId: 0, versions: [3, 4]}, failures: 0, maxAttempts: 3, refusals: 0, isEngineReady: true, minVersion: 3, isSingleVersion: false,
+		text: {
+			events: ['a'], lastEventId: 0, versions: [3, 4], softwareVersion,
+		}, failures: 0, maxAttempts: 3, refusals: 0, isEngineReady: true, minVersion: 3, isSingleVersion: false,
 	};
 
 	it('never lists output of a version that is too old, or of two versions if a single one is required', () => {
@@ -384,7 +389,9 @@
 
 					case 'release': {
 						await actor.commit([{
-							group, item, kind: 'released', failures: 0, text: {events: ['x'], lastEventId: 0, versions: [3]},
+							group, item, kind: 'released', failures: 0, text: {
+								events: ['x'], lastEventId: 0, versions: [3], softwareVersion,
+							},
 						}]);
 						break;
 					}
--- a/packages/batches/src/crash-burst.test.ts
+++ b/packages/batches/src/crash-burst.test.ts
@@ -4,7 +4,7 @@
 import {TableFollower} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
-	type BatchId, type DaemonIncarnation, type DataCentreId, type ItemId, type ModelId, type ServiceId, SystemClock, type UpstreamId,
+	type BatchId, type DaemonIncarnation, type DataCentreId, type ItemId, type ModelId, type ServiceId, type SoftwareVersion, SystemClock, type UpstreamId,
 } from '@cicadapost/types';
 import {
 	afterEach, describe, expect, it, vi,
@@ -72,7 +72,8 @@
 		const directory = new UpstreamDirectory();
 		for (const id of ['e1', 'e2', 'e3', 'e4'] as UpstreamId[]) {
 			directory.upsert({
-				id, service: 'lm' as ServiceId, address: '127.0.0.1:1', dataCentre: 'dc' as DataCentreId, slots: 2, state: 'ready', warmUpMs: 0, models: new Map([[model, 1]]), bornAt: 1,
+				id, service: 'lm' as ServiceId, address: '127.0.0.1:1', dataCentre: 'dc' as DataCentreId, slots: 2, state: 'ready', softwareVersion: 'v1' as SoftwareVersion,
+				warmUpMs: 0, models: new Map([[model, 1]]), bornAt: 1,
 			});
 		}
 
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -1,6 +1,6 @@
 import {decodeList, encodeList} from '@cicadapost/store';
 import type {
-	BatchId, DaemonIncarnation, ItemId, Millis, ModelId,
+	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, SoftwareVersion,
 } from '@cicadapost/types';
 import type {
 	BatchItem, BatchPlan, ItemClaim, SampleResult, SampleText,
@@ -153,16 +153,18 @@
 }
 
 function encodeText(text: SampleText): Uint8Array {
-	return encodeList([text.events, text.lastEventId, text.versions]);
+	return encodeList([text.events, text.lastEventId, text.versions, text.softwareVersion]);
 }
 
 function decodeText(value: Uint8Array): SampleText {
-	const [events, lastEventId, versions] = decodeFields(value, 'a partial text');
+	const [events, lastEventId, versions, softwareVersion] = decodeFields(value, 'a partial text');
 	if (!Array.isArray(events) || typeof lastEventId !== 'number' || !Array.isArray(versions)) {
 		throw new RowShapeError('a partial text');
 	}
 
-	return {events: events as string[], lastEventId, versions: versions as number[]};
+	return {
+		events: events as string[], lastEventId, versions: versions as number[], softwareVersion: typeof softwareVersion === 'string' ? softwareVersion as SoftwareVersion : undefined,
+	};
 }
 
 export type ValueChunk = Readonly<{key: string; value: Uint8Array}>;
--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -4,7 +4,7 @@
 import {TableCopy} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
-	Clock, type BatchId, type DaemonId, type DataCentreId, type ItemId, type Millis, type ModelId, type ServiceId, type UpstreamId,
+	Clock, type BatchId, type DaemonId, type DataCentreId, type ItemId, type Millis, type ModelId, type ServiceId, type SoftwareVersion, type UpstreamId,
 } from '@cicadapost/types';
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
@@ -22,7 +22,8 @@
 
 const batch = 'b1' as BatchId;
 const engine: UpstreamRecord = {
-	id: 'e1' as UpstreamId, service: 's' as ServiceId, address: '10.0.0.1:80', dataCentre: 'a' as DataCentreId, slots: 4, state: 'ready', warmUpMs: 0, models: new Map(), bornAt: 0,
+	id: 'e1' as UpstreamId, service: 's' as ServiceId, address: '10.0.0.1:80', dataCentre: 'a' as DataCentreId, slots: 4, state: 'ready', softwareVersion: 'v1' as SoftwareVersion,
+	warmUpMs: 0, models: new Map(), bornAt: 0,
 };
 const items = ['i0', 'i1'] as ItemId[];
 const plan: BatchPlan = {
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -20,7 +20,7 @@
 import {LivenessMonitor} from './liveness-monitor.js';
 import {isLong, type ClaimTarget} from './plan-claims.js';
 import {
-	snapshotText, createRun, describeEnd, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
+	snapshotText, createRun, describeEnd, emptyText, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
 } from './sample-run.js';
 
 /** Limits that the route of a batch sets. */
@@ -223,6 +223,7 @@
 
 		run.resendTimer = undefined;
 		run.sentAt = clock.now();
+		run.softwareVersion = engine.softwareVersion;
 		run.lastActivityAt = run.sentAt;
 		run.eventsSinceSent = 0;
 		this.options.limits.recordSend(engine, 'sample');
@@ -288,11 +289,12 @@
 		run.eventsSinceSent += 1;
 		run.version = event.version ?? run.version;
 		if (run.text.events.length > 0 && event.id !== run.text.lastEventId + 1) {
-			run.text = {events: [], lastEventId: -1, versions: []};
+			run.text = emptyText();
 			this.release(run, run.failures, `event ${event.id} does not follow the last one`);
 			return;
 		}
 
+		run.text.softwareVersion ??= run.softwareVersion;
 		run.text.events.push(event.data);
 		run.text.lastEventId = event.id;
 		if (run.version !== undefined && !run.text.versions.includes(run.version)) {
@@ -351,7 +353,7 @@
 
 			case 'release': {
 				if (!followUp.keepText) {
-					run.text = {events: [], lastEventId: -1, versions: []};
+					run.text = emptyText();
 				}
 
 				this.release(run, followUp.failures, cause);
@@ -398,6 +400,9 @@
 			expectedTokens: run.expectedTokens,
 			tookMs: Math.round(this.options.clock.now() - run.startedAt),
 			failures: run.failures,
+			softwareVersion: run.softwareVersion,
+			resumedEvents: run.resumedEvents,
+			resumedVersion: run.resumedVersion,
 		});
 		this.options.onSlotFreed();
 	}
--- a/packages/batches/src/sample-run.ts
+++ b/packages/batches/src/sample-run.ts
@@ -1,5 +1,7 @@
 import type {UpstreamRecord} from '@cicadapost/fleet';
-import type {BatchId, Millis, UpstreamId} from '@cicadapost/types';
+import type {
+	BatchId, Millis, SoftwareVersion, UpstreamId,
+} from '@cicadapost/types';
 import type {SampleText} from './batch.js';
 import type {ItemBody} from './encode-rows.js';
 import type {RunEnd, SampleRun} from './engine-client.js';
@@ -15,6 +17,10 @@
 	expectedTokens: number;
 	tookMs: Millis;
 	failures: number;
+	softwareVersion: SoftwareVersion;
+	/** Number of events of earlier runs that this run has continued, and the software version that generated them. */
+	resumedEvents: number;
+	resumedVersion: SoftwareVersion | undefined;
 }>;
 
 /** A sample that is running on an engine or waiting to be sent to it again. */
@@ -27,7 +33,9 @@
 	readonly body: ItemBody;
 	readonly isLong: boolean;
 	readonly expectedTokens: number;
-	text: {events: string[]; lastEventId: number; versions: number[]};
+	text: {events: string[]; lastEventId: number; versions: number[]; softwareVersion: SoftwareVersion | undefined};
+	/** Software version of the engine when the run was last sent to it. */
+	softwareVersion: SoftwareVersion;
 	/** Version of the weights that currently generate events. */
 	version: number | undefined;
 	failures: number;
@@ -36,6 +44,8 @@
 	sentAt: Millis;
 	/** Number of events since the run was last sent to its engine. */
 	eventsSinceSent: number;
+	readonly resumedEvents: number;
+	readonly resumedVersion: SoftwareVersion | undefined;
 	savedAt: Millis;
 	savedEvents: number;
 	engineRun: SampleRun | undefined;
@@ -69,13 +79,16 @@
 		body: options.body,
 		isLong: options.isLong,
 		expectedTokens: options.expectedTokens,
-		text: {events: [...text?.events ?? []], lastEventId: text?.lastEventId ?? -1, versions: [...text?.versions ?? []]},
+		text: text === undefined ? emptyText() : {...text, events: [...text.events], versions: [...text.versions]},
+		softwareVersion: options.engine.softwareVersion,
 		version: undefined,
 		failures: options.failures,
 		refusals: 0,
 		lastActivityAt: now,
 		sentAt: now,
 		eventsSinceSent: 0,
+		resumedEvents: text?.events.length ?? 0,
+		resumedVersion: text?.softwareVersion,
 		savedAt: now,
 		savedEvents: text?.events.length ?? 0,
 		engineRun: undefined,
@@ -85,13 +98,19 @@
 	};
 }
 
+export function emptyText(): ActiveRun['text'] {
+	return {
+		events: [], lastEventId: -1, versions: [], softwareVersion: undefined,
+	};
+}
+
 /** Returns a string that identifies an item, for use as a key in sets and maps. */
 export function itemKeyOf({batch, group, item}: ItemReference): string {
 	return `${batch}/${group}/${item}`;
 }
 
 export function snapshotText(text: ActiveRun['text']): SampleText {
-	return {events: [...text.events], lastEventId: text.lastEventId, versions: [...text.versions]};
+	return {...text, events: [...text.events], versions: [...text.versions]};
 }
 
 export function describeEnd(end: RunEnd): string {
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -1,5 +1,5 @@
 import type {
-	DaemonId, DaemonIncarnation, DataCentreId, RegionId, ServiceId, UpstreamId,
+	DaemonId, DaemonIncarnation, DataCentreId, RegionId, ServiceId, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
 import {describe, expect, it} from 'vitest';
 import {chooseUpstream, type UpstreamHealth} from './choose-upstream.js';
@@ -17,6 +17,7 @@
 	dataCentre: dataCentre as DataCentreId,
 	slots: 6,
 	state: 'ready',
+	softwareVersion: 'v1' as SoftwareVersion,
 	warmUpMs: 0,
 	models: new Map(),
 	bornAt: 1,
--- a/packages/fleet/src/upstream.ts
+++ b/packages/fleet/src/upstream.ts
@@ -1,5 +1,5 @@
 import type {
-	DataCentreId, Millis, ModelId, ServiceId, UpstreamId,
+	DataCentreId, Millis, ModelId, ServiceId, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
 
 /** The record that an upstream publishes about itself in the platform's list. */
@@ -9,6 +9,7 @@
 	/** IP address and port. */
 	address: string;
 	dataCentre: DataCentreId;
+	softwareVersion: SoftwareVersion;
 	/** Number of requests that it processes concurrently. */
 	slots: number;
 	state: 'ready' | 'leaving';
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -4,7 +4,7 @@
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
 import {UnlimitedRequests} from '@cicadapost/rate-limits/testing';
 import {
-	SystemClock, type DataCentreId, type RequestId, type ServiceId, type UpstreamId,
+	SystemClock, type DataCentreId, type RequestId, type ServiceId, type SoftwareVersion, type UpstreamId,
 } from '@cicadapost/types';
 import {
 	afterEach, describe, expect, it,
@@ -242,7 +242,7 @@
 		return {
 			record: {
 				id: name as UpstreamId, service: 'desk' as ServiceId, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, dataCentre: 'dc' as DataCentreId, slots: 6,
-				state: 'ready', warmUpMs: 0, models: new Map(), bornAt: 1,
+				state: 'ready', softwareVersion: 'v1' as SoftwareVersion, warmUpMs: 0, models: new Map(), bornAt: 1,
 			},
 			seen,
 		};
--- a/packages/forwarding/src/limited-upstreams.test.ts
+++ b/packages/forwarding/src/limited-upstreams.test.ts
@@ -7,7 +7,7 @@
 } from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
-	Clock, type DaemonId, type DataCentreId, type Millis, type RequestId, type ServiceId, type UpstreamId,
+	Clock, type DaemonId, type DataCentreId, type Millis, type RequestId, type ServiceId, type SoftwareVersion, type UpstreamId,
 } from '@cicadapost/types';
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
@@ -147,7 +147,8 @@
 
 	get record(): UpstreamRecord {
 		return {
-			id: this.id as UpstreamId, service, address: '10.0.0.1:1', dataCentre: 'dc' as DataCentreId, slots: 6, state: 'ready', warmUpMs: 0, models: new Map(), bornAt: 1,
+			id: this.id as UpstreamId, service, address: '10.0.0.1:1', dataCentre: 'dc' as DataCentreId, slots: 6, state: 'ready', softwareVersion: 'v1' as SoftwareVersion,
+			warmUpMs: 0, models: new Map(), bornAt: 1,
 		};
 	}
 
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -21,6 +21,8 @@
 export type CallId = Brand<string, 'CallId'>;
 export type ServiceId = Brand<string, 'ServiceId'>;
 export type ModelId = Brand<string, 'ModelId'>;
+/** Version of an upstream's software, not of its weights. Output of two versions must not be joined. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 /** A set of samples submitted together. The trainer chooses the id. */
 export type BatchId = Brand<string, 'BatchId'>;
 /** One sample of a batch. Unique within its batch only. */
