Continue the text of a sample only at engines of its software version

Cause: a released sample keeps its text, and the next engine, whichever it is, continues after its last event. Neither claims nor runs looked at the software version (hypothesis 1). Class of fault: state that is handed over without all that it depends on.

Change: the version is kept with the text and in the claim. A run continues a text only at the version that generated it, also when it is sent again to an engine that has restarted, and drops it if the engine turns out to have changed. Claims hold an item back for a second, and then put it last, while an engine of its text's version accepts work; an item that is urgent is not held. Texts of earlier builds have no version and are started again.

--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -68,11 +68,19 @@
 	items: ReadonlyArray<Readonly<{id: ItemId; expectedTokens: number}>>;
 }>;
 
+/** What earlier runs of an item have left. */
+export type ClaimedText = Readonly<{
+	failures: number;
+	hasPartialText: boolean;
+	/** Software version of the engines that generated the partial text, if known. */
+	textVersion?: SoftwareVersion | undefined;
+}>;
+
 /** State of an item. */
 export type ItemClaim =
-	| Readonly<{kind: 'open'; failures: number; hasPartialText: boolean}>
+	| Readonly<{kind: 'open'} & ClaimedText>
 	/** A daemon is running the item on an engine. */
-	| Readonly<{kind: 'running'; failures: number; hasPartialText: boolean; incarnation: string; engine: string}>
+	| Readonly<{kind: 'running'; incarnation: string; engine: string} & ClaimedText>
 	/** The result of the item has a position in the list of results. */
 	| Readonly<{kind: 'listed'}>;
 
--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -45,17 +45,22 @@
 }
 
 const capacityWith = (fields: Partial<EngineCapacity> = {}): EngineCapacity => ({
-	id: engineId, slots: 16, running: 0, runningLong: 0, isSlow: false, versions: new Map([[model, 3]]), rank: 0, engines: 1, ...fields,
+	id: engineId, slots: 16, running: 0, runningLong: 0, softwareVersion, readyVersions: new Set([softwareVersion]), isSlow: false,
+	versions: new Map([[model, 3]]), rank: 0, engines: 1, ...fields,
 });
 const running = (incarnation: string): ItemClaim => ({
 	kind: 'running', failures: 0, hasPartialText: false, incarnation, engine: 'e9',
 });
 
+const withText = (textVersion: SoftwareVersion): ItemClaim => ({
+	kind: 'open', failures: 0, hasPartialText: true, textVersion,
+});
+
 describe('encoding of rows', () => {
 	it('round-trips plans, claims and texts', () => {
 		const plan = planWith(3, 2);
 		expect(decodePlan(encodePlan(plan))).toEqual(plan);
-		const claims: ItemClaim[] = [unclaimed, running('d1#1'), {kind: 'listed'}];
+		const claims: ItemClaim[] = [unclaimed, running('d1#1'), {kind: 'listed'}, withText(softwareVersion)];
 		expect(decodeClaims(encodeClaims(claims))).toEqual(claims);
 		const text = {
 			events: ['a', 'b'], lastEventId: 1, versions: [3, 4], softwareVersion,
@@ -93,8 +98,8 @@
 });
 
 describe('planClaims', () => {
-	const claim = (engine: EngineCapacity, views: ReadonlyArray<Readonly<{view: BatchView; dueAt: number}>>, isClaimLive: IsClaimLive = () => false) => planClaims({
-		engine, batches: views, isClaimLive, now: 0,
+	const claim = (engine: EngineCapacity, views: ReadonlyArray<Readonly<{view: BatchView; dueAt: number}>>, isClaimLive: IsClaimLive = () => false, isHeld = false) => planClaims({
+		engine, batches: views, isClaimLive, isHeld: () => isHeld, now: 0,
 	});
 
 	const count = (targets: ReturnType<typeof planClaims>) => targets.reduce((sum, target) => sum + target.items.length, 0);
@@ -104,6 +109,32 @@
 		return {...plan, groups: plan.groups.map((group, index) => ({items: group.items.map((item, at) => ({...item, expectedTokens: index < long && at === 0 ? 5000 : 400}))}))};
 	};
 
+	describe('with texts of engines of another software version', () => {
+		const other = 'v0' as SoftwareVersion;
+		const plan = planWith(1, 3);
+		const view = viewWith(plan, {0: [withText(other), unclaimed, withText(softwareVersion)]});
+
+		it('claims them last while an engine of that version serves, so that it can continue them', () => {
+			const engine = capacityWith({slots: 2, readyVersions: new Set([softwareVersion, other])});
+			expect(claim(engine, [{view, dueAt: 7500}])).toMatchObject([{items: [1, 2]}]);
+		});
+
+		it('holds them back for engines of that version, unless they are urgent', () => {
+			const engine = capacityWith({readyVersions: new Set([softwareVersion, other])});
+			expect(claim(engine, [{view, dueAt: 7500}], () => false, true)).toMatchObject([{items: [1, 2]}]);
+			expect(count(claim(engine, [{view, dueAt: 500}], () => false, true))).toBe(3);
+		});
+
+		it('claims them like others once no engine of that version serves', () => {
+			expect(claim(capacityWith({slots: 2}), [{view, dueAt: 7500}])).toMatchObject([{items: [0, 1]}]);
+		});
+
+		it('leaves none of them without an engine', () => {
+			const engine = capacityWith({readyVersions: new Set([softwareVersion, other])});
+			expect(count(claim(engine, [{view, dueAt: 7500}]))).toBe(3);
+		});
+	});
+
 	describe('with a burst of whole batches and several times as many samples as slots', () => {
 		it('starts long samples immediately on the engines that are reserved for them, with limited concurrency', () => {
 			const targets = claim(capacityWith({rank: 0, engines: 6}), [{view: viewWith(mixed(4)), dueAt: 7500}]);
@@ -119,7 +150,7 @@
 
 		it('gives long samples to any engine after a while, in case the reserved engine is dead', () => {
 			const targets = planClaims({
-				engine: capacityWith({rank: 3, engines: 6}), batches: [{view: viewWith(mixed(1)), dueAt: 9000}], isClaimLive: () => false, now: 1000,
+				engine: capacityWith({rank: 3, engines: 6}), batches: [{view: viewWith(mixed(1)), dueAt: 9000}], isClaimLive: () => false, isHeld: () => false, now: 1000,
 			});
 			expect(targets.find(target => target.group === 0)?.items).toContain(0);
 		});
@@ -139,7 +170,7 @@
 	it('uses all slots beside a long sample when work has little slack left', () => {
 		const views = [{view: viewWith(mixed(4)), dueAt: 3000}];
 		const plan = (now: number) => count(planClaims({
-			engine: capacityWith({engines: 6}), batches: views, isClaimLive: () => false, now,
+			engine: capacityWith({engines: 6}), batches: views, isClaimLive: () => false, isHeld: () => false, now,
 		}));
 		expect(plan(0)).toBe(maxRunsBesideLong);
 		expect(plan(1500)).toBe(16);
--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -16,6 +16,7 @@
 } from './plan-claims.js';
 import type {SampleRunner} from './run-samples.js';
 import {itemKeyOf} from './sample-run.js';
+import {TextHolds} from './text-holds.js';
 
 /** A copy of the batches older than this may miss that a batch has ended, so no work is started based on it. */
 export const maxCopyAgeMs = 2000;
@@ -63,6 +64,7 @@
 	/** Items in claim transactions that are still in flight. */
 	private readonly pendingClaims = new Set<string>();
 	private readonly timer: NodeJS.Timeout;
+	private readonly textHolds = new TextHolds();
 	private isStopped = false;
 	/** End of the cooldown. Until then, changes to batches only set a timer. */
 	private cooldownUntil = 0;
@@ -179,7 +181,7 @@
 	}
 
 	private plan(engine: UpstreamRecord): ClaimTarget[] {
-		const {batchCache, runner, limits, directory, incarnation, versionsOf, dueAt, storeTime} = this.options;
+		const {clock, batchCache, runner, limits, directory, incarnation, versionsOf, dueAt, storeTime} = this.options;
 		const isClaimLive: IsClaimLive = (claim, item, rowVersion) => this.isClaimLive(claim.incarnation, itemKeyOf(item), rowVersion);
 		const open = batchCache.open();
 		const peers = directory.ready(engine.service);
@@ -192,6 +194,8 @@
 			}),
 			running,
 			runningLong: runner.countLongAt(engine.id) + remoteRuns.long,
+			softwareVersion: engine.softwareVersion,
+			readyVersions: new Set(peers.map(peer => peer.softwareVersion)),
 			isSlow: runner.isSlow(engine.id),
 			versions: versionsOf(engine),
 			rank: Math.max(0, peers.findIndex(peer => peer.id === engine.id)),
@@ -202,7 +206,7 @@
 			return due === undefined ? [] : [{view, dueAt: due}];
 		});
 		return planClaims({
-			engine: capacity, batches, isClaimLive, now: storeTime(),
+			engine: capacity, batches, isClaimLive, isHeld: item => this.textHolds.isHeld(itemKeyOf(item), clock.now()), now: storeTime(),
 		});
 	}
 
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -3,7 +3,7 @@
 	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, SoftwareVersion,
 } from '@cicadapost/types';
 import type {
-	BatchItem, BatchPlan, ItemClaim, SampleResult, SampleText,
+	BatchItem, BatchPlan, ClaimedText, ItemClaim, SampleResult, SampleText,
 } from './batch.js';
 import type {ResultReference} from './result-order.js';
 
@@ -95,11 +95,11 @@
 function claimFields(claim: ItemClaim): unknown[] {
 	switch (claim.kind) {
 		case 'open': {
-			return [claimCodes.open, claim.failures, claim.hasPartialText];
+			return [claimCodes.open, claim.failures, claim.hasPartialText, null, null, claim.textVersion];
 		}
 
 		case 'running': {
-			return [claimCodes.running, claim.failures, claim.hasPartialText, claim.incarnation, claim.engine];
+			return [claimCodes.running, claim.failures, claim.hasPartialText, claim.incarnation, claim.engine, claim.textVersion];
 		}
 
 		case 'listed': {
@@ -109,8 +109,12 @@
 }
 
 export function decodeClaims(value: Uint8Array): ItemClaim[] {
-	return (decodeFields(value, 'a claim') as unknown[][]).map(([code, failures, hasPartialText, incarnation, engine]) => {
-		const common = {failures: Number(failures), hasPartialText: hasPartialText === true};
+	return (decodeFields(value, 'a claim') as unknown[][]).map(([code, failures, hasPartialText, incarnation, engine, textVersion]) => {
+		const common: ClaimedText = {
+			failures: Number(failures),
+			hasPartialText: hasPartialText === true,
+			textVersion: typeof textVersion === 'string' ? textVersion as SoftwareVersion : undefined,
+		};
 		switch (code) {
 			case claimCodes.open: {
 				return {kind: 'open', ...common};
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -1,5 +1,5 @@
 import type {
-	BatchId, DaemonIncarnation, Millis, ModelId, UpstreamId,
+	BatchId, DaemonIncarnation, Millis, ModelId, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
 import type {BatchView} from './batch-cache.js';
 import type {ItemClaim} from './batch.js';
@@ -11,6 +11,9 @@
 	/** Number of samples on the engine, and how many of them are long. */
 	running: number;
 	runningLong: number;
+	softwareVersion: SoftwareVersion;
+	/** Software versions of all engines that may run the same samples. */
+	readyVersions: ReadonlySet<SoftwareVersion>;
 	/** Whether the engine currently generates events much more slowly than usual. */
 	isSlow: boolean;
 	/** Weight version of each model that new samples would run with, without a model that is being loaded. */
@@ -33,6 +36,8 @@
 	engine: EngineCapacity;
 	batches: readonly EligibleBatch[];
 	isClaimLive: IsClaimLive;
+	/** Whether an item is held back for an engine of the software version that generated its text. */
+	isHeld: (item: ItemReference) => boolean;
 	/** On the store's clock. */
 	now: Millis;
 }>;
@@ -58,7 +63,17 @@
 /** If a sample has less slack than this, all slots of every engine may be used. */
 const urgentSlackMs = 800;
 
-type ItemWork = Readonly<{batch: BatchId; group: number; item: number; isLong: boolean; waitedMs: Millis; slackMs: Millis; groupSlackMs: Millis}>;
+type ItemWork = Readonly<{
+	batch: BatchId;
+	group: number;
+	item: number;
+	isLong: boolean;
+	waitedMs: Millis;
+	slackMs: Millis;
+	groupSlackMs: Millis;
+	/** Software version of the engine that generated the item's partial text. */
+	textVersion: SoftwareVersion | undefined;
+}>;
 
 /**
 Chooses the samples that an engine runs next. Designed for bursts in which several trainers submit whole batches at the same
@@ -67,10 +82,13 @@
 - Samples are ordered by slack, which is the time until the batch is due minus the estimated duration of the sample.
 - Engines of the same kind start with different groups in that order, so that their claims rarely conflict.
 - An engine that is currently slow gets no long samples.
+- Samples whose text only engines of another software version can continue are held back for these, and then come last.
 */
-export function planClaims({engine, batches, isClaimLive, now}: PlanClaimsOptions): ClaimTarget[] {
+export function planClaims({engine, batches, isClaimLive, isHeld, now}: PlanClaimsOptions): ClaimTarget[] {
 	const usable = batches.filter(({view}) => (engine.versions.get(view.plan.model) ?? -1) >= view.plan.minVersion);
-	const work = usable.flatMap(batch => openItems(batch, isClaimLive, now));
+	const work = usable
+		.flatMap(batch => openItems(batch, isClaimLive, now))
+		.filter(item => !hasForeignText(item, engine) || item.slackMs < urgentSlackMs || !isHeld(item));
 	const reservedCount = countEnginesForLong(batches, engine.engines);
 	const isReservedForLong = engine.rank < reservedCount && !engine.isSlow;
 	const long = engine.isSlow ? [] : work.filter(item => item.isLong && (isReservedForLong || item.waitedMs > maxLongWaitMs));
@@ -78,9 +96,9 @@
 	long.sort((a, b) => a.slackMs - b.slackMs);
 	short.sort((a, b) => a.groupSlackMs - b.groupSlackMs || a.slackMs - b.slackMs);
 	const isUrgent = work.some(item => item.slackMs < urgentSlackMs && item.waitedMs > maxLongWaitMs);
-	const ordered = isReservedForLong
+	const ordered = putForeignTextsLast(isReservedForLong
 		? [...preferEveryNthGroup(long, engine.rank, reservedCount), ...short]
-		: [...long, ...preferEveryNthGroup(short, engine.rank - reservedCount, engine.engines - reservedCount)];
+		: [...long, ...preferEveryNthGroup(short, engine.rank - reservedCount, engine.engines - reservedCount)], engine);
 	const taken: ItemWork[] = [];
 	let hasLong = engine.runningLong > 0;
 	for (const item of ordered) {
@@ -96,6 +114,15 @@
 	return groupIntoTargets(taken);
 }
 
+/** Whether only engines of another software version can continue the item's text, and one of them accepts work. */
+function hasForeignText({textVersion}: ItemWork, {softwareVersion, readyVersions}: EngineCapacity): boolean {
+	return textVersion !== undefined && textVersion !== softwareVersion && readyVersions.has(textVersion);
+}
+
+function putForeignTextsLast(items: readonly ItemWork[], engine: EngineCapacity): readonly ItemWork[] {
+	return [...items.filter(item => !hasForeignText(item, engine)), ...items.filter(item => hasForeignText(item, engine))];
+}
+
 /** Returns the number of engines to reserve for long samples: as many as the open and running ones need, but at most half. */
 function countEnginesForLong(batches: readonly EligibleBatch[], engines: number): number {
 	const count = batches.reduce((sum, {view}) => sum + view.claims.reduce((inGroups, claims, group) => inGroups
@@ -143,10 +170,10 @@
 		const items = claims.items
 			.map((claim, item) => ({claim, item}))
 			.filter(({claim, item}) => claim.kind === 'open' || (claim.kind === 'running' && !isClaimLive(claim, {batch: view.id, group, item}, claims.version)))
-			.map(({item}) => ({item, slackMs: dueAt - now - (expectedTokens(view, group, item) * estimateMargin * tokenMs)}));
+			.map(({claim, item}) => ({item, textVersion: claim.kind === 'listed' ? undefined : claim.textVersion, slackMs: dueAt - now - (expectedTokens(view, group, item) * estimateMargin * tokenMs)}));
 		const groupSlackMs = Math.min(...items.map(({slackMs}) => slackMs));
-		return items.map(({item, slackMs}) => ({
-			batch: view.id, group, item, isLong: isLong(view, group, item), waitedMs: now - view.plan.submittedAt, slackMs, groupSlackMs,
+		return items.map(({item, slackMs, textVersion}) => ({
+			batch: view.id, group, item, isLong: isLong(view, group, item), waitedMs: now - view.plan.submittedAt, slackMs, groupSlackMs, textVersion,
 		}));
 	});
 }
@@ -181,7 +208,7 @@
 export function applyClaim(claims: readonly ItemClaim[], items: readonly number[], by: Readonly<{incarnation: DaemonIncarnation; engine: UpstreamId}>): ItemClaim[] {
 	return claims.map((claim, index) => (items.includes(index) && claim.kind !== 'listed'
 		? {
-			kind: 'running', failures: claim.failures, hasPartialText: claim.hasPartialText, incarnation: by.incarnation, engine: by.engine,
+			...claim, kind: 'running', incarnation: by.incarnation, engine: by.engine,
 		}
 		: claim));
 }
--- a/packages/batches/src/plan-commit.ts
+++ b/packages/batches/src/plan-commit.ts
@@ -106,7 +106,12 @@
 				return false;
 			}
 
-			claims[outcome.item] = {kind: 'open', failures: outcome.failures, hasPartialText: claim.hasPartialText || outcome.text !== undefined};
+			claims[outcome.item] = {
+				kind: 'open',
+				failures: outcome.failures,
+				hasPartialText: claim.hasPartialText || outcome.text !== undefined,
+				textVersion: outcome.text === undefined ? claim.textVersion : outcome.text.softwareVersion,
+			};
 			if (outcome.text !== undefined) {
 				addRows(draft, partialTable, encodePartial(outcome.group, outcome.item, outcome.text));
 			}
@@ -119,7 +124,7 @@
 				return false;
 			}
 
-			claims[outcome.item] = {...claim, hasPartialText: true};
+			claims[outcome.item] = {...claim, hasPartialText: true, textVersion: outcome.text.softwareVersion};
 			addRows(draft, partialTable, encodePartial(outcome.group, outcome.item, outcome.text));
 			break;
 		}
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -135,7 +135,7 @@
 				item,
 				body,
 				failures,
-				text: this.usableText(view, texts[index]),
+				text: this.usableText(view, engine, texts[index]),
 				isLong: isLong(view, target.group, item),
 				expectedTokens: planned?.expectedTokens ?? 0,
 			});
@@ -156,11 +156,13 @@
 		}
 	}
 
-	private usableText(view: BatchView, text: SampleText | undefined): SampleText | undefined {
+	private usableText(view: BatchView, engine: UpstreamRecord, text: SampleText | undefined): SampleText | undefined {
 		const rules = this.options.rulesOf(view);
-		return text !== undefined && rules !== undefined && !rules.isSingleVersion && areVersionsAllowed(text.versions, {...rules, minVersion: view.plan.minVersion})
-			? text
-			: undefined;
+		if (text === undefined || rules === undefined || rules.isSingleVersion || text.softwareVersion !== engine.softwareVersion) {
+			return undefined;
+		}
+
+		return areVersionsAllowed(text.versions, {...rules, minVersion: view.plan.minVersion}) ? text : undefined;
 	}
 
 	private async readBodies(target: ClaimTarget): Promise<ItemBody[] | undefined> {
@@ -224,6 +226,10 @@
 		run.resendTimer = undefined;
 		run.sentAt = clock.now();
 		run.softwareVersion = engine.softwareVersion;
+		if (run.text.softwareVersion !== engine.softwareVersion) {
+			run.text = emptyText();
+		}
+
 		run.lastActivityAt = run.sentAt;
 		run.eventsSinceSent = 0;
 		this.options.limits.recordSend(engine, 'sample');
@@ -310,6 +316,12 @@
 			return;
 		}
 
+		if ((this.options.directory.get(run.engine)?.softwareVersion ?? run.softwareVersion) !== run.softwareVersion) {
+			run.text = emptyText();
+			this.release(run, run.failures, 'the engine has restarted with other software');
+			return;
+		}
+
 		run.refusals = end.kind === 'not-run' ? run.refusals + 1 : 0;
 		if (end.kind === 'unreachable' || end.kind === 'invalid') {
 			this.liveness.recordFailure(run.engine, this.options.clock.now());
--- a/packages/measure/src/cases/batch-order.ts
+++ b/packages/measure/src/cases/batch-order.ts
@@ -3,7 +3,7 @@
 } from '@cicadapost/batches';
 import {Random} from '@cicadapost/fakes';
 import type {
-	BatchId, ItemId, Millis, ModelId, UpstreamId,
+	BatchId, ItemId, Millis, ModelId, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
 import type {Variant} from '../bench.js';
 import type {MeasurementCase, RunResult} from '../case.js';
@@ -27,6 +27,7 @@
 const requiredGroupShare = 0.9;
 const endMs = 60_000;
 const model = 'draft' as ModelId;
+const softwareVersion = 'v1' as SoftwareVersion;
 
 type Sample = {readonly batch: Batch; readonly group: number; readonly item: number; remainingEvents: number; readonly expected: number};
 type Batch = {
@@ -163,10 +164,11 @@
 		return planClaims({
 			engine: {
 				id: engine.id, slots, running: engine.running.length, runningLong: engine.running.filter(sample => sample.expected > longSampleTokens).length, isSlow: false,
-				versions: new Map([[model, 1]]), rank, engines: engineCount,
+				softwareVersion, readyVersions: new Set([softwareVersion]), versions: new Map([[model, 1]]), rank, engines: engineCount,
 			},
 			batches: open.map(batch => ({view: toBatchView(batch), dueAt: batch.plan.submittedAt + deadlineMs})),
 			isClaimLive: () => true,
+			isHeld: () => false,
 			now: this.now,
 		});
 	}
