Continue a caller's stream only at upstreams of its software version

What was seen: in a test with real processes, 6 of 12 streams that callers took up again at another daemon held events of two software versions.

Cause: the daemon passed a continued stream to whichever upstream was least loaded. The class of fault is that of kept texts: state that is handed over without all that it depends on.

Change: at its first event a daemon records the service and software version of a resumable stream in memory and, together with others, in the store. A caller that continues a stream names the request that brought its first event; any daemon looks up that record and allows only upstreams of that service and version. Without a record, the stream goes on only if no other version of the service has been listed for a minute. Otherwise it is refused at once as not run, and nothing is sent. Records are written at most 20 times per heartbeat interval, up to 90 in a transaction, and deleted after 10 minutes.

Ruled out: joins within one answer. A stream that breaks after its first event is never continued inside the same answer, and is only sent again if it has not run.

--- a/packages/entry/src/caller-protocol.ts
+++ b/packages/entry/src/caller-protocol.ts
@@ -1,4 +1,5 @@
 import type {BatchSubmission, ResultsPage} from '@cicadapost/batches';
+import type {StreamContinuation} from '@cicadapost/forwarding';
 import type {
 	BatchId, ItemId, Millis, RequestId,
 } from '@cicadapost/types';
@@ -16,7 +17,15 @@
 /** A parsed call of a caller or trainer. */
 export type CallerCall =
 	/** A request whose handling depends on its route: forwarded to an upstream, or the submission of a batch. */
-	| Readonly<{kind: 'routed'; host: string; path: string; requestId: RequestId | undefined; deadlineMs: Millis | undefined}>
+	| Readonly<{
+		kind: 'routed';
+		host: string;
+		path: string;
+		requestId: RequestId | undefined;
+		deadlineMs: Millis | undefined;
+		/** Set if the caller continues an interrupted stream. */
+		continues?: StreamContinuation;
+	}>
 	| Readonly<{kind: 'batch-results'; batch: BatchId; after: number; waitMs: Millis}>
 	| Readonly<{kind: 'item-body'; batch: BatchId; item: ItemId}>
 	| Readonly<{kind: 'end-batch'; batch: BatchId}>
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -3,7 +3,7 @@
 import {
 	batchFeedPause, BatchCache, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type EngineClient,
 } from '@cicadapost/batches';
-import {UpstreamDirectory} from '@cicadapost/fleet';
+import {UpstreamDirectory, VersionHistory} from '@cicadapost/fleet';
 import {
 	type ConnectionPool, Forwarder, UpstreamHealthTracker, type RoutingConfiguration, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
@@ -31,6 +31,7 @@
 import {fleetTable} from './member-rows.js';
 import {MembershipTask} from './membership-task.js';
 import type {PlatformTables} from './platform-tables.js';
+import {StreamRecords} from './stream-records.js';
 import {UpstreamList} from './upstream-list.js';
 
 /** The interfaces that a platform adapter implements for the daemon. */
@@ -89,6 +90,7 @@
 	private readonly fleetView: FleetView;
 	private readonly crashReports: CrashReports;
 	private readonly rateLimiter: RateLimiter;
+	private readonly streamRecords: StreamRecords;
 	private readonly batchService: BatchService;
 	private readonly commitQueue: CommitQueue;
 	private readonly sampleRunner: SampleRunner;
@@ -180,6 +182,20 @@
 				this.loadReporter.recordLimitedRequest(upstream, reason);
 			},
 		});
+		const versions = new VersionHistory(clock.now());
+		this.streamRecords = new StreamRecords({
+			clock,
+			store,
+			storeTime: () => this.fleetFollower.storeTime(clock.now()),
+			dataCentre: settings.dataCentre as DataCentreId,
+			dataCentres: Object.keys(settings.dataCentres) as DataCentreId[],
+			daemons: () => this.membership.members(clock.now()).length,
+			versions,
+			isOwner: part => this.isPartOwner(part),
+			onDropped(count) {
+				logger.warn({event: 'stream-records-dropped', count}, 'the store takes no records of streams');
+			},
+		});
 		this.batchService = new BatchService({
 			clock, store, follower: this.batchFollower, batchCache: this.batchCache, storeTime: () => this.batchFollower.storeTime(clock.now()),
 		});
@@ -290,6 +306,7 @@
 				protocol: platform.upstreams,
 				crashes: this.crashReports,
 				limits: this.rateLimiter,
+				streams: this.streamRecords,
 				dataCentre: settings.dataCentre as DataCentreId,
 				random: options.random ?? Math.random,
 				onRequestReport: report => {
@@ -317,11 +334,13 @@
 			pool: this.pool,
 			health: this.health,
 			onChanged: () => {
+				versions.update(this.directory.all(), clock.now());
 				this.fleetView.invalidate();
 				this.weightLoader.wake();
 				this.claimWorker.wake();
 			},
 			onExpired: () => {
+				versions.update(this.directory.all(), clock.now());
 				this.fleetView.invalidate();
 			},
 		});
@@ -407,6 +426,7 @@
 		this.batchSweeper.stop();
 		this.crashReports.stop();
 		this.rateLimiter.stop();
+		this.streamRecords.stop();
 		this.frontServer.close();
 		this.healthServer.close();
 		this.metrics.close();
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -291,6 +291,7 @@
 			headers: req.rawHeaders,
 			body,
 			route,
+			...(call.continues === undefined ? {} : {continues: call.continues}),
 			deadlineAt: arrivedAt + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 		}, new CallerResponseReceiver(res, failure => {
 			this.respondToFailure(res, failure);
--- /dev/null
+++ b/packages/entry/src/stream-records.test.ts
@@ -0,0 +1,89 @@
+import {VersionHistory} from '@cicadapost/fleet';
+import type {StreamOrigin} from '@cicadapost/forwarding';
+import {MemoryRowStore} from '@cicadapost/store/testing';
+import {
+	SystemClock, type DataCentreId, type Millis, type RequestId, type ServiceId, type SoftwareVersion,
+} from '@cicadapost/types';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {StreamRecords, streamTable} from './stream-records.js';
+
+const stream = 'r1' as RequestId;
+const origin: StreamOrigin = {service: 'lm' as ServiceId, softwareVersion: 'v1' as SoftwareVersion};
+const [west, east] = ['west', 'east'] as DataCentreId[] as [DataCentreId, DataCentreId];
+
+describe('StreamRecords', () => {
+	const open: StreamRecords[] = [];
+	let store: MemoryRowStore;
+	let storeTime: Millis;
+
+	beforeEach(() => {
+		store = new MemoryRowStore();
+		storeTime = 1000;
+	});
+
+	afterEach(() => {
+		for (const records of open.splice(0)) {
+			records.stop();
+		}
+	});
+
+	const startDaemon = (dataCentre: DataCentreId) => {
+		const clock = new SystemClock();
+		const records = new StreamRecords({
+			clock,
+			store,
+			storeTime: () => storeTime,
+			dataCentre,
+			dataCentres: [west, east],
+			daemons: () => 3,
+			versions: new VersionHistory(clock.now()),
+			isOwner: () => true,
+			onDropped: vi.fn(),
+		});
+		open.push(records);
+		return records;
+	};
+
+	it('tells daemons of all data centres where a stream began, also after its daemon has died', async () => {
+		const first = startDaemon(west);
+		first.record(stream, origin);
+		expect(await first.originOf(stream)).toEqual(origin);
+		await expect.poll(() => store.all().length, {timeout: 2000}).toBe(1);
+		first.stop();
+		expect(await startDaemon(west).originOf(stream)).toEqual(origin);
+		expect(await startDaemon(east).originOf(stream)).toEqual(origin);
+	});
+
+	it('writes records after an outage of the store, and finds nothing meanwhile', async () => {
+		store.fault = 'down';
+		startDaemon(west).record(stream, origin);
+		const other = startDaemon(east);
+		expect(await other.originOf(stream)).toBeUndefined();
+		store.fault = 'none';
+		await expect.poll(async () => other.originOf(stream), {timeout: 5000}).toEqual(origin);
+	});
+
+	it('writes the records of many streams in few transactions', async () => {
+		const records = startDaemon(west);
+		const transact = vi.spyOn(store, 'transact');
+		for (let index = 0; index < 200; index++) {
+			records.record(`s${index}` as RequestId, origin);
+		}
+
+		await expect.poll(() => store.all().length, {timeout: 5000}).toBe(200);
+		expect(transact.mock.calls.length).toBeLessThanOrEqual(3);
+	});
+
+	it('deletes records that no caller uses any more', async () => {
+		const records = startDaemon(west);
+		records.record(stream, origin);
+		await expect.poll(() => store.all().length, {timeout: 2000}).toBe(1);
+		await records.sweep();
+		expect(store.all()).toHaveLength(1);
+		storeTime += 11 * 60_000;
+		await records.sweep();
+		expect(store.all().filter(row => row.table === streamTable)).toEqual([]);
+	});
+});
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,3 +5,4 @@
 export * from './members.js';
 export * from './upstream-directory.js';
 export type * from './upstream.js';
+export * from './version-history.js';
--- /dev/null
+++ b/packages/fleet/src/version-history.ts
@@ -0,0 +1,33 @@
+import type {Millis, ServiceId, SoftwareVersion} from '@cicadapost/types';
+import type {UpstreamRecord} from './upstream.js';
+
+/** Which software versions of a service were listed when. */
+export class VersionHistory {
+	private readonly lastListedAt = new Map<ServiceId, Map<SoftwareVersion, Millis>>();
+	private listed: readonly UpstreamRecord[] = [];
+
+	/** `startedAt` is the time from which on all changes of the list are recorded. */
+	constructor(private readonly startedAt: Millis) {}
+
+	/** Records a new state of the list. What was listed before counts as listed until now. */
+	update(records: readonly UpstreamRecord[], now: Millis): void {
+		this.touch(this.listed, now);
+		this.touch(records, now);
+		this.listed = records;
+	}
+
+	/** Returns the only version of a service that has been listed since `since`. Undefined if there were none or several, or the time before the start matters. */
+	onlyVersionSince(service: ServiceId, since: Millis, now: Millis): SoftwareVersion | undefined {
+		this.touch(this.listed, now);
+		const versions = [...this.lastListedAt.get(service) ?? []].filter(([, at]) => at >= since).map(([version]) => version);
+		return this.startedAt <= since && versions.length === 1 ? versions[0] : undefined;
+	}
+
+	private touch(records: readonly UpstreamRecord[], now: Millis): void {
+		for (const {service, softwareVersion} of records) {
+			const versions = this.lastListedAt.get(service) ?? new Map<SoftwareVersion, Millis>();
+			versions.set(softwareVersion, now);
+			this.lastListedAt.set(service, versions);
+		}
+	}
+}
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -1,33 +1,26 @@
-import {chooseUpstream, type UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
-import {
-	maxTurnWaitMs, type RequestLimits, type SendReason, type Turn,
-} from '@cicadapost/rate-limits';
-import type {
-	Clock, DataCentreId, Millis, UpstreamId,
-} from '@cicadapost/types';
+import type {UpstreamRecord} from '@cicadapost/fleet';
+import type {SendReason, Turn} from '@cicadapost/rate-limits';
+import type {Millis, UpstreamId} from '@cicadapost/types';
 import type {ResponseHead, ConnectionPool, Exchange} from './connection-pool.js';
 import {mayHaveCrashed, type CrashGuard} from './crash-registry.js';
 import {decideNextStep, hedgeDelay, type AttemptOutcome} from './decide-attempt.js';
 import type {PlainRequest, RequestReport, ResponseReceiver} from './plain-request.js';
-import {pickService} from './route.js';
-import type {UpstreamHealthTracker} from './upstream-health.js';
+import {resolveOrigin, type StreamContinuation, type StreamOrigins} from './stream-origins.js';
 import {isFromUpstream, type ResponseMetadata, type UpstreamProtocol} from './upstream-protocol.js';
+import {UpstreamSelection, type UpstreamSelectionOptions} from './upstream-selection.js';
 
-export type ForwarderOptions = Readonly<{
-	clock: Clock;
-	directory: UpstreamDirectory;
+export type ForwarderOptions = UpstreamSelectionOptions & Readonly<{
 	pool: ConnectionPool;
-	health: UpstreamHealthTracker;
 	protocol: UpstreamProtocol;
 	crashes: CrashGuard;
-	limits: RequestLimits;
-	dataCentre: DataCentreId;
-	random: () => number;
+	streams: StreamOrigins;
 	onRequestReport: (report: RequestReport) => void;
 }>;
 
 /** `Retry-After` for a request that no upstream accepts. It is short, so that callers with short deadlines can still retry. */
 const refusalRetryMs = 80;
+/** `Retry-After` for a stream that can't go on now. Upstreams that crashed are back, and records written, within some hundred milliseconds or seconds. */
+const streamRetryMs = 500;
 /** A timeout counts as a failure of the upstream only if it had the request for this long, since a route's timeout may be shorter than the work takes. */
 const timeoutFailureThresholdMs = 700;
 /** Maximum size of a buffered response, which is passed on only when complete. An attempt with a longer response fails. */
@@ -35,8 +28,6 @@
 /** Maximum length of a line in a stream of events. Longer ones are no events, and a caller's parser would have to keep them. */
 const maxStreamLineBytes = 1024 * 1024;
 const lineFeed = 0x0A;
-/** A request waits for a turn for this much longer than elsewhere: about two calls to a store in another region. */
-const turnPatienceMs = 60;
 
 type Attempt = {
 	readonly upstream: UpstreamRecord;
@@ -63,10 +54,7 @@
 /** Manages the attempts of one request until it has a response. */
 class ForwardedRequest {
 	private readonly attempts = new Set<Attempt>();
-	/** Upstreams that have had the request, or twice had no turn for it. */
-	private readonly tried = new Set<UpstreamId>();
-	/** Upstreams that had no turn for the request in time. Only after that does this daemon know how long their queue is. */
-	private readonly withoutTurn = new Set<UpstreamId>();
+	private readonly selection: UpstreamSelection;
 	/** Withdraws the request for a turn at an upstream that limits its rate. */
 	private withdrawTurn: (() => void) | undefined;
 	private sent = 0;
@@ -82,6 +70,7 @@
 		private readonly receiver: ResponseReceiver,
 	) {
 		this.startedAt = options.clock.now();
+		this.selection = new UpstreamSelection(options, req);
 	}
 
 	start(): () => void {
@@ -90,6 +79,8 @@
 		}, Math.max(1, this.remainingMs()));
 		if (this.options.crashes.isBlocked(this.req)) {
 			this.rejectBlocked();
+		} else if (this.req.continues !== undefined && this.req.route.kind === 'stream') {
+			void this.continueStream(this.req.continues);
 		} else if (!this.tryNext('first')) {
 			this.refuse('no upstream of the service is ready');
 		}
@@ -99,44 +90,41 @@
 		};
 	}
 
-	private remainingMs(): Millis {
-		return this.req.deadlineAt - this.options.clock.now();
-	}
-
-	private readyUpstreams(): readonly UpstreamRecord[] {
-		const service = pickService(this.req.route, this.options.random());
-		return service === undefined ? [] : this.options.directory.ready(service);
-	}
+	/** Sends the request only to upstreams at which the stream may go on. */
+	private async continueStream({stream}: StreamContinuation): Promise<void> {
+		const {streams} = this.options;
+		const recorded = stream === undefined ? undefined : await streams.originOf(stream);
+		if (this.isOver) {
+			return;
+		}
 
-	/** Upstreams that have not had the request and can take it in time. A hedge must not use up the rate of a limited upstream. */
-	private candidates(reason: SendReason): readonly UpstreamRecord[] {
-		return this.readyUpstreams().filter(upstream => {
-			const limit = this.options.limits.limitOf(upstream);
-			const canTake = limit === undefined || (reason !== 'hedge' && limit.waitMs <= this.maxWaitMs(limit.requestsPerSecond));
-			return canTake && !this.tried.has(upstream.id);
+		const origin = resolveOrigin({
+			recorded,
+			services: this.req.route.services.filter(({weight}) => weight > 0).map(({service}) => service),
+			onlyVersion: service => streams.onlyVersion(service),
 		});
+		if (origin === undefined) {
+			this.refuse('the software version that began the stream is not known or not served', streamRetryMs);
+			return;
+		}
+
+		this.selection.restrictTo(origin);
+		if (!this.tryNext('first')) {
+			this.refuse('no upstream of the software version that began the stream is ready', streamRetryMs);
+		}
 	}
 
-	private maxWaitMs(requestsPerSecond: number): Millis {
-		return maxTurnWaitMs({remainingMs: this.remainingMs(), targetLatencyMs: this.req.route.targetLatencyMs, requestsPerSecond});
+	private remainingMs(): Millis {
+		return this.req.deadlineAt - this.options.clock.now();
 	}
 
 	private hasCandidate(reason: SendReason): boolean {
-		return !this.options.crashes.isBlocked(this.req) && this.candidates(reason).length > 0;
+		return !this.options.crashes.isBlocked(this.req) && this.selection.candidates(reason).length > 0;
 	}
 
 	private tryNext(reason: SendReason): boolean {
-		const {clock, health, limits, pool, dataCentre, random} = this.options;
-		const now = clock.now();
-		const upstream = chooseUpstream({
-			candidates: this.candidates(reason),
-			health: id => health.healthOf(id, pool.hasIdle(id)),
-			turnWaitMs: candidate => limits.limitOf(candidate)?.waitMs,
-			dataCentre,
-			tried: this.tried,
-			now,
-			random: random(),
-		});
+		const {limits} = this.options;
+		const upstream = this.selection.choose(reason);
 		if (upstream === undefined) {
 			return false;
 		}
@@ -145,20 +133,13 @@
 		if (limit === undefined) {
 			this.sendAttempt(upstream, reason);
 		} else {
-			const maxWaitMs = Math.min(this.maxWaitMs(limit.requestsPerSecond), this.waitElsewhereMs(upstream, reason) + turnPatienceMs);
+			const maxWaitMs = this.selection.maxTurnWaitMs(upstream, limit, reason);
 			this.requestTurn(upstream, {reason, maxWaitMs});
 		}
 
 		return true;
 	}
 
-	/** Shortest expected wait at another upstream that works; infinite if there is none. */
-	private waitElsewhereMs(chosen: UpstreamRecord, reason: SendReason): Millis {
-		const {clock, health, limits} = this.options;
-		const others = this.candidates(reason).filter(({id}) => id !== chosen.id && health.healthOf(id, false).avoidUntil <= clock.now());
-		return Math.min(...others.map(upstream => limits.limitOf(upstream)?.waitMs ?? 0));
-	}
-
 	/** Waits for a turn at an upstream that limits its rate, and looks for another one if none is free in time. */
 	private requestTurn(upstream: UpstreamRecord, {reason, maxWaitMs}: Readonly<{reason: SendReason; maxWaitMs: Millis}>): void {
 		this.withdrawTurn = this.options.limits.requestTurn(upstream, maxWaitMs, turn => {
@@ -178,16 +159,12 @@
 			return;
 		}
 
-		if (this.withoutTurn.has(upstream.id)) {
-			this.tried.add(upstream.id);
-		}
-
-		this.withoutTurn.add(upstream.id);
+		this.selection.recordNoTurn(upstream);
 		this.decideNextStep(undefined, {kind: 'not-sent', cause: turn === 'none' ? 'the upstream limits its rate' : 'the upstream has left'});
 	}
 
 	private sendAttempt(upstream: UpstreamRecord, reason: SendReason): void {
-		this.tried.add(upstream.id);
+		this.selection.recordSend(upstream);
 		this.sent += 1;
 		this.send(upstream, reason);
 		this.scheduleHedge();
@@ -260,12 +237,21 @@
 		if (this.req.route.kind === 'stream' && head.status < 300 && metadata.isSigned && !this.isOver) {
 			this.abortOtherAttempts(attempt);
 			attempt.isStreaming = true;
+			this.recordOrigin(attempt.upstream);
 			this.receiver.head(head.status, this.options.protocol.responseHeaders(head));
 		}
 
 		return true;
 	}
 
+	/** Records where a new stream begins. A continued one keeps the record of its first request. */
+	private recordOrigin({service, softwareVersion}: UpstreamRecord): void {
+		const {requestId, route, continues} = this.req;
+		if (requestId !== undefined && route.isResumable && continues === undefined) {
+			this.options.streams.record(requestId, {service, softwareVersion});
+		}
+	}
+
 	/** Returns false if the response is too long. */
 	private onData(attempt: Attempt, chunk: Uint8Array): boolean {
 		if (this.isOver) {
@@ -402,21 +388,12 @@
 		this.receiver.fail({kind: 'failed', reason: 'the request has ended several upstreams and is sent to no further one'});
 	}
 
-	private refuse(reason: string): void {
-		const retryAfterMs = Math.max(refusalRetryMs, this.waitForTurnMs());
+	private refuse(reason: string, minRetryMs = refusalRetryMs): void {
+		const retryAfterMs = Math.max(minRetryMs, this.selection.waitForTurnMs());
 		this.finish('refused', undefined, {reason, retryAfterMs: Math.round(retryAfterMs)});
 		this.receiver.fail({kind: 'refused', retryAfterMs, reason});
 	}
 
-	/** Time until an upstream that limits its rate may have room in its queue; 0 if one has no limit. */
-	private waitForTurnMs(): Millis {
-		const waits = this.readyUpstreams().map(upstream => {
-			const limit = this.options.limits.limitOf(upstream);
-			return limit === undefined ? 0 : limit.waitMs - this.maxWaitMs(limit.requestsPerSecond);
-		});
-		return waits.length === 0 ? 0 : Math.max(0, Math.min(...waits));
-	}
-
 	private onDeadline(): void {
 		if (this.isOver) {
 			return;
@@ -487,7 +464,11 @@
 			outcome,
 			tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
 			inputs: {
-				...inputs, route: this.req.route.name, sent: this.sent, remainingMs: Math.round(this.remainingMs()),
+				...inputs,
+				...(this.req.route.kind === 'stream' ? {softwareVersion: attempt?.upstream.softwareVersion, continues: this.req.continues?.stream} : {}),
+				route: this.req.route.name,
+				sent: this.sent,
+				remainingMs: Math.round(this.remainingMs()),
 			},
 		});
 	}
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -15,6 +15,7 @@
 } from './crash-registry.js';
 import {decideNextStep, hedgeDelay, type AttemptState} from './decide-attempt.js';
 import {Forwarder} from './forward-request.js';
+import {NoStreamOrigins} from './no-stream-origins.js';
 import {ResponseReceiver, type ForwardFailure} from './plain-request.js';
 import {
 	matchRoute, pickService, type RequestKind, type Route,
@@ -257,7 +258,8 @@
 		const pool = new ConnectionPool();
 		pools.push(pool);
 		return new Forwarder({
-			clock: new SystemClock(), directory, pool, health, protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0, crashes, limits: new UnlimitedRequests(),
+			clock: new SystemClock(), directory, pool, health, protocol: new TestProtocol(), dataCentre: 'dc' as DataCentreId, random: () => 0, crashes,
+			limits: new UnlimitedRequests(), streams: new NoStreamOrigins(),
 			onRequestReport() {
 				// These tests do not check reports.
 			},
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,5 +6,6 @@
 export * from './forward-request.js';
 export * from './plain-request.js';
 export * from './route.js';
+export * from './stream-origins.js';
 export * from './upstream-health.js';
 export * from './upstream-protocol.js';
--- a/packages/forwarding/src/limited-upstreams.test.ts
+++ b/packages/forwarding/src/limited-upstreams.test.ts
@@ -17,6 +17,7 @@
 } from './connection-pool.js';
 import {CrashGuard} from './crash-registry.js';
 import {Forwarder} from './forward-request.js';
+import {NoStreamOrigins} from './no-stream-origins.js';
 import {ResponseReceiver, type ForwardFailure} from './plain-request.js';
 import type {Route} from './route.js';
 import {UpstreamHealthTracker} from './upstream-health.js';
@@ -263,6 +264,7 @@
 			protocol: new TestProtocol(),
 			crashes: new NoCrashes(),
 			limits,
+			streams: new NoStreamOrigins(),
 			dataCentre: 'dc' as DataCentreId,
 			random: () => (this.sentCount * 0.618) % 1,
 			onRequestReport: vi.fn(),
--- a/packages/forwarding/src/plain-request.ts
+++ b/packages/forwarding/src/plain-request.ts
@@ -1,5 +1,6 @@
 import type {Millis, RequestId, UpstreamId} from '@cicadapost/types';
 import type {Route} from './route.js';
+import type {StreamContinuation} from './stream-origins.js';
 
 export type PlainRequest = Readonly<{
 	requestId: RequestId | undefined;
@@ -11,6 +12,8 @@
 	headers: readonly string[];
 	body: Uint8Array;
 	route: Route;
+	/** Set if the caller continues an interrupted stream. */
+	continues?: StreamContinuation;
 	/** The caller's deadline or the end of the route's timeout, whichever is first, on this daemon's clock. */
 	deadlineAt: Millis;
 }>;
