Move the operator's state out of the entry daemon

Change: operator-state.ts holds the newest configuration and the named versions; the daemon reacts to its events. No change of behaviour.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -5,16 +5,16 @@
 } from '@cicadapost/batches';
 import {UpstreamDirectory, VersionHistory} from '@cicadapost/fleet';
 import {
-	type ConnectionPool, Forwarder, UpstreamHealthTracker, type RoutingConfiguration, type UpstreamProtocol,
+	type ConnectionPool, Forwarder, UpstreamHealthTracker, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
 import {ownerOf} from '@cicadapost/membership';
 import type {Logger} from '@cicadapost/observability';
 import {RateLimiter} from '@cicadapost/rate-limits';
 import {
-	ObservedRowStore, TableFollower, type RowChange, type RowStore,
+	ObservedRowStore, TableFollower, type RowStore,
 } from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, ModelId, RegionId,
+	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
 } from '@cicadapost/types';
 import {
 	EngineVersions, WeightLoader, type OrderClient,
@@ -30,6 +30,7 @@
 import {LoadReporter} from './load-reporter.js';
 import {fleetTable} from './member-rows.js';
 import {MembershipTask} from './membership-task.js';
+import {OperatorState} from './operator-state.js';
 import type {PlatformTables} from './platform-tables.js';
 import {StreamRecords} from './stream-records.js';
 import {UpstreamList} from './upstream-list.js';
@@ -81,7 +82,6 @@
 	private readonly batchRoutes: BatchRoutes;
 	private readonly versions = new EngineVersions();
 	private readonly metrics = new EntryMetrics();
-	private readonly namedVersions = new Map<ModelId, number>();
 	private readonly operatorFollower: TableFollower;
 	private readonly upstreamFollower: TableFollower;
 	private readonly batchFollower: TableFollower;
@@ -99,10 +99,10 @@
 	private readonly batchSweeper: BatchSweeper;
 	private readonly frontServer: FrontServer;
 	private readonly healthServer: HealthServer;
+	private readonly operatorState: OperatorState;
 	private readonly upstreamList: UpstreamList;
 	private readonly loadReporter: LoadReporter;
 	private readonly loadReportTimer: NodeJS.Timeout;
-	private configuration: RoutingConfiguration | undefined;
 	private isStopping = false;
 
 	constructor(private readonly options: EntryDaemonOptions) {
@@ -200,7 +200,7 @@
 			clock, store, follower: this.batchFollower, batchCache: this.batchCache, storeTime: () => this.batchFollower.storeTime(clock.now()),
 		});
 		this.batchRoutes = new BatchRoutes({
-			configuration: () => this.configuration,
+			configuration: () => this.operatorState.configuration,
 			storeTime: () => this.batchFollower.storeTime(clock.now()),
 		});
 		this.commitQueue = new CommitQueue({
@@ -272,7 +272,7 @@
 			versions: this.versions,
 			self: settings.vm as DaemonId,
 			silenceMs: settings.orderSilenceMs,
-			services: () => this.fleetView.engineServices(this.namedVersions),
+			services: () => this.fleetView.engineServices(this.operatorState.namedVersions),
 			isOwner: engine => this.fleetView.isOwner(engine),
 			onOrderReport: report => {
 				this.metrics.recordOrder(report.outcome);
@@ -318,13 +318,25 @@
 				},
 			}),
 			batches: this.batchService,
-			configuration: () => this.configuration,
+			configuration: () => this.operatorState.configuration,
 			onCallReport: report => {
 				this.metrics.recordCall(report.outcome);
 				logger.info({event: 'call', ...report}, report.outcome);
 			},
 		});
 		this.healthServer = new HealthServer({readyPath: platform.callers.readyPath, isReady: () => this.isReady()});
+		this.operatorState = new OperatorState({
+			logger,
+			tables: platform.tables,
+			follower: this.operatorFollower,
+			onConfiguration: configuration => {
+				this.frontServer.applyLimits(configuration.limits);
+			},
+			onChanged: () => {
+				this.weightLoader.wake();
+				this.claimWorker.wake();
+			},
+		});
 		this.upstreamList = new UpstreamList({
 			clock,
 			logger,
@@ -438,9 +450,6 @@
 	}
 
 	private subscribe(): void {
-		this.operatorFollower.on('changed', changes => {
-			this.onOperatorRows(changes);
-		});
 		this.batchFollower.on('changed', changes => {
 			for (const err of this.batchCache.apply(changes)) {
 				this.options.logger.warn({event: 'unreadable-row'}, err.message);
@@ -461,59 +470,6 @@
 
 	private isReady(): boolean {
 		const now = this.options.clock.now();
-		return !this.isStopping && this.configuration !== undefined && this.followers().every(follower => follower.isLoaded && follower.age(now) < maxStoreSilenceMs);
-	}
-
-	private onOperatorRows(changes: readonly RowChange[]): void {
-		const {platform, logger} = this.options;
-		for (const change of changes) {
-			if (change.kind === 'deleted') {
-				continue;
-			}
-
-			const record = platform.tables.parseOperatorRow(change.row);
-			switch (record.kind) {
-				case 'configuration': {
-					this.applyConfiguration(record.configuration);
-					break;
-				}
-
-				case 'named-version': {
-					const {model, version} = record.named;
-					if (version > (this.namedVersions.get(model) ?? 0)) {
-						this.namedVersions.set(model, version);
-						logger.info({event: 'version-named', model, version}, 'a trainer named a version');
-					}
-
-					break;
-				}
-
-				case 'other': {
-					break;
-				}
-
-				case 'unreadable': {
-					logger.warn({event: 'unreadable-row', key: change.row.key}, record.detail);
-					break;
-				}
-			}
-		}
-
-		this.weightLoader.wake();
-		this.claimWorker.wake();
-	}
-
-	/** Applies a configuration unless the current one is at least as new. */
-	private applyConfiguration(configuration: RoutingConfiguration): void {
-		if (this.configuration !== undefined && configuration.version <= this.configuration.version) {
-			return;
-		}
-
-		const before = this.configuration?.version;
-		this.configuration = configuration;
-		this.frontServer.applyLimits(configuration.limits);
-		this.options.logger.info({
-			event: 'configuration', version: configuration.version, before, routes: configuration.routes.length,
-		}, 'configuration applied');
+		return !this.isStopping && this.operatorState.configuration !== undefined && this.followers().every(follower => follower.isLoaded && follower.age(now) < maxStoreSilenceMs);
 	}
 }
