Bound the store calls for turns at limited upstreams

Cause: each request to a limited upstream asked the store for a turn unless the daemon knew of a queue that was too long, and that knowledge was out of date after one turn.

Change: after a request has got no turn, its daemon expects the queue to stay as long for 20 ms for each daemon, at most 2 s, and refuses or sends elsewhere without a call. Retry-After covers the time until the queue has moved by one request; a caller that came back after 80 ms met the same queue. The limiter forgets upstreams that are gone.

--- a/packages/forwarding/src/limited-upstreams.test.ts
+++ b/packages/forwarding/src/limited-upstreams.test.ts
@@ -25,6 +25,8 @@
 
 const table = 'fleet';
 const workMs = 20;
+/** What the platform's store takes from all daemons. */
+const storeWritesPerSecond = 800;
 const service = 'desk' as ServiceId;
 const route: Route = {
 	name: 'r', host: 'h', prefix: '/', kind: 'idempotent', services: [{service, weight: 1}], timeoutMs: 3000, targetLatencyMs: 200,
@@ -67,12 +69,14 @@
 /** One daemon's path to the shared store: a delay each way, and an outage for this daemon alone. */
 class StorePath extends RowStore {
 	isCut = false;
+	transactions = 0;
 
 	constructor(private readonly store: MemoryRowStore, private readonly delayMs: Millis) {
 		super();
 	}
 
 	override async transact(transaction: Transaction): Promise<TransactionOutcome> {
+		this.transactions += 1;
 		await this.delay();
 		if (this.isCut) {
 			return {kind: 'refused'};
@@ -388,6 +392,17 @@
 		});
 	});
 
+	it.each([9, 82])('leaves the store three quarters of its writes with %i daemons, whatever the load', async daemons => {
+		const fleet = await startFleet({daemons, requestsPerSecond: 10});
+		for (const path of fleet.paths) {
+			path.transactions = 0;
+		}
+
+		await fleet.run(10_000);
+		const perSecond = fleet.paths.reduce((sum, path) => sum + path.transactions, 0) / 10;
+		expect(perSecond).toBeLessThan(storeWritesPerSecond / 4);
+	});
+
 	it('does not delay requests while another upstream has no limit', async () => {
 		const fleet = new SimulatedFleet({daemons: 9, requestsPerSecond: 1});
 		await fleet.run(3000);
--- a/packages/forwarding/src/upstream-selection.ts
+++ b/packages/forwarding/src/upstream-selection.ts
@@ -1,6 +1,6 @@
 import {chooseUpstream, type UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
 import {
-	maxTurnWaitMs, type RequestLimits, type SendReason, type UpstreamLimit,
+	intervalMs, maxTurnWaitMs, type RequestLimits, type SendReason, type UpstreamLimit,
 } from '@cicadapost/rate-limits';
 import type {
 	Clock, DataCentreId, Millis, UpstreamId,
@@ -84,13 +84,13 @@
 		return Math.min(this.maxQueueMs(limit), waitElsewhereMs + turnPatienceMs);
 	}
 
-	/** Time until an upstream that limits its rate may have room in its queue; 0 if one has no limit. */
+	/** Time until the queue of an upstream that limits its rate has moved on far enough for one more request; 0 if one has no limit. */
 	waitForTurnMs(): Millis {
 		const waits = this.readyUpstreams().map(upstream => {
 			const limit = this.options.limits.limitOf(upstream);
-			return limit === undefined ? 0 : limit.waitMs - this.maxQueueMs(limit);
+			return limit === undefined ? 0 : Math.max(0, limit.waitMs - this.maxQueueMs(limit)) + intervalMs(limit.requestsPerSecond);
 		});
-		return waits.length === 0 ? 0 : Math.max(0, Math.min(...waits));
+		return waits.length === 0 ? 0 : Math.min(...waits);
 	}
 
 	private maxQueueMs({requestsPerSecond}: UpstreamLimit): Millis {
--- a/packages/rate-limits/src/rate-limiter.ts
+++ b/packages/rate-limits/src/rate-limiter.ts
@@ -97,13 +97,22 @@
 		clearInterval(this.timer);
 	}
 
-	/** Deletes the rows of upstreams that are gone. */
+	/** Forgets upstreams that are gone, and deletes their rows. */
 	async sweep(): Promise<void> {
 		const {clock, follower, isListed, isOwner} = this.options;
 		if (follower.connectedFor(clock.now()) < minConnectedMs) {
 			return;
 		}
 
+		for (const [id, {bornAt, queue}] of this.queues) {
+			if (!isListed({id, bornAt})) {
+				queue.grantAll();
+				this.queues.delete(id);
+				this.named.forget(id);
+				this.publishPausedUntil.delete(id);
+			}
+		}
+
 		for (const part of follower.copy.parts()) {
 			for (const row of follower.copy.part(part)) {
 				const upstream = parseKey(row.part, row.key);
--- a/packages/rate-limits/src/turn-queue.ts
+++ b/packages/rate-limits/src/turn-queue.ts
@@ -28,6 +28,12 @@
 const storePauseMs = 500;
 /** A turn that this daemon begins later than this, for example after it was suspended, is void. */
 const maxDelayMs = 300;
+/**
+After a request has got no turn, this daemon expects the queue to stay as long for this time, multiplied by the number of
+daemons and up to `maxFullMs`. Otherwise the store calls for requests that get no turn would grow with the load.
+*/
+const fullMsPerDaemon = 20;
+const maxFullMs = 2000;
 /** Maximum number of turns in one reservation. */
 const maxReservedTurns = 50;
 
@@ -51,6 +57,8 @@
 	private isReserving = false;
 	private lastSlot = -1;
 	private storePausedUntil = 0;
+	/** The wait that was too long for the last request without a turn, and until when it is expected to stay that long. */
+	private full: Readonly<{waitMs: Millis; until: Millis}> = {waitMs: 0, until: 0};
 
 	constructor(private readonly options: TurnQueueOptions) {}
 
@@ -61,7 +69,8 @@
 			return (this.nextOwnSlot(requestsPerSecond)?.startsAt ?? Number.POSITIVE_INFINITY) - now;
 		}
 
-		return Math.max(0, this.row.nextFreeAt - now) + (this.waiting.length * intervalMs(requestsPerSecond));
+		const expectedMs = this.options.clock.now() < this.full.until ? this.full.waitMs : 0;
+		return Math.max(expectedMs, this.row.nextFreeAt - now, 0) + (this.waiting.length * intervalMs(requestsPerSecond));
 	}
 
 	/** Adds a request. Returns a function that withdraws it. */
@@ -118,6 +127,10 @@
 			requestsPerSecond: limit, nextFreeAt: this.row.nextFreeAt, latestStarts: waiters.map(({latestStart}) => latestStart), now: storeTime(),
 		});
 		this.rejectWithoutTurn(waiters, plan.starts);
+		if (plan.starts.includes(undefined)) {
+			this.full = {waitMs: this.row.nextFreeAt - storeTime(), until: clock.now() + Math.min(maxFullMs, this.options.daemons().length * fullMsPerDaemon)};
+		}
+
 		if (plan.starts.every(start => start === undefined)) {
 			return;
 		}
