Bound the writes of stream records for fleets of any size

Cause: records were collected for a twentieth of the heartbeat interval, which is 35 ms up to 75 daemons. Derived for 370 daemons that all begin streams: 2,100 transactions per second, more than the 800 that the store takes.

Change: each daemon collects for 3 ms times the number of daemons: 27 ms at nine, 1.1 s at 370, 333 transactions per second for the whole fleet.

Result: stream-records.test.ts passes.

--- a/packages/entry/src/stream-records.ts
+++ b/packages/entry/src/stream-records.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {heartbeatIntervalMs, type VersionHistory} from '@cicadapost/fleet';
+import type {VersionHistory} from '@cicadapost/fleet';
 import {StreamOrigins, type StreamOrigin} from '@cicadapost/forwarding';
 import {
 	decodeList, encodeList, readAll, type RowStore, type StoredRow,
@@ -33,8 +33,8 @@
 /** Records are kept for longer than any caller tries to continue its stream. */
 const retentionMs = 10 * 60_000;
 const sweepMs = 5 * 60_000;
-/** Fraction of the heartbeat interval for which records are collected. A write of records is as large as several heartbeats. */
-const flushFraction = 1 / 20;
+/** Records are collected for this time per daemon, which bounds the writes of the whole fleet to 333 per second. */
+const collectMsPerDaemon = 3;
 const retryMs = 200;
 /** Maximum number of rows in a transaction. The store accepts 100. */
 const maxRows = 90;
@@ -70,7 +70,7 @@
 
 		this.pending.set(stream, origin);
 		this.limitPending();
-		this.scheduleFlush(heartbeatIntervalMs(this.options.daemons()) * flushFraction);
+		this.scheduleFlush(this.options.daemons() * collectMsPerDaemon);
 	}
 
 	override async originOf(stream: RequestId): Promise<StreamOrigin | undefined> {
