Never decide about a turn before its sender can withdraw the request

Cause, found by reading the diff: a queue that was known to be too long answered 'none' inside the call that asks for a turn. The sender then stored the function that withdraws the request after it had already gone on, and took it for a turn that it still waited for. A request that was sent elsewhere and failed there would have waited until its deadline instead of being answered; a sample would have been left out of the checks for silence.

Change: the queue decides after the call has returned.

--- a/packages/rate-limits/src/turn-queue.test.ts
+++ b/packages/rate-limits/src/turn-queue.test.ts
@@ -70,6 +70,18 @@
 		expect(times.slice(1).every((at, index) => at - times[index]! >= 490)).toBe(true);
 	});
 
+	it('never decides before the sender has the function that withdraws its request', async () => {
+		const onTurn = vi.fn();
+		createQueue().add(-1, onTurn);
+		expect(onTurn).not.toHaveBeenCalled();
+		await vi.advanceTimersByTimeAsync(10);
+		limit = undefined;
+		createQueue().add(5000, onTurn);
+		expect(onTurn.mock.calls).toEqual([['none']]);
+		await vi.advanceTimersByTimeAsync(10);
+		expect(onTurn.mock.calls).toEqual([['none'], ['granted']]);
+	});
+
 	it('gives no turn to a request that was withdrawn', async () => {
 		const {turns, withdrawals} = collectTurns(createQueue(), 2);
 		withdrawals[1]!();
--- a/packages/rate-limits/src/turn-queue.ts
+++ b/packages/rate-limits/src/turn-queue.ts
@@ -73,7 +73,7 @@
 		return Math.max(expectedMs, this.row.nextFreeAt - now, 0) + (this.waiting.length * intervalMs(requestsPerSecond));
 	}
 
-	/** Adds a request. Returns a function that withdraws it. */
+	/** Adds a request. Returns a function that withdraws it, before `onTurn` is called for the first time. */
 	add(maxWaitMs: Millis, onTurn: (turn: Turn) => void): () => void {
 		const waiter: Waiter = {latestStart: this.options.storeTime() + maxWaitMs, onTurn, timer: undefined};
 		this.waiting.push(waiter);
@@ -100,6 +100,8 @@
 		}
 
 		this.isReserving = true;
+		// The sender of a new request must have the function that withdraws it before `onTurn` is called.
+		await Promise.resolve();
 		try {
 			while (this.waiting.length > 0) {
 				await this.reserveOnce();
