Tell callers a finite time while the store is away and no slot is known

Cause, found by reading: while the store does not answer, a daemon that is not among the known ones has no time slot, and its expected wait was infinite. A request to a service whose upstreams all have limits would have been refused with 'Retry-After: Infinity'.

Change: the expected wait is 5 s then. The method of a forwarded request that had the name of the imported decideNextStep is proceedAfter now.

Result: the new case of turn-queue.test.ts failed first ('expected Infinity to be less than 10000'); 89 tests of rate-limits and forwarding pass.

--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -160,7 +160,7 @@
 		}
 
 		this.selection.recordNoTurn(upstream);
-		this.decideNextStep(undefined, {kind: 'not-sent', cause: turn === 'none' ? 'the upstream limits its rate' : 'the upstream has left'});
+		this.proceedAfter(undefined, {kind: 'not-sent', cause: turn === 'none' ? 'the upstream limits its rate' : 'the upstream has left'});
 	}
 
 	private sendAttempt(upstream: UpstreamRecord, reason: SendReason): void {
@@ -289,7 +289,7 @@
 		}
 
 		if (metadata.didNotRun) {
-			this.decideNextStep(attempt, {kind: 'not-run', status: head.status});
+			this.proceedAfter(attempt, {kind: 'not-run', status: head.status});
 			return;
 		}
 
@@ -300,7 +300,7 @@
 
 		this.options.health.recordSuccess(attempt.upstream.id);
 		this.mayHaveRun = true;
-		this.decideNextStep(attempt, {kind: 'answered', status: head.status});
+		this.proceedAfter(attempt, {kind: 'answered', status: head.status});
 	}
 
 	private onFailure(attempt: Attempt, failure: Readonly<{kind: 'not-sent' | 'broken'; cause: string}>): void {
@@ -319,11 +319,11 @@
 			this.mayHaveRun = true;
 		}
 
-		this.decideNextStep(attempt, failure);
+		this.proceedAfter(attempt, failure);
 	}
 
-	/** Decides what to do after an attempt has ended, or without one after an upstream had no turn for the request. */
-	private decideNextStep(attempt: Attempt | undefined, outcome: AttemptOutcome): void {
+	/** Takes the next step after an attempt has ended, or without one after an upstream had no turn for the request. */
+	private proceedAfter(attempt: Attempt | undefined, outcome: AttemptOutcome): void {
 		const step = decideNextStep(outcome, {
 			requestKind: this.req.route.kind,
 			sent: this.sent,
--- a/packages/rate-limits/src/turn-queue.test.ts
+++ b/packages/rate-limits/src/turn-queue.test.ts
@@ -82,6 +82,24 @@
 		expect(onTurn.mock.calls).toEqual([['none'], ['granted']]);
 	});
 
+	it('expects a finite wait while the store is away and the others do not know this daemon, so that callers are told when to come back', async () => {
+		const queue = new TurnQueue({
+			clock: new TestClock(),
+			store,
+			storeTime: () => Date.now(),
+			upstream: {id: 'u1' as UpstreamId, bornAt: 1},
+			requestsPerSecond: () => limit,
+			self: 'd1' as DaemonId,
+			daemons: () => [],
+		});
+		store.fault = 'down';
+		const {turns} = collectTurns(queue, 1);
+		await vi.advanceTimersByTimeAsync(10);
+		expect(turns.map(({turn}) => turn)).toEqual(['none']);
+		expect(queue.waitMs(2)).toBeGreaterThan(1000);
+		expect(queue.waitMs(2)).toBeLessThan(10_000);
+	});
+
 	it('gives no turn to a request that was withdrawn', async () => {
 		const {turns, withdrawals} = collectTurns(createQueue(), 2);
 		withdrawals[1]!();
--- a/packages/rate-limits/src/turn-queue.ts
+++ b/packages/rate-limits/src/turn-queue.ts
@@ -26,6 +26,8 @@
 const reservationTimeoutMs = 400;
 /** After a failed call the store is not asked again for this time. */
 const storePauseMs = 500;
+/** Expected wait of a daemon without a time slot of its own. The store is usually back after that. */
+const noSlotWaitMs = 5000;
 /** A turn that this daemon begins later than this, for example after it was suspended, is void. */
 const maxDelayMs = 300;
 /**
@@ -66,7 +68,8 @@
 	waitMs(requestsPerSecond: number): Millis {
 		const now = this.options.storeTime();
 		if (this.isStorePaused()) {
-			return (this.nextOwnSlot(requestsPerSecond)?.startsAt ?? Number.POSITIVE_INFINITY) - now;
+			const own = this.nextOwnSlot(requestsPerSecond);
+			return own === undefined ? noSlotWaitMs : own.startsAt - now;
 		}
 
 		const expectedMs = this.options.clock.now() < this.full.until ? this.full.waitMs : 0;
