Make the test of silent engines fail without its mechanism

Change: the sample now waits 1.7 s as the only one on its engine.

Result: passes; with the exclusion taken out of run-samples.ts 'expected true to be false', the engine counts as failed.

--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -153,18 +153,22 @@
 			expect(mostIn4Seconds(await refuseRuns(8000))).toBeLessThanOrEqual((requestsPerSecond * 4) + 2);
 		});
 
-		it('does not count as silent while samples wait for their turn', async () => {
+		it('does not count as silent while a sample waits for its turn', async () => {
 			await startLimitedRunner();
-			client.runs[0]!.handlers.onLimit(0.25);
-			client.runs[0]!.handlers.onEnd({kind: 'not-run', status: 503});
-			client.runs[1]!.handlers.onStart(3);
-			for (let id = 0; id < 100; id++) {
-				client.runs[1]!.handlers.onEvent({id, data: 'y', version: 3});
-				await vi.advanceTimersByTimeAsync(50);
-			}
-
-			expect(client.runs[1]!.isAborted).toBe(false);
+			const refuse = ({handlers}: (typeof client.runs)[number]) => {
+				handlers.onLimit(0.6);
+				handlers.onEnd({kind: 'not-run', status: 503});
+			};
+
+			client.runs[1]!.handlers.onEnd({kind: 'impossible'});
+			refuse(client.runs[0]!);
+			await vi.advanceTimersByTimeAsync(100);
+			refuse(client.runs[2]!);
+			await vi.advanceTimersByTimeAsync(1500);
+			expect(client.runs).toHaveLength(3);
 			expect(runner.isSuspended(engine.id)).toBe(false);
+			await vi.advanceTimersByTimeAsync(500);
+			expect(client.runs).toHaveLength(4);
 		});
 	});
 
