Log upstreams that have not responded, and the state of their connections

Cause: a request that timed out, was refused or was answered by a second upstream did not say which upstreams had it without responding, and whether it waited on a kept connection, on a new one, or for a connection. The hypotheses of docs/incidents/partitioned-daemons.md differ in just that.

Change: the log lines of a request carry `unanswered`, one entry for each attempt without a response. No behaviour changes.

Checked: packages/forwarding, 68 tests pass.

--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -38,9 +38,13 @@
 	/** `abort` was called. */
 	| Readonly<{kind: 'aborted'}>;
 
+/** The connection of an exchange: not established yet, established for it, or kept from an earlier exchange. */
+export type ConnectionUse = 'connecting' | 'new' | 'kept';
+
 export type Exchange = Readonly<{
 	/** Closes the connection, which makes the upstream stop its work. */
 	abort: () => void;
+	connection: () => ConnectionUse;
 }>;
 
 /** Cause of a `broken` exchange whose upstream sent more bytes than a valid response has. */
@@ -119,7 +123,8 @@
 
 	/** Sends one request and reports its response to `handlers`. */
 	exchange(upstream: Readonly<{id: UpstreamId; address: string}>, req: ExchangeRequest, handlers: ExchangeHandlers): Exchange {
-		const connection = this.takeIdle(upstream.id) ?? this.open(upstream);
+		const kept = this.takeIdle(upstream.id);
+		const connection = kept ?? this.open(upstream);
 		let isSent = false;
 		let isOver = false;
 		const finish = (end: ExchangeEnd) => {
@@ -177,6 +182,7 @@
 			abort() {
 				finish({kind: 'aborted'});
 			},
+			connection: () => (kept === undefined ? (isSent ? 'new' : 'connecting') : 'kept'),
 		};
 	}
 
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -467,9 +467,16 @@
 				...inputs,
 				...(this.req.route.kind === 'stream' ? {softwareVersion: attempt?.upstream.softwareVersion, continues: this.req.continues?.stream} : {}),
 				route: this.req.route.name,
+				...this.unanswered(),
 				sent: this.sent,
 				remainingMs: Math.round(this.remainingMs()),
 			},
 		});
 	}
+
+	/** The attempts without a response, each with the state of its connection. */
+	private unanswered(): Readonly<{unanswered?: readonly string[]}> {
+		const attempts = [...this.attempts].filter(attempt => attempt.head === undefined);
+		return attempts.length === 0 ? {} : {unanswered: attempts.map(({upstream, exchange}) => `${upstream.id} ${exchange?.connection() ?? 'connecting'}`)};
+	}
 }
--- a/packages/forwarding/src/limited-upstreams.test.ts
+++ b/packages/forwarding/src/limited-upstreams.test.ts
@@ -174,6 +174,7 @@
 				clearTimeout(timer);
 				handlers.onEnd({kind: 'aborted'});
 			},
+			connection: () => 'new',
 		};
 	}
 
