--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	batchFeedPause, BatchCache, BatchService, BatchSweeper, batchTable, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type EngineClient,
+	batchFeedPause, BatchCache, BatchService, BatchSweeper, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type EngineClient,
 } from '@cicadapost/batches';
 import {UpstreamDirectory, VersionHistory} from '@cicadapost/fleet';
 import {
@@ -11,7 +11,7 @@
 import type {Logger} from '@cicadapost/observability';
 import {RateLimiter} from '@cicadapost/rate-limits';
 import {
-	ObservedRowStore, TableFollower, type RowStore,
+	ObservedRowStore, type RowStore,
 } from '@cicadapost/store';
 import type {
 	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
@@ -28,11 +28,11 @@
 import {FrontServer} from './front-server.js';
 import {HealthServer} from './health-server.js';
 import {LoadReporter} from './load-reporter.js';
-import {fleetTable} from './member-rows.js';
 import {MembershipTask} from './membership-task.js';
 import {OperatorState} from './operator-state.js';
 import type {PlatformTables} from './platform-tables.js';
 import {StreamRecords} from './stream-records.js';
+import {createFollowers, type TableFollowers} from './table-followers.js';
 import {UpstreamList} from './upstream-list.js';
 
 /** The interfaces that a platform adapter implements for the daemon. */
@@ -61,12 +61,6 @@
 const loadBalancerDrainMs = 3200;
 /** Runs still active this long before the end of the grace period are released together with their partial text. */
 const releaseMarginMs = 2500;
-/** Each upstream writes a heartbeat about once per second. The delay is acceptable, because a leaving upstream stays usable for some seconds. */
-const upstreamCoalesceMs = 400;
-/** Each daemon writes a heartbeat more than once per second. The delay is acceptable, because a daemon expires only after several missed ones. */
-const fleetCoalesceMs = 350;
-/** Delay at a daemon without engines, which needs the members only to learn that it becomes an owner. */
-export const idleFleetCoalesceMs = 500;
 /** The process exits this long before the platform would kill it. */
 const exitMarginMs = 500;
 const shutdownPollMs = 50;
@@ -82,10 +76,7 @@
 	private readonly batchRoutes: BatchRoutes;
 	private readonly versions = new EngineVersions();
 	private readonly metrics = new EntryMetrics();
-	private readonly operatorFollower: TableFollower;
-	private readonly upstreamFollower: TableFollower;
-	private readonly batchFollower: TableFollower;
-	private readonly fleetFollower: TableFollower;
+	private readonly followers: TableFollowers;
 	private readonly membership: MembershipTask;
 	private readonly fleetView: FleetView;
 	private readonly crashReports: CrashReports;
@@ -122,27 +113,19 @@
 		});
 		this.pool = options.pool;
 		this.incarnation = `${settings.vm}#${randomUUID().slice(0, 8)}` as DaemonIncarnation;
-		this.operatorFollower = new TableFollower({
-			store, clock, table: platform.tables.operatorTable, hasSinglePart: true,
-		});
-		this.upstreamFollower = new TableFollower({
-			store, clock, table: platform.tables.upstreamTable, hasSinglePart: true, coalesceMs: () => upstreamCoalesceMs,
-		});
-		this.batchFollower = new TableFollower({
+		this.followers = createFollowers({
 			store,
 			clock,
-			table: batchTable,
-			coalesceMs: () => batchFeedPause({
+			tables: platform.tables,
+			ownsEngines: () => this.fleetView.ownedEngines().length > 0,
+			batchPause: () => batchFeedPause({
 				ownsEngines: this.fleetView.ownedEngines().length > 0, running: this.sampleRunner.count, waiting: this.batchService.waiting,
 			}),
 		});
-		this.fleetFollower = new TableFollower({
-			store, clock, table: fleetTable, coalesceMs: () => (this.fleetView.ownedEngines().length > 0 ? fleetCoalesceMs : idleFleetCoalesceMs),
-		});
 		this.membership = new MembershipTask({
 			clock,
 			store,
-			follower: this.fleetFollower,
+			follower: this.followers.fleet,
 			self: {
 				daemon: settings.vm as DaemonId,
 				incarnation: this.incarnation,
@@ -160,7 +143,7 @@
 		this.crashReports = new CrashReports({
 			clock,
 			store,
-			follower: this.fleetFollower,
+			follower: this.followers.fleet,
 			isOwner: part => this.isPartOwner(part),
 			onCrash(fingerprint, incarnation) {
 				logger.warn({event: 'crash', fingerprint, ...incarnation}, 'a request has crashed an upstream');
@@ -169,7 +152,7 @@
 		this.rateLimiter = new RateLimiter({
 			clock,
 			store,
-			follower: this.fleetFollower,
+			follower: this.followers.fleet,
 			self: settings.vm as DaemonId,
 			daemons: () => this.membership.members(clock.now()).map(member => member.daemon),
 			isListed: upstream => this.directory.get(upstream.id)?.bornAt === upstream.bornAt,
@@ -186,7 +169,7 @@
 		this.streamRecords = new StreamRecords({
 			clock,
 			store,
-			storeTime: () => this.fleetFollower.storeTime(clock.now()),
+			storeTime: () => this.followers.fleet.storeTime(clock.now()),
 			dataCentre: settings.dataCentre as DataCentreId,
 			dataCentres: Object.keys(settings.dataCentres) as DataCentreId[],
 			daemons: () => this.membership.members(clock.now()).length,
@@ -197,16 +180,16 @@
 			},
 		});
 		this.batchService = new BatchService({
-			clock, store, follower: this.batchFollower, batchCache: this.batchCache, storeTime: () => this.batchFollower.storeTime(clock.now()),
+			clock, store, follower: this.followers.batches, batchCache: this.batchCache, storeTime: () => this.followers.batches.storeTime(clock.now()),
 		});
 		this.batchRoutes = new BatchRoutes({
 			configuration: () => this.operatorState.configuration,
-			storeTime: () => this.batchFollower.storeTime(clock.now()),
+			storeTime: () => this.followers.batches.storeTime(clock.now()),
 		});
 		this.commitQueue = new CommitQueue({
 			clock,
 			store,
-			follower: this.batchFollower,
+			follower: this.followers.batches,
 			batchCache: this.batchCache,
 			incarnation: this.incarnation,
 			onCommitFailure(batch, detail) {
@@ -243,7 +226,7 @@
 		this.claimWorker = new ClaimWorker({
 			clock,
 			store,
-			follower: this.batchFollower,
+			follower: this.followers.batches,
 			batchCache: this.batchCache,
 			directory: this.directory,
 			runner: this.sampleRunner,
@@ -254,7 +237,7 @@
 			isAlive: (incarnation, claimedVersion) => this.membership.isAlive(incarnation, claimedVersion, clock.now()),
 			versionsOf: engine => this.versions.usableVersions(engine, clock.now()),
 			dueAt: (batch, engine) => this.batchRoutes.dueAt(batch, engine),
-			storeTime: () => this.batchFollower.storeTime(clock.now()),
+			storeTime: () => this.followers.batches.storeTime(clock.now()),
 			onPlanned: tookMs => {
 				this.loadReporter.recordClaimPlan(tookMs);
 			},
@@ -267,7 +250,7 @@
 		this.weightLoader = new WeightLoader({
 			clock,
 			store,
-			follower: this.fleetFollower,
+			follower: this.followers.fleet,
 			client: platform.orders,
 			versions: this.versions,
 			self: settings.vm as DaemonId,
@@ -287,7 +270,7 @@
 			batchCache: this.batchCache,
 			isOwner: batch => this.isPartOwner(batch),
 			isExpired: view => isExpired(view, {
-				storeTime: this.batchFollower.storeTime(clock.now()),
+				storeTime: this.followers.batches.storeTime(clock.now()),
 				retentionMs: settings.resultRetentionSeconds * 1000,
 				queueDeadline: queueDeadlineOf(view, this.batchRoutes.routeOf(view)?.maxQueueMs ?? 0),
 			}),
@@ -328,7 +311,7 @@
 		this.operatorState = new OperatorState({
 			logger,
 			tables: platform.tables,
-			follower: this.operatorFollower,
+			follower: this.followers.operator,
 			onConfiguration: configuration => {
 				this.frontServer.applyLimits(configuration.limits);
 			},
@@ -341,7 +324,7 @@
 			clock,
 			logger,
 			tables: platform.tables,
-			follower: this.upstreamFollower,
+			follower: this.followers.upstreams,
 			directory: this.directory,
 			pool: this.pool,
 			health: this.health,
@@ -365,7 +348,7 @@
 	async start(): Promise<void> {
 		const {settings, logger} = this.options;
 		this.subscribe();
-		for (const follower of this.followers()) {
+		for (const follower of Object.values(this.followers)) {
 			follower.on('lost', () => {
 				this.metrics.recordStoreLoss(follower.copy.table);
 				logger.warn({event: 'store-lost', table: follower.copy.table}, 'the store stopped answering');
@@ -429,7 +412,7 @@
 	private close(): void {
 		this.upstreamList.stop();
 		clearInterval(this.loadReportTimer);
-		for (const follower of this.followers()) {
+		for (const follower of Object.values(this.followers)) {
 			follower.stop();
 		}
 
@@ -445,19 +428,15 @@
 		this.pool.close();
 	}
 
-	private followers(): TableFollower[] {
-		return [this.operatorFollower, this.upstreamFollower, this.batchFollower, this.fleetFollower];
-	}
-
 	private subscribe(): void {
-		this.batchFollower.on('changed', changes => {
+		this.followers.batches.on('changed', changes => {
 			for (const err of this.batchCache.apply(changes)) {
 				this.options.logger.warn({event: 'unreadable-row'}, err.message);
 			}
 
 			this.claimWorker.wake();
 		});
-		this.fleetFollower.on('changed', () => {
+		this.followers.fleet.on('changed', () => {
 			this.fleetView.invalidate();
 		});
 	}
@@ -470,6 +449,6 @@
 
 	private isReady(): boolean {
 		const now = this.options.clock.now();
-		return !this.isStopping && this.operatorState.configuration !== undefined && this.followers().every(follower => follower.isLoaded && follower.age(now) < maxStoreSilenceMs);
+		return !this.isStopping && this.operatorState.configuration !== undefined && Object.values(this.followers).every(follower => follower.isLoaded && follower.age(now) < maxStoreSilenceMs);
 	}
 }
--- a/packages/entry/src/poll-intervals.test.ts
+++ b/packages/entry/src/poll-intervals.test.ts
@@ -1,7 +1,8 @@
 import {batchFeedPause, maxCopyAgeMs} from '@cicadapost/batches';
 import {defaultPollWaitMs} from '@cicadapost/store';
 import {describe, expect, it} from 'vitest';
-import {idleFleetCoalesceMs, maxStoreSilenceMs} from './entry-daemon.js';
+import {maxStoreSilenceMs} from './entry-daemon.js';
+import {idleFleetCoalesceMs} from './table-followers.js';
 
 /** Duration of a call to a slow store. */
 const slowCallMs = 240;
