Count only attempts that may have reached an upstream

What callers saw: a request whose first two upstreams could not be connected to was refused, although other upstreams were free.

Cause: an attempt counted when it was started, not when it left the daemon.

Change: an attempt that was never sent gives its count back. Such attempts have a limit of their own, four, which bounds the connections that one request opens.

Evidence: without the change 3 of the 42 tests of forwarding.test.ts fail (a request with two attempts, two dead upstreams and a live one is refused); with it all pass.

--- a/packages/forwarding/src/decide-attempt.ts
+++ b/packages/forwarding/src/decide-attempt.ts
@@ -13,9 +13,11 @@
 
 export type AttemptState = Readonly<{
 	requestKind: RequestKind;
-	/** Number of upstreams that the request has been sent to. */
+	/** Number of upstreams that may have received the request. */
 	sent: number;
 	maxAttempts: number;
+	/** Number of attempts that certainly never left this daemon. */
+	notSent: number;
 	/** Number of attempts that are still running. */
 	running: number;
 	/** Whether there is an upstream that has not had the request. */
@@ -39,6 +41,8 @@
 
 /** Minimum remaining time for another attempt. */
 const minAttemptMs = 15;
+/** Attempts that never left this daemon don't count towards those of the route. This limit bounds the connections that one request opens. */
+const maxNotSent = 4;
 
 /**
 Decides what to do after an attempt has ended. A request that is not idempotent is retried only if it certainly has not run.
@@ -51,8 +55,8 @@
 
 	const isIdempotent = state.requestKind === 'idempotent';
 	const mayHaveExecuted = outcome.kind === 'answered' || outcome.kind === 'broken';
-	const canRetry = state.hasCandidate && state.sent < state.maxAttempts && state.remainingMs > minAttemptMs && (isIdempotent || !mayHaveExecuted);
-	if (canRetry) {
+	const hasAttempt = state.hasCandidate && state.sent < state.maxAttempts && state.notSent < maxNotSent && state.remainingMs > minAttemptMs;
+	if (hasAttempt && (isIdempotent || !mayHaveExecuted)) {
 		return {kind: 'try-next'};
 	}
 
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -57,7 +57,10 @@
 	private readonly selection: UpstreamSelection;
 	/** Withdraws the request for a turn at an upstream that limits its rate. */
 	private withdrawTurn: (() => void) | undefined;
+	/** Number of upstreams that may have received the request. */
 	private sent = 0;
+	/** Number of attempts that certainly never left this daemon. */
+	private notSent = 0;
 	private mayHaveRun = false;
 	private isOver = false;
 	private readonly startedAt: Millis;
@@ -208,7 +211,13 @@
 						break;
 					}
 
-					case 'not-sent':
+					case 'not-sent': {
+						this.sent -= 1;
+						this.notSent += 1;
+						this.onFailure(attempt, end);
+						break;
+					}
+
 					case 'broken': {
 						this.onFailure(attempt, end);
 						break;
@@ -328,6 +337,7 @@
 			requestKind: this.req.route.kind,
 			sent: this.sent,
 			maxAttempts: this.req.route.maxAttempts,
+			notSent: this.notSent,
 			running: this.attempts.size + (this.withdrawTurn === undefined ? 0 : 1),
 			hasCandidate: this.hasCandidate('retry'),
 			mayHaveRun: this.mayHaveRun || this.attempts.size > 0,
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -55,7 +55,7 @@
 
 describe('decideNextStep', () => {
 	const state = (fields: Partial<AttemptState> = {}): AttemptState => ({
-		requestKind: 'idempotent', sent: 1, maxAttempts: 3, running: 0, hasCandidate: true, mayHaveRun: true, remainingMs: 500, ...fields,
+		requestKind: 'idempotent', sent: 1, maxAttempts: 3, notSent: 0, running: 0, hasCandidate: true, mayHaveRun: true, remainingMs: 500, ...fields,
 	});
 
 	describe('a request of kind `once`', () => {
@@ -89,6 +89,11 @@
 			expect(decideNextStep({kind: 'broken', cause: 'cut'}, state({sent: 3, running: 1}))).toEqual({kind: 'wait'});
 		});
 
+		it('opens few connections if no upstream accepts one', () => {
+			expect(decideNextStep({kind: 'not-sent', cause: 'ECONNREFUSED'}, state({sent: 0, mayHaveRun: false, notSent: 3}))).toEqual({kind: 'try-next'});
+			expect(decideNextStep({kind: 'not-sent', cause: 'ECONNREFUSED'}, state({sent: 0, mayHaveRun: false, notSent: 4}))).toEqual({kind: 'refuse'});
+		});
+
 		it('is not retried when too little time is left', () => {
 			expect(decideNextStep({kind: 'broken', cause: 'cut'}, state({remainingMs: 5}))).toEqual({kind: 'fail'});
 		});
@@ -321,6 +326,17 @@
 		expect(await send(createForwarder([full.record]), 'two', 'once')).toMatchObject({failure: {kind: 'refused'}});
 	});
 
+	it.each<RequestKind>(['idempotent', 'once'])('serves an %s request although as many upstreams as it may reach refuse connections', async kind => {
+		const dead = [await startUpstream('u1', () => undefined), await startUpstream('u2', () => undefined)];
+		await Promise.all(servers.splice(-2).map(async server => new Promise(resolve => {
+			server.close(resolve);
+		})));
+		const live = await startUpstream('u3', (socket, id) => {
+			socket.write(sealed(id, 'done'));
+		});
+		expect(await send(createForwarder([...dead, live].map(({record}) => record)), 'one', kind, {maxAttempts: 2})).toEqual({status: 200, body: 'done'});
+	});
+
 	it('reports a request as not run if no upstream accepts a connection', async () => {
 		const {record} = await startUpstream('u1', () => undefined);
 		await new Promise(resolve => {
