Give up a connection that is not established after exactly 300 ms

Cause: the limit of 600 ms was enforced by undici, whose timers for connections run twice a second, so that it took anything from less than that to a second.

Change: the pool enforces the limit with a timer of its own, at 300 ms. A round trip between regions takes 30 ms; a lost opening packet is sent again after a second, which neither limit waits for. A connection that is established later is closed.

--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -1,10 +1,12 @@
 import {EventEmitter} from 'node:events';
 import type {Socket} from 'node:net';
-import type {UpstreamId} from '@cicadapost/types';
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {Millis, UpstreamId} from '@cicadapost/types';
+import {
+	buildConnector, Client, errors, type Dispatcher,
+} from 'undici';
 
-/** Time limit for establishing a connection. The latency between two data centres is at most 30 ms. */
-const connectTimeoutMs = 600;
+/** Time limit for establishing a connection. A round trip between two data centres takes at most 30 ms. */
+const connectTimeoutMs = 300;
 /** An idle connection is closed after this time unless the upstream announces a different keep-alive timeout. */
 const idleTimeoutMs = 4000;
 /** Maximum number of idle connections kept per upstream. */
@@ -55,7 +57,26 @@
 */
 const maxUnparsedBytes = 256 * 1024;
 
-const connectSocket = buildConnector({timeout: connectTimeoutMs});
+/** Opens sockets within a time limit. The limit of undici is checked only twice a second. */
+export function limitConnectTime(connect: buildConnector.connector, timeoutMs: Millis): buildConnector.connector {
+	return (options, callback) => {
+		let hasTimedOut = false;
+		const timer = setTimeout(() => {
+			hasTimedOut = true;
+			callback(new errors.ConnectTimeoutError(`no connection within ${timeoutMs} ms`), null);
+		}, timeoutMs);
+		connect(options, (...result) => {
+			clearTimeout(timer);
+			if (hasTimedOut) {
+				result[1]?.destroy();
+			} else {
+				callback(...result);
+			}
+		});
+	};
+}
+
+const connectSocket = limitConnectTime(buildConnector({timeout: connectTimeoutMs}), connectTimeoutMs);
 
 class Connection {
 	readonly client: Client;
