Pass the requests of a daemon without links to upstreams on to another daemon

Cause: a daemon has no path to the upstreams but its own links.

Change: a daemon that reaches no upstream passes plain requests on to one that does, by one call with a connection of its own. It finds the partition from failing connections or silence, followed by up to three probes; before that, a request goes to another daemon after two upstreams that could not be reached. One hop, three sends, the attempts of the route; a helping daemon declines at once if it is partitioned, older in its configuration or busy. Calls need the key that the daemon's row in the store holds. No cost while links are whole, but for one row and a socket.

Why it works: what had to fail before, the last path to an upstream, now has an alternative that shares nothing with the broken one.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -5,7 +5,7 @@
 } from '@cicadapost/batches';
 import {UpstreamDirectory, VersionHistory} from '@cicadapost/fleet';
 import {
-	type ConnectionPool, Forwarder, UpstreamHealthTracker, type UpstreamProtocol,
+	ConnectionPool, Forwarder, UpstreamHealthTracker, type RequestReport, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
 import {ownerOf} from '@cicadapost/membership';
 import type {Logger} from '@cicadapost/observability';
@@ -31,6 +31,7 @@
 import {MembershipTask} from './membership-task.js';
 import {OperatorState} from './operator-state.js';
 import type {PlatformTables} from './platform-tables.js';
+import {RelayTask} from './relay-task.js';
 import {StreamRecords} from './stream-records.js';
 import {createFollowers, type TableFollowers} from './table-followers.js';
 import {UpstreamList} from './upstream-list.js';
@@ -78,6 +79,7 @@
 	private readonly metrics = new EntryMetrics();
 	private readonly followers: TableFollowers;
 	private readonly membership: MembershipTask;
+	private readonly relays: RelayTask;
 	private readonly fleetView: FleetView;
 	private readonly crashReports: CrashReports;
 	private readonly rateLimiter: RateLimiter;
@@ -122,16 +124,14 @@
 				ownsEngines: this.fleetView.ownedEngines().length > 0, running: this.sampleRunner.count, waiting: this.batchService.waiting,
 			}),
 		});
+		const self = {
+			daemon: settings.vm as DaemonId,
+			incarnation: this.incarnation,
+			dataCentre: settings.dataCentre as DataCentreId,
+			region: settings.region as RegionId,
+		};
 		this.membership = new MembershipTask({
-			clock,
-			store,
-			follower: this.followers.fleet,
-			self: {
-				daemon: settings.vm as DaemonId,
-				incarnation: this.incarnation,
-				dataCentre: settings.dataCentre as DataCentreId,
-				region: settings.region as RegionId,
-			},
+			clock, store, follower: this.followers.fleet, self,
 		});
 		this.fleetView = new FleetView({
 			clock,
@@ -278,26 +278,53 @@
 				logger.info({event: 'batch-deleted', batch}, 'deleted the rows of an expired batch');
 			},
 		});
+		const forwarding = {
+			clock,
+			directory: this.directory,
+			pool: this.pool,
+			health: this.health,
+			protocol: platform.upstreams,
+			crashes: this.crashReports,
+			limits: this.rateLimiter,
+			streams: this.streamRecords,
+			dataCentre: settings.dataCentre as DataCentreId,
+			random: options.random ?? Math.random,
+		};
+		this.relays = new RelayTask({
+			...forwarding,
+			logger,
+			store,
+			follower: this.followers.fleet,
+			self,
+			address: settings.listen.relay,
+			protocol: platform.callers,
+			upstreamPool: this.pool,
+			daemonPool: new ConnectionPool(),
+			forwarder: new Forwarder({
+				...forwarding,
+				onRequestReport: report => {
+					this.recordRequest({...report, inputs: {...report.inputs, ofOtherDaemon: true}});
+				},
+			}),
+			upstreams: () => this.directory.all(),
+			members: now => this.membership.members(now),
+			configuration: () => this.operatorState.configuration,
+			onChanged: () => {
+				this.fleetView.invalidate();
+				this.claimWorker.wake();
+			},
+			onAccepted: () => {
+				this.metrics.recordRequestOfOtherDaemon();
+			},
+		});
 		this.frontServer = new FrontServer({
 			clock,
 			protocol: platform.callers,
 			forwarder: new Forwarder({
-				clock,
-				directory: this.directory,
-				pool: this.pool,
-				health: this.health,
-				protocol: platform.upstreams,
-				crashes: this.crashReports,
-				limits: this.rateLimiter,
-				streams: this.streamRecords,
-				dataCentre: settings.dataCentre as DataCentreId,
-				random: options.random ?? Math.random,
+				...forwarding,
+				relays: this.relays.path,
 				onRequestReport: report => {
-					if (report.tookMs !== undefined) {
-						this.metrics.recordRequest(String(report.inputs.route), report.outcome, report.tookMs);
-					}
-
-					logger.info({event: 'request', ...report}, report.outcome);
+					this.recordRequest(report);
 				},
 			}),
 			batches: this.batchService,
@@ -307,7 +334,7 @@
 				logger.info({event: 'call', ...report}, report.outcome);
 			},
 		});
-		this.healthServer = new HealthServer({readyPath: platform.callers.readyPath, isReady: () => this.isReady()});
+		this.healthServer = new HealthServer({readyPath: platform.callers.readyPath, isReady: () => this.isReady});
 		this.operatorState = new OperatorState({
 			logger,
 			tables: platform.tables,
@@ -361,6 +388,7 @@
 
 		this.membership.start();
 		await Promise.all([
+			this.relays.start(),
 			this.frontServer.listen(parseAddress(settings.listen.callers)),
 			this.healthServer.listen(parseAddress(settings.listen.health)),
 			...(settings.listen.metrics === undefined ? [] : [this.metrics.listen(parseAddress(settings.listen.metrics))]),
@@ -389,6 +417,7 @@
 		this.claimWorker.stop();
 		this.weightLoader.stop();
 		this.frontServer.startDraining();
+		this.relays.startDraining();
 		let hasReleasedRuns = false;
 		for (;;) {
 			const elapsed = clock.now() - startedAt;
@@ -397,7 +426,7 @@
 				this.sampleRunner.releaseAll('shutdown');
 			}
 
-			const isIdle = this.frontServer.isIdle && this.sampleRunner.count === 0 && this.commitQueue.isIdle;
+			const isIdle = this.frontServer.isIdle && this.relays.isIdle && this.sampleRunner.count === 0 && this.commitQueue.isIdle;
 			if ((isIdle && elapsed > Math.min(loadBalancerDrainMs, graceMs)) || elapsed > graceMs - exitMarginMs) {
 				break;
 			}
@@ -422,12 +451,21 @@
 		this.crashReports.stop();
 		this.rateLimiter.stop();
 		this.streamRecords.stop();
+		this.relays.stop();
 		this.frontServer.close();
 		this.healthServer.close();
 		this.metrics.close();
 		this.pool.close();
 	}
 
+	private recordRequest(report: RequestReport): void {
+		if (report.tookMs !== undefined) {
+			this.metrics.recordRequest(String(report.inputs.route), report.outcome, report.tookMs);
+		}
+
+		this.options.logger.info({event: 'request', ...report}, report.outcome);
+	}
+
 	private subscribe(): void {
 		this.followers.batches.on('changed', changes => {
 			for (const err of this.batchCache.apply(changes)) {
@@ -447,7 +485,8 @@
 		return ownerOf(part, this.membership.members(clock.now()).map(member => member.daemon)) === settings.vm;
 	}
 
-	private isReady(): boolean {
+	/** Whether the load balancer may send new connections to this daemon. */
+	get isReady(): boolean {
 		const now = this.options.clock.now();
 		return !this.isStopping && this.operatorState.configuration !== undefined && Object.values(this.followers).every(follower => follower.isLoaded && follower.age(now) < maxStoreSilenceMs);
 	}
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -21,6 +21,7 @@
 	private readonly storeCalls = this.counter('store_calls_total', 'Calls to the store by call, table and outcome', ['call', 'table', 'outcome']);
 	private readonly storeRows = this.counter('store_rows_total', 'Rows that the store returned, by call and table', ['call', 'table']);
 	private readonly limitedRequests = this.counter('limited_requests_total', 'Requests to upstreams that have named a limit, by reason', ['reason']);
+	private readonly requestsOfOtherDaemons = this.counter('requests_of_other_daemons_total', 'Requests taken from daemons without links to upstreams', []);
 	private readonly requestLatency = this.histogram('request_duration_ms', 'Time to the answer of plain requests', ['route']);
 	private readonly sampleLatency = this.histogram('sample_duration_ms', 'Time of runs of samples', ['outcome']);
 	private server: Server | undefined;
@@ -57,6 +58,10 @@
 		this.limitedRequests.inc({reason});
 	}
 
+	recordRequestOfOtherDaemon(): void {
+		this.requestsOfOtherDaemons.inc();
+	}
+
 	async text(): Promise<string> {
 		return this.registry.metrics();
 	}
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -15,6 +15,8 @@
 		callers: address,
 		/** Readiness probe of the platform. */
 		health: address,
+		/** Requests that other daemons pass on while they have no links to upstreams. Such requests are neither taken nor passed on if absent. */
+		relay: address.optional(),
 		/** Prometheus metrics. Disabled if absent. */
 		metrics: address.optional(),
 	}),
--- /dev/null
+++ b/packages/entry/src/relay-directory.ts
@@ -0,0 +1,124 @@
+import {randomBytes} from 'node:crypto';
+import type {MemberRecord} from '@cicadapost/fleet';
+import type {RelayCandidate} from '@cicadapost/relays';
+import type {RowChange, RowStore, TableFollower} from '@cicadapost/store';
+import type {DaemonId, DaemonIncarnation} from '@cicadapost/types';
+import {fleetTable} from './member-rows.js';
+import {
+	decodeRelayRecord, encodeRelayRecord, relayKey, type RelayRecord,
+} from './relay-rows.js';
+
+export type RelayDirectoryOptions = Readonly<{
+	store: RowStore;
+	/** Follows the fleet's table. */
+	follower: TableFollower;
+	self: Readonly<{daemon: DaemonId; incarnation: DaemonIncarnation}>;
+	/** Where this daemon takes requests of others. Undefined if it takes none. */
+	address: string | undefined;
+	/** Called when another daemon has announced or revoked a partition. */
+	onChanged: () => void;
+}>;
+
+const keyBytes = 12;
+const writeTimeoutMs = 2000;
+const retryMs = 500;
+
+/** Announces how this daemon takes requests of others and whether it reaches upstreams, and knows the same of the other daemons. */
+export class RelayDirectory {
+	/** Key that other daemons must present here. Each process makes a new one. */
+	readonly key = randomBytes(keyBytes).toString('base64url');
+	private readonly records = new Map<string, RelayRecord>();
+	private isPartitioned = false;
+	private isWriting = false;
+	private isStopped = false;
+	private written: boolean | undefined;
+	private retryTimer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly options: RelayDirectoryOptions) {
+		options.follower.on('changed', changes => {
+			this.apply(changes);
+		});
+	}
+
+	/** Announces this daemon. */
+	start(): void {
+		void this.write();
+	}
+
+	stop(): void {
+		this.isStopped = true;
+		clearTimeout(this.retryTimer);
+	}
+
+	/** Announces that this daemon reaches no upstream, or that it reaches them again. */
+	announce(isPartitioned: boolean): void {
+		this.isPartitioned = isPartitioned;
+		void this.write();
+	}
+
+	/** Returns the members that take requests of other daemons, without this one. */
+	candidates(members: readonly MemberRecord[]): RelayCandidate[] {
+		return members.flatMap(({daemon, incarnation, dataCentre, region}): RelayCandidate[] => {
+			const record = this.recordOf(daemon, incarnation);
+			return record === undefined || daemon === this.options.self.daemon
+				? []
+				: [{
+					daemon, dataCentre, region, address: record.address, key: record.key, isPartitioned: record.isPartitioned,
+				}];
+		});
+	}
+
+	/** The record of an earlier process of the daemon does not count. */
+	private recordOf(daemon: DaemonId, incarnation: DaemonIncarnation): RelayRecord | undefined {
+		const record = this.records.get(daemon);
+		return record?.incarnation === incarnation ? record : undefined;
+	}
+
+	private apply(changes: readonly RowChange[]): void {
+		let hasChanges = false;
+		for (const change of changes) {
+			const {part, key} = change.kind === 'written' ? change.row : change.key;
+			if (key !== relayKey) {
+				continue;
+			}
+
+			hasChanges = true;
+			const record = change.kind === 'written' ? decodeRelayRecord(change.row.value) : undefined;
+			if (record === undefined) {
+				this.records.delete(part);
+			} else {
+				this.records.set(part, record);
+			}
+		}
+
+		if (hasChanges) {
+			this.options.onChanged();
+		}
+	}
+
+	/** Writes the present state, and again until the store has taken it. */
+	private async write(): Promise<void> {
+		const {store, self, address} = this.options;
+		if (this.isWriting || this.isStopped || address === undefined || this.written === this.isPartitioned) {
+			return;
+		}
+
+		this.isWriting = true;
+		clearTimeout(this.retryTimer);
+		const {isPartitioned} = this;
+		const value = encodeRelayRecord({
+			incarnation: self.incarnation, address, key: this.key, isPartitioned,
+		});
+		const outcome = await store.transact({part: self.daemon, writes: [{table: fleetTable, key: relayKey, value}]}, writeTimeoutMs);
+		this.isWriting = false;
+		if (outcome.kind === 'committed') {
+			this.written = isPartitioned;
+			void this.write();
+		} else {
+			this.written = undefined;
+			this.retryTimer = setTimeout(() => {
+				void this.write();
+			}, retryMs);
+		}
+	}
+}
--- /dev/null
+++ b/packages/forwarding/src/attempt.ts
@@ -0,0 +1,46 @@
+import type {Millis} from '@cicadapost/types';
+import type {AttemptTarget} from './attempt-target.js';
+import type {Exchange, ResponseHead} from './connection-pool.js';
+import type {ResponseMetadata} from './upstream-protocol.js';
+
+/** Maximum size of a buffered response, which is passed on only when complete. An attempt with a longer response fails. */
+const maxBufferedResponseBytes = 4 * 1024 * 1024;
+/** Maximum length of a line in a stream of events. Longer ones are no events, and a caller's parser would have to keep them. */
+const maxStreamLineBytes = 1024 * 1024;
+const lineFeed = 0x0A;
+
+/** One attempt of a request, and what has arrived of its response. */
+export class Attempt {
+	exchange: Exchange | undefined;
+	head: ResponseHead | undefined;
+	metadata: ResponseMetadata | undefined;
+	isStreaming = false;
+	private readonly chunks: Uint8Array[] = [];
+	/** Size of `chunks`, or of the current line of a stream. */
+	private size = 0;
+
+	constructor(readonly target: AttemptTarget, readonly sentAt: Millis) {}
+
+	/** Keeps a chunk until the response is complete. Returns false if the response is too long. */
+	buffer(chunk: Uint8Array): boolean {
+		this.chunks.push(chunk);
+		this.size += chunk.length;
+		return this.size <= maxBufferedResponseBytes;
+	}
+
+	/** Returns false if a chunk of a stream continues a line that is too long. */
+	checkLine(chunk: Uint8Array): boolean {
+		const lineEnd = chunk.lastIndexOf(lineFeed);
+		this.size = lineEnd === -1 ? this.size + chunk.length : chunk.length - lineEnd - 1;
+		return this.size <= maxStreamLineBytes;
+	}
+
+	get body(): Uint8Array {
+		return Buffer.concat(this.chunks);
+	}
+
+	/** The target and the state of its connection, for logs. */
+	describe(): string {
+		return `${this.target.upstream ?? this.target.relay} ${this.exchange?.connection() ?? 'connecting'}`;
+	}
+}
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -1,6 +1,8 @@
 import {EventEmitter} from 'node:events';
 import type {Socket} from 'node:net';
-import type {Millis, UpstreamId} from '@cicadapost/types';
+import {
+	SystemClock, type Clock, type Millis, type UpstreamId,
+} from '@cicadapost/types';
 import {
 	buildConnector, Client, errors, type Dispatcher,
 } from 'undici';
@@ -57,6 +59,12 @@
 */
 const maxUnparsedBytes = 256 * 1024;
 
+export type ConnectionPoolOptions = Readonly<{
+	clock?: Clock;
+	/** Opens the socket of a connection. */
+	connect?: buildConnector.connector;
+}>;
+
 /** Opens sockets within a time limit. The limit of undici is checked only twice a second. */
 export function limitConnectTime(connect: buildConnector.connector, timeoutMs: Millis): buildConnector.connector {
 	return (options, callback) => {
@@ -76,8 +84,6 @@
 	};
 }
 
-const connectSocket = limitConnectTime(buildConnector({timeout: connectTimeoutMs}), connectTimeoutMs);
-
 class Connection {
 	readonly client: Client;
 	isOpen = false;
@@ -85,11 +91,11 @@
 	/** Number of bytes that the socket had received when the last piece of a response was parsed. */
 	private parsedBytes = 0;
 
-	constructor(address: string) {
+	constructor(address: string, connect: buildConnector.connector) {
 		this.client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect: (options, callback) => {
-				connectSocket(options, (...result) => {
+				connect(options, (...result) => {
 					const [err, socket] = result;
 					if (!err) {
 						this.watch(socket);
@@ -131,29 +137,70 @@
 }
 
 type PoolEvents = {
+	/** A connection was established. */
 	connected: [upstream: UpstreamId];
+	/** A connection could not be established, or broke while it had a request. */
+	failed: [upstream: UpstreamId, cause: string];
 };
 
 /** Pools connections to upstreams, with one request at a time on each. A connection is reused only after a complete exchange. */
 export class ConnectionPool extends EventEmitter<PoolEvents> {
 	private readonly idle = new Map<UpstreamId, Connection[]>();
+	private readonly connect: buildConnector.connector;
+	private readonly clock: Clock;
+	private receivedAt = Number.NEGATIVE_INFINITY;
+	/** Time at which each exchange in progress began. */
+	private readonly startTimes = new Set<Readonly<{at: Millis}>>();
+
+	constructor(options: ConnectionPoolOptions = {}) {
+		super();
+		this.clock = options.clock ?? new SystemClock();
+		this.connect = options.connect ?? limitConnectTime(buildConnector({timeout: connectTimeoutMs}), connectTimeoutMs);
+	}
 
 	hasIdle(upstream: UpstreamId): boolean {
 		return this.idle.get(upstream)?.some(connection => connection.isOpen) ?? false;
 	}
 
+	/** Time at which the last piece of a response arrived from any upstream. */
+	get lastReceivedAt(): Millis {
+		return this.receivedAt;
+	}
+
+	/** Returns for how long nothing has arrived from any upstream although there are exchanges in progress. */
+	silentFor(now: Millis): Millis {
+		const [oldest] = this.startTimes;
+		return oldest === undefined ? 0 : now - Math.max(oldest.at, this.receivedAt);
+	}
+
+	/** Whether a connection to the address can be established. It is closed at once. */
+	async canConnect(address: string): Promise<boolean> {
+		const {protocol, hostname, port, host} = new URL(`http://${address}`);
+		return new Promise(resolve => {
+			this.connect({
+				protocol, hostname, port, host,
+			}, (err, socket) => {
+				socket?.destroy();
+				resolve(err === null);
+			});
+		});
+	}
+
 	/** Sends one request and reports its response to `handlers`. */
 	exchange(upstream: Readonly<{id: UpstreamId; address: string}>, req: ExchangeRequest, handlers: ExchangeHandlers): Exchange {
 		const kept = this.takeIdle(upstream.id);
 		const connection = kept ?? this.open(upstream);
 		let isSent = false;
 		let isOver = false;
+		const startTime = {at: this.clock.now()};
+		this.startTimes.add(startTime);
 		const finish = (end: ExchangeEnd) => {
 			if (isOver) {
 				return;
 			}
 
 			isOver = true;
+			this.startTimes.delete(startTime);
 			if (end.kind === 'complete') {
 				this.returnToPool(upstream.id, connection);
 			} else {
@@ -163,18 +210,31 @@
 			handlers.onEnd(end);
 		};
 
+		const recordProgress = () => {
+			this.receivedAt = this.clock.now();
+			connection.recordProgress();
+		};
+
+		const fail = (end: Extract<ExchangeEnd, {kind: 'not-sent' | 'broken'}>) => {
+			if (!isOver) {
+				this.emit('failed', upstream.id, end.cause);
+			}
+
+			finish(end);
+		};
+
 		const handler: Dispatcher.DispatchHandler = {
 			onRequestStart() {
 				isSent = true;
 			},
 			onResponseStart(controller, status, headers) {
-				connection.recordProgress();
+				recordProgress();
 				if (!isOver && status >= 200 && !handlers.onHead({status, headers})) {
 					finish({kind: 'broken', cause: 'the response belongs to another request'});
 				}
 			},
 			onResponseData(controller, chunk) {
-				connection.recordProgress();
+				recordProgress();
 				if (!isOver && !handlers.onData(chunk)) {
 					finish({kind: 'broken', cause: responseTooLong});
 				}
@@ -183,7 +243,7 @@
 				finish({kind: 'complete'});
 			},
 			onResponseError(controller, err) {
-				finish({kind: isSent ? 'broken' : 'not-sent', cause: errorCodeOrMessage(err)});
+				fail({kind: isSent ? 'broken' : 'not-sent', cause: errorCodeOrMessage(err)});
 			},
 		};
 		connection.recordProgress();
@@ -223,8 +283,11 @@
 	}
 
 	private open(upstream: Readonly<{id: UpstreamId; address: string}>): Connection {
-		this.emit('connected', upstream.id);
-		return new Connection(upstream.address);
+		const connection = new Connection(upstream.address, this.connect);
+		connection.client.on('connect', () => {
+			this.emit('connected', upstream.id);
+		});
+		return connection;
 	}
 
 	private takeIdle(upstream: UpstreamId): Connection | undefined {
--- a/packages/forwarding/src/decide-attempt.ts
+++ b/packages/forwarding/src/decide-attempt.ts
@@ -9,7 +9,9 @@
 	| Readonly<{kind: 'not-run'; status: number}>
 	| Readonly<{kind: 'not-sent'; cause: string}>
 	/** The response was cut off or malformed, or belongs to another request. */
-	| Readonly<{kind: 'broken'; cause: string}>;
+	| Readonly<{kind: 'broken'; cause: string}>
+	/** Another daemon tried what it could and states that the request has not run. */
+	| Readonly<{kind: 'refused'; cause: string}>;
 
 export type AttemptState = Readonly<{
 	requestKind: RequestKind;
@@ -20,7 +22,7 @@
 	notSent: number;
 	/** Number of attempts that are still running. */
 	running: number;
-	/** Whether there is an upstream that has not had the request. */
+	/** Whether there is an upstream that has not had the request, or a daemon that may pass it on. */
 	hasCandidate: boolean;
 	/** Whether an attempt may have run the request or is still running. */
 	mayHaveRun: boolean;
@@ -56,7 +58,7 @@
 	const isIdempotent = state.requestKind === 'idempotent';
 	const mayHaveExecuted = outcome.kind === 'answered' || outcome.kind === 'broken';
 	const hasAttempt = state.hasCandidate && state.sent < state.maxAttempts && state.notSent < maxNotSent && state.remainingMs > minAttemptMs;
-	if (hasAttempt && (isIdempotent || !mayHaveExecuted)) {
+	if (hasAttempt && outcome.kind !== 'refused' && (isIdempotent || !mayHaveExecuted)) {
 		return {kind: 'try-next'};
 	}
 
@@ -87,3 +89,32 @@
 	const isAllowed = state.requestKind === 'idempotent' && state.sent < state.maxAttempts && state.hasCandidate;
 	return isAllowed ? state.targetLatencyMs * hedgeDelayFraction : undefined;
 }
+
+export type PathState = Readonly<{
+	/** Whether this daemon has found that it reaches no upstream. */
+	isPartitioned: boolean;
+	/** Number of attempts of the request that found no connection or have no response, while no upstream has sent this daemon anything. */
+	unreached: number;
+	/** Whether there is an upstream that has not had the request. */
+	hasUpstream: boolean;
+	/** Returns whether there is a daemon that may pass the request on. Called only if the links are in doubt. */
+	hasRelay: () => boolean;
+}>;
+
+/** After this many upstreams that could not be reached, the links of this daemon are a more likely cause than the upstreams. */
+const unreachedBeforeRelay = 2;
+
+/** Chooses between an upstream and another daemon that passes the request on. Returns undefined if neither can be used. */
+export function choosePath({isPartitioned, unreached, hasUpstream, hasRelay}: PathState): 'upstream' | 'relay' | undefined {
+	const doubtsLinks = isPartitioned || unreached >= unreachedBeforeRelay || (unreached > 0 && !hasUpstream);
+	if (doubtsLinks && hasRelay()) {
+		return 'relay';
+	}
+
+	return hasUpstream ? 'upstream' : undefined;
+}
+
+/** Returns the number of upstreams that one other daemon may send a request to. The rest is left for a second daemon, if the first does not respond. */
+export function relayedAttempts({sent, maxAttempts}: Readonly<{sent: number; maxAttempts: number}>): number {
+	return Math.max(1, Math.ceil((maxAttempts - sent) / 2));
+}
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -1,19 +1,22 @@
 import type {UpstreamRecord} from '@cicadapost/fleet';
 import type {SendReason, Turn} from '@cicadapost/rate-limits';
-import type {Millis, UpstreamId} from '@cicadapost/types';
-import type {ResponseHead, ConnectionPool, Exchange} from './connection-pool.js';
-import {mayHaveCrashed, type CrashGuard} from './crash-registry.js';
-import {decideNextStep, hedgeDelay, type AttemptOutcome} from './decide-attempt.js';
+import type {DaemonId, Millis} from '@cicadapost/types';
+import {
+	RelayTarget, UpstreamTarget, type AttemptEnd, type AttemptTarget, type UpstreamTargetOptions,
+} from './attempt-target.js';
+import {Attempt} from './attempt.js';
+import type {ResponseHead} from './connection-pool.js';
+import {
+	choosePath, decideNextStep, hedgeDelay, relayedAttempts, type AttemptOutcome,
+} from './decide-attempt.js';
 import type {PlainRequest, RequestReport, ResponseReceiver} from './plain-request.js';
-import {resolveOrigin, type StreamContinuation, type StreamOrigins} from './stream-origins.js';
-import {isFromUpstream, type ResponseMetadata, type UpstreamProtocol} from './upstream-protocol.js';
+import {NoRelayPath, type RelayPath} from './relay-path.js';
+import {resolveOrigin, type StreamContinuation} from './stream-origins.js';
 import {UpstreamSelection, type UpstreamSelectionOptions} from './upstream-selection.js';
 
-export type ForwarderOptions = UpstreamSelectionOptions & Readonly<{
-	pool: ConnectionPool;
-	protocol: UpstreamProtocol;
-	crashes: CrashGuard;
-	streams: StreamOrigins;
+export type ForwarderOptions = UpstreamSelectionOptions & UpstreamTargetOptions & Readonly<{
+	/** Defaults to none. */
+	relays?: RelayPath;
 	onRequestReport: (report: RequestReport) => void;
 }>;
 
@@ -23,23 +26,8 @@
 const streamRetryMs = 500;
 /** A timeout counts as a failure of the upstream only if it had the request for this long, since a route's timeout may be shorter than the work takes. */
 const timeoutFailureThresholdMs = 700;
-/** Maximum size of a buffered response, which is passed on only when complete. An attempt with a longer response fails. */
-const maxBufferedResponseBytes = 4 * 1024 * 1024;
-/** Maximum length of a line in a stream of events. Longer ones are no events, and a caller's parser would have to keep them. */
-const maxStreamLineBytes = 1024 * 1024;
-const lineFeed = 0x0A;
-
-type Attempt = {
-	readonly upstream: UpstreamRecord;
-	readonly sentAt: Millis;
-	exchange: Exchange | undefined;
-	head: ResponseHead | undefined;
-	metadata: ResponseMetadata | undefined;
-	chunks: Uint8Array[];
-	/** Size of `chunks`, or of the current line of a stream. */
-	size: number;
-	isStreaming: boolean;
-};
+/** Maximum number of daemons that one request is passed on to. */
+const maxRelays = 3;
 
 /** Sends plain requests to upstreams and returns one complete response for each. */
 export class Forwarder {
@@ -61,6 +49,11 @@
 	private sent = 0;
 	/** Number of attempts that certainly never left this daemon. */
 	private notSent = 0;
+	private readonly relayPath: RelayPath;
+	/** Daemons that the request was passed on to. */
+	private readonly triedRelays = new Set<DaemonId>();
+	/** Retry-After of another daemon's refusal. */
+	private relayRetryMs = 0;
 	private mayHaveRun = false;
 	private isOver = false;
 	private readonly startedAt: Millis;
@@ -73,6 +66,7 @@
 		private readonly receiver: ResponseReceiver,
 	) {
 		this.startedAt = options.clock.now();
+		this.relayPath = options.relays ?? new NoRelayPath();
 		this.selection = new UpstreamSelection(options, req);
 	}
 
@@ -122,10 +116,28 @@
 	}
 
 	private hasCandidate(reason: SendReason): boolean {
-		return !this.options.crashes.isBlocked(this.req) && this.selection.candidates(reason).length > 0;
+		return !this.options.crashes.isBlocked(this.req) && this.choosePath(reason) !== undefined;
+	}
+
+	private choosePath(reason: SendReason): 'upstream' | 'relay' | undefined {
+		return choosePath({
+			isPartitioned: this.relayPath.isPartitioned,
+			unreached: this.notSent + this.countUnheard(),
+			hasUpstream: this.selection.candidates(reason).length > 0,
+			hasRelay: () => this.triedRelays.size < maxRelays && this.relayPath.choose(this.triedRelays) !== undefined,
+		});
+	}
+
+	/** Number of attempts at upstreams without a response, while this daemon has received nothing from any upstream. */
+	private countUnheard(): number {
+		return [...this.attempts].filter(({target, head, sentAt}) => target.upstream !== undefined && head === undefined && this.options.pool.lastReceivedAt < sentAt).length;
 	}
 
 	private tryNext(reason: SendReason): boolean {
+		if (this.choosePath(reason) === 'relay') {
+			return this.relay();
+		}
+
 		const {limits} = this.options;
 		const upstream = this.selection.choose(reason);
 		if (upstream === undefined) {
@@ -143,6 +155,21 @@
 		return true;
 	}
 
+	private relay(): boolean {
+		const {req, relayPath} = this;
+		const relay = relayPath.choose(this.triedRelays);
+		if (relay === undefined) {
+			return false;
+		}
+
+		this.triedRelays.add(relay);
+		const maxAttempts = relayedAttempts({sent: this.sent, maxAttempts: req.route.maxAttempts});
+		this.startAttempt(new RelayTarget({
+			relayPath, relay, req, maxAttempts,
+		}));
+		return true;
+	}
+
 	/** Waits for a turn at an upstream that limits its rate, and looks for another one if none is free in time. */
 	private requestTurn(upstream: UpstreamRecord, {reason, maxWaitMs}: Readonly<{reason: SendReason; maxWaitMs: Millis}>): void {
 		this.withdrawTurn = this.options.limits.requestTurn(upstream, maxWaitMs, turn => {
@@ -168,63 +195,56 @@
 
 	private sendAttempt(upstream: UpstreamRecord, reason: SendReason): void {
 		this.selection.recordSend(upstream);
-		this.sent += 1;
-		this.send(upstream, reason);
-		this.scheduleHedge();
+		this.startAttempt(new UpstreamTarget(this.options, upstream, this.req, reason));
 	}
 
-	private send(upstream: UpstreamRecord, reason: SendReason): void {
-		const {
-			pool, health, protocol, limits,
-		} = this.options;
-		const {req} = this;
-		const attempt: Attempt = {
-			upstream, sentAt: this.options.clock.now(), exchange: undefined, head: undefined, metadata: undefined, chunks: [], size: 0, isStreaming: false,
-		};
+	private startAttempt(target: AttemptTarget): void {
+		this.sent += target.maxAttempts;
+		const attempt = new Attempt(target, this.options.clock.now());
 		this.attempts.add(attempt);
-		health.recordStart(upstream.id);
-		limits.recordSend(upstream, reason);
-		attempt.exchange = pool.exchange(upstream, {
-			method: req.method,
-			path: req.path,
-			headers: protocol.requestHeaders({
-				received: req.headers, host: req.host, requestId: req.requestId, deadlineMs: Math.max(1, Math.floor(this.remainingMs())), upstream: upstream.id,
-			}),
-			body: req.body,
-		}, {
+		attempt.exchange = target.send(Math.max(1, Math.floor(this.remainingMs())), {
 			onHead: head => this.onHead(attempt, head),
 			onData: chunk => this.onData(attempt, chunk),
 			onEnd: end => {
-				health.recordEnd(upstream.id);
+				target.record({kind: 'ended'});
 				this.attempts.delete(attempt);
-				if (this.isOver) {
-					return;
-				}
-
-				switch (end.kind) {
-					case 'complete': {
-						this.onResponseComplete(attempt);
-						break;
-					}
-
-					case 'aborted': {
-						break;
-					}
-
-					case 'not-sent': {
-						this.sent -= 1;
-						this.notSent += 1;
-						this.onFailure(attempt, end);
-						break;
-					}
-
-					case 'broken': {
-						this.onFailure(attempt, end);
-						break;
-					}
+				if (!this.isOver) {
+					this.onEnd(attempt, end);
 				}
 			},
 		});
+		this.scheduleHedge();
+	}
+
+	private onEnd(attempt: Attempt, end: AttemptEnd): void {
+		switch (end.kind) {
+			case 'complete': {
+				this.onResponseComplete(attempt);
+				break;
+			}
+
+			case 'aborted': {
+				break;
+			}
+
+			case 'not-sent': {
+				this.sent -= attempt.target.maxAttempts;
+				this.notSent += 1;
+				this.onFailure(attempt, end);
+				break;
+			}
+
+			case 'broken': {
+				this.onFailure(attempt, end);
+				break;
+			}
+
+			case 'refused': {
+				this.relayRetryMs = end.retryAfterMs;
+				this.proceedAfter(attempt, end);
+				break;
+			}
+		}
 	}
 
 	private onHead(attempt: Attempt, head: ResponseHead): boolean {
@@ -233,34 +253,21 @@
 			return false;
 		}
 
-		if (isFromUpstream(metadata, head.status)) {
-			this.options.limits.recordResponse(attempt.upstream, {requestsPerSecond: metadata.requestsPerSecond, sentAt: attempt.sentAt});
-		}
-
+		attempt.target.record({
+			kind: 'head', head, metadata, sentAt: attempt.sentAt,
+		});
 		attempt.head = head;
 		attempt.metadata = metadata;
-		if (metadata.load !== undefined) {
-			this.options.health.recordLoad(attempt.upstream.id, metadata.load, this.options.clock.now());
-		}
-
 		if (this.req.route.kind === 'stream' && head.status < 300 && metadata.isSigned && !this.isOver) {
 			this.abortOtherAttempts(attempt);
 			attempt.isStreaming = true;
-			this.recordOrigin(attempt.upstream);
+			attempt.target.record({kind: 'stream-started'});
 			this.receiver.head(head.status, this.options.protocol.responseHeaders(head));
 		}
 
 		return true;
 	}
 
-	/** Records where a new stream begins. A continued one keeps the record of its first request. */
-	private recordOrigin({service, softwareVersion}: UpstreamRecord): void {
-		const {requestId, route, continues} = this.req;
-		if (requestId !== undefined && route.isResumable && continues === undefined) {
-			this.options.streams.record(requestId, {service, softwareVersion});
-		}
-	}
-
 	/** Returns false if the response is too long. */
 	private onData(attempt: Attempt, chunk: Uint8Array): boolean {
 		if (this.isOver) {
@@ -268,14 +275,10 @@
 		}
 
 		if (!attempt.isStreaming) {
-			attempt.chunks.push(chunk);
-			attempt.size += chunk.length;
-			return attempt.size <= maxBufferedResponseBytes;
+			return attempt.buffer(chunk);
 		}
 
-		const lineEnd = chunk.lastIndexOf(lineFeed);
-		attempt.size = lineEnd === -1 ? attempt.size + chunk.length : chunk.length - lineEnd - 1;
-		if (attempt.size > maxStreamLineBytes) {
+		if (!attempt.checkLine(chunk)) {
 			return false;
 		}
 
@@ -291,7 +294,7 @@
 		}
 
 		if (attempt.isStreaming) {
-			this.options.health.recordSuccess(attempt.upstream.id);
+			attempt.target.record({kind: 'succeeded'});
 			this.finish('streamed', attempt);
 			this.receiver.end();
 			return;
@@ -307,17 +310,13 @@
 			return;
 		}
 
-		this.options.health.recordSuccess(attempt.upstream.id);
+		attempt.target.record({kind: 'succeeded'});
 		this.mayHaveRun = true;
 		this.proceedAfter(attempt, {kind: 'answered', status: head.status});
 	}
 
 	private onFailure(attempt: Attempt, failure: Readonly<{kind: 'not-sent' | 'broken'; cause: string}>): void {
-		this.options.health.recordFailure(attempt.upstream.id, this.options.clock.now());
-		if (mayHaveCrashed(failure)) {
-			this.options.crashes.reportPossibleCrash(this.req, attempt.upstream);
-		}
-
+		attempt.target.record({kind: 'failed', end: failure});
 		if (attempt.isStreaming) {
 			this.finish(`stream broke off: ${failure.cause}`, attempt);
 			this.receiver.truncate(failure.cause);
@@ -385,7 +384,7 @@
 		}
 
 		this.finish('answered', attempt, {status: head.status});
-		const body = Buffer.concat(attempt.chunks);
+		const {body} = attempt;
 		const headers = this.options.protocol.responseHeaders(head);
 		this.receiver.head(head.status, [...headers, 'content-length', String(body.length)]);
 		this.receiver.data(body);
@@ -399,7 +398,7 @@
 	}
 
 	private refuse(reason: string, minRetryMs = refusalRetryMs): void {
-		const retryAfterMs = Math.max(minRetryMs, this.selection.waitForTurnMs());
+		const retryAfterMs = Math.max(minRetryMs, this.relayRetryMs, this.selection.waitForTurnMs());
 		this.finish('refused', undefined, {reason, retryAfterMs: Math.round(retryAfterMs)});
 		this.receiver.fail({kind: 'refused', retryAfterMs, reason});
 	}
@@ -413,7 +412,7 @@
 		const now = this.options.clock.now();
 		for (const attempt of this.attempts) {
 			if (now - attempt.sentAt >= timeoutFailureThresholdMs) {
-				this.options.health.recordFailure(attempt.upstream.id, now);
+				attempt.target.record({kind: 'timed-out'});
 			}
 		}
 
@@ -470,13 +469,14 @@
 	private reportOutcome(attempt: Attempt | undefined, outcome: string, inputs: Readonly<Record<string, unknown>> = {}, tookMs?: Millis): void {
 		this.options.onRequestReport({
 			requestId: this.req.requestId,
-			upstream: attempt?.upstream.id,
+			upstream: attempt?.target.upstream,
 			outcome,
 			tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
 			inputs: {
 				...inputs,
-				...(this.req.route.kind === 'stream' ? {softwareVersion: attempt?.upstream.softwareVersion, continues: this.req.continues?.stream} : {}),
+				...(this.req.route.kind === 'stream' ? {softwareVersion: attempt?.target.softwareVersion, continues: this.req.continues?.stream} : {}),
 				route: this.req.route.name,
+				...(attempt?.target.relay === undefined ? {} : {relay: attempt.target.relay}),
 				...this.unanswered(),
 				sent: this.sent,
 				remainingMs: Math.round(this.remainingMs()),
@@ -487,6 +487,6 @@
 	/** The attempts without a response, each with the state of its connection. */
 	private unanswered(): Readonly<{unanswered?: readonly string[]}> {
 		const attempts = [...this.attempts].filter(attempt => attempt.head === undefined);
-		return attempts.length === 0 ? {} : {unanswered: attempts.map(({upstream, exchange}) => `${upstream.id} ${exchange?.connection() ?? 'connecting'}`)};
+		return attempts.length === 0 ? {} : {unanswered: attempts.map(attempt => attempt.describe())};
 	}
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,10 +1,12 @@
 /** Forwards plain HTTP requests: routes, upstream selection, attempts and responses. */
 
+export * from './attempt-target.js';
 export * from './connection-pool.js';
 export * from './crash-registry.js';
 export * from './decide-attempt.js';
 export * from './forward-request.js';
 export * from './plain-request.js';
+export * from './relay-path.js';
 export * from './route.js';
 export * from './stream-origins.js';
 export * from './upstream-health.js';
--- /dev/null
+++ b/packages/relays/src/relay-server.ts
@@ -0,0 +1,219 @@
+import {timingSafeEqual} from 'node:crypto';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+	ResponseReceiver, type ForwardFailure, type Forwarder, type PlainRequest,
+} from '@cicadapost/forwarding';
+import type {Clock} from '@cicadapost/types';
+import {relayPath} from './relay-client.js';
+import {
+	decodeRelayRequest, encodeRelayReply, type RelayReply, type RelayRequest,
+} from './relay-messages.js';
+
+/** Why a request was not taken, if another daemon may take it. */
+export type Unavailable = Readonly<{unavailable: string}>;
+
+export type RelayServerOptions = Readonly<{
+	clock: Clock;
+	/** Key that other daemons must present. */
+	key: string;
+	/** Sends requests to upstreams only. Requests from other daemons are never passed on again. */
+	forwarder: Pick<Forwarder, 'forward'>;
+	isPartitioned: () => boolean;
+	/** Returns the request as this daemon's own configuration routes it. */
+	toRequest: (relayed: RelayRequest, now: number) => PlainRequest | Unavailable;
+	/** Called when a call without the right key was rejected. */
+	onRejected: (from: string) => void;
+	/** Called for each request of another daemon that was taken. */
+	onAccepted: () => void;
+	/** Requests of other daemons in progress at a time. Keeps those of one's own callers served. */
+	maxRequests?: number;
+	/** Size of the requests of other daemons in progress. */
+	maxBytes?: number;
+}>;
+
+/** A daemon sends a whole request at once, so a longer transfer has stalled. */
+const requestTimeoutMs = 5000;
+const checkConnectionsMs = 1000;
+
+/** Takes requests of daemons that have no links to upstreams. */
+export class RelayServer {
+	private readonly server: Server;
+	private requests = 0;
+	private bytes = 0;
+	private isDraining = false;
+
+	constructor(private readonly options: RelayServerOptions) {
+		this.server = createServer({
+			requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs, connectionsCheckingInterval: checkConnectionsMs, keepAliveTimeout: 1, noDelay: true,
+		}, (req, res) => {
+			void this.serve(req, res);
+		});
+	}
+
+	async listen(address: Readonly<{host: string; port: number}>): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen({...address, backlog: 512}, resolve);
+		});
+	}
+
+	/** The port on which the server listens. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
+	/** Takes no further requests. Those in progress go on. */
+	startDraining(): void {
+		this.isDraining = true;
+	}
+
+	get isIdle(): boolean {
+		return this.requests === 0;
+	}
+
+	close(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		res.setHeader('Connection', 'close');
+		if (req.method !== 'POST' || req.url !== relayPath || !this.hasKey(req)) {
+			this.options.onRejected(req.socket.remoteAddress ?? 'unknown');
+			res.writeHead(403, {'Content-Length': 0});
+			res.end();
+			return;
+		}
+
+		const size = Number(req.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+		const refusal = this.reasonToDecline(size);
+		if (refusal !== undefined) {
+			finish(res, {kind: 'unavailable', reason: refusal});
+			return;
+		}
+
+		this.requests += 1;
+		this.bytes += size;
+		res.once('close', () => {
+			this.requests -= 1;
+			this.bytes -= size;
+		});
+		const body = await readBody(req);
+		// Lets a close of the connection be noticed that arrived together with the request, after this process was suspended.
+		await nextTurn();
+		if (body !== undefined && !res.destroyed) {
+			this.forward(res, body);
+		}
+	}
+
+	private hasKey(req: IncomingMessage): boolean {
+		const expected = Buffer.from(`Bearer ${this.options.key}`);
+		const received = Buffer.from(req.headers.authorization ?? '');
+		return received.length === expected.length && timingSafeEqual(received, expected);
+	}
+
+	private reasonToDecline(size: number): string | undefined {
+		const {isPartitioned, maxRequests = 64, maxBytes = 16 * 1024 * 1024} = this.options;
+		if (isPartitioned()) {
+			return 'the daemon reaches no upstream itself';
+		}
+
+		if (this.isDraining) {
+			return 'the daemon is shutting down';
+		}
+
+		return this.requests >= maxRequests || this.bytes + size > maxBytes ? 'the daemon has too many requests of others' : undefined;
+	}
+
+	private forward(res: ServerResponse, body: Uint8Array): void {
+		const relayed = decodeRelayRequest(body);
+		if (relayed === undefined) {
+			finish(res, {kind: 'unavailable', reason: 'the request can\'t be decoded'});
+			return;
+		}
+
+		const {forwarder, toRequest, clock, onAccepted} = this.options;
+		const req = toRequest(relayed, clock.now());
+		if ('unavailable' in req) {
+			finish(res, {kind: 'unavailable', reason: req.unavailable});
+			return;
+		}
+
+		onAccepted();
+		const cancel = forwarder.forward(req, new RelayResponseReceiver(res));
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				cancel();
+			}
+		});
+	}
+}
+
+/** Reads a body whose size was checked. Returns undefined if the other daemon has disconnected. */
+async function readBody(req: IncomingMessage): Promise<Uint8Array | undefined> {
+	const chunks: Uint8Array[] = [];
+	try {
+		for await (const chunk of req as AsyncIterable<Uint8Array>) {
+			chunks.push(chunk);
+		}
+	} catch {
+		// The connection was lost.
+		return undefined;
+	}
+
+	return Buffer.concat(chunks);
+}
+
+function finish(res: ServerResponse, reply: RelayReply): void {
+	const bytes = encodeRelayReply(reply);
+	res.writeHead(200, {'Content-Length': bytes.length});
+	res.end(bytes);
+}
+
+/** Writes the response of an upstream to another daemon. */
+class RelayResponseReceiver extends ResponseReceiver {
+	constructor(private readonly res: ServerResponse) {
+		super();
+	}
+
+	override head(status: number, headers: readonly string[]): void {
+		this.res.writeHead(200);
+		this.res.write(encodeRelayReply({kind: 'response', status, headers: [...headers]}));
+	}
+
+	override data(chunk: Uint8Array): void {
+		this.res.write(chunk);
+	}
+
+	override end(): void {
+		this.res.end();
+	}
+
+	override truncate(): void {
+		// Destroying the connection keeps the other daemon from taking a truncated response for a complete one.
+		this.res.destroy();
+	}
+
+	override fail(failure: ForwardFailure): void {
+		switch (failure.kind) {
+			case 'refused': {
+				finish(this.res, {kind: 'refused', retryAfterMs: failure.retryAfterMs, reason: failure.reason});
+				break;
+			}
+
+			case 'failed': {
+				finish(this.res, {kind: 'failed', reason: failure.reason});
+				break;
+			}
+
+			case 'timed-out': {
+				finish(this.res, {kind: 'failed', reason: 'no response in time'});
+				break;
+			}
+		}
+	}
+}
