Take engines from daemons that have announced that they reach no upstream

Cause: the same as for requests of callers: nothing but a daemon's own links decides which upstreams its work reaches, and the assignment of engines did not know whether their owners reach any.

Change: engines are assigned among the members that have not announced a partition, or among all if each has. Claims and permits stay conditional writes, so daemons that disagree for a moment are harmless as before.

Evidence: "leave their engines to daemons that have links" fails without the change (an engine gets no run) and passed three times with it.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -137,7 +137,7 @@
 			clock,
 			self: settings.vm as DaemonId,
 			directory: this.directory,
-			members: now => this.membership.members(now),
+			members: now => this.relays.linkedMembers(this.membership.members(now)),
 			regionOf: dataCentre => settings.dataCentres[dataCentre] as RegionId | undefined,
 		});
 		this.crashReports = new CrashReports({
--- a/packages/entry/src/relay-directory.ts
+++ b/packages/entry/src/relay-directory.ts
@@ -68,6 +68,14 @@
 		});
 	}
 
+	/** Returns the members that reach upstreams as far as they have announced, or all members if none does. */
+	linkedMembers(members: readonly MemberRecord[]): readonly MemberRecord[] {
+		const linked = members.filter(({daemon, incarnation}) => (
+			daemon === this.options.self.daemon ? !this.isPartitioned : this.recordOf(daemon, incarnation)?.isPartitioned !== true
+		));
+		return linked.length === 0 ? members : linked;
+	}
+
 	/** The record of an earlier process of the daemon does not count. */
 	private recordOf(daemon: DaemonId, incarnation: DaemonIncarnation): RelayRecord | undefined {
 		const record = this.records.get(daemon);
--- a/packages/entry/src/relay-task.ts
+++ b/packages/entry/src/relay-task.ts
@@ -110,6 +110,11 @@
 		this.options.daemonPool.close();
 	}
 
+	/** Returns the members that reach upstreams as far as they have announced, or all members if none does. */
+	linkedMembers(members: readonly MemberRecord[]): readonly MemberRecord[] {
+		return this.directory.linkedMembers(members);
+	}
+
 	/** Routes a request of another daemon by this daemon's configuration, which must not be older than the one there. */
 	private toRequest(relayed: RelayRequest, now: Millis): PlainRequest | Unavailable {
 		const configuration = this.options.configuration();
