Blame no request for refused connections while no upstream can be reached

What callers would see: a request whose connection broke at a daemon whose new connections are refused by a partition counted as a crash of its upstream. After three such reports the request gets 502 at every daemon for 15 minutes.

Cause: a refusal was taken as a statement about the upstream, although it may be one about the daemon's own links.

Change: a crash is reported only if this daemon reaches another upstream, or none other is listed.

--- a/packages/entry/src/crash-reports.test.ts
+++ b/packages/entry/src/crash-reports.test.ts
@@ -16,7 +16,7 @@
 let store: MemoryRowStore;
 const open: Array<Readonly<{stop: () => void}>> = [];
 
-function startDaemon(refusesConnections?: (address: string) => Promise<boolean>): CrashReports {
+function startDaemon(refusesConnections?: (address: string) => Promise<boolean>, reachesAnother?: () => Promise<boolean>): CrashReports {
 	const clock = new SystemClock();
 	const follower = new TableFollower({
 		store, clock, table: fleetTable, waitMs: 20,
@@ -30,6 +30,7 @@
 			// Not checked by these tests.
 		},
 		...(refusesConnections === undefined ? {} : {refusesConnections}),
+		...(reachesAnother === undefined ? {} : {reachesAnother}),
 	});
 	follower.start();
 	open.push(follower, reports);
@@ -60,6 +61,18 @@
 		expect(daemons[3]!.isBlocked({...req, path: '/other'})).toBe(false);
 	});
 
+	it('does not blame a request for refused connections while this daemon reaches no upstream at all', async () => {
+		const partitioned = startDaemon(async () => true, async () => false);
+		const linked = startDaemon(async () => true, async () => true);
+		for (const id of ['u1', 'u2', 'u3']) {
+			partitioned.reportPossibleCrash(req, upstream(id));
+			linked.reportPossibleCrash({...req, path: '/other'}, upstream(id));
+		}
+
+		await expect.poll(() => partitioned.isBlocked({...req, path: '/other'}), {timeout: 2000}).toBe(true);
+		expect(partitioned.isBlocked(req)).toBe(false);
+	});
+
 	it('does not report an upstream that still listens, so that connection resets do not block a request', async () => {
 		const server = createServer();
 		await new Promise<void>(resolve => {
--- a/packages/entry/src/crash-reports.ts
+++ b/packages/entry/src/crash-reports.ts
@@ -22,6 +22,8 @@
 	onCrash: (fingerprint: Fingerprint, incarnation: UpstreamIncarnation) => void;
 	/** Whether connections to an address are refused, because nothing listens there. */
 	refusesConnections?: (address: string) => Promise<boolean>;
+	/** Whether this daemon reaches an upstream other than this one. If not, a refusal says nothing about the upstream. */
+	reachesAnother?: (upstream: UpstreamId) => Promise<boolean>;
 }>;
 
 const keyPrefix = 'crash/';
@@ -74,10 +76,15 @@
 	}
 
 	private async confirmCrash(fingerprint: Fingerprint, upstream: Readonly<{id: UpstreamId; address: string; bornAt: number}>): Promise<void> {
+		const {reachesAnother} = this.options;
 		if (!await (this.options.refusesConnections ?? refusesConnections)(upstream.address)) {
 			return;
 		}
 
+		if (reachesAnother !== undefined && !await reachesAnother(upstream.id)) {
+			return;
+		}
+
 		const incarnation: UpstreamIncarnation = {upstream: upstream.id, bornAt: upstream.bornAt};
 		if (this.registry.record(fingerprint, incarnation)) {
 			this.options.onCrash(fingerprint, incarnation);
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -145,6 +145,7 @@
 			store,
 			follower: this.followers.fleet,
 			isOwner: part => this.isPartOwner(part),
+			reachesAnother: async upstream => this.relays.reachesAnother(upstream),
 			onCrash(fingerprint, incarnation) {
 				logger.warn({event: 'crash', fingerprint, ...incarnation}, 'a request has crashed an upstream');
 			},
--- a/packages/entry/src/relay-task.ts
+++ b/packages/entry/src/relay-task.ts
@@ -8,7 +8,7 @@
 } from '@cicadapost/relays';
 import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
+	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
 import type {CallerProtocol} from './caller-protocol.js';
 import {parseAddress} from './entry-settings.js';
@@ -115,6 +115,11 @@
 		return this.directory.linkedMembers(members);
 	}
 
+	/** Whether an upstream other than `except` can be reached. True if none is listed. */
+	async reachesAnother(except: UpstreamId): Promise<boolean> {
+		return this.monitor.reachesAnother(except);
+	}
+
 	/** Routes a request of another daemon by this daemon's configuration, which must not be older than the one there. */
 	private toRequest(relayed: RelayRequest, now: Millis): PlainRequest | Unavailable {
 		const configuration = this.options.configuration();
--- a/packages/relays/src/monitor-links.ts
+++ b/packages/relays/src/monitor-links.ts
@@ -18,6 +18,9 @@
 /** Upstreams with requests of this daemon that have sent nothing at all for this long are doubted. Events of samples are 40 ms apart. */
 const maxSilenceMs = 800;
 
+/** Number of other upstreams that are tried before a daemon takes its links for broken. */
+const maxOthers = 3;
+
 /** Finds out whether this daemon is partitioned from all upstreams, from failing connections and silence and from probes that follow them. */
 export class LinkMonitor {
 	private readonly state = new LinkStateTracker();
@@ -49,6 +52,21 @@
 		return this.state.current === 'partitioned';
 	}
 
+	/** Whether an upstream other than `except` can be reached. True if none is listed. */
+	async reachesAnother(except: UpstreamId): Promise<boolean> {
+		const {upstreams, pool, random} = this.options;
+		const others = upstreams().filter(({id}) => id !== except);
+		const first = Math.floor(random() * others.length);
+		const tried = [...others.slice(first), ...others.slice(0, first)].slice(0, maxOthers);
+		for (const {address} of tried) {
+			if (await pool.canConnect(address)) {
+				return true;
+			}
+		}
+
+		return tried.length === 0;
+	}
+
 	stop(): void {
 		const {pool} = this.options;
 		clearInterval(this.timer);
