Reset the connections of requests that are given up

What upstreams would see: a request that a partition held up, whose daemon gave it up and whose caller was answered through another daemon, arrives once the partition ends and is run for nobody.

Cause: a connection was closed in the ordinary way, which leaves its unsent bytes to be delivered.

Change: the connection of a request that has no complete response is reset, which discards them.

Evidence: the new case of connection-pool.test.ts fails without the change (the upstream sees an ordinary end).

--- a/packages/forwarding/src/connection-pool.test.ts
+++ b/packages/forwarding/src/connection-pool.test.ts
@@ -1,9 +1,12 @@
-import {Socket} from 'node:net';
+import {
+	createServer, Socket, type AddressInfo,
+} from 'node:net';
+import type {UpstreamId} from '@cicadapost/types';
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import type {buildConnector} from 'undici';
-import {limitConnectTime} from './connection-pool.js';
+import {ConnectionPool, limitConnectTime} from './connection-pool.js';
 
 describe('limitConnectTime', () => {
 	beforeEach(() => {
@@ -59,3 +62,36 @@
 		expect(outcomes).toEqual([[null, socket], [new Error('refused'), null]]);
 	});
 });
+
+describe('ConnectionPool', () => {
+	it('resets the connection of a request that is given up, so that a partition can\'t deliver the request later', async () => {
+		const errors: string[] = [];
+		let received = 0;
+		const server = createServer(socket => {
+			socket.on('error', err => {
+				errors.push((err as NodeJS.ErrnoException).code ?? '');
+			});
+			socket.on('data', data => {
+				received += data.length;
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const pool = new ConnectionPool();
+		const exchange = pool.exchange({id: 'u1' as UpstreamId, address: `127.0.0.1:${(server.address() as AddressInfo).port}`}, {
+			method: 'POST', path: '/', headers: ['Host', 'h'], body: Buffer.from('body'),
+		}, {
+			onHead: () => true,
+			onData: () => true,
+			onEnd() {
+				// The end is not checked.
+			},
+		});
+		await expect.poll(() => received, {timeout: 2000, interval: 10}).toBeGreaterThan(0);
+		exchange.abort();
+		await expect.poll(() => errors, {timeout: 2000, interval: 10}).toEqual(['ECONNRESET']);
+		pool.close();
+		server.close();
+	});
+});
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -126,6 +126,12 @@
 		void this.client.destroy();
 	}
 
+	/** Closes the connection such that a request which is held up in the network is lost. */
+	reset(): void {
+		this.socket?.resetAndDestroy();
+		this.destroy();
+	}
+
 	private watch(socket: Socket): void {
 		this.socket = socket;
 		socket.on('readable', () => {
@@ -204,7 +210,7 @@
 			if (end.kind === 'complete') {
 				this.returnToPool(upstream.id, connection);
 			} else {
-				connection.destroy();
+				connection.reset();
 			}
 
 			handlers.onEnd(end);
