Log the first response in which an upstream states that it leaves

Cause: neither logs nor metrics show when a daemon was told that an upstream leaves, which the hypotheses of docs/incidents/leaving-upstreams.md need.

Change: the pool of connections reports the head of each response, whatever the request was for: a request of a caller, a run of a sample, an order or a report. The first one with the statement is logged with the state that the list shows. Nothing else changes.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -355,6 +355,7 @@
 			follower: this.followers.upstreams,
 			directory: this.directory,
 			pool: this.pool,
+			protocol: platform.upstreams,
 			health: this.health,
 			onChanged: () => {
 				versions.update(this.directory.all(), clock.now());
--- a/packages/entry/src/upstream-list.ts
+++ b/packages/entry/src/upstream-list.ts
@@ -1,5 +1,7 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
-import type {ConnectionPool, UpstreamHealthTracker} from '@cicadapost/forwarding';
+import {
+	statesLeaving, type ConnectionPool, type PooledUpstream, type ResponseHead, type UpstreamHealthTracker, type UpstreamProtocol,
+} from '@cicadapost/forwarding';
 import type {Logger} from '@cicadapost/observability';
 import type {RowChange, TableFollower} from '@cicadapost/store';
 import type {Clock, UpstreamId} from '@cicadapost/types';
@@ -13,6 +15,7 @@
 	follower: TableFollower;
 	directory: UpstreamDirectory;
 	pool: ConnectionPool;
+	protocol: UpstreamProtocol;
 	health: UpstreamHealthTracker;
 	/** Called after upstreams have appeared, changed or left. */
 	onChanged: () => void;
@@ -26,11 +29,16 @@
 /** Keeps the directory of upstreams in line with the platform's list. */
 export class UpstreamList {
 	private readonly timer: NodeJS.Timeout;
+	/** Upstreams that have stated that they leave, with the start of their process. */
+	private readonly leaving = new Map<UpstreamId, number>();
 
 	constructor(private readonly options: UpstreamListOptions) {
 		options.follower.on('changed', changes => {
 			this.apply(changes);
 		});
+		options.pool.on('response', (upstream, head) => {
+			this.recordResponse(upstream, head);
+		});
 		this.timer = setInterval(() => {
 			this.expire();
 		}, expiryIntervalMs);
@@ -40,6 +48,14 @@
 		clearInterval(this.timer);
 	}
 
+	private recordResponse({id, bornAt}: PooledUpstream, head: ResponseHead): void {
+		const {logger, protocol, directory} = this.options;
+		if (statesLeaving(protocol.readMetadata(head), head.status) && this.leaving.get(id) !== bornAt) {
+			this.leaving.set(id, bornAt);
+			logger.info({event: 'upstream-leaving', upstream: id, listed: directory.get(id)?.state}, 'the upstream states that it leaves');
+		}
+	}
+
 	private apply(changes: readonly RowChange[]): void {
 		const {clock, logger, follower, directory, pool} = this.options;
 		const now = clock.now();
--- a/packages/forwarding/src/connection-pool.test.ts
+++ b/packages/forwarding/src/connection-pool.test.ts
@@ -79,7 +79,7 @@
 			server.listen(0, '127.0.0.1', resolve);
 		});
 		const pool = new ConnectionPool();
-		const exchange = pool.exchange({id: 'u1' as UpstreamId, address: `127.0.0.1:${(server.address() as AddressInfo).port}`}, {
+		const exchange = pool.exchange({id: 'u1' as UpstreamId, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, bornAt: 1}, {
 			method: 'POST', path: '/', headers: ['Host', 'h'], body: Buffer.from('body'),
 		}, {
 			onHead: () => true,
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -142,7 +142,12 @@
 	}
 }
 
+/** One run of an upstream's process, as the list shows it. */
+export type PooledUpstream = Readonly<{id: UpstreamId; address: string; bornAt: number}>;
+
 type PoolEvents = {
+	/** The head of a response arrived, whatever the request was for. */
+	response: [upstream: PooledUpstream, head: ResponseHead];
 	/** A connection was established. */
 	connected: [upstream: UpstreamId];
 	/** A connection could not be established, or broke while it had a request. */
@@ -193,7 +198,7 @@
 	}
 
 	/** Sends one request and reports its response to `handlers`. */
-	exchange(upstream: Readonly<{id: UpstreamId; address: string}>, req: ExchangeRequest, handlers: ExchangeHandlers): Exchange {
+	exchange(upstream: PooledUpstream, req: ExchangeRequest, handlers: ExchangeHandlers): Exchange {
 		const kept = this.takeIdle(upstream.id);
 		const connection = kept ?? this.open(upstream);
 		let isSent = false;
@@ -229,13 +234,23 @@
 			finish(end);
 		};
 
+		const emitResponse = (head: ResponseHead) => {
+			this.emit('response', upstream, head);
+		};
+
 		const handler: Dispatcher.DispatchHandler = {
 			onRequestStart() {
 				isSent = true;
 			},
 			onResponseStart(controller, status, headers) {
 				recordProgress();
-				if (!isOver && status >= 200 && !handlers.onHead({status, headers})) {
+				if (isOver || status < 200) {
+					return;
+				}
+
+				if (handlers.onHead({status, headers})) {
+					emitResponse({status, headers});
+				} else {
 					finish({kind: 'broken', cause: 'the response belongs to another request'});
 				}
 			},
--- a/packages/forwarding/src/upstream-protocol.ts
+++ b/packages/forwarding/src/upstream-protocol.ts
@@ -13,6 +13,8 @@
 	load?: LoadReport;
 	/** Number of requests per second that the upstream takes from all daemons together. Absent if it has no limit. */
 	requestsPerSecond?: number;
+	/** Set if the upstream states that it leaves. */
+	isLeaving?: true;
 	/** Version of the weights at the start of the response. */
 	weightVersion?: number;
 }>;
@@ -24,6 +26,11 @@
 	return (isSigned || didNotRun) && status !== misdirectedRequest;
 }
 
+/** Whether the intended upstream states that it leaves. Refusals and answers to orders and reports carry no signature. */
+export function statesLeaving({isLeaving}: ResponseMetadata, status: number): boolean {
+	return isLeaving === true && status !== misdirectedRequest;
+}
+
 export type ForwardedHeaders = Readonly<{
 	/** Alternating names and values, as the caller sent them. */
 	received: readonly string[];
--- a/packages/relays/src/relay-client.ts
+++ b/packages/relays/src/relay-client.ts
@@ -78,7 +78,7 @@
 				handlers.onEnd(end);
 			},
 		});
-		return pool.exchange({id: relay as string as UpstreamId, address: candidate?.address ?? ''}, {
+		return pool.exchange({id: relay as string as UpstreamId, address: candidate?.address ?? '', bornAt: 0}, {
 			method: 'POST',
 			path: relayPath,
 			headers: ['Host', candidate?.address ?? '', 'Authorization', `Bearer ${candidate?.key ?? ''}`, 'Connection', 'close'],
