Send nothing further to an upstream that has stated that it leaves

Change: `UpstreamDirectory.recordLeaving` counts the upstream as leaving until an entry shows a later start; entries of the same or an earlier start don't undo it. Requests, hedges, waiting requests, samples, orders and the ownership of engines all ask the directory, so one place serves them all.

--- a/packages/entry/src/upstream-list.ts
+++ b/packages/entry/src/upstream-list.ts
@@ -1,6 +1,6 @@
-import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
+import type {UpstreamDirectory, UpstreamRecord, UpstreamStart} from '@cicadapost/fleet';
 import {
-	statesLeaving, type ConnectionPool, type PooledUpstream, type ResponseHead, type UpstreamHealthTracker, type UpstreamProtocol,
+	statesLeaving, type ConnectionPool, type ResponseHead, type UpstreamHealthTracker, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
 import type {Logger} from '@cicadapost/observability';
 import type {RowChange, TableFollower} from '@cicadapost/store';
@@ -29,8 +29,6 @@
 /** Keeps the directory of upstreams in line with the platform's list. */
 export class UpstreamList {
 	private readonly timer: NodeJS.Timeout;
-	/** Upstreams that have stated that they leave, with the start of their process. */
-	private readonly leaving = new Map<UpstreamId, number>();
 
 	constructor(private readonly options: UpstreamListOptions) {
 		options.follower.on('changed', changes => {
@@ -48,12 +46,21 @@
 		clearInterval(this.timer);
 	}
 
-	private recordResponse({id, bornAt}: PooledUpstream, head: ResponseHead): void {
-		const {logger, protocol, directory} = this.options;
-		if (statesLeaving(protocol.readMetadata(head), head.status) && this.leaving.get(id) !== bornAt) {
-			this.leaving.set(id, bornAt);
-			logger.info({event: 'upstream-leaving', upstream: id, listed: directory.get(id)?.state}, 'the upstream states that it leaves');
+	/** Stops sending work to an upstream that states in a response that it leaves. */
+	recordResponse({id, bornAt}: UpstreamStart, head: ResponseHead): void {
+		const {logger, protocol, directory, pool, onChanged} = this.options;
+		if (!statesLeaving(protocol.readMetadata(head), head.status)) {
+			return;
 		}
+
+		const listed = directory.get(id)?.state;
+		if (!directory.recordLeaving({id, bornAt})) {
+			return;
+		}
+
+		logger.info({event: 'upstream-leaving', upstream: id, listed}, 'the upstream states that it leaves');
+		pool.closeIdle(id);
+		onChanged();
 	}
 
 	private apply(changes: readonly RowChange[]): void {
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -37,6 +37,58 @@
 		expect(directory.ready(desk)).toEqual([]);
 	});
 
+	describe('an upstream that has stated that it leaves', () => {
+		const start = {id: 'u1' as UpstreamId, bornAt: 1};
+
+		it('is not ready, whatever its entry says, until it has started anew', () => {
+			const directory = new UpstreamDirectory();
+			directory.upsert(upstream('u1'));
+			expect(directory.recordLeaving(start)).toBe(true);
+			expect(directory.ready(desk)).toEqual([]);
+			directory.upsert({...upstream('u1'), slots: 7});
+			expect(directory.ready(desk)).toEqual([]);
+			directory.upsert({...upstream('u1'), bornAt: 2});
+			expect(directory.ready(desk)).toHaveLength(1);
+		});
+
+		it('stays so if an entry of an earlier start arrives, or if its entry disappears and comes back', () => {
+			const directory = new UpstreamDirectory();
+			directory.upsert({...upstream('u1'), bornAt: 2});
+			directory.recordLeaving({...start, bornAt: 2});
+			directory.upsert(upstream('u1'));
+			expect(directory.ready(desk)).toEqual([]);
+			directory.remove('u1' as UpstreamId, {connectedForMs: 60_000}, 0);
+			directory.upsert({...upstream('u1'), bornAt: 2});
+			expect(directory.ready(desk)).toEqual([]);
+		});
+
+		it('is remembered if the statement arrives before its entry', () => {
+			const directory = new UpstreamDirectory();
+			directory.recordLeaving(start);
+			directory.upsert(upstream('u1'));
+			expect(directory.ready(desk)).toEqual([]);
+		});
+
+		it('is not affected by a statement of its earlier start', () => {
+			const directory = new UpstreamDirectory();
+			directory.upsert({...upstream('u1'), bornAt: 2});
+			expect(directory.recordLeaving(start)).toBe(true);
+			expect(directory.ready(desk)).toHaveLength(1);
+			expect(directory.recordLeaving(start)).toBe(false);
+		});
+
+		it('is still known after many others have left', () => {
+			const directory = new UpstreamDirectory();
+			for (let index = 0; index < 900; index++) {
+				directory.recordLeaving({id: `gone-${index}` as UpstreamId, bornAt: 1});
+			}
+
+			directory.recordLeaving(start);
+			directory.upsert(upstream('u1'));
+			expect(directory.ready(desk)).toEqual([]);
+		});
+	});
+
 	describe('an entry that expired while the store was unavailable', () => {
 		it('is kept until it has had time to reappear', () => {
 			const directory = new UpstreamDirectory();
--- a/packages/fleet/src/upstream-directory.ts
+++ b/packages/fleet/src/upstream-directory.ts
@@ -8,6 +8,12 @@
 */
 export const returnGraceMs = 2300;
 
+/** Statements of upstreams that are remembered. Ids of upstreams that have left rarely come back. */
+const maxStatements = 1000;
+
+/** One run of an upstream's process. */
+export type UpstreamStart = Readonly<{id: UpstreamId; bornAt: number}>;
+
 type Entry = Readonly<{
 	record: UpstreamRecord;
 	/** Set for an entry that disappeared during or shortly after a store outage: until this time, it is treated as present. */
@@ -22,12 +28,18 @@
 /** The upstreams listed by the platform. Distinguishes upstreams that have left from entries that are missing after a store outage. */
 export class UpstreamDirectory {
 	private readonly entries = new Map<UpstreamId, Entry>();
+	/** Start of the process of each upstream that has stated that it leaves, oldest statement first. */
+	private readonly leaving = new Map<UpstreamId, number>();
 	/** Cached sorted views, because requests and claims read them many times per second. Invalidated by every change. */
 	private sorted: readonly UpstreamRecord[] | undefined;
 	private readonly readyByService = new Map<ServiceId, readonly UpstreamRecord[]>();
 
-	/** Adds or updates a record and returns whether it has changed. Most heartbeats of upstreams change nothing. */
-	upsert(record: UpstreamRecord): boolean {
+	/**
+	Adds or updates a record and returns whether it has changed. Most heartbeats of upstreams change nothing. An upstream that
+	has stated that it leaves counts as leaving until it has started anew, whatever its entry says.
+	*/
+	upsert(listed: UpstreamRecord): boolean {
+		const record = this.hasStatedLeaving(listed) ? {...listed, state: 'leaving' as const} : listed;
 		const known = this.entries.get(record.id);
 		if (known !== undefined && isDeepStrictEqual(known.record, record)) {
 			if (known.missingUntil !== undefined) {
@@ -60,6 +72,27 @@
 		this.set(id, undefined);
 	}
 
+	/** Records an upstream's statement that it leaves. Returns whether the statement is new. */
+	recordLeaving({id, bornAt}: UpstreamStart): boolean {
+		if (this.hasStatedLeaving({id, bornAt})) {
+			return false;
+		}
+
+		this.leaving.delete(id);
+		this.leaving.set(id, bornAt);
+		const [oldest] = this.leaving.keys();
+		if (this.leaving.size > maxStatements && oldest !== undefined) {
+			this.leaving.delete(oldest);
+		}
+
+		const entry = this.entries.get(id);
+		if (entry !== undefined && this.hasStatedLeaving(entry.record)) {
+			this.set(id, {...entry, record: {...entry.record, state: 'leaving'}});
+		}
+
+		return true;
+	}
+
 	/** Removes an entry that does not describe a usable upstream. */
 	discard(id: UpstreamId): void {
 		this.set(id, undefined);
@@ -92,6 +125,10 @@
 		return this.sorted;
 	}
 
+	private hasStatedLeaving({id, bornAt}: UpstreamStart): boolean {
+		return (this.leaving.get(id) ?? Number.NEGATIVE_INFINITY) >= bornAt;
+	}
+
 	private set(id: UpstreamId, entry: Entry | undefined): void {
 		if (entry === undefined) {
 			this.entries.delete(id);
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -1,5 +1,6 @@
 import {EventEmitter} from 'node:events';
 import type {Socket} from 'node:net';
+import type {UpstreamStart} from '@cicadapost/fleet';
 import {
 	SystemClock, type Clock, type Millis, type UpstreamId,
 } from '@cicadapost/types';
@@ -143,7 +144,7 @@
 }
 
 /** One run of an upstream's process, as the list shows it. */
-export type PooledUpstream = Readonly<{id: UpstreamId; address: string; bornAt: number}>;
+export type PooledUpstream = UpstreamStart & Readonly<{address: string}>;
 
 type PoolEvents = {
 	/** The head of a response arrived, whatever the request was for. */
