Send no order to an engine that leaves while the order is prepared

What engines would see: a load ordered up to 1.7 s after the engine stated that it leaves, because its state is read when the load is planned and not when the order is sent.

Change: the loader asks again right before it sends the order.

--- a/packages/weights/src/load-weights.ts
+++ b/packages/weights/src/load-weights.ts
@@ -145,6 +145,11 @@
 			return undefined;
 		}
 
+		if (!this.isReady(engine)) {
+			this.reportOutcome(load, 'the engine leaves', permit);
+			return undefined;
+		}
+
 		this.options.versions.recordLoadStart(engine, load, clock.now());
 		const outcome = await client.load(engine, {
 			model: load.model, version: load.version, mode: 'retain', holder: self, fencingToken: permit.fencingToken, expectedOrders,
@@ -153,6 +158,11 @@
 		return outcome;
 	}
 
+	/** Whether the engine still accepts work. It may have stated that it leaves while the permit was requested. */
+	private isReady({id, bornAt}: UpstreamRecord): boolean {
+		return this.options.services().some(({engines}) => engines.some(engine => engine.id === id && engine.bornAt === bornAt));
+	}
+
 	private async requestPermit(engine: UpstreamRecord, load: PlannedLoad, now: Millis): Promise<OrderPermit | undefined> {
 		const {store, follower, self, silenceMs} = this.options;
 		const row = follower.copy.get(engine.id, permitKey);
