Tell a partitioned daemon which upstreams state that they leave

What upstreams would see: a daemon that reaches no upstream passes on responses that it gets through another daemon. If one of them states that its upstream leaves, the daemon didn't know which, and sent that upstream requests once the partition ended.

Change: the reply between daemons names the run of the upstream that the response is from, and its statement counts at both daemons.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -317,6 +317,9 @@
 			onAccepted: () => {
 				this.metrics.recordRequestOfOtherDaemon();
 			},
+			onResponse: (upstream, head) => {
+				this.upstreamList.recordResponse(upstream, head);
+			},
 		});
 		this.frontServer = new FrontServer({
 			clock,
--- a/packages/entry/src/relay-task.ts
+++ b/packages/entry/src/relay-task.ts
@@ -1,7 +1,7 @@
 import {
-	matchRoute, type ConnectionPool, type Forwarder, type PlainRequest, type RoutingConfiguration,
+	matchRoute, type ConnectionPool, type Forwarder, type PlainRequest, type ResponseHead, type RoutingConfiguration,
 } from '@cicadapost/forwarding';
-import type {MemberRecord, UpstreamRecord} from '@cicadapost/fleet';
+import type {MemberRecord, UpstreamRecord, UpstreamStart} from '@cicadapost/fleet';
 import type {Logger} from '@cicadapost/observability';
 import {
 	LinkMonitor, RelayClient, RelayServer, type RelayRequest, type Unavailable,
@@ -38,6 +38,8 @@
 	onChanged: () => void;
 	/** Called for each request of another daemon that was taken. */
 	onAccepted: () => void;
+	/** Called for each response of an upstream that came through another daemon. */
+	onResponse: (upstream: UpstreamStart, head: ResponseHead) => void;
 }>;
 
 /** Passes requests on to other daemons while this one reaches no upstream, and takes such requests of other daemons. */
@@ -49,7 +51,7 @@
 	private readonly server: RelayServer;
 
 	constructor(private readonly options: RelayTaskOptions) {
-		const {clock, logger, self, upstreamPool, daemonPool, forwarder, upstreams, members, configuration, random, onChanged, onAccepted} = options;
+		const {clock, logger, self, upstreamPool, daemonPool, forwarder, upstreams, members, configuration, random, onChanged, onAccepted, onResponse} = options;
 		this.directory = new RelayDirectory(options);
 		this.monitor = new LinkMonitor({
 			clock,
@@ -71,6 +73,7 @@
 			isPartitioned,
 			configurationVersion: () => configuration()?.version ?? 0,
 			random,
+			onResponse,
 		});
 		this.server = new RelayServer({
 			clock,
--- a/packages/forwarding/src/attempt-target.ts
+++ b/packages/forwarding/src/attempt-target.ts
@@ -1,4 +1,4 @@
-import type {UpstreamRecord} from '@cicadapost/fleet';
+import type {UpstreamRecord, UpstreamStart} from '@cicadapost/fleet';
 import type {RequestLimits, SendReason} from '@cicadapost/rate-limits';
 import type {
 	Clock, DaemonId, Millis, SoftwareVersion, UpstreamId,
@@ -34,6 +34,8 @@
 export abstract class AttemptTarget {
 	/** The upstream, or undefined if another daemon chooses it. */
 	abstract readonly upstream: UpstreamId | undefined;
+	/** The run of the upstream's process that is meant, if this daemon chooses the upstream. */
+	abstract readonly upstreamStart: UpstreamStart | undefined;
 	/** Version of the upstream's software, if this daemon chooses the upstream. */
 	abstract readonly softwareVersion: SoftwareVersion | undefined;
 	/** The daemon that passes the request on, if any. */
@@ -73,6 +75,11 @@
 		return this.upstreamRecord.id;
 	}
 
+	override get upstreamStart(): UpstreamStart {
+		const {id, bornAt} = this.upstreamRecord;
+		return {id, bornAt};
+	}
+
 	override get softwareVersion(): SoftwareVersion {
 		return this.upstreamRecord.softwareVersion;
 	}
@@ -157,6 +164,7 @@
 /** Another daemon, which sends the request to an upstream. It records what the upstream's response tells about it. */
 export class RelayTarget extends AttemptTarget {
 	override readonly upstream = undefined;
+	override readonly upstreamStart = undefined;
 	override readonly softwareVersion = undefined;
 
 	constructor(private readonly options: RelayTargetOptions) {
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -262,7 +262,7 @@
 			this.abortOtherAttempts(attempt);
 			attempt.isStreaming = true;
 			attempt.target.record({kind: 'stream-started'});
-			this.receiver.head(head.status, this.options.protocol.responseHeaders(head));
+			this.receiver.head(head.status, this.options.protocol.responseHeaders(head), attempt.target.upstreamStart);
 		}
 
 		return true;
@@ -386,7 +386,7 @@
 		this.finish('answered', attempt, {status: head.status});
 		const {body} = attempt;
 		const headers = this.options.protocol.responseHeaders(head);
-		this.receiver.head(head.status, [...headers, 'content-length', String(body.length)]);
+		this.receiver.head(head.status, [...headers, 'content-length', String(body.length)], attempt.target.upstreamStart);
 		this.receiver.data(body);
 		this.receiver.end();
 	}
--- a/packages/forwarding/src/plain-request.ts
+++ b/packages/forwarding/src/plain-request.ts
@@ -1,3 +1,4 @@
+import type {UpstreamStart} from '@cicadapost/fleet';
 import type {Millis, RequestId, UpstreamId} from '@cicadapost/types';
 import type {Route} from './route.js';
 import type {StreamContinuation} from './stream-origins.js';
@@ -28,8 +29,8 @@
 
 /** Receives the response to one request. Each method except `data` is called at most once. */
 export abstract class ResponseReceiver {
-	/** Receives the status and headers; the body follows through `data`. */
-	abstract head(status: number, headers: readonly string[]): void;
+	/** Receives the status and headers; the body follows through `data`. `from` is the upstream, if this daemon has chosen it. */
+	abstract head(status: number, headers: readonly string[], from?: UpstreamStart): void;
 	abstract data(chunk: Uint8Array): void;
 	abstract end(): void;
 	/** The response was interrupted after its head was passed on. */
--- a/packages/relays/src/relay-client.ts
+++ b/packages/relays/src/relay-client.ts
@@ -1,6 +1,7 @@
 import {
 	RelayPath, type AttemptEnd, type AttemptHandlers, type ConnectionPool, type Exchange, type PlainRequest, type RelayOptions, type ResponseHead,
 } from '@cicadapost/forwarding';
+import type {UpstreamStart} from '@cicadapost/fleet';
 import type {
 	Clock, DaemonId, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
@@ -21,6 +22,8 @@
 	/** Returns the version of the configuration that is in force here. */
 	configurationVersion: () => number;
 	random: () => number;
+	/** Called for each response of an upstream that came through another daemon. */
+	onResponse: (upstream: UpstreamStart, head: ResponseHead) => void;
 }>;
 
 /** A daemon that could not take a request, or whose response broke off, is not used for this time. It may have lost its links and not have announced it yet. */
@@ -58,7 +61,7 @@
 	}
 
 	override send(relay: DaemonId, req: PlainRequest, {maxAttempts, deadlineMs}: RelayOptions, handlers: AttemptHandlers): Exchange {
-		const {pool, candidates, configurationVersion, self} = this.options;
+		const {pool, candidates, configurationVersion, self, onResponse} = this.options;
 		const candidate = candidates().find(({daemon}) => daemon === relay);
 		const body = encodeRelayRequest({
 			from: self.daemon,
@@ -77,7 +80,7 @@
 				this.recordEnd(relay, end);
 				handlers.onEnd(end);
 			},
-		});
+		}, onResponse);
 		return pool.exchange({id: relay as string as UpstreamId, address: candidate?.address ?? '', bornAt: 0}, {
 			method: 'POST',
 			path: relayPath,
@@ -129,7 +132,7 @@
 	private wasAccepted = true;
 	private hasHead = false;
 
-	constructor(private readonly handlers: AttemptHandlers) {}
+	constructor(private readonly handlers: AttemptHandlers, private readonly onResponse: RelayClientOptions['onResponse']) {}
 
 	onHead({status}: ResponseHead): boolean {
 		this.wasAccepted = status === 200;
@@ -156,9 +159,14 @@
 
 		if (!this.hasHead) {
 			this.hasHead = true;
-			if (!this.handlers.onHead({status: reply.status, headers: toRecord(reply.headers)})) {
+			const head = {status: reply.status, headers: toRecord(reply.headers)};
+			if (!this.handlers.onHead(head)) {
 				return false;
 			}
+
+			if (reply.upstream !== undefined) {
+				this.onResponse({id: reply.upstream.id as UpstreamId, bornAt: reply.upstream.bornAt}, head);
+			}
 		}
 
 		return body.length === 0 || this.handlers.onData(body);
--- a/packages/relays/src/relay-messages.ts
+++ b/packages/relays/src/relay-messages.ts
@@ -24,7 +24,9 @@
 
 const replySchema = z.discriminatedUnion('kind', [
 	/** The response of an upstream, with its headers as alternating names and values. Its body follows. */
-	z.object({kind: z.literal('response'), status: z.int(), headers: z.array(z.string())}),
+	z.object({
+		kind: z.literal('response'), status: z.int(), headers: z.array(z.string()), upstream: z.object({id: z.string(), bornAt: z.number()}).optional(),
+	}),
 	/** The other daemon did not try to send the request. Another one may. */
 	z.object({kind: z.literal('unavailable'), reason: z.string()}),
 	/** The request has not run and will not run. */
--- a/packages/relays/src/relay-server.ts
+++ b/packages/relays/src/relay-server.ts
@@ -7,6 +7,7 @@
 import {
 	ResponseReceiver, type ForwardFailure, type Forwarder, type PlainRequest,
 } from '@cicadapost/forwarding';
+import type {UpstreamStart} from '@cicadapost/fleet';
 import type {Clock} from '@cicadapost/types';
 import {relayPath} from './relay-client.js';
 import {
@@ -180,9 +181,11 @@
 		super();
 	}
 
-	override head(status: number, headers: readonly string[]): void {
+	override head(status: number, headers: readonly string[], from?: UpstreamStart): void {
 		this.res.writeHead(200);
-		this.res.write(encodeRelayReply({kind: 'response', status, headers: [...headers]}));
+		this.res.write(encodeRelayReply({
+			kind: 'response', status, headers: [...headers], upstream: from,
+		}));
 	}
 
 	override data(chunk: Uint8Array): void {
--- a/packages/relays/src/relay.test.ts
+++ b/packages/relays/src/relay.test.ts
@@ -4,7 +4,7 @@
 	ConnectionPool, type AttemptEnd, type PlainRequest, type ResponseReceiver, type Route,
 } from '@cicadapost/forwarding';
 import {
-	SystemClock, type DaemonId, type DataCentreId, type RegionId, type RequestId,
+	SystemClock, type DaemonId, type DataCentreId, type RegionId, type RequestId, type UpstreamId,
 } from '@cicadapost/types';
 import {
 	afterEach, describe, expect, it,
@@ -38,6 +38,7 @@
 	const start = async (options: Partial<RelayServerOptions> = {}, address?: string) => {
 		const forwarded: Forwarded[] = [];
 		const rejected: string[] = [];
+		const responses: unknown[] = [];
 		const server = new RelayServer({
 			clock,
 			key,
@@ -71,10 +72,13 @@
 		};
 		const clientFor = (presentedKey = key) => new RelayClient({
 			clock, pool, isPartitioned: () => true, configurationVersion: () => 3, random: () => 0, candidates: () => [{...candidate, key: presentedKey}],
+			onResponse(upstream, head) {
+				responses.push({upstream, status: head.status});
+			},
 			self: {daemon: 'd1' as DaemonId, dataCentre: 'a' as DataCentreId, region: 'west' as RegionId},
 		});
 		return {
-			server, forwarded, rejected, clientFor,
+			server, forwarded, rejected, responses, clientFor,
 		};
 	};
 
@@ -110,18 +114,19 @@
 	};
 
 	it('come back with the upstream\'s status, headers and whole body', async () => {
-		const {forwarded, clientFor} = await start();
+		const {forwarded, responses, clientFor} = await start();
 		const sent = send(clientFor());
 		const {request, receiver} = await taken(forwarded);
 		expect(request.headers).toEqual(['Host', 'a.example', 'X-Own', 'kept']);
 		expect(Buffer.from(request.body).toString()).toBe('body');
-		receiver.head(207, ['X-Seal', 'yes', 'X-Twice', 'a', 'X-Twice', 'b']);
+		receiver.head(207, ['X-Seal', 'yes', 'X-Twice', 'a', 'X-Twice', 'b'], {id: 'u1' as UpstreamId, bornAt: 7});
 		receiver.data(Buffer.from('first '));
 		await sleep(20);
 		receiver.data(Buffer.from('second'));
 		receiver.end();
 		expect(await ended(sent)).toEqual({kind: 'complete'});
 		expect(sent.received).toMatchObject({status: 207, headers: {'x-seal': 'yes', 'x-twice': ['a', 'b']}, body: 'first second'});
+		expect(responses).toEqual([{upstream: {id: 'u1', bornAt: 7}, status: 207}]);
 	});
 
 	it('never look complete if the other daemon breaks off', async () => {
