Refuse sooner while neither upstreams nor other daemons can be reached

What callers would see: a daemon that had found itself partitioned, with no other daemon to pass requests on to, tried up to four upstreams one after the other, 0.3 s each, before it refused what it could know not to be servable.

Change: in that state one failed attempt is enough. It is still made, since it shows whether the links are back.

Evidence: both new cases of relayed-requests.test.ts fail without the change (four upstreams tried instead of one, and one instead of none after three daemons had declined).

--- a/packages/forwarding/src/decide-attempt.ts
+++ b/packages/forwarding/src/decide-attempt.ts
@@ -111,6 +111,11 @@
 		return 'relay';
 	}
 
+	// One attempt shows whether the links are back. More would only delay the refusal.
+	if (isPartitioned && unreached > 0) {
+		return undefined;
+	}
+
 	return hasUpstream ? 'upstream' : undefined;
 }
 
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -122,14 +122,14 @@
 	private choosePath(reason: SendReason): 'upstream' | 'relay' | undefined {
 		return choosePath({
 			isPartitioned: this.relayPath.isPartitioned,
-			unreached: this.notSent + this.countUnheard(),
+			unreached: this.notSent + this.countSilentAttempts(),
 			hasUpstream: this.selection.candidates(reason).length > 0,
 			hasRelay: () => this.triedRelays.size < maxRelays && this.relayPath.choose(this.triedRelays) !== undefined,
 		});
 	}
 
 	/** Number of attempts at upstreams without a response, while this daemon has received nothing from any upstream. */
-	private countUnheard(): number {
+	private countSilentAttempts(): number {
 		return [...this.attempts].filter(({target, head, sentAt}) => target.upstream !== undefined && head === undefined && this.options.pool.lastReceivedAt < sentAt).length;
 	}
 
--- a/packages/forwarding/src/relayed-requests.test.ts
+++ b/packages/forwarding/src/relayed-requests.test.ts
@@ -234,6 +234,14 @@
 		expect(sends.map(({through}) => through)).toEqual(['relay', 'relay']);
 	});
 
+	it.each([0, 6])('are refused after one further attempt while no upstream can be reached and none of %i other daemons takes them', relays => {
+		const {outcomes, sends} = play({
+			kind: 'idempotent', maxAttempts: 3, isPartitioned: true, relays, upstreams: 6, script: [{end: 'never connects', afterMs: 5}],
+		});
+		expect(outcomes).toEqual(['refused']);
+		expect(sends.filter(({through}) => through === 'upstream').length).toBe(relays === 0 ? 1 : 0);
+	});
+
 	it('go to another daemon after two upstreams that could not be reached, before a partition is known', () => {
 		const {outcomes, sends} = play({
 			kind: 'once', maxAttempts: 2, isPartitioned: false, relays: 6, upstreams: 6,
--- a/packages/relays/src/relay-server.ts
+++ b/packages/relays/src/relay-server.ts
@@ -30,9 +30,9 @@
 	onRejected: (from: string) => void;
 	/** Called for each request of another daemon that was taken. */
 	onAccepted: () => void;
-	/** Requests of other daemons in progress at a time. Keeps those of one's own callers served. */
+	/** Maximum number of requests of other daemons in progress, so that this daemon can serve its own callers. */
 	maxRequests?: number;
-	/** Size of the requests of other daemons in progress. */
+	/** Maximum size of the requests of other daemons in progress, in bytes. */
 	maxBytes?: number;
 }>;
 
