Start no hedge on links that have been found broken

What callers would see: nothing; a request that hangs at a daemon which finds itself partitioned opened one more connection that could not be established.

Change: the path is asked for again when an attempt begins, and none is sent if there is none.

Evidence: the new case of relayed-requests.test.ts fails without the change.

--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -134,8 +134,9 @@
 	}
 
 	private tryNext(reason: SendReason): boolean {
-		if (this.choosePath(reason) === 'relay') {
-			return this.relay();
+		const path = this.choosePath(reason);
+		if (path !== 'upstream') {
+			return path === 'relay' && this.relay();
 		}
 
 		const {limits} = this.options;
@@ -155,6 +156,7 @@
 		return true;
 	}
 
+	/** Passes the request on to another daemon. Returns false if there is none. */
 	private relay(): boolean {
 		const {req, relayPath} = this;
 		const relay = relayPath.choose(this.triedRelays);
--- a/packages/forwarding/src/relayed-requests.test.ts
+++ b/packages/forwarding/src/relayed-requests.test.ts
@@ -85,7 +85,7 @@
 	readonly sends: Send[] = [];
 	lastReceivedAt = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly script: readonly Behaviour[], override readonly isPartitioned: boolean, private readonly relays: number) {
+	constructor(private readonly script: readonly Behaviour[], override isPartitioned: boolean, private readonly relays: number) {
 		super();
 	}
 
@@ -181,7 +181,7 @@
 		vi.useRealTimers();
 	});
 
-	const play = ({kind, maxAttempts, isPartitioned, relays, upstreams, script}: History) => {
+	const play = ({kind, maxAttempts, isPartitioned, relays, upstreams, script}: History, partitionAfterMs = 0) => {
 		const directory = new UpstreamDirectory();
 		for (let index = 0; index < upstreams; index++) {
 			directory.upsert({
@@ -208,6 +208,8 @@
 		}, new OutcomeReceiver(outcome => {
 			outcomes.push(outcome);
 		}));
+		vi.advanceTimersByTime(partitionAfterMs);
+		links.isPartitioned ||= partitionAfterMs > 0;
 		vi.advanceTimersByTime(10_000);
 		return {outcomes, sends: links.sends};
 	};
@@ -242,6 +244,13 @@
 		expect(sends.filter(({through}) => through === 'upstream').length).toBe(relays === 0 ? 1 : 0);
 	});
 
+	it('are not hedged once a partition has been found and there is no other daemon', () => {
+		const {sends} = play({
+			kind: 'idempotent', maxAttempts: 3, isPartitioned: false, relays: 0, upstreams: 6, script: [{end: 'hangs', afterMs: 0}],
+		}, 50);
+		expect(sends).toHaveLength(1);
+	});
+
 	it('go to another daemon after two upstreams that could not be reached, before a partition is known', () => {
 		const {outcomes, sends} = play({
 			kind: 'once', maxAttempts: 2, isPartitioned: false, relays: 6, upstreams: 6,
