Survive a daemon that leaves between its choice as a relay and the send

What callers would see: the daemon that passes a request on ended with an exception, because it tried to connect to an empty address. Found in the review of the relays; it takes a membership that lapses within the same millisecond. A probe of an upstream with a malformed address would have ended it too.

Change: such a request counts as not sent, such an upstream as not reachable.

Evidence: the new case of relay.test.ts ends with an exception without the change.

--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -187,6 +187,10 @@
 
 	/** Whether a connection to the address can be established. It is closed at once. */
 	async canConnect(address: string): Promise<boolean> {
+		if (!URL.canParse(`http://${address}`)) {
+			return false;
+		}
+
 		const {protocol, hostname, port, host} = new URL(`http://${address}`);
 		return new Promise(resolve => {
 			this.connect({
--- a/packages/relays/src/relay-client.ts
+++ b/packages/relays/src/relay-client.ts
@@ -63,6 +63,11 @@
 	override send(relay: DaemonId, req: PlainRequest, {maxAttempts, deadlineMs}: RelayOptions, handlers: AttemptHandlers): Exchange {
 		const {pool, candidates, configurationVersion, self, onResponse} = this.options;
 		const candidate = candidates().find(({daemon}) => daemon === relay);
+		if (candidate === undefined) {
+			return failLater(handlers, 'the daemon has left');
+		}
+
+		const {address, key} = candidate;
 		const body = encodeRelayRequest({
 			from: self.daemon,
 			configuration: configurationVersion(),
@@ -81,10 +86,10 @@
 				handlers.onEnd(end);
 			},
 		}, onResponse);
-		return pool.exchange({id: relay as string as UpstreamId, address: candidate?.address ?? '', bornAt: 0}, {
+		return pool.exchange({id: relay as string as UpstreamId, address, bornAt: 0}, {
 			method: 'POST',
 			path: relayPath,
-			headers: ['Host', candidate?.address ?? '', 'Authorization', `Bearer ${candidate?.key ?? ''}`, 'Connection', 'close'],
+			headers: ['Host', address, 'Authorization', `Bearer ${key}`, 'Connection', 'close'],
 			body,
 		}, {
 			onHead: head => response.onHead(head),
@@ -126,6 +131,27 @@
 	}
 }
 
+/** Returns an exchange that ends without having been sent. */
+function failLater(handlers: AttemptHandlers, cause: string): Exchange {
+	let isOver = false;
+	const finish = (end: AttemptEnd) => {
+		if (!isOver) {
+			isOver = true;
+			handlers.onEnd(end);
+		}
+	};
+
+	queueMicrotask(() => {
+		finish({kind: 'not-sent', cause});
+	});
+	return {
+		abort() {
+			finish({kind: 'aborted'});
+		},
+		connection: () => 'connecting',
+	};
+}
+
 /** Decodes the stream of another daemon into the response of an upstream, or into the reason why there is none. */
 class RelayedResponse {
 	private readonly parser = new RelayReplyParser();
--- a/packages/relays/src/relay.test.ts
+++ b/packages/relays/src/relay.test.ts
@@ -82,11 +82,11 @@
 		};
 	};
 
-	const send = (client: RelayClient, body?: string) => {
+	const send = (client: RelayClient, body?: string, relay = 'd2' as DaemonId) => {
 		const received: Received = {
 			status: undefined, headers: undefined, body: '', end: undefined,
 		};
-		const exchange = client.send('d2' as DaemonId, plainRequest(body), {maxAttempts: 2, deadlineMs: 900}, {
+		const exchange = client.send(relay, plainRequest(body), {maxAttempts: 2, deadlineMs: 900}, {
 			onHead(head) {
 				received.status = head.status;
 				received.headers = head.headers;
@@ -158,6 +158,11 @@
 			expect(await ended(send(clientFor()))).toMatchObject({kind: 'not-sent'});
 		});
 
+		it('as not sent, if the other daemon has left since it was chosen', async () => {
+			const {clientFor} = await start();
+			expect(await ended(send(clientFor(), undefined, 'd3' as DaemonId))).toMatchObject({kind: 'not-sent'});
+		});
+
 		it('as refused, with the time to come back', async () => {
 			const {forwarded, clientFor} = await start();
 			const sent = send(clientFor());
