Read the whole call before another daemon declines it

What callers would see: a request that may run once fails as possibly run, although the other daemon had declined it: closing a connection with unread bytes resets it, and the reply can be lost.

Change: the rest of a declined call is read and discarded before the reply. Calls without the key are still rejected unread.

--- a/packages/relays/src/relay-server.ts
+++ b/packages/relays/src/relay-server.ts
@@ -3,12 +3,13 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {finished} from 'node:stream/promises';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	ResponseReceiver, type ForwardFailure, type Forwarder, type PlainRequest,
 } from '@cicadapost/forwarding';
 import type {UpstreamStart} from '@cicadapost/fleet';
-import type {Clock} from '@cicadapost/types';
+import type {Clock, Millis} from '@cicadapost/types';
 import {relayPath} from './relay-client.js';
 import {
 	decodeRelayRequest, encodeRelayReply, type RelayReply, type RelayRequest,
@@ -25,7 +26,7 @@
 	forwarder: Pick<Forwarder, 'forward'>;
 	isPartitioned: () => boolean;
 	/** Returns the request as this daemon's own configuration routes it. */
-	toRequest: (relayed: RelayRequest, now: number) => PlainRequest | Unavailable;
+	toRequest: (relayed: RelayRequest, now: Millis) => PlainRequest | Unavailable;
 	/** Called when a call without the right key was rejected. */
 	onRejected: (from: string) => void;
 	/** Called for each request of another daemon that was taken. */
@@ -93,6 +94,7 @@
 		const size = Number(req.headers['content-length'] ?? Number.POSITIVE_INFINITY);
 		const refusal = this.reasonToDecline(size);
 		if (refusal !== undefined) {
+			await discardBody(req);
 			finish(res, {kind: 'unavailable', reason: refusal});
 			return;
 		}
@@ -154,6 +156,15 @@
 	}
 }
 
+/** Reads a body to its end. Closing a connection with unread bytes would reset it, and the reply could be lost. */
+async function discardBody(req: IncomingMessage): Promise<void> {
+	try {
+		await finished(req.resume());
+	} catch {
+		// The connection was lost, so nobody waits for the reply.
+	}
+}
+
 /** Reads a body whose size was checked. Returns undefined if the other daemon has disconnected. */
 async function readBody(req: IncomingMessage): Promise<Uint8Array | undefined> {
 	const chunks: Uint8Array[] = [];
--- a/packages/relays/src/relay.test.ts
+++ b/packages/relays/src/relay.test.ts
@@ -209,12 +209,17 @@
 			await Promise.all(sent.map(async one => ended(one)));
 		});
 
-		it('of their size', async () => {
+		it.each([2000, 8_000_000])('of their size: %i bytes', async size => {
 			const {forwarded, clientFor} = await start({maxBytes: 1000});
-			expect(await ended(send(clientFor(), 'x'.repeat(2000)))).toMatchObject({kind: 'not-sent'});
+			expect(await ended(send(clientFor(), 'x'.repeat(size)))).toMatchObject({kind: 'not-sent'});
 			expect(forwarded).toEqual([]);
 		});
 
+		it('of a daemon that reaches no upstream itself, also for large ones', async () => {
+			const {clientFor} = await start({isPartitioned: () => true});
+			expect(await ended(send(clientFor(), 'x'.repeat(8_000_000)))).toMatchObject({kind: 'not-sent'});
+		});
+
 		it('before a shutdown; those in progress go on', async () => {
 			const {server, forwarded, clientFor} = await start();
 			const sent = send(clientFor());
