Get the rewards of samples from the services that trainers name

An item of a batch may name a reward call: a request to a plain service whose signed response is the score of its result.

Now the text of such a sample is stored when it is complete and its engine slot is free at once. A new package, rewards, decides which calls go now, what follows their end, and which texts of dead daemons are taken over. A call goes through the forwarder like a plain request, one upstream each, so leaving, limited and crashed upstreams and partitions are respected. All daemons together use half of the slots of a service, so callers come first.

Batches with reward calls name no model in the field that earlier builds read: those daemons read and end such batches but run none of their samples.

Ruled out: holding texts in memory until their score is known (a daemon that dies costs the generation), a queue in the store for each service (a transaction more for each call), retries within the forwarder (failures of several calls can't be counted).

--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -281,6 +281,7 @@
 		targetGroups,
 		submittedAt,
 		groups: groups.map(group => ({items: group.map(({id, expectedTokens}) => ({id, expectedTokens}))})),
+		...(submission.items.some(({reward}) => reward !== undefined) ? {hasRewards: true} : {}),
 	};
 }
 
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -1,7 +1,16 @@
 import type {
-	BatchId, ItemId, Millis, ModelId, SoftwareVersion,
+	BatchId, ItemId, Millis, ModelId, RequestId, SoftwareVersion,
 } from '@cicadapost/types';
 
+/** The request to a plain service whose signed response is the reward of a sample. It may be repeated. */
+export type RewardCall = Readonly<{
+	id: RequestId;
+	host: string;
+	/** Path including the query string. */
+	path: string;
+	body: Uint8Array;
+}>;
+
 /** A sample requested by a trainer. */
 export type BatchItem = Readonly<{
 	id: ItemId;
@@ -16,6 +25,8 @@
 	group: string;
 	/** The trainer's estimate of the number of output tokens. Only its median is accurate. */
 	expectedTokens: number;
+	/** Absent if the trainer computes the reward itself. */
+	reward?: RewardCall;
 }>;
 
 /** The samples of one training step, as submitted. */
@@ -49,6 +60,8 @@
 	state: 'completed' | 'terminated';
 	output: string;
 	versions: readonly number[];
+	/** Signature of the response to the item's reward call. */
+	score?: string;
 }>;
 
 /** The part of a batch that is kept in memory, without request bodies and outputs. */
@@ -62,6 +75,8 @@
 	/** Time of the first submission, on the store's clock. */
 	submittedAt: Millis;
 	groups: readonly GroupPlan[];
+	/** Set if an item has a reward call. Daemons of builds that can't send such calls must not run the batch. */
+	hasRewards?: true;
 }>;
 
 export type GroupPlan = Readonly<{
@@ -81,6 +96,8 @@
 	| Readonly<{kind: 'open'} & ClaimedText>
 	/** A daemon is running the item on an engine. */
 	| Readonly<{kind: 'running'; incarnation: string; engine: string} & ClaimedText>
+	/** The text is complete and stored. A daemon gets its reward, or none does if `incarnation` is undefined. */
+	| Readonly<{kind: 'rewarding'; incarnation: string | undefined; rewardFailures: number} & ClaimedText>
 	/** The result of the item has a position in the list of results. */
 	| Readonly<{kind: 'listed'}>;
 
--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -1,7 +1,9 @@
 import {MemoryRowStore, type StoreFault} from '@cicadapost/store/testing';
-import type {StoredRow, Transaction} from '@cicadapost/store';
+import {
+	decodeList, encodeList, type StoredRow, type Transaction,
+} from '@cicadapost/store';
 import type {
-	BatchId, DaemonIncarnation, ItemId, ModelId, SoftwareVersion, UpstreamId,
+	BatchId, DaemonIncarnation, ItemId, ModelId, RequestId, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
 import * as fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
@@ -68,6 +70,42 @@
 		expect(decodePartial(encodePartial(0, 1, text))).toEqual(text);
 	});
 
+	describe('a batch with reward calls', () => {
+		const reward = {
+			id: 'r1' as RequestId, host: 'h', path: '/score/?a=1', body: Buffer.from([1, 2]),
+		};
+
+		it('round-trips its plan, claims, reward calls and scores', () => {
+			const plan: BatchPlan = {...planWith(1, 2), hasRewards: true};
+			expect(decodePlan(encodePlan(plan))).toEqual(plan);
+			const claims: ItemClaim[] = ['d1#1', undefined].map(incarnation => ({
+				kind: 'rewarding', incarnation, rewardFailures: 2, failures: 1, hasPartialText: true, textVersion: softwareVersion,
+			}));
+			expect(decodeClaims(encodeClaims(claims))).toEqual(claims);
+			const item: BatchItem = {
+				id: 'i' as ItemId, path: '/p', headers: [], body: Buffer.from([3]), tokens: 1, group: 'g', expectedTokens: 1,
+			};
+			expect(decodeBodies(encodeBodies([[{...item, reward}, item]])).map(body => body.reward)).toEqual([reward, undefined]);
+			const result = {
+				id: item.id, state: 'completed', output: 'x', versions: [3], score: 'signature',
+			} as const;
+			const reference = {listing: 'l', index: 0};
+			expect(decodeResults(encodeResult(reference, result), [reference])).toEqual([result]);
+		});
+
+		it('names no model to builds that can\'t send the calls, so that they do not list samples without a score', () => {
+			// Those builds read the first eight fields.
+			const modelField = 3;
+			expect(decodeList(encodePlan({...planWith(1, 1), hasRewards: true}))?.[modelField]).toBe('');
+			expect(decodeList(encodePlan(planWith(1, 1)))?.[modelField]).toBe(model);
+		});
+
+		it('is read from the rows that those builds have written', () => {
+			const rowsOfOldBuild = encodeList(['h', '/p/', 1, model, 3, 1, 0, [[['i', 100]]]]);
+			expect(decodePlan(rowsOfOldBuild)).toEqual({...planWith(1, 1), groups: [{items: [{id: 'i', expectedTokens: 100}]}]});
+		});
+	});
+
 	it('splits and rejoins values that are too long for a row, so that no sample is too long to be listed', () => {
 		const output = 'x'.repeat(200_000);
 		const result = {
--- a/packages/batches/src/crash-burst.test.ts
+++ b/packages/batches/src/crash-burst.test.ts
@@ -88,6 +88,7 @@
 			onSlotFreed() {
 				freed.emit('slot');
 			},
+			onTextComplete: vi.fn(),
 			onRunReport: vi.fn(),
 		});
 		const worker = new ClaimWorker({
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -1,9 +1,9 @@
 import {decodeList, encodeList} from '@cicadapost/store';
 import type {
-	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, SoftwareVersion,
+	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, RequestId, SoftwareVersion,
 } from '@cicadapost/types';
 import type {
-	BatchItem, BatchPlan, ClaimedText, ItemClaim, SampleResult, SampleText,
+	BatchItem, BatchPlan, ClaimedText, ItemClaim, RewardCall, SampleResult, SampleText,
 } from './batch.js';
 import type {ResultReference} from './result-order.js';
 
@@ -58,16 +58,18 @@
 		plan.host,
 		plan.path,
 		plan.step,
-		plan.model,
+		// Builds that can't send reward calls read the field of the model here. No engine has a model without a name, so they leave the batch alone.
+		plan.hasRewards === true ? '' : plan.model,
 		plan.minVersion,
 		plan.targetGroups,
 		plan.submittedAt,
 		plan.groups.map(group => group.items.map(item => [item.id, item.expectedTokens])),
+		...(plan.hasRewards === true ? [plan.model] : []),
 	]);
 }
 
 export function decodePlan(value: Uint8Array): BatchPlan {
-	const [host, path, step, model, minVersion, targetGroups, submittedAt, groups] = decodeFields(value, 'the plan of a batch');
+	const [host, path, step, model, minVersion, targetGroups, submittedAt, groups, modelWithRewards] = decodeFields(value, 'the plan of a batch');
 	if (typeof host !== 'string' || typeof path !== 'string' || typeof model !== 'string' || typeof submittedAt !== 'number' || !Array.isArray(groups)) {
 		throw new RowShapeError('the plan of a batch');
 	}
@@ -76,17 +78,20 @@
 		host,
 		path,
 		step: Number(step),
-		model: model as ModelId,
+		model: (typeof modelWithRewards === 'string' ? modelWithRewards : model) as ModelId,
 		minVersion: Number(minVersion),
 		targetGroups: Number(targetGroups),
 		submittedAt,
 		groups: (groups as Array<Array<[string, number]>>).map(items => ({
 			items: items.map(([id, expectedTokens]) => ({id: id as ItemId, expectedTokens})),
 		})),
+		...(typeof modelWithRewards === 'string' ? {hasRewards: true} : {}),
 	};
 }
 
-const claimCodes = {open: 0, running: 1, listed: 2} as const;
+const claimCodes = {
+	open: 0, running: 1, listed: 2, rewarding: 3,
+} as const;
 
 export function encodeClaims(claims: readonly ItemClaim[]): Uint8Array {
 	return encodeList(claims.map(claim => claimFields(claim)));
@@ -102,6 +107,10 @@
 			return [claimCodes.running, claim.failures, claim.hasPartialText, claim.incarnation, claim.engine, claim.textVersion];
 		}
 
+		case 'rewarding': {
+			return [claimCodes.rewarding, claim.failures, claim.hasPartialText, claim.incarnation ?? null, null, claim.textVersion, claim.rewardFailures];
+		}
+
 		case 'listed': {
 			return [claimCodes.listed];
 		}
@@ -109,7 +118,7 @@
 }
 
 export function decodeClaims(value: Uint8Array): ItemClaim[] {
-	return (decodeFields(value, 'a claim') as unknown[][]).map(([code, failures, hasPartialText, incarnation, engine, textVersion]) => {
+	return (decodeFields(value, 'a claim') as unknown[][]).map(([code, failures, hasPartialText, incarnation, engine, textVersion, rewardFailures]) => {
 		const common: ClaimedText = {
 			failures: Number(failures),
 			hasPartialText: hasPartialText === true,
@@ -126,6 +135,12 @@
 				};
 			}
 
+			case claimCodes.rewarding: {
+				return {
+					kind: 'rewarding', ...common, incarnation: typeof incarnation === 'string' ? incarnation : undefined, rewardFailures: Number(rewardFailures),
+				};
+			}
+
 			case claimCodes.listed: {
 				return {kind: 'listed'};
 			}
@@ -202,14 +217,29 @@
 
 /** Encodes the request bodies of a batch. The items of a group are stored together, so that a daemon only reads the groups that it runs. */
 export function encodeBodies(groups: ReadonlyArray<readonly BatchItem[]>): ValueChunk[] {
-	return groups.flatMap((items, group) => splitValue(padNumber(group), encodeList(items.map(item => [item.id, item.path, item.headers, item.body]))));
+	return groups.flatMap((items, group) => splitValue(padNumber(group), encodeList(items.map(item => [item.id, item.path, item.headers, item.body, ...(item.reward === undefined ? [] : [rewardFields(item.reward)])]))));
+}
+
+function rewardFields({id, host, path, body}: RewardCall): unknown[] {
+	return [id, host, path, body];
+}
+
+function decodeReward(fields: unknown): RewardCall | undefined {
+	if (!Array.isArray(fields)) {
+		return undefined;
+	}
+
+	const [id, host, path, body] = fields as unknown[];
+	return {
+		id: String(id) as RequestId, host: String(host), path: String(path), body: body as Uint8Array,
+	};
 }
 
-export type ItemBody = Readonly<{id: ItemId; path: string; headers: readonly string[]; body: Uint8Array}>;
+export type ItemBody = Readonly<{id: ItemId; path: string; headers: readonly string[]; body: Uint8Array; reward?: RewardCall | undefined}>;
 
 export function decodeBodies(rows: readonly ValueChunk[]): ItemBody[] {
-	return joinChunks(rows).flatMap(({value}) => (decodeFields(value, 'bodies of a group') as unknown[][]).map(([id, path, headers, body]) => ({
-		id: String(id) as ItemId, path: String(path), headers: headers as string[], body: body as Uint8Array,
+	return joinChunks(rows).flatMap(({value}) => (decodeFields(value, 'bodies of a group') as unknown[][]).map(([id, path, headers, body, reward]) => ({
+		id: String(id) as ItemId, path: String(path), headers: headers as string[], body: body as Uint8Array, reward: decodeReward(reward),
 	})));
 }
 
@@ -226,7 +256,7 @@
 }
 
 export function encodeResult(reference: ResultReference, result: SampleResult): ValueChunk[] {
-	return splitValue(resultName(reference), encodeList([result.id, result.state, result.output, result.versions]));
+	return splitValue(resultName(reference), encodeList([result.id, result.state, result.output, result.versions, ...(result.score === undefined ? [] : [result.score])]));
 }
 
 /** Returns the smallest range of rows that holds all of the results. */
@@ -247,12 +277,13 @@
 			break;
 		}
 
-		const [id, state, output, versions] = decodeFields(value, 'a result');
+		const [id, state, output, versions, score] = decodeFields(value, 'a result');
 		results.push({
 			id: String(id) as ItemId,
 			state: state === 'completed' ? 'completed' : 'terminated',
 			output: String(output),
 			versions: versions as number[],
+			...(typeof score === 'string' ? {score} : {}),
 		});
 	}
 
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -126,7 +126,7 @@
 /** Returns the number of engines to reserve for long samples: as many as the open and running ones need, but at most half. */
 function countEnginesForLong(batches: readonly EligibleBatch[], engines: number): number {
 	const count = batches.reduce((sum, {view}) => sum + view.claims.reduce((inGroups, claims, group) => inGroups
-		+ claims.items.filter((claim, item) => claim.kind !== 'listed' && isLong(view, group, item)).length, 0), 0);
+		+ claims.items.filter((claim, item) => claim.kind !== 'listed' && claim.kind !== 'rewarding' && isLong(view, group, item)).length, 0), 0);
 	return Math.min(Math.floor(engines / 2), Math.ceil(count / maxRunsBesideLong));
 }
 
@@ -206,13 +206,18 @@
 
 /** Returns the claims of a group after a daemon has claimed some of its items for an engine. */
 export function applyClaim(claims: readonly ItemClaim[], items: readonly number[], by: Readonly<{incarnation: DaemonIncarnation; engine: UpstreamId}>): ItemClaim[] {
-	return claims.map((claim, index) => (items.includes(index) && claim.kind !== 'listed'
+	return claims.map((claim, index) => (items.includes(index) && claim.kind !== 'listed' && claim.kind !== 'rewarding'
 		? {
 			...claim, kind: 'running', incarnation: by.incarnation, engine: by.engine,
 		}
 		: claim));
 }
 
+/** Returns the claims of a group after a daemon has taken over the rewards of some of its items. */
+export function applyRewardClaim(claims: readonly ItemClaim[], items: readonly number[], incarnation: DaemonIncarnation): ItemClaim[] {
+	return claims.map((claim, index) => (items.includes(index) && claim.kind === 'rewarding' ? {...claim, incarnation} : claim));
+}
+
 /** Returns the time after which the items of a batch may be abandoned, on the store's clock. */
 export function queueDeadlineOf(batch: BatchView, maxQueueMs: Millis): Millis {
 	return batch.plan.submittedAt + maxQueueMs;
--- a/packages/batches/src/plan-commit.ts
+++ b/packages/batches/src/plan-commit.ts
@@ -12,6 +12,10 @@
 	| Readonly<{kind: 'result'; result: SampleResult}>
 	/** Another engine may run the item, resuming from the text if there is one. */
 	| Readonly<{kind: 'released'; failures: number; text: SampleText | undefined}>
+	/** The text is complete. It is stored, and this daemon then sends the item's reward call. */
+	| Readonly<{kind: 'text-complete'; failures: number; text: SampleText}>
+	/** Another daemon may send the reward call. */
+	| Readonly<{kind: 'reward-released'; rewardFailures: number}>
 	/** The text so far is stored in case this daemon dies. */
 	| Readonly<{kind: 'progress'; text: SampleText}>
 );
@@ -101,8 +105,29 @@
 			break;
 		}
 
+		case 'text-complete': {
+			if (claim.kind === 'rewarding') {
+				return false;
+			}
+
+			claims[outcome.item] = {
+				kind: 'rewarding', incarnation, rewardFailures: 0, failures: outcome.failures, hasPartialText: true, textVersion: outcome.text.softwareVersion,
+			};
+			addRows(draft, partialTable, encodePartial(outcome.group, outcome.item, outcome.text));
+			break;
+		}
+
+		case 'reward-released': {
+			if (claim.kind !== 'rewarding' || claim.incarnation !== incarnation) {
+				return false;
+			}
+
+			claims[outcome.item] = {...claim, incarnation: undefined, rewardFailures: outcome.rewardFailures};
+			break;
+		}
+
 		case 'released': {
-			if (claim.kind !== 'running' || claim.incarnation !== incarnation) {
+			if (claim.kind === 'open' || claim.incarnation !== incarnation) {
 				return false;
 			}
 
--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -89,6 +89,7 @@
 		rulesOf: () => ({maxAttempts: 3, isSingleVersion: false, runMs: 60_000}),
 		isLoading: () => false,
 		onVersion() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		onTextComplete: vi.fn(),
 		onSlotFreed() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		onRunReport() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	});
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -1,26 +1,24 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
-import {readAll, type RowStore} from '@cicadapost/store';
+import type {RowStore} from '@cicadapost/store';
 import type {
-	BatchId, Clock, Millis, UpstreamId,
+	BatchId, Clock, ItemId, Millis, UpstreamId,
 } from '@cicadapost/types';
 import type {BatchCache, BatchView} from './batch-cache.js';
-import type {SampleText} from './batch.js';
+import type {RewardCall, SampleResult, SampleText} from './batch.js';
 import type {CommitQueue} from './commit-queue.js';
 import {
 	areVersionsAllowed, decideFollowUp, isStalled, type FollowUp,
 } from './decide-run.js';
-import {
-	bodyRange, decodeBodies, decodePartial, partialRange, type ItemBody,
-} from './encode-rows.js';
 import type {
 	EngineClient, RunEnd, SampleEvent, SampleRun,
 } from './engine-client.js';
 import {SlowdownDetector} from './slowdown-detector.js';
 import {LivenessMonitor} from './liveness-monitor.js';
-import {isLong, type ClaimTarget} from './plan-claims.js';
+import {isLong, type ClaimTarget, type ItemReference} from './plan-claims.js';
+import {readBodies, readText} from './read-items.js';
 import {
-	snapshotText, createRun, describeEnd, emptyText, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
+	snapshotText, toResult, createRun, describeEnd, emptyText, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
 } from './sample-run.js';
 
 /** Limits that the route of a batch sets. */
@@ -31,6 +29,9 @@
 	runMs: Millis;
 }>;
 
+/** A sample whose text is complete, and the reward call that its result still needs. */
+export type CompletedText = ItemReference & Readonly<{id: ItemId; text: SampleText; reward: RewardCall}>;
+
 export type SampleRunnerOptions = Readonly<{
 	clock: Clock;
 	store: RowStore;
@@ -45,6 +46,8 @@
 	isLoading: (engine: UpstreamId) => boolean;
 	/** Called when an engine has reported its weight version. */
 	onVersion: (engine: UpstreamId, batch: BatchView, version: number) => void;
+	/** Called when the complete text of a sample with a reward call is about to be stored. */
+	onTextComplete: (completed: CompletedText) => void;
 	/** Called when a slot of an engine has become free. */
 	onSlotFreed: () => void;
 	onRunReport: (report: RunReport) => void;
@@ -110,13 +113,14 @@
 			this.starting.set(itemKey, engine.id);
 		}
 
-		const bodies = await this.readBodies(target);
-		const texts = await Promise.all(target.items.map(async item => this.readPartialText(target, item)));
+		const {store, batchCache} = this.options;
+		const bodies = await readBodies(store, target);
+		const texts = await Promise.all(target.items.map(async item => readText(store, batchCache.get(target.batch), {group: target.group, item})));
 		for (const itemKey of itemKeys) {
 			this.starting.delete(itemKey);
 		}
 
-		const view = this.options.batchCache.get(target.batch);
+		const view = batchCache.get(target.batch);
 		for (const [index, item] of target.items.entries()) {
 			const planned = view?.plan.groups[target.group]?.items[item];
 			const body = bodies?.find(candidate => candidate.id === planned?.id);
@@ -165,21 +169,6 @@
 		return areVersionsAllowed(text.versions, {...rules, minVersion: view.plan.minVersion}) ? text : undefined;
 	}
 
-	private async readBodies(target: ClaimTarget): Promise<ItemBody[] | undefined> {
-		const rows = await readAll(this.options.store, bodyRange(target.batch, target.group));
-		return rows === undefined ? undefined : decodeBodies(rows);
-	}
-
-	private async readPartialText(target: ClaimTarget, item: number): Promise<SampleText | undefined> {
-		const claim = this.options.batchCache.get(target.batch)?.claims[target.group]?.items[item];
-		if (claim === undefined || claim.kind === 'listed' || !claim.hasPartialText) {
-			return undefined;
-		}
-
-		const rows = await readAll(this.options.store, partialRange(target.batch, target.group, item));
-		return rows === undefined ? undefined : decodePartial(rows);
-	}
-
 	private startRun(options: RunOptions): void {
 		const run = createRun(options, this.options.clock.now());
 		this.running.set(itemKeyOf(run), run);
@@ -344,15 +333,7 @@
 	private applyFollowUp(run: ActiveRun, followUp: FollowUp, cause: string): void {
 		switch (followUp.kind) {
 			case 'list': {
-				this.options.commits.push(run.batch, {
-					group: run.group,
-					item: run.item,
-					kind: 'result',
-					result: {
-						id: run.body.id, state: followUp.state, output: run.text.events.join('\n'), versions: [...run.text.versions],
-					},
-				});
-				this.end(run, followUp.state);
+				this.recordEnd(run, followUp.state);
 				break;
 			}
 
@@ -374,6 +355,27 @@
 		}
 	}
 
+	/** Lists the result, or stores the text of a sample that still needs its reward. */
+	private recordEnd(run: ActiveRun, state: SampleResult['state']): void {
+		const {batch, group, item, failures, body: {id, reward}} = run;
+		const text = snapshotText(run.text);
+		if (state === 'completed' && reward !== undefined) {
+			this.options.commits.push(batch, {
+				group, item, kind: 'text-complete', failures, text,
+			});
+			this.options.onTextComplete({
+				batch, group, item, id, text, reward,
+			});
+			this.end(run, 'text complete');
+			return;
+		}
+
+		this.options.commits.push(batch, {
+			group, item, kind: 'result', result: toResult({id, text, state}),
+		});
+		this.end(run, state);
+	}
+
 	private release(run: ActiveRun, failures: number, reason: string): void {
 		if (run.isOver) {
 			return;
@@ -465,8 +467,8 @@
 			const claim = view?.claims[run.group]?.items[run.item];
 			if (view === undefined || view.isEnded) {
 				this.end(run, 'batch is over');
-			} else if (claim?.kind === 'listed') {
-				this.end(run, 'listed by another daemon');
+			} else if (claim?.kind === 'listed' || claim?.kind === 'rewarding') {
+				this.end(run, 'completed by another daemon');
 			} else if (run.resendTimer === undefined && run.withdrawTurn === undefined && isStalled({sinceLastEventMs: now - run.lastActivityAt, hasEvents: run.eventsSinceSent > 0})) {
 				this.release(run, run.failures, `no event for ${Math.round(now - run.lastActivityAt)} ms`);
 			} else if (now - run.savedAt > saveIntervalMs && run.text.events.length > run.savedEvents) {
--- a/packages/batches/src/sample-run.ts
+++ b/packages/batches/src/sample-run.ts
@@ -1,8 +1,8 @@
 import type {UpstreamRecord} from '@cicadapost/fleet';
 import type {
-	BatchId, Millis, SoftwareVersion, UpstreamId,
+	BatchId, ItemId, Millis, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
-import type {SampleText} from './batch.js';
+import type {SampleResult, SampleText} from './batch.js';
 import type {ItemBody} from './encode-rows.js';
 import type {RunEnd, SampleRun} from './engine-client.js';
 import type {ClaimTarget, ItemReference} from './plan-claims.js';
@@ -113,6 +113,12 @@
 	return {...text, events: [...text.events], versions: [...text.versions]};
 }
 
+export function toResult({id, text, state, score}: Readonly<{id: ItemId; text: SampleText; state: SampleResult['state']; score?: string}>): SampleResult {
+	return {
+		id, state, output: text.events.join('\n'), versions: text.versions, ...(score === undefined ? {} : {score}),
+	};
+}
+
 export function describeEnd(end: RunEnd): string {
 	if ('status' in end) {
 		return `${end.kind} with status ${end.status}`;
--- a/packages/entry/src/batch-routes.ts
+++ b/packages/entry/src/batch-routes.ts
@@ -1,6 +1,7 @@
 import {queueDeadlineOf, type BatchRules, type BatchView} from '@cicadapost/batches';
 import type {UpstreamRecord} from '@cicadapost/fleet';
 import {matchRoute, type Route, type RoutingConfiguration} from '@cicadapost/forwarding';
+import type {RewardRules} from '@cicadapost/rewards';
 import type {Millis} from '@cicadapost/types';
 
 export type BatchRoutesOptions = Readonly<{
@@ -29,8 +30,14 @@
 	dueAt(batch: BatchView, engine: UpstreamRecord): Millis | undefined {
 		const route = this.routeOf(batch);
 		const isServed = route?.services.some(({service, weight}) => service === engine.service && weight > 0) ?? false;
-		return route !== undefined && isServed && this.options.storeTime() < queueDeadlineOf(batch, route.maxQueueMs)
-			? batch.plan.submittedAt + route.batchDeadlineMs
+		return isServed ? this.rewardRulesOf(batch)?.dueAt : undefined;
+	}
+
+	/** Returns undefined if the batch has expired or no route serves it any more. */
+	rewardRulesOf(batch: BatchView): RewardRules | undefined {
+		const route = this.routeOf(batch);
+		return route !== undefined && this.options.storeTime() < queueDeadlineOf(batch, route.maxQueueMs)
+			? {maxAttempts: route.maxAttempts, dueAt: batch.plan.submittedAt + route.batchDeadlineMs}
 			: undefined;
 	}
 }
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	batchFeedPause, BatchCache, BatchService, BatchSweeper, ClaimWorker, CommitQueue, queueDeadlineOf, isExpired, SampleRunner, type EngineClient,
+	batchFeedPause, BatchCache, BatchService, type EngineClient,
 } from '@cicadapost/batches';
 import {UpstreamDirectory, VersionHistory} from '@cicadapost/fleet';
 import {
@@ -19,7 +19,7 @@
 import {
 	EngineVersions, WeightLoader, type OrderClient,
 } from '@cicadapost/weights';
-import {BatchRoutes} from './batch-routes.js';
+import {BatchTasks} from './batch-tasks.js';
 import type {CallerProtocol} from './caller-protocol.js';
 import {CrashReports} from './crash-reports.js';
 import {EntryMetrics} from './entry-metrics.js';
@@ -74,7 +74,6 @@
 	private readonly health = new UpstreamHealthTracker();
 	private readonly pool: ConnectionPool;
 	private readonly batchCache = new BatchCache();
-	private readonly batchRoutes: BatchRoutes;
 	private readonly versions = new EngineVersions();
 	private readonly metrics = new EntryMetrics();
 	private readonly followers: TableFollowers;
@@ -85,11 +84,8 @@
 	private readonly rateLimiter: RateLimiter;
 	private readonly streamRecords: StreamRecords;
 	private readonly batchService: BatchService;
-	private readonly commitQueue: CommitQueue;
-	private readonly sampleRunner: SampleRunner;
-	private readonly claimWorker: ClaimWorker;
+	private readonly batchTasks: BatchTasks;
 	private readonly weightLoader: WeightLoader;
-	private readonly batchSweeper: BatchSweeper;
 	private readonly frontServer: FrontServer;
 	private readonly healthServer: HealthServer;
 	private readonly operatorState: OperatorState;
@@ -121,7 +117,7 @@
 			tables: platform.tables,
 			ownsEngines: () => this.fleetView.ownedEngines().length > 0,
 			batchPause: () => batchFeedPause({
-				ownsEngines: this.fleetView.ownedEngines().length > 0, running: this.sampleRunner.count, waiting: this.batchService.waiting,
+				ownsEngines: this.fleetView.ownedEngines().length > 0, running: this.batchTasks.running + this.batchTasks.rewarding, waiting: this.batchService.waiting,
 			}),
 		});
 		const self = {
@@ -183,71 +179,6 @@
 		this.batchService = new BatchService({
 			clock, store, follower: this.followers.batches, batchCache: this.batchCache, storeTime: () => this.followers.batches.storeTime(clock.now()),
 		});
-		this.batchRoutes = new BatchRoutes({
-			configuration: () => this.operatorState.configuration,
-			storeTime: () => this.followers.batches.storeTime(clock.now()),
-		});
-		this.commitQueue = new CommitQueue({
-			clock,
-			store,
-			follower: this.followers.batches,
-			batchCache: this.batchCache,
-			incarnation: this.incarnation,
-			onCommitFailure(batch, detail) {
-				logger.warn({event: 'commit-trouble', batch}, detail);
-			},
-		});
-		this.sampleRunner = new SampleRunner({
-			clock,
-			store,
-			batchCache: this.batchCache,
-			directory: this.directory,
-			client: platform.engines,
-			limits: this.rateLimiter,
-			commits: this.commitQueue,
-			rulesOf: batch => this.batchRoutes.rulesOf(batch),
-			isLoading: engine => {
-				const record = this.directory.get(engine);
-				return record !== undefined && this.versions.isLoading(record, clock.now());
-			},
-			onVersion: (engine, batch, version) => {
-				const record = this.directory.get(engine);
-				if (record !== undefined) {
-					this.versions.recordVersion(record, batch.plan.model, version);
-				}
-			},
-			onSlotFreed: () => {
-				this.claimWorker.wake();
-			},
-			onRunReport: report => {
-				this.metrics.recordSample(report.outcome, report.tookMs);
-				logger.info({event: 'sample', ...report}, report.outcome);
-			},
-		});
-		this.claimWorker = new ClaimWorker({
-			clock,
-			store,
-			follower: this.followers.batches,
-			batchCache: this.batchCache,
-			directory: this.directory,
-			runner: this.sampleRunner,
-			limits: this.rateLimiter,
-			commits: this.commitQueue,
-			incarnation: this.incarnation,
-			ownedEngines: () => this.fleetView.ownedEngines(),
-			isAlive: (incarnation, claimedVersion) => this.membership.isAlive(incarnation, claimedVersion, clock.now()),
-			versionsOf: engine => this.versions.usableVersions(engine, clock.now()),
-			dueAt: (batch, engine) => this.batchRoutes.dueAt(batch, engine),
-			storeTime: () => this.followers.batches.storeTime(clock.now()),
-			onPlanned: tookMs => {
-				this.loadReporter.recordClaimPlan(tookMs);
-			},
-			onClaimed(engine, target, copyAgeMs) {
-				logger.info({
-					event: 'claim', batch: target.batch, engine, group: target.group, items: target.items, copyAgeMs: Math.round(copyAgeMs),
-				}, 'claimed samples');
-			},
-		});
 		this.weightLoader = new WeightLoader({
 			clock,
 			store,
@@ -263,20 +194,7 @@
 				logger.info({event: 'order', ...report}, report.outcome);
 			},
 			onLoaded: () => {
-				this.claimWorker.wake();
-			},
-		});
-		this.batchSweeper = new BatchSweeper({
-			store,
-			batchCache: this.batchCache,
-			isOwner: batch => this.isPartOwner(batch),
-			isExpired: view => isExpired(view, {
-				storeTime: this.followers.batches.storeTime(clock.now()),
-				retentionMs: settings.resultRetentionSeconds * 1000,
-				queueDeadline: queueDeadlineOf(view, this.batchRoutes.routeOf(view)?.maxQueueMs ?? 0),
-			}),
-			onDeleted(batch) {
-				logger.info({event: 'batch-deleted', batch}, 'deleted the rows of an expired batch');
+				this.batchTasks.wake();
 			},
 		});
 		const forwarding = {
@@ -312,7 +230,7 @@
 			configuration: () => this.operatorState.configuration,
 			onChanged: () => {
 				this.fleetView.invalidate();
-				this.claimWorker.wake();
+				this.batchTasks.wake();
 			},
 			onAccepted: () => {
 				this.metrics.recordRequestOfOtherDaemon();
@@ -321,6 +239,29 @@
 				this.upstreamList.recordResponse(upstream, head);
 			},
 		});
+		this.batchTasks = new BatchTasks({
+			clock,
+			logger,
+			store,
+			follower: this.followers.batches,
+			batchCache: this.batchCache,
+			directory: this.directory,
+			engines: platform.engines,
+			limits: this.rateLimiter,
+			versions: this.versions,
+			membership: this.membership,
+			fleetView: this.fleetView,
+			metrics: this.metrics,
+			loadReporter: this.loadReporter,
+			forwarding: {...forwarding, relays: this.relays.path},
+			configuration: () => this.operatorState.configuration,
+			incarnation: this.incarnation,
+			retentionMs: settings.resultRetentionSeconds * 1000,
+			isBatchOwner: batch => this.isPartOwner(batch),
+			onRequestReport: report => {
+				this.recordRequest(report);
+			},
+		});
 		this.frontServer = new FrontServer({
 			clock,
 			protocol: platform.callers,
@@ -348,7 +289,7 @@
 			},
 			onChanged: () => {
 				this.weightLoader.wake();
-				this.claimWorker.wake();
+				this.batchTasks.wake();
 			},
 		});
 		this.upstreamList = new UpstreamList({
@@ -364,7 +305,7 @@
 				versions.update(this.directory.all(), clock.now());
 				this.fleetView.invalidate();
 				this.weightLoader.wake();
-				this.claimWorker.wake();
+				this.batchTasks.wake();
 			},
 			onExpired: () => {
 				versions.update(this.directory.all(), clock.now());
@@ -417,9 +358,9 @@
 		const startedAt = clock.now();
 		const graceMs = settings.shutdownSeconds * 1000;
 		this.isStopping = true;
-		logger.info({event: 'stop', running: this.sampleRunner.count}, 'daemon is shutting down');
+		logger.info({event: 'stop', running: this.batchTasks.running, rewarding: this.batchTasks.rewarding}, 'daemon is shutting down');
 		this.membership.leave();
-		this.claimWorker.stop();
+		this.batchTasks.startDraining();
 		this.weightLoader.stop();
 		this.frontServer.startDraining();
 		this.relays.startDraining();
@@ -428,10 +369,10 @@
 			const elapsed = clock.now() - startedAt;
 			if (!hasReleasedRuns && elapsed > graceMs - releaseMarginMs) {
 				hasReleasedRuns = true;
-				this.sampleRunner.releaseAll('shutdown');
+				this.batchTasks.releaseAll('shutdown');
 			}
 
-			const isIdle = this.frontServer.isIdle && this.relays.isIdle && this.sampleRunner.count === 0 && this.commitQueue.isIdle;
+			const isIdle = this.frontServer.isIdle && this.relays.isIdle && this.batchTasks.isIdle;
 			if ((isIdle && elapsed > Math.min(loadBalancerDrainMs, graceMs)) || elapsed > graceMs - exitMarginMs) {
 				break;
 			}
@@ -451,8 +392,7 @@
 		}
 
 		this.membership.stop();
-		this.sampleRunner.stop();
-		this.batchSweeper.stop();
+		this.batchTasks.stop();
 		this.crashReports.stop();
 		this.rateLimiter.stop();
 		this.streamRecords.stop();
@@ -477,7 +417,7 @@
 				this.options.logger.warn({event: 'unreadable-row'}, err.message);
 			}
 
-			this.claimWorker.wake();
+			this.batchTasks.wake();
 		});
 		this.followers.fleet.on('changed', () => {
 			this.fleetView.invalidate();
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -16,6 +16,7 @@
 	private readonly requests = this.counter('requests_total', 'Plain requests by route and outcome', ['route', 'outcome']);
 	private readonly calls = this.counter('calls_total', 'Calls on batches and refusals of the front by outcome', ['outcome']);
 	private readonly samples = this.counter('samples_total', 'Runs of samples by outcome', ['outcome']);
+	private readonly rewards = this.counter('reward_calls_total', 'Reward calls of samples by outcome', ['outcome']);
 	private readonly orders = this.counter('orders_total', 'Orders to engines by outcome', ['outcome']);
 	private readonly storeLosses = this.counter('store_lost_total', 'Times that the store stopped answering, by table', ['table']);
 	private readonly storeCalls = this.counter('store_calls_total', 'Calls to the store by call, table and outcome', ['call', 'table', 'outcome']);
@@ -24,6 +25,7 @@
 	private readonly requestsOfOtherDaemons = this.counter('requests_of_other_daemons_total', 'Requests taken from daemons without links to upstreams', []);
 	private readonly requestLatency = this.histogram('request_duration_ms', 'Time to the answer of plain requests', ['route']);
 	private readonly sampleLatency = this.histogram('sample_duration_ms', 'Time of runs of samples', ['outcome']);
+	private readonly rewardLatency = this.histogram('reward_call_duration_ms', 'Time of reward calls', []);
 	private server: Server | undefined;
 
 	recordRequest(route: string, outcome: string, tookMs: Millis): void {
@@ -41,6 +43,11 @@
 		this.sampleLatency.observe({outcome: outcomeCategory(outcome)}, tookMs);
 	}
 
+	recordReward(outcome: string, tookMs: Millis): void {
+		this.rewards.inc({outcome: outcomeCategory(outcome)});
+		this.rewardLatency.observe(tookMs);
+	}
+
 	recordOrder(outcome: string): void {
 		this.orders.inc({outcome: outcomeCategory(outcome)});
 	}
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -1,6 +1,7 @@
 import {
 	assignEngines, type MemberRecord, type UpstreamDirectory, type UpstreamRecord,
 } from '@cicadapost/fleet';
+import {ownerOf} from '@cicadapost/membership';
 import type {
 	Clock, DaemonId, DataCentreId, Millis, ModelId, RegionId, ServiceId, UpstreamId,
 } from '@cicadapost/types';
@@ -39,6 +40,17 @@
 		return this.readyEngines().filter(engine => this.isOwner(engine.id));
 	}
 
+	/** Daemons that own engines, or all members if there are no engines. */
+	engineOwners(): readonly DaemonId[] {
+		const owners = [...new Set(this.owners().values())].sort((a, b) => (a < b ? -1 : 1));
+		return owners.length > 0 ? owners : this.options.members(this.options.clock.now()).map(({daemon}) => daemon);
+	}
+
+	/** Whether this daemon does work that any daemon with an engine could do. All daemons with the same view name the same one. */
+	isResponsibleFor(key: string): boolean {
+		return ownerOf(key, this.engineOwners()) === this.options.self;
+	}
+
 	/** Engines that accept new work, grouped by service, with the versions that trainers have named for their models. */
 	engineServices(namedVersions: ReadonlyMap<ModelId, number>): EngineService[] {
 		const services = new Map<ServiceId, UpstreamRecord[]>();
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -144,6 +144,10 @@
 });
 
 class TestProtocol extends UpstreamProtocol {
+	override signatureOf(): undefined {
+		return undefined;
+	}
+
 	override requestHeaders({requestId, deadlineMs, host}: ForwardedHeaders): string[] {
 		return ['Host', host, 'Id', requestId ?? '', 'Deadline', String(deadlineMs)];
 	}
--- a/packages/forwarding/src/limited-upstreams.test.ts
+++ b/packages/forwarding/src/limited-upstreams.test.ts
@@ -52,6 +52,10 @@
 }
 
 class TestProtocol extends UpstreamProtocol {
+	override signatureOf(): undefined {
+		return undefined;
+	}
+
 	override requestHeaders(): string[] {
 		return [];
 	}
--- a/packages/forwarding/src/relayed-requests.test.ts
+++ b/packages/forwarding/src/relayed-requests.test.ts
@@ -41,6 +41,10 @@
 }
 
 class TestProtocol extends UpstreamProtocol {
+	override signatureOf(): undefined {
+		return undefined;
+	}
+
 	override requestHeaders(): string[] {
 		return [];
 	}
--- a/packages/forwarding/src/upstream-protocol.ts
+++ b/packages/forwarding/src/upstream-protocol.ts
@@ -47,6 +47,8 @@
 	/** Returns the headers for the upstream as alternating names and values. */
 	abstract requestHeaders(options: ForwardedHeaders): string[];
 	abstract readMetadata(head: ResponseHead): ResponseMetadata;
+	/** Returns the signature of a response with these headers, which are alternating names and values. */
+	abstract signatureOf(headers: readonly string[]): string | undefined;
 	/** Returns the headers of the upstream's response that go to the caller, as alternating names and values. */
 	abstract responseHeaders(head: ResponseHead): string[];
 }
