Never guess the version of a stream from a list that may be out of date

A stream whose origin has no record, because its daemon died right after the first event, went on at the only version that this daemon had listed for a minute. The minute counted from the start of the process: a daemon that could not read the list at first, or lost the store in between, did not know of versions that came and left meanwhile. And an upstream of a new version could have begun the stream up to two seconds before the copy of the list showed it. In both cases the text was joined from two versions.

The history of versions now starts when the list has been read, and again after each outage. Before the guess the list is read anew from the store; if another version is listed, or the store does not respond, the caller is told that the stream has not run.

Cases of stream-records.test.ts and version-history.test.ts; the new ones fail with the read of the list or the restart removed.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -34,7 +34,7 @@
 import {RelayTask} from './relay-task.js';
 import {StreamRecords} from './stream-records.js';
 import {createFollowers, type TableFollowers} from './table-followers.js';
-import {UpstreamList} from './upstream-list.js';
+import {readListedVersions, UpstreamList} from './upstream-list.js';
 
 /** The interfaces that a platform adapter implements for the daemon. */
 export type PlatformAdapter = Readonly<{
@@ -162,7 +162,10 @@
 				this.loadReporter.recordLimitedRequest(upstream, reason);
 			},
 		});
-		const versions = new VersionHistory(clock.now());
+		const versions = new VersionHistory();
+		this.followers.upstreams.on('regained', () => {
+			versions.restart(clock.now());
+		});
 		this.streamRecords = new StreamRecords({
 			clock,
 			store,
@@ -171,6 +174,7 @@
 			dataCentres: Object.keys(settings.dataCentres) as DataCentreId[],
 			daemons: () => this.membership.members(clock.now()).length,
 			versions,
+			readVersions: async service => readListedVersions(store, platform.tables, service),
 			isOwner: part => this.isPartOwner(part),
 			onDropped(count) {
 				logger.warn({event: 'stream-records-dropped', count}, 'the store takes no records of streams');
--- a/packages/entry/src/stream-records.test.ts
+++ b/packages/entry/src/stream-records.test.ts
@@ -1,4 +1,4 @@
-import {VersionHistory} from '@cicadapost/fleet';
+import {VersionHistory, type UpstreamRecord} from '@cicadapost/fleet';
 import type {StreamOrigin} from '@cicadapost/forwarding';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
@@ -17,10 +17,14 @@
 	const open: StreamRecords[] = [];
 	let store: MemoryRowStore;
 	let storeTime: Millis;
+	let versions: VersionHistory;
+	let listed: SoftwareVersion[] | undefined;
 
 	beforeEach(() => {
 		store = new MemoryRowStore();
 		storeTime = 1000;
+		versions = new VersionHistory();
+		listed = undefined;
 	});
 
 	afterEach(() => {
@@ -38,7 +42,8 @@
 			dataCentre,
 			dataCentres: [west, east],
 			daemons: () => 3,
-			versions: new VersionHistory(clock.now()),
+			versions,
+			readVersions: async () => listed,
 			isOwner: () => true,
 			onDropped: vi.fn(),
 		});
@@ -56,6 +61,29 @@
 		expect(await startDaemon(east).originOf(stream)).toEqual(origin);
 	});
 
+	describe('a stream without a record, at a daemon that has known one version for a minute', () => {
+		const v1 = origin.softwareVersion;
+
+		beforeEach(() => {
+			versions.restart(-60_000);
+			versions.update([{service: origin.service, softwareVersion: v1} as UpstreamRecord], -60_000);
+		});
+
+		it('is of that version if the store lists no other one', async () => {
+			listed = [v1, v1];
+			expect(await startDaemon(west).onlyVersion(origin.service)).toBe(v1);
+		});
+
+		it('is of no known version if an upstream of another one has just joined, so that no text is joined from two versions', async () => {
+			listed = [v1, 'v2' as SoftwareVersion];
+			expect(await startDaemon(west).onlyVersion(origin.service)).toBeUndefined();
+		});
+
+		it('is of no known version while the store does not respond', async () => {
+			expect(await startDaemon(west).onlyVersion(origin.service)).toBeUndefined();
+		});
+	});
+
 	it('writes records after an outage of the store, and finds nothing meanwhile', async () => {
 		store.fault = 'down';
 		startDaemon(west).record(stream, origin);
--- a/packages/entry/src/stream-records.ts
+++ b/packages/entry/src/stream-records.ts
@@ -22,6 +22,8 @@
 	/** Returns the number of daemons, which share the store's rate of writes. */
 	daemons: () => number;
 	versions: VersionHistory;
+	/** Reads from the store which software versions of a service are listed now. Returns undefined if the store does not respond. */
+	readVersions: (service: ServiceId) => Promise<readonly SoftwareVersion[] | undefined>;
 	/** Whether this daemon is responsible for deleting the old records of a part. */
 	isOwner: (part: string) => boolean;
 	/** Called if records are dropped, because the store has not taken any for a long time. */
@@ -82,10 +84,13 @@
 		return Promise.race([this.readFrom(stream), sleep(findTimeoutMs, undefined, {ref: false})]);
 	}
 
-	override onlyVersion(service: ServiceId): SoftwareVersion | undefined {
-		const {clock, versions} = this.options;
+	/** Reads the list anew, since an upstream of another version may have begun the stream before this daemon's copy shows it. */
+	override async onlyVersion(service: ServiceId): Promise<SoftwareVersion | undefined> {
+		const {clock, versions, readVersions} = this.options;
 		const now = clock.now();
-		return versions.onlyVersionSince(service, now - maxStreamMs, now);
+		const version = versions.onlyVersionSince(service, now - maxStreamMs, now);
+		const listed = version === undefined ? undefined : await Promise.race([readVersions(service), sleep(findTimeoutMs, undefined, {ref: false})]);
+		return listed?.every(other => other === version) === true ? version : undefined;
 	}
 
 	stop(): void {
--- a/packages/entry/src/upstream-list.ts
+++ b/packages/entry/src/upstream-list.ts
@@ -3,8 +3,12 @@
 	statesLeaving, type ConnectionPool, type ResponseHead, type UpstreamHealthTracker, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
 import type {Logger} from '@cicadapost/observability';
-import type {RowChange, TableFollower} from '@cicadapost/store';
-import type {Clock, UpstreamId} from '@cicadapost/types';
+import {
+	readAll, type RowChange, type RowStore, type TableFollower,
+} from '@cicadapost/store';
+import type {
+	Clock, ServiceId, SoftwareVersion, UpstreamId,
+} from '@cicadapost/types';
 import type {PlatformTables} from './platform-tables.js';
 
 export type UpstreamListOptions = Readonly<{
@@ -126,3 +130,11 @@
 		}
 	}
 }
+
+/** Reads from the store which software versions of a service are listed now. Returns undefined if the store does not respond. */
+export async function readListedVersions(store: RowStore, tables: PlatformTables, service: ServiceId): Promise<readonly SoftwareVersion[] | undefined> {
+	const rows = await readAll(store, {table: tables.upstreamTable, part: ''});
+	return rows?.map(row => tables.parseUpstreamRow(row))
+		.filter(upstream => upstream?.service === service)
+		.flatMap(upstream => (upstream === undefined ? [] : [upstream.softwareVersion]));
+}
--- a/packages/fleet/src/version-history.ts
+++ b/packages/fleet/src/version-history.ts
@@ -5,9 +5,13 @@
 export class VersionHistory {
 	private readonly lastListedAt = new Map<ServiceId, Map<SoftwareVersion, Millis>>();
 	private listed: readonly UpstreamRecord[] = [];
+	/** Time from which on all changes of the list are recorded. Undefined until the list has been read. */
+	private startedAt: Millis | undefined;
 
-	/** `startedAt` is the time from which on all changes of the list are recorded. */
-	constructor(private readonly startedAt: Millis) {}
+	/** Call this when the list has been read for the first time or after an outage, in which versions may have come and left unseen. */
+	restart(now: Millis): void {
+		this.startedAt = now;
+	}
 
 	/** Records a new state of the list. What was listed before counts as listed until now. */
 	update(records: readonly UpstreamRecord[], now: Millis): void {
@@ -20,7 +24,7 @@
 	onlyVersionSince(service: ServiceId, since: Millis, now: Millis): SoftwareVersion | undefined {
 		this.touch(this.listed, now);
 		const versions = [...this.lastListedAt.get(service) ?? []].filter(([, at]) => at >= since).map(([version]) => version);
-		return this.startedAt <= since && versions.length === 1 ? versions[0] : undefined;
+		return this.startedAt !== undefined && this.startedAt <= since && versions.length === 1 ? versions[0] : undefined;
 	}
 
 	private touch(records: readonly UpstreamRecord[], now: Millis): void {
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -90,16 +90,15 @@
 	/** Sends the request only to upstreams at which the stream may go on. */
 	private async continueStream({stream}: StreamContinuation): Promise<void> {
 		const {streams} = this.options;
-		const recorded = stream === undefined ? undefined : await streams.originOf(stream);
+		const origin = await resolveOrigin({
+			recorded: stream === undefined ? undefined : await streams.originOf(stream),
+			services: this.req.route.services.filter(({weight}) => weight > 0).map(({service}) => service),
+			onlyVersion: async service => streams.onlyVersion(service),
+		});
 		if (this.isOver) {
 			return;
 		}
 
-		const origin = resolveOrigin({
-			recorded,
-			services: this.req.route.services.filter(({weight}) => weight > 0).map(({service}) => service),
-			onlyVersion: service => streams.onlyVersion(service),
-		});
 		if (origin === undefined) {
 			this.refuse('the software version that began the stream is not known or not served', streamRetryMs);
 			return;
--- a/packages/forwarding/src/no-stream-origins.ts
+++ b/packages/forwarding/src/no-stream-origins.ts
@@ -9,7 +9,7 @@
 		return undefined;
 	}
 
-	override onlyVersion(): SoftwareVersion | undefined {
+	override async onlyVersion(): Promise<SoftwareVersion | undefined> {
 		return undefined;
 	}
 }
--- a/packages/forwarding/src/stream-origins.test.ts
+++ b/packages/forwarding/src/stream-origins.test.ts
@@ -21,18 +21,18 @@
 const [v1, v2] = ['v1', 'v2'] as SoftwareVersion[] as [SoftwareVersion, SoftwareVersion];
 
 describe('resolveOrigin', () => {
-	const onlyV1 = () => v1;
+	const onlyV1 = async () => v1;
 
-	it('returns the recorded origin, unless the route no longer allows its service', () => {
+	it('returns the recorded origin, unless the route no longer allows its service', async () => {
 		const recorded = {service: lm, softwareVersion: v2};
-		expect(resolveOrigin({recorded, services: [lm], onlyVersion: onlyV1})).toEqual(recorded);
-		expect(resolveOrigin({recorded, services: ['other' as ServiceId], onlyVersion: onlyV1})).toBeUndefined();
+		expect(await resolveOrigin({recorded, services: [lm], onlyVersion: onlyV1})).toEqual(recorded);
+		expect(await resolveOrigin({recorded, services: ['other' as ServiceId], onlyVersion: onlyV1})).toBeUndefined();
 	});
 
-	it('returns the only version of the only service for a stream without a record', () => {
-		expect(resolveOrigin({recorded: undefined, services: [lm], onlyVersion: onlyV1})).toEqual({service: lm, softwareVersion: v1});
-		expect(resolveOrigin({recorded: undefined, services: [lm], onlyVersion: () => undefined})).toBeUndefined();
-		expect(resolveOrigin({recorded: undefined, services: [lm, 'other' as ServiceId], onlyVersion: onlyV1})).toBeUndefined();
+	it('returns the only version of the only service for a stream without a record', async () => {
+		expect(await resolveOrigin({recorded: undefined, services: [lm], onlyVersion: onlyV1})).toEqual({service: lm, softwareVersion: v1});
+		expect(await resolveOrigin({recorded: undefined, services: [lm], onlyVersion: async () => undefined})).toBeUndefined();
+		expect(await resolveOrigin({recorded: undefined, services: [lm, 'other' as ServiceId], onlyVersion: onlyV1})).toBeUndefined();
 	});
 });
 
@@ -48,7 +48,7 @@
 		return this.recorded.get(stream);
 	}
 
-	override onlyVersion(): SoftwareVersion | undefined {
+	override async onlyVersion(): Promise<SoftwareVersion | undefined> {
 		return this.only;
 	}
 }
--- a/packages/forwarding/src/stream-origins.ts
+++ b/packages/forwarding/src/stream-origins.ts
@@ -15,22 +15,23 @@
 	abstract record(stream: RequestId, origin: StreamOrigin): void;
 	/** Returns undefined if the origin is not known here, or not in time. */
 	abstract originOf(stream: RequestId): Promise<StreamOrigin | undefined>;
-	/** Returns the software version of a service if no other one has served for longer than any stream lasts. */
-	abstract onlyVersion(service: ServiceId): SoftwareVersion | undefined;
+	/** Returns the software version of a service if no other one has served for longer than any stream lasts, and none is listed now. */
+	abstract onlyVersion(service: ServiceId): Promise<SoftwareVersion | undefined>;
 }
 
 export type ResolveOriginOptions = Readonly<{
 	recorded: StreamOrigin | undefined;
 	/** Services that the route allows. */
 	services: readonly ServiceId[];
-	onlyVersion: (service: ServiceId) => SoftwareVersion | undefined;
+	/** Called if there is no record and the route has a single service. */
+	onlyVersion: (service: ServiceId) => Promise<SoftwareVersion | undefined>;
 }>;
 
 /**
 Returns where a stream may go on, or undefined if that is nowhere or not known. A stream whose record is missing, for example
 because its daemon died right after the first event, can only be from the service's only version.
 */
-export function resolveOrigin({recorded, services, onlyVersion}: ResolveOriginOptions): StreamOrigin | undefined {
+export async function resolveOrigin({recorded, services, onlyVersion}: ResolveOriginOptions): Promise<StreamOrigin | undefined> {
 	if (recorded !== undefined) {
 		return services.includes(recorded.service) ? recorded : undefined;
 	}
@@ -40,6 +41,6 @@
 		return undefined;
 	}
 
-	const softwareVersion = onlyVersion(service);
+	const softwareVersion = await onlyVersion(service);
 	return softwareVersion === undefined ? undefined : {service, softwareVersion};
 }
