Never take a response without a length as whole after a reset

A response may have no length and end with its connection. Undici ends such a response as complete when the connection is reset, if it was not to be kept open. So a stream or answer that an upstream broke off was passed on as whole: a caller's stream looked complete, and a sample's text was listed too early.

The pool now notes that the socket has failed, before undici sees it, and reports the exchange as broken. Chunked responses and those with a length were not concerned: undici itself finds that they are incomplete.

--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -88,6 +88,8 @@
 class Connection {
 	readonly client: Client;
 	isOpen = false;
+	/** Cause of the failure of the socket, if it has failed. */
+	failure: string | undefined;
 	private socket: Socket | undefined;
 	/** Number of bytes that the socket had received when the last piece of a response was parsed. */
 	private parsedBytes = 0;
@@ -135,6 +137,10 @@
 
 	private watch(socket: Socket): void {
 		this.socket = socket;
+		// Registered before the listener of undici, which ends a response without a length as complete after a reset.
+		socket.on('error', err => {
+			this.failure = errorCodeOrMessage(err);
+		});
 		socket.on('readable', () => {
 			if (socket.bytesRead - this.parsedBytes > maxUnparsedBytes) {
 				socket.destroy(new Error(responseTooLong));
@@ -266,7 +272,11 @@
 				}
 			},
 			onResponseEnd() {
-				finish({kind: 'complete'});
+				if (connection.failure === undefined) {
+					finish({kind: 'complete'});
+				} else {
+					fail({kind: 'broken', cause: connection.failure});
+				}
 			},
 			onResponseError(controller, err) {
 				fail({kind: isSent ? 'broken' : 'not-sent', cause: errorCodeOrMessage(err)});
