--- a/packages/demo/src/platform-demo.ts
+++ b/packages/demo/src/platform-demo.ts
@@ -114,7 +114,7 @@
 /** Submits a batch to the daemons in turn until one accepts it, then checks all results and returns their faults. */
 async function runStep(entries: readonly EntryProcess[], step: number, minVersion: number): Promise<string[]> {
 	const id = `step-${step}`;
-	const body = submission(groups, samplesPerGroup, {step, minVersion});
+	const body = submission(groups, samplesPerGroup, {step, minVersion, hasRewards: true});
 	const startedAt = performance.now();
 	for (let attempt = 0; ; attempt++) {
 		const reply = await tryCall(entries[attempt % entries.length]!.url, 'POST', '/draft/', {id, body});
@@ -126,9 +126,9 @@
 	}
 
 	const results = await readAllResults(entries.map(entry => entry.url), id);
-	const faults = findResultFaults(results, {count: groups * samplesPerGroup, events: eventsPerSample});
+	const faults = findResultFaults(results, {count: groups * samplesPerGroup, events: eventsPerSample, hasRewards: true});
 	const versions = [...new Set(results.flatMap(result => result.versions))].sort((a, b) => a - b).join(',');
-	log(`step ${step}: ${results.length} complete samples in ${((performance.now() - startedAt) / 1000).toFixed(1)} s, versions ${versions}, ${faults.length} faults`);
+	log(`step ${step}: ${results.length} complete samples with scores in ${((performance.now() - startedAt) / 1000).toFixed(1)} s, versions ${versions}, ${faults.length} faults`);
 	return faults;
 }
 
--- a/packages/entry/src/broken-streams.test.ts
+++ b/packages/entry/src/broken-streams.test.ts
@@ -225,6 +225,7 @@
 		const whole = requestStream();
 		await expect.poll(() => reports.at(-1)?.outcome).toBe('streamed');
 		front.close();
-		expect((await whole).endsWith(endOfChunks)).toBe(true);
+		const text = await whole;
+		expect(text.endsWith(endOfChunks)).toBe(true);
 	});
 });
