--- a/packages/batches/src/crash-burst.test.ts
+++ b/packages/batches/src/crash-burst.test.ts
@@ -89,6 +89,7 @@
 				freed.emit('slot');
 			},
 			onTextComplete: vi.fn(),
+			onUnreadableRow: vi.fn(),
 			onRunReport: vi.fn(),
 		});
 		const worker = new ClaimWorker({
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -30,13 +30,21 @@
 	}
 }
 
-function decodeFields(value: Uint8Array, subject: string): unknown[] {
+/** Decodes the fields of a row. Whatever is wrong with them, the only error is a `RowShapeError`, which no daemon ends with. */
+function decodeRow<Decoded>(value: Uint8Array, subject: string, decode: (fields: unknown[]) => Decoded | undefined): Decoded {
 	const fields = decodeList(value);
-	if (fields === undefined) {
+	let decoded: Decoded | undefined;
+	try {
+		decoded = fields === undefined ? undefined : decode(fields);
+	} catch {
+		// A field of another type than expected; the error below names the row.
+	}
+
+	if (decoded === undefined) {
 		throw new RowShapeError(subject);
 	}
 
-	return fields;
+	return decoded;
 }
 
 export function claimKey(group: number): string {
@@ -69,24 +77,25 @@
 }
 
 export function decodePlan(value: Uint8Array): BatchPlan {
-	const [host, path, step, model, minVersion, targetGroups, submittedAt, groups, modelWithRewards] = decodeFields(value, 'the plan of a batch');
-	if (typeof host !== 'string' || typeof path !== 'string' || typeof model !== 'string' || typeof submittedAt !== 'number' || !Array.isArray(groups)) {
-		throw new RowShapeError('the plan of a batch');
-	}
+	return decodeRow(value, 'the plan of a batch', ([host, path, step, model, minVersion, targetGroups, submittedAt, groups, modelWithRewards]) => {
+		if (typeof host !== 'string' || typeof path !== 'string' || typeof model !== 'string' || typeof submittedAt !== 'number') {
+			return undefined;
+		}
 
-	return {
-		host,
-		path,
-		step: Number(step),
-		model: (typeof modelWithRewards === 'string' ? modelWithRewards : model) as ModelId,
-		minVersion: Number(minVersion),
-		targetGroups: Number(targetGroups),
-		submittedAt,
-		groups: (groups as Array<Array<[string, number]>>).map(items => ({
-			items: items.map(([id, expectedTokens]) => ({id: id as ItemId, expectedTokens})),
-		})),
-		...(typeof modelWithRewards === 'string' ? {hasRewards: true} : {}),
-	};
+		return {
+			host,
+			path,
+			step: Number(step),
+			model: (typeof modelWithRewards === 'string' ? modelWithRewards : model) as ModelId,
+			minVersion: Number(minVersion),
+			targetGroups: Number(targetGroups),
+			submittedAt,
+			groups: (groups as Array<Array<[string, number]>>).map(items => ({
+				items: items.map(([id, expectedTokens]) => ({id: id as ItemId, expectedTokens})),
+			})),
+			...(typeof modelWithRewards === 'string' ? {hasRewards: true} : {}),
+		};
+	});
 }
 
 const claimCodes = {
@@ -118,38 +127,40 @@
 }
 
 export function decodeClaims(value: Uint8Array): ItemClaim[] {
-	return (decodeFields(value, 'a claim') as unknown[][]).map(([code, failures, hasPartialText, incarnation, engine, textVersion, rewardFailures]) => {
-		const common: ClaimedText = {
-			failures: Number(failures),
-			hasPartialText: hasPartialText === true,
-			textVersion: typeof textVersion === 'string' ? textVersion as SoftwareVersion : undefined,
-		};
-		switch (code) {
-			case claimCodes.open: {
-				return {kind: 'open', ...common};
-			}
+	return decodeRow(value, 'a claim', claims => (claims as unknown[][]).map(fields => decodeClaim(fields)));
+}
 
-			case claimCodes.running: {
-				return {
-					kind: 'running', ...common, incarnation: String(incarnation), engine: String(engine),
-				};
-			}
+function decodeClaim([code, failures, hasPartialText, incarnation, engine, textVersion, rewardFailures]: readonly unknown[]): ItemClaim {
+	const common: ClaimedText = {
+		failures: Number(failures),
+		hasPartialText: hasPartialText === true,
+		textVersion: typeof textVersion === 'string' ? textVersion as SoftwareVersion : undefined,
+	};
+	switch (code) {
+		case claimCodes.open: {
+			return {kind: 'open', ...common};
+		}
 
-			case claimCodes.rewarding: {
-				return {
-					kind: 'rewarding', ...common, incarnation: typeof incarnation === 'string' ? incarnation : undefined, rewardFailures: Number(rewardFailures),
-				};
-			}
+		case claimCodes.running: {
+			return {
+				kind: 'running', ...common, incarnation: String(incarnation), engine: String(engine),
+			};
+		}
 
-			case claimCodes.listed: {
-				return {kind: 'listed'};
-			}
+		case claimCodes.rewarding: {
+			return {
+				kind: 'rewarding', ...common, incarnation: typeof incarnation === 'string' ? incarnation : undefined, rewardFailures: Number(rewardFailures),
+			};
+		}
 
-			default: {
-				throw new RowShapeError('a claim');
-			}
+		case claimCodes.listed: {
+			return {kind: 'listed'};
 		}
-	});
+
+		default: {
+			throw new RowShapeError('a claim');
+		}
+	}
 }
 
 /** Returns a key that no other transaction uses. Keys sort roughly by time, so that successive results can be read as a range. */
@@ -163,12 +174,7 @@
 }
 
 export function decodeListing(value: Uint8Array): number {
-	const [results] = decodeFields(value, 'a listing');
-	if (typeof results !== 'number') {
-		throw new RowShapeError('a listing');
-	}
-
-	return results;
+	return decodeRow(value, 'a listing', ([results]) => (typeof results === 'number' ? results : undefined));
 }
 
 function encodeText(text: SampleText): Uint8Array {
@@ -176,14 +182,15 @@
 }
 
 function decodeText(value: Uint8Array): SampleText {
-	const [events, lastEventId, versions, softwareVersion] = decodeFields(value, 'a partial text');
-	if (!Array.isArray(events) || typeof lastEventId !== 'number' || !Array.isArray(versions)) {
-		throw new RowShapeError('a partial text');
-	}
+	return decodeRow(value, 'a partial text', ([events, lastEventId, versions, softwareVersion]) => {
+		if (!Array.isArray(events) || typeof lastEventId !== 'number' || !Array.isArray(versions)) {
+			return undefined;
+		}
 
-	return {
-		events: events as string[], lastEventId, versions: versions as number[], softwareVersion: typeof softwareVersion === 'string' ? softwareVersion as SoftwareVersion : undefined,
-	};
+		return {
+			events: events as string[], lastEventId, versions: versions as number[], softwareVersion: typeof softwareVersion === 'string' ? softwareVersion as SoftwareVersion : undefined,
+		};
+	});
 }
 
 export type ValueChunk = Readonly<{key: string; value: Uint8Array}>;
@@ -238,9 +245,17 @@
 export type ItemBody = Readonly<{id: ItemId; path: string; headers: readonly string[]; body: Uint8Array; reward?: RewardCall | undefined}>;
 
 export function decodeBodies(rows: readonly ValueChunk[]): ItemBody[] {
-	return joinChunks(rows).flatMap(({value}) => (decodeFields(value, 'bodies of a group') as unknown[][]).map(([id, path, headers, body, reward]) => ({
-		id: String(id) as ItemId, path: String(path), headers: headers as string[], body: body as Uint8Array, reward: decodeReward(reward),
-	})));
+	return joinChunks(rows).flatMap(({value}) => decodeRow(value, 'bodies of a group', items => (items as unknown[][]).map(fields => decodeBody(fields))));
+}
+
+function decodeBody([id, path, headers, body, reward]: readonly unknown[]): ItemBody {
+	if (!Array.isArray(headers) || !(body instanceof Uint8Array)) {
+		throw new RowShapeError('bodies of a group');
+	}
+
+	return {
+		id: String(id) as ItemId, path: String(path), headers: headers.map(String), body, reward: decodeReward(reward),
+	};
 }
 
 /** Returns the range of the rows with the request bodies of a group. */
@@ -277,14 +292,15 @@
 			break;
 		}
 
-		const [id, state, output, versions, score] = decodeFields(value, 'a result');
-		results.push({
-			id: String(id) as ItemId,
-			state: state === 'completed' ? 'completed' : 'terminated',
-			output: String(output),
-			versions: versions as number[],
-			...(typeof score === 'string' ? {score} : {}),
-		});
+		results.push(decodeRow(value, 'a result', ([id, state, output, versions, score]) => (Array.isArray(versions)
+			? {
+				id: String(id) as ItemId,
+				state: state === 'completed' ? 'completed' : 'terminated',
+				output: String(output),
+				versions: versions as number[],
+				...(typeof score === 'string' ? {score} : {}),
+			}
+			: undefined)));
 	}
 
 	return results;
--- a/packages/batches/src/read-items.ts
+++ b/packages/batches/src/read-items.ts
@@ -3,22 +3,40 @@
 import type {BatchView} from './batch-cache.js';
 import type {SampleText} from './batch.js';
 import {
-	bodyRange, decodeBodies, decodePartial, partialRange, type ItemBody,
+	bodyRange, decodeBodies, decodePartial, partialRange, RowShapeError, type ItemBody,
 } from './encode-rows.js';
 
-/** Reads the request bodies of a group, or returns undefined if the store does not respond. */
-export async function readBodies(store: RowStore, {batch, group}: Readonly<{batch: BatchId; group: number}>): Promise<ItemBody[] | undefined> {
+export type ItemReaderOptions = Readonly<{
+	store: RowStore;
+	onUnreadableRow: (err: RowShapeError) => void;
+}>;
+
+/** Reads the request bodies of a group. Returns undefined if they can't be read. */
+export async function readBodies({store, onUnreadableRow}: ItemReaderOptions, {batch, group}: Readonly<{batch: BatchId; group: number}>): Promise<ItemBody[] | undefined> {
 	const rows = await readAll(store, bodyRange(batch, group));
-	return rows === undefined ? undefined : decodeBodies(rows);
+	return rows === undefined ? undefined : reportUnreadable(() => decodeBodies(rows), onUnreadableRow);
 }
 
-/** Reads the stored text of an item. Returns undefined if there is none, or if the store does not respond. */
-export async function readText(store: RowStore, view: BatchView | undefined, {group, item}: Readonly<{group: number; item: number}>): Promise<SampleText | undefined> {
+/** Reads the stored text of an item. Returns undefined if there is none or it can't be read. */
+export async function readText({store, onUnreadableRow}: ItemReaderOptions, view: BatchView | undefined, {group, item}: Readonly<{group: number; item: number}>): Promise<SampleText | undefined> {
 	const claim = view?.claims[group]?.items[item];
 	if (view === undefined || claim === undefined || claim.kind === 'listed' || !claim.hasPartialText) {
 		return undefined;
 	}
 
 	const rows = await readAll(store, partialRange(view.id, group, item));
-	return rows === undefined ? undefined : decodePartial(rows);
+	return rows === undefined ? undefined : reportUnreadable(() => decodePartial(rows), onUnreadableRow);
+}
+
+function reportUnreadable<Decoded>(decode: () => Decoded, onUnreadableRow: ItemReaderOptions['onUnreadableRow']): Decoded | undefined {
+	try {
+		return decode();
+	} catch (err) {
+		if (!(err instanceof RowShapeError)) {
+			throw err;
+		}
+
+		onUnreadableRow(err);
+		return undefined;
+	}
 }
--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -1,7 +1,7 @@
 import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
 import {RateLimiter, type RequestLimits} from '@cicadapost/rate-limits';
 import {UnlimitedRequests} from '@cicadapost/rate-limits/testing';
-import {TableCopy} from '@cicadapost/store';
+import {encodeList, TableCopy} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
 	Clock, type BatchId, type DaemonId, type DataCentreId, type ItemId, type Millis, type ModelId, type ServiceId, type SoftwareVersion, type UpstreamId,
@@ -56,13 +56,14 @@
 }
 
 let client: ScriptedEngineClient;
+let store: MemoryRowStore;
 let outcomes: ItemOutcome[];
 let runner: SampleRunner;
 
 async function startRunner(limits: RequestLimits): Promise<void> {
 	client = new ScriptedEngineClient();
 	outcomes = [];
-	const store = new MemoryRowStore();
+	store = new MemoryRowStore();
 	const bodies = items.map(id => ({
 		id, path: '/p/', headers: [], body: new Uint8Array([1]), tokens: 100, group: 'g0', expectedTokens: 100,
 	}));
@@ -90,6 +91,7 @@
 		isLoading: () => false,
 		onVersion() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		onTextComplete: vi.fn(),
+		onUnreadableRow: vi.fn(),
 		onSlotFreed() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		onRunReport() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	});
@@ -189,4 +191,13 @@
 		expect(again!.isAborted).toBe(true);
 		expect(outcomes.map(({kind}) => kind)).toContain('released');
 	});
+
+	it('releases samples whose bodies can\'t be read, so that an unreadable row ends no daemon', async () => {
+		const rows = [{table: bodyTable, key: '000000/000000-000001', value: encodeList([['i0', '/p/', 7, 'no bytes']])}];
+		await store.transact({part: batch, writes: rows});
+		outcomes = [];
+		await runner.start(engine, {batch, group: 0, items: [0, 1]});
+		expect(outcomes.map(({kind}) => kind)).toEqual(['released', 'released']);
+		expect(runner.countStartingAt(engine.id)).toBe(0);
+	});
 });
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -10,6 +10,7 @@
 import {
 	areVersionsAllowed, decideFollowUp, isStalled, type FollowUp,
 } from './decide-run.js';
+import type {RowShapeError} from './encode-rows.js';
 import type {
 	EngineClient, RunEnd, SampleEvent, SampleRun,
 } from './engine-client.js';
@@ -51,6 +52,7 @@
 	/** Called when a slot of an engine has become free. */
 	onSlotFreed: () => void;
 	onRunReport: (report: RunReport) => void;
+	onUnreadableRow: (err: RowShapeError) => void;
 }>;
 
 /** Interval for checking runs for stalls, the end of their batch and unsaved text. */
@@ -113,9 +115,9 @@
 			this.starting.set(itemKey, engine.id);
 		}
 
-		const {store, batchCache} = this.options;
-		const bodies = await readBodies(store, target);
-		const texts = await Promise.all(target.items.map(async item => readText(store, batchCache.get(target.batch), {group: target.group, item})));
+		const {batchCache} = this.options;
+		const bodies = await readBodies(this.options, target);
+		const texts = await Promise.all(target.items.map(async item => readText(this.options, batchCache.get(target.batch), {group: target.group, item})));
 		for (const itemKey of itemKeys) {
 			this.starting.delete(itemKey);
 		}
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -116,10 +116,15 @@
 		});
 	}
 
+	private readonly onUnreadableRow = (err: Error): void => {
+		this.options.logger.warn({event: 'unreadable-row'}, err.message);
+	};
+
 	private createRunner(): SampleRunner {
 		const {clock, directory, versions, metrics, logger, engines} = this.options;
 		return new SampleRunner({
 			...this.options,
+			onUnreadableRow: this.onUnreadableRow,
 			client: engines,
 			commits: this.commitQueue,
 			rulesOf: batch => this.batchRoutes.rulesOf(batch),
@@ -172,6 +177,7 @@
 		const {clock, logger, metrics, fleetView, forwarding, configuration, onRequestReport} = this.options;
 		return new RewardTask({
 			...this.options,
+			onUnreadableRow: this.onUnreadableRow,
 			commits: this.commitQueue,
 			sender: new ForwardedRewards({
 				clock,
--- a/packages/rewards/src/reward-task.test.ts
+++ b/packages/rewards/src/reward-task.test.ts
@@ -96,6 +96,7 @@
 				this.reports.push(report);
 			},
 			onTakeover: vi.fn(),
+			onUnreadableRow: vi.fn(),
 		});
 		this.follower.start();
 	}
--- a/packages/rewards/src/reward-task.ts
+++ b/packages/rewards/src/reward-task.ts
@@ -1,6 +1,6 @@
 import {
 	applyRewardClaim, batchTable, claimKey, encodeClaims, endKey, isOpen, itemKeyOf, planKey, readBodies, readText, toResult, writtenRows,
-	type BatchCache, type BatchView, type ClaimTarget, type CommitQueue, type CompletedText,
+	type BatchCache, type BatchView, type ClaimTarget, type CommitQueue, type CompletedText, type RowShapeError,
 } from '@cicadapost/batches';
 import type {Route} from '@cicadapost/forwarding';
 import type {RowStore, TableFollower, Transaction} from '@cicadapost/store';
@@ -57,6 +57,7 @@
 	isResponsible: (key: string) => boolean;
 	onReport: (report: RewardReport) => void;
 	onTakeover: (target: ClaimTarget) => void;
+	onUnreadableRow: (err: RowShapeError) => void;
 }>;
 
 /** A call is sent only if this daemon has read the batches within this time, since it must not be sent long after its batch has ended. */
@@ -340,8 +341,8 @@
 
 		onTakeover(target);
 		const [bodies, texts] = await Promise.all([
-			readBodies(store, target),
-			Promise.all(target.items.map(async item => readText(store, view, {group: target.group, item}))),
+			readBodies(this.options, target),
+			Promise.all(target.items.map(async item => readText(this.options, view, {group: target.group, item}))),
 		]);
 		for (const [index, item] of target.items.entries()) {
 			const claim = view.claims[target.group]?.items[item];
