Let only daemons that own engines look for texts of dead daemons

Each daemon searched the claims of all open batches every 0.4 s, though only those that own engines take texts over. At 85 daemons with 27 engines that is no work at all for at least 58 of them now.

--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -198,6 +198,7 @@
 			},
 			shareOf: route => callShare({slots: this.slotsOf(route), senders: fleetView.engineOwners().length}),
 			isAlive: (incarnation, claimedVersion) => this.isAlive(incarnation, claimedVersion),
+			canTakeOver: () => fleetView.isEngineOwner,
 			isResponsible: key => fleetView.isResponsibleFor(key),
 			onReport(report) {
 				metrics.recordReward(report.outcome, report.tookMs);
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -46,6 +46,11 @@
 		return owners.length > 0 ? owners : this.options.members(this.options.clock.now()).map(({daemon}) => daemon);
 	}
 
+	/** Whether this daemon is one of `engineOwners`. */
+	get isEngineOwner(): boolean {
+		return this.engineOwners().includes(this.options.self);
+	}
+
 	/** Whether this daemon does work that any daemon with an engine could do. All daemons with the same view name the same one. */
 	isResponsibleFor(key: string): boolean {
 		return ownerOf(key, this.engineOwners()) === this.options.self;
--- a/packages/rewards/src/reward-task.test.ts
+++ b/packages/rewards/src/reward-task.test.ts
@@ -91,6 +91,7 @@
 			routeOf: () => route,
 			shareOf: () => ({maxInFlight: 8, pauseFactor: 0}),
 			isAlive: other => alive.has(other),
+			canTakeOver: () => alive.has(name),
 			isResponsible: () => true,
 			onReport: report => {
 				this.reports.push(report);
--- a/packages/rewards/src/reward-task.ts
+++ b/packages/rewards/src/reward-task.ts
@@ -53,6 +53,8 @@
 	shareOf: (route: Route) => CallShare;
 	/** Whether the daemon `incarnation`, which wrote a claim at `claimedVersion` of the store, is still running. */
 	isAlive: (incarnation: string, claimedVersion: number) => boolean;
+	/** Whether this daemon is one of those that take over texts. Others need not search for them. */
+	canTakeOver: () => boolean;
 	/** Whether this daemon takes over the texts of a dead one, by a key that identifies them. */
 	isResponsible: (key: string) => boolean;
 	onReport: (report: RewardReport) => void;
@@ -293,8 +295,8 @@
 
 	/** Takes over texts of dead daemons that this one is responsible for. */
 	private async takeOver(): Promise<void> {
-		const {batchCache, clock, follower, incarnation, isAlive, isResponsible, commits} = this.options;
-		if (this.isDraining || this.takingOver.size > 0 || follower.age(clock.now()) > maxPlanAgeMs) {
+		const {batchCache, clock, follower, incarnation, canTakeOver, isAlive, isResponsible, commits} = this.options;
+		if (this.isDraining || !canTakeOver() || this.takingOver.size > 0 || follower.age(clock.now()) > maxPlanAgeMs) {
 			return;
 		}
 
