--- a/packages/api/src/parse-completion.ts
+++ b/packages/api/src/parse-completion.ts
@@ -3,7 +3,7 @@
 import type {
 	Fingerprint, MemberId, Millis, PoolId, Request, RequestId,
 } from '@cicadapost/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {invalidRequest, parseDeadline, parseIdempotency} from './parse-headers.js';
 
 const completionSchema = z.looseObject({
--- a/packages/api/src/parse-trainer-call.ts
+++ b/packages/api/src/parse-trainer-call.ts
@@ -2,7 +2,7 @@
 
 import {ProblemError} from '@cicadapost/errors';
 import type {TrainerAnswer, TrainerCall} from '@cicadapost/types';
-import {z} from 'zod';
+import * as z from 'zod';
 
 export type TrainerCallKind = TrainerCall['kind'];
 
--- a/packages/claims/src/claim-record.ts
+++ b/packages/claims/src/claim-record.ts
@@ -1,7 +1,7 @@
 /** Rows `<member>/<idempotency key>` of the table `claims`. */
 
 import type {MemberId} from '@cicadapost/types';
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const claimsTable = 'claims';
 
--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -1,7 +1,7 @@
 import type {ProblemBody} from '@cicadapost/errors';
 import {documentSchema, type ConfigurationDocument} from '@cicadapost/settings';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {CommandError} from './command-error.js';
 import {exitCodes} from './exit-codes.js';
 
--- a/packages/cli/src/commands/trace/index.ts
+++ b/packages/cli/src/commands/trace/index.ts
@@ -1,5 +1,5 @@
 import type {CommandModule} from 'yargs';
-import {z} from 'zod';
+import * as z from 'zod';
 import {queryAdmin} from '../../admin-client.js';
 import {adminOptionsFrom, addQueryOptions, type QueryArgs} from '../../admin-options.js';
 import {printJson, printLine} from '../../print.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,9 +1,7 @@
 /** Entry point of the `cicadapost` command line. */
 
-import {SettingsError} from '@cicadapost/settings';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {CommandError} from './command-error.js';
 import {configCommand} from './commands/config/index.js';
 import {entryCommand} from './commands/entry/index.js';
 import {membersCommand} from './commands/members/index.js';
@@ -12,22 +10,7 @@
 import {traceCommand} from './commands/trace/index.js';
 import {upstreamsCommand} from './commands/upstreams/index.js';
 import {versionCommand} from './commands/version/index.js';
-import {exitCodes} from './exit-codes.js';
-
-/** An invalid command line, as reported by yargs. */
-class UsageError extends Error {}
-
-function exitCodeOf(err: unknown): number {
-	if (err instanceof UsageError) {
-		return exitCodes.usage;
-	}
-
-	if (err instanceof SettingsError) {
-		return exitCodes.invalidSettings;
-	}
-
-	return err instanceof CommandError ? err.exitCode : exitCodes.failure;
-}
+import {endProgram, ignoreClosedOutput, UsageError} from './end-program.js';
 
 async function main(): Promise<void> {
 	try {
@@ -54,18 +37,11 @@
 			})
 			.parseAsync();
 	} catch (err) {
-		process.stderr.write(`${err instanceof Error ? err.message : String(err)}\n`);
-		process.exitCode = exitCodeOf(err);
+		endProgram(err);
 	}
 }
 
-// Output to a pipe that its reader, such as "head", has closed must not make a daemon or a query fail.
-process.stdout.on('error', (err: NodeJS.ErrnoException) => {
-	if (err.code !== 'EPIPE') {
-		throw err;
-	}
-});
-
+ignoreClosedOutput();
 // The bundle is a CommonJS module, which has no top-level await.
 // eslint-disable-next-line unicorn/prefer-top-level-await
 void main();
--- a/packages/configuration/src/stored-configuration.ts
+++ b/packages/configuration/src/stored-configuration.ts
@@ -1,5 +1,5 @@
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Number of recent changes by which a read-back after a lost response can tell whether its own write took effect. */
 const maxStoredNonces = 16;
--- a/packages/daemon/src/configuration-history.ts
+++ b/packages/daemon/src/configuration-history.ts
@@ -1,6 +1,6 @@
 import type {ConfigurationHistoryEntry} from '@cicadapost/api';
 import type {TableService} from '@cicadapost/platform';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const historyTable = 'configuration-history';
 const versionKeyLength = 10;
--- a/packages/decision/src/parse-document.ts
+++ b/packages/decision/src/parse-document.ts
@@ -1,6 +1,6 @@
 import {documentSchema, type ConfigurationDocument} from '@cicadapost/settings';
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Parses a configuration document from the store or a peer. The left side is an error message. */
 export function parseDocument(text: string): Either<string, ConfigurationDocument> {
--- a/packages/engines/src/engine-state.ts
+++ b/packages/engines/src/engine-state.ts
@@ -1,6 +1,6 @@
 import type {UpstreamStatus} from '@cicadapost/types';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const stateTimeoutMs = 1000;
 
--- a/packages/engines/src/read-events.ts
+++ b/packages/engines/src/read-events.ts
@@ -1,6 +1,6 @@
 import type {Chunk} from '@cicadapost/types';
 import {createParser} from 'eventsource-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The stream ended without the `[DONE]` marker. */
 export class TruncatedStreamError extends Error {}
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^[^:]+:\d+$/v);
 
--- a/packages/leases/src/lease-row.ts
+++ b/packages/leases/src/lease-row.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const rowSchema = z.strictObject({
 	holder: z.string(),
--- a/packages/peers/src/parse-message.ts
+++ b/packages/peers/src/parse-message.ts
@@ -1,5 +1,5 @@
 import type {PeerMessage} from '@cicadapost/types';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const heartbeatSchema = z.object({
 	kind: z.literal('heartbeat'),
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -1,5 +1,5 @@
 import type {ObjectResponse} from '@cicadapost/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {callJson, type HttpServiceOptions} from './table-service.js';
 
 const objectSchema = z.object({value: z.string()});
--- a/packages/platform/src/table-service.ts
+++ b/packages/platform/src/table-service.ts
@@ -1,6 +1,6 @@
 import type {RowResponse} from '@cicadapost/types';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 export type Row = Readonly<{key: string; version: number; value: string}>;
 
--- a/packages/platform/src/vm-list.ts
+++ b/packages/platform/src/vm-list.ts
@@ -1,5 +1,5 @@
 import {type VmRecord} from '@cicadapost/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import {callJson, type HttpServiceOptions} from './table-service.js';
 
 /** The platform's list of live and leaving VMs, which may be out of date. */
--- a/packages/platform/src/weight-store.ts
+++ b/packages/platform/src/weight-store.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {callJson, type HttpServiceOptions} from './table-service.js';
 
 /** Reads weight versions by model. The platform limits the rate of reads. */
--- a/packages/relays/src/relay-messages.ts
+++ b/packages/relays/src/relay-messages.ts
@@ -1,5 +1,5 @@
 import {Packr} from 'msgpackr';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const packr = new Packr({useRecords: false});
 
--- a/packages/settings/src/configuration-schema.ts
+++ b/packages/settings/src/configuration-schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const keySchema = z.strictObject({
 	sha256: z.string().regex(/^[\da-f]{64}$/v, 'must be the SHA-256 of the key in lower-case hex'),
--- a/packages/settings/src/daemon-settings.ts
+++ b/packages/settings/src/daemon-settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const addressSchema = z.strictObject({
 	host: z.string().min(1).default('127.0.0.1'),
--- a/packages/settings/src/json-schemas.ts
+++ b/packages/settings/src/json-schemas.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {baseSchema, overlaySchema} from './configuration-schema.js';
 import {daemonSettingsSchema} from './daemon-settings.js';
 
--- a/packages/settings/src/parse.ts
+++ b/packages/settings/src/parse.ts
@@ -2,7 +2,7 @@
 	findNodeAtLocation, parseTree, printParseErrorCode, getNodeValue, type ParseError,
 } from 'jsonc-parser';
 import {Left, Right, type Either} from 'purify-ts';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 /** A problem in a settings file and its position. Lines and columns start at 1. */
 export type SettingsIssue = Readonly<{
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,7 @@
 /**
  * Builds `dist/cicadapost`, a single executable with the bundle and the Node.js runtime,
- * and `dist/stand-ins.cjs`, the stand-ins that the demo and the process tests start.
+ * `dist/stand-ins.cjs`, the stand-ins that the demo and the process tests start,
+ * and `dist/entry`, the program of the deployment, for the process tests.
  */
 import {execFileSync} from 'node:child_process';
 import {
@@ -30,4 +31,5 @@
 ], {stdio: ['ignore', 'ignore', 'ignore']});
 // A rename replaces the file atomically; a running daemon keeps its old executable.
 renameSync(temporary, 'dist/cicadapost');
+execFileSync(process.execPath, ['scripts/build-entry.mjs', 'dist/entry'], {stdio: 'inherit'});
 console.log('built dist/cicadapost');
--- a/scripts/bundle-options.mjs
+++ b/scripts/bundle-options.mjs
@@ -21,3 +21,15 @@
 	banner: {js: 'const __moduleUrl = require("node:url").pathToFileURL(process.execPath).href;'},
 	logLevel: 'warning',
 };
+
+/** Options of the bundle with the command `entry` alone. */
+export const entryBundleOptions = {
+	...bundleOptions,
+	entryPoints: ['packages/cli/src/entry-program.ts'],
+	alias: {
+		...bundleOptions.alias,
+		undici: './scripts/undici-clients.cjs',
+		// undici then does without HTTP/2, which no upstream and no store speaks.
+		'node:http2': './scripts/unavailable-module.cjs',
+	},
+};
