Let only as many daemons of a large fleet take engines as there are engines

At 195 daemons all were equal: each wrote heartbeats for work that it never got, so their rate was bounded and a death showed after 6 s; small VMs with 0.324 of a core ran as many samples as those with 1.35; and each daemon polled members, upstreams and batches as often as those with engines.

chooseCandidates names for each data centre as many daemons as it has engines and two more, larger VMs first. The others are standbys, with a heartbeat every 3 s and rare polls, and become candidates at once when these die. Each row names its own interval. Readiness no longer counts pauses between polls as silence of the store.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -56,7 +56,7 @@
 	random?: () => number;
 }>;
 
-/** A daemon without a response from the store for this long reports itself as not ready. Allows for a long poll of one second and a slow response. */
+/** A daemon to which the store owes a response for this long reports itself as not ready. Allows for a long poll of one second and a slow response. */
 export const maxStoreSilenceMs = 2500;
 /** The load balancer stops sending new connections after two failed probes, one second apart. */
 const loadBalancerDrainMs = 3200;
@@ -116,8 +116,12 @@
 			clock,
 			tables: platform.tables,
 			ownsEngines: () => this.fleetView.ownedEngines().length > 0,
+			isStandby: () => this.membership.isStandby,
 			batchPause: () => batchFeedPause({
-				ownsEngines: this.fleetView.ownedEngines().length > 0, running: this.batchTasks.running + this.batchTasks.rewarding, waiting: this.batchService.waiting,
+				ownsEngines: this.fleetView.ownedEngines().length > 0,
+				isStandby: this.membership.isStandby,
+				running: this.batchTasks.running + this.batchTasks.rewarding,
+				waiting: this.batchService.waiting,
 			}),
 		});
 		const self = {
@@ -125,9 +129,14 @@
 			incarnation: this.incarnation,
 			dataCentre: settings.dataCentre as DataCentreId,
 			region: settings.region as RegionId,
+			cores: settings.processor.share * settings.processor.speed,
 		};
 		this.membership = new MembershipTask({
-			clock, store, follower: this.followers.fleet, self,
+			clock,
+			store,
+			follower: this.followers.fleet,
+			self,
+			isCandidate: () => this.isCandidate,
 		});
 		this.fleetView = new FleetView({
 			clock,
@@ -308,6 +317,7 @@
 			onChanged: () => {
 				versions.update(this.directory.all(), clock.now());
 				this.fleetView.invalidate();
+				this.updateRole();
 				this.weightLoader.wake();
 				this.batchTasks.wake();
 			},
@@ -425,9 +435,26 @@
 		});
 		this.followers.fleet.on('changed', () => {
 			this.fleetView.invalidate();
+			this.updateRole();
 		});
 	}
 
+	/**
+	Whether this daemon takes engines. So it does before it has read how many others there are, and while it has work, so that
+	its claims are freed soon if it dies.
+	*/
+	private get isCandidate(): boolean {
+		const {fleet, upstreams} = this.followers;
+		return !fleet.isLoaded || !upstreams.isLoaded || this.fleetView.isCandidate || this.batchTasks.running + this.batchTasks.rewarding > 0;
+	}
+
+	private updateRole(): void {
+		if (this.membership.updateRole()) {
+			this.followers.batches.hurry();
+			this.followers.fleet.hurry();
+		}
+	}
+
 	/** Whether this daemon is responsible for cleaning up a part of a table. */
 	private isPartOwner(part: string): boolean {
 		const {clock, settings} = this.options;
@@ -437,6 +464,6 @@
 	/** Whether the load balancer may send new connections to this daemon. */
 	get isReady(): boolean {
 		const now = this.options.clock.now();
-		return !this.isStopping && this.operatorState.configuration !== undefined && Object.values(this.followers).every(follower => follower.isLoaded && follower.age(now) < maxStoreSilenceMs);
+		return !this.isStopping && this.operatorState.configuration !== undefined && Object.values(this.followers).every(follower => follower.isLoaded && follower.silentFor(now) < maxStoreSilenceMs);
 	}
 }
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -10,6 +10,13 @@
 	region: z.string().min(1),
 	/** Maps each data centre to its region. */
 	dataCentres: z.record(z.string(), z.string()),
+	/** Processor time of the VM. Daemons on larger VMs take engines first, and more of them. */
+	processor: z.strictObject({
+		/** Share of a core. */
+		share: z.number().positive().default(1),
+		/** Speed of this core, relative to that of other VMs. */
+		speed: z.number().positive().default(1),
+	}).prefault({}),
 	listen: z.strictObject({
 		/** HTTP server for callers and trainers. */
 		callers: address,
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -1,5 +1,5 @@
 import {
-	assignEngines, type MemberRecord, type UpstreamDirectory, type UpstreamRecord,
+	assignEngines, chooseCandidates, type MemberRecord, type UpstreamDirectory, type UpstreamRecord,
 } from '@cicadapost/fleet';
 import {ownerOf} from '@cicadapost/membership';
 import type {
@@ -23,7 +23,7 @@
 	/** Time at which the members were last checked; undefined if they or the upstreams have changed since. */
 	private checkedAt: Millis | undefined;
 	private engines: Readonly<{source: readonly UpstreamRecord[]; ready: readonly UpstreamRecord[]}> = {source: [], ready: []};
-	private assignment: Readonly<{key: string; owners: ReadonlyMap<UpstreamId, DaemonId>}> = {key: '', owners: new Map()};
+	private assignment: Readonly<{key: string; owners: ReadonlyMap<UpstreamId, DaemonId>; candidates: ReadonlySet<DaemonId>}> = {key: '', owners: new Map(), candidates: new Set()};
 
 	constructor(private readonly options: FleetViewOptions) {}
 
@@ -36,6 +36,11 @@
 		return this.owners().get(engine) === this.options.self;
 	}
 
+	/** Whether this daemon should be a candidate for engines. */
+	get isCandidate(): boolean {
+		return this.current().candidates.has(this.options.self);
+	}
+
 	ownedEngines(): UpstreamRecord[] {
 		return this.readyEngines().filter(engine => this.isOwner(engine.id));
 	}
@@ -84,6 +89,10 @@
 	}
 
 	private owners(): ReadonlyMap<UpstreamId, DaemonId> {
+		return this.current().owners;
+	}
+
+	private current(): FleetView['assignment'] {
 		const {clock, members} = this.options;
 		const now = clock.now();
 		if (this.checkedAt === undefined || now - this.checkedAt > ownerCacheMs) {
@@ -91,15 +100,15 @@
 			this.updateAssignment(members(now), this.readyEngines());
 		}
 
-		return this.assignment.owners;
+		return this.assignment;
 	}
 
 	/** Reassigns the engines only if members or engines differ from the last check, which is rare. */
 	private updateAssignment(members: readonly MemberRecord[], engines: readonly UpstreamRecord[]): void {
 		const {regionOf} = this.options;
-		const key = JSON.stringify([members.map(member => [member.daemon, member.dataCentre, member.region]), engines.map(engine => [engine.id, engine.dataCentre])]);
+		const key = JSON.stringify([members.map(member => [member.daemon, member.dataCentre, member.region, member.role, member.cores]), engines.map(engine => [engine.id, engine.dataCentre])]);
 		if (key !== this.assignment.key) {
-			this.assignment = {key, owners: assignEngines({engines, members, regionOf})};
+			this.assignment = {key, owners: assignEngines({engines, members, regionOf}), candidates: chooseCandidates({engines, members, regionOf})};
 		}
 	}
 }
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -13,7 +13,9 @@
 	clock: Clock;
 	store: RowStore;
 	follower: TableFollower;
-	self: Readonly<{daemon: DaemonId; incarnation: DaemonIncarnation; dataCentre: DataCentreId; region: RegionId}>;
+	self: Readonly<{daemon: DaemonId; incarnation: DaemonIncarnation; dataCentre: DataCentreId; region: RegionId; cores: number}>;
+	/** Whether this daemon should be a candidate for engines. */
+	isCandidate: () => boolean;
 }>;
 
 /** A heartbeat write that takes longer than the heartbeat interval is abandoned in favour of the next one. */
@@ -22,6 +24,7 @@
 /** Announces this daemon through heartbeats in the store, and tracks which other daemons are alive. */
 export class MembershipTask {
 	private state: MemberRecord['state'] = 'live';
+	private role: MemberRecord['role'] = 'standby';
 	private heartbeatCount = 0;
 	private timer: NodeJS.Timeout | undefined;
 	private isSendingHeartbeat = false;
@@ -38,10 +41,26 @@
 
 	/** Starts sending heartbeats. */
 	start(): void {
+		this.role = this.options.isCandidate() ? 'candidate' : 'standby';
 		void this.sendHeartbeat();
 		this.timer = setTimeout(() => {
 			this.start();
-		}, heartbeatIntervalMs(this.observations().size));
+		}, this.intervalMs());
+	}
+
+	/** Becomes a candidate at once if this daemon should be one, and returns whether it has. The way back waits for the next heartbeat. */
+	updateRole(): boolean {
+		if (this.timer === undefined || this.role === 'candidate' || !this.options.isCandidate()) {
+			return false;
+		}
+
+		clearTimeout(this.timer);
+		this.start();
+		return true;
+	}
+
+	get isStandby(): boolean {
+		return this.role === 'standby';
 	}
 
 	/** Announces immediately that this daemon accepts no more work. */
@@ -104,6 +123,11 @@
 		return this.cachedObservations;
 	}
 
+	private intervalMs(): Millis {
+		const peers = [...this.observations().values()].filter(({record}) => record.role === this.role);
+		return heartbeatIntervalMs(this.role, peers.length);
+	}
+
 	private async sendHeartbeat(): Promise<void> {
 		if (this.isSendingHeartbeat) {
 			return;
@@ -112,7 +136,10 @@
 		this.isSendingHeartbeat = true;
 		this.heartbeatCount += 1;
 		const {store, follower, self} = this.options;
-		const heartbeatRow = {table: fleetTable, key: memberKey, value: encodeMember({...self, state: this.state, heartbeatCount: this.heartbeatCount})};
+		const value = encodeMember({
+			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(),
+		});
+		const heartbeatRow = {table: fleetTable, key: memberKey, value};
 		const outcome = await store.transact({part: self.daemon, writes: [heartbeatRow]}, heartbeatTimeoutMs);
 		if (outcome.kind === 'committed') {
 			follower.mergeRows([{...heartbeatRow, part: self.daemon, version: outcome.version}]);
--- a/packages/fleet/src/engine-ownership.ts
+++ b/packages/fleet/src/engine-ownership.ts
@@ -16,23 +16,26 @@
 
 /**
 Assigns each engine to an owner: the daemon that claims samples for its slots, runs them and sends its orders. All daemons
-with the same view compute the same assignment. Each engine goes to a near daemon with few engines, and a member that
-joins or leaves moves few engines. A temporary disagreement between daemons is harmless, because claims and order permits
-are conditional writes.
+with the same view compute the same assignment. Each engine goes to a near candidate with few engines for its size, and a
+member that joins or leaves moves few engines. Without candidates, any member may become an owner. A temporary disagreement
+between daemons is harmless, because claims and order permits are conditional writes.
 */
 export function assignEngines({engines, members, regionOf}: OwnershipOptions): Map<UpstreamId, DaemonId> {
+	const candidates = members.filter(({role}) => role === 'candidate');
+	const eligible = candidates.length > 0 ? candidates : members;
 	const owned = new Map<DaemonId, number>();
 	const owners = new Map<UpstreamId, DaemonId>();
 	const sorted = engines.toSorted((a, b) => (a.id < b.id ? -1 : 1));
-	const nearTo = new Map<DataCentreId, DaemonId[]>();
+	const nearTo = new Map<DataCentreId, MemberRecord[]>();
 	for (const engine of sorted) {
-		const near = nearTo.get(engine.dataCentre) ?? nearestMembers(members, engine, regionOf);
+		const near = nearTo.get(engine.dataCentre) ?? nearestMembers(eligible, engine.dataCentre, regionOf);
 		nearTo.set(engine.dataCentre, near);
-		const leastLoad = Math.min(...near.map(daemon => owned.get(daemon) ?? 0));
-		const best = ownerOf(engine.id, near.filter(daemon => (owned.get(daemon) ?? 0) === leastLoad));
+		const loadWithEngine = ({daemon, cores}: MemberRecord) => ((owned.get(daemon) ?? 0) + 1) / cores;
+		const leastLoad = Math.min(...near.map(member => loadWithEngine(member)));
+		const best = ownerOf(engine.id, near.filter(member => loadWithEngine(member) === leastLoad).map(({daemon}) => daemon));
 		if (best !== undefined) {
 			owners.set(engine.id, best);
-			owned.set(best, leastLoad + 1);
+			owned.set(best, (owned.get(best) ?? 0) + 1);
 		}
 	}
 
@@ -40,16 +43,16 @@
 }
 
 /** Returns the members at the nearest level that has any. */
-function nearestMembers(members: readonly MemberRecord[], engine: UpstreamRecord, regionOf: OwnershipOptions['regionOf']): DaemonId[] {
-	const levels = members.map(member => proximityOf(member, engine, regionOf));
+export function nearestMembers(members: readonly MemberRecord[], dataCentre: DataCentreId, regionOf: OwnershipOptions['regionOf']): MemberRecord[] {
+	const levels = members.map(member => proximityOf(member, dataCentre, regionOf));
 	const best = Math.max(...levels);
-	return members.filter((_, index) => levels[index] === best).map(member => member.daemon);
+	return members.filter((_, index) => levels[index] === best);
 }
 
-function proximityOf(member: MemberRecord, engine: UpstreamRecord, regionOf: OwnershipOptions['regionOf']): number {
-	if (member.dataCentre === engine.dataCentre) {
+function proximityOf(member: MemberRecord, dataCentre: DataCentreId, regionOf: OwnershipOptions['regionOf']): number {
+	if (member.dataCentre === dataCentre) {
 		return proximity.sameDataCentre;
 	}
 
-	return member.region === regionOf(engine.dataCentre) ? proximity.sameRegion : proximity.elsewhere;
+	return member.region === regionOf(dataCentre) ? proximity.sameRegion : proximity.elsewhere;
 }
--- a/packages/store/src/follow-table.test.ts
+++ b/packages/store/src/follow-table.test.ts
@@ -47,6 +47,25 @@
 		await until(() => follower.copy.get('p', 'b') !== undefined);
 	});
 
+	it('counts only overdue responses as silence of the store, and no pause between polls', async () => {
+		const store = new MemoryRowStore();
+		await store.transact(write('a', 1));
+		let longestSilence = 0;
+		const follower = follow(store, () => 400);
+		const watch = setInterval(() => {
+			longestSilence = Math.max(longestSilence, follower.silentFor(performance.now()));
+			void store.transact(write('a', 1));
+		}, 10);
+		await until(() => follower.isLoaded && follower.age(performance.now()) > 350);
+		clearInterval(watch);
+		expect(longestSilence).toBeLessThan(350);
+		store.fault = 'down';
+		await until(() => follower.silentFor(performance.now()) > 300);
+		store.fault = 'none';
+		await until(() => follower.connectedFor(performance.now()) > 0);
+		expect(follower.silentFor(performance.now())).toBeLessThan(300);
+	});
+
 	it('reloads the table, including deletions, when the store has discarded its history', async () => {
 		const store = new MemoryRowStore();
 		await store.transact(write('a', 1));
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -39,12 +39,14 @@
 	private version: number | undefined;
 	private lastSuccessfulCallSentAt: Millis | undefined;
 	private connectedSince: Millis | undefined;
+	/** When the first call was sent since the last response; undefined while no call is in flight. */
+	private unansweredSince: Millis | undefined;
 	/** Store clock minus this daemon's monotonic clock. */
 	private storeClockOffsetMs = 0;
 	private hasReceivedChanges = false;
 	private isStopped = false;
 	/** Ends the current delay between two polls. */
-	private pauseEnd: AbortController | undefined;
+	private endPause: (() => void) | undefined;
 
 	constructor(private readonly options: TableFollowerOptions) {
 		super();
@@ -61,7 +63,7 @@
 
 	/** Polls without further delay, for a caller that needs the newest rows now. */
 	hurry(): void {
-		this.pauseEnd?.abort();
+		this.endPause?.();
 	}
 
 	/** Whether the table has been loaded at least once. */
@@ -79,6 +81,11 @@
 		return this.lastSuccessfulCallSentAt === undefined ? Number.POSITIVE_INFINITY : now - this.lastSuccessfulCallSentAt;
 	}
 
+	/** How long the store has owed this follower a response. Pauses between polls don't count. */
+	silentFor(now: Millis): Millis {
+		return this.unansweredSince === undefined ? 0 : now - this.unansweredSince;
+	}
+
 	/** How long the store has responded to this follower without a failure. */
 	connectedFor(now: Millis): Millis {
 		return this.connectedSince === undefined ? 0 : now - this.connectedSince;
@@ -97,6 +104,7 @@
 	private async run(): Promise<void> {
 		while (!this.isStopped) {
 			const sentAt = this.options.clock.now();
+			this.unansweredSince ??= sentAt;
 			const isSuccessful = await (this.version === undefined ? this.load() : this.poll(this.version));
 			if (isSuccessful) {
 				this.recordSuccess(sentAt);
@@ -116,22 +124,23 @@
 		}
 	}
 
+	/** Uses a plain timer, since those of node:timers/promises cost several times as much if they can be ended early. */
 	private async pause(ms: Millis): Promise<void> {
-		const end = new AbortController();
-		this.pauseEnd = end;
-		try {
-			await sleep(ms, undefined, {signal: end.signal});
-		} catch {
-			// Rejects when `hurry` ends the pause.
-		} finally {
-			this.pauseEnd = undefined;
-		}
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, ms);
+			this.endPause = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+		});
+		this.endPause = undefined;
 	}
 
 	private recordSuccess(sentAt: Millis): void {
 		const now = this.options.clock.now();
 		const before = this.lastSuccessfulCallSentAt;
 		this.lastSuccessfulCallSentAt = sentAt;
+		this.unansweredSince = undefined;
 		if (this.connectedSince === undefined) {
 			this.connectedSince = now;
 			this.emit('regained', before === undefined ? 0 : now - before);
