Keep the rows of all members in eight parts of the table

Each member had a part of its own, and a daemon that starts reads the fleet's table part by part. Now the members and their relay rows are in eight parts.

Builds side by side: a daemon reads rows of either kind, the one that changed last counts, and writes its own in both places while a daemon of a build without roles is alive. Tests in membership-task.test.ts.

--- a/packages/entry/src/member-rows.ts
+++ b/packages/entry/src/member-rows.ts
@@ -1,12 +1,39 @@
 import type {MemberRecord} from '@cicadapost/fleet';
-import {decodeList, encodeList} from '@cicadapost/store';
+import {decodeList, encodeList, type RowKey} from '@cicadapost/store';
 import type {
 	DaemonId, DaemonIncarnation, DataCentreId, RegionId,
 } from '@cicadapost/types';
 
-/** Table of daemons, order permits and crash reports. The part is the daemon, the engine or the request fingerprint. */
+/** Table of daemons, order permits and crash reports. The part is one of those of the members, the engine or the request fingerprint. */
 export const fleetTable = 'fleet';
-export const memberKey = 'member';
+/** Key of a member's row in builds that used a part for each daemon. */
+export const earlierMemberKey = 'member';
+/**
+Number of parts that hold the rows of the members. A daemon that starts reads the table part by part, so with a part for each
+daemon a fleet that starts at once makes as many reads as the square of its size. One part takes 200 writes per second.
+*/
+const memberParts = 8;
+const partPrefix = 'members-';
+const memberKeyPrefix = 'member/';
+
+/** Returns the part that holds all rows of a daemon. */
+export function memberPart(daemon: DaemonId): string {
+	let sum = 0;
+	for (const character of daemon) {
+		sum = ((sum * 31) + (character.codePointAt(0) ?? 0)) % 65_521;
+	}
+
+	return `${partPrefix}${sum % memberParts}`;
+}
+
+export function memberKey(daemon: DaemonId): string {
+	return `${memberKeyPrefix}${daemon}`;
+}
+
+/** Whether the row is that of a member, of this or an earlier build. */
+export function isMemberRow({key}: Pick<RowKey, 'key'>): boolean {
+	return key === earlierMemberKey || key.startsWith(memberKeyPrefix);
+}
 
 export function encodeMember(member: MemberRecord): Uint8Array {
 	return encodeList([member.daemon, member.incarnation, member.dataCentre, member.region, member.state, member.heartbeatCount, member.role, member.cores, member.heartbeatMs ?? null]);
--- a/packages/entry/src/membership-task.test.ts
+++ b/packages/entry/src/membership-task.test.ts
@@ -7,7 +7,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {
-	decodeMember, encodeMember, fleetTable, memberKey,
+	decodeMember, earlierMemberKey, encodeMember, fleetTable, memberKey, memberPart,
 } from './member-rows.js';
 import {MembershipTask} from './membership-task.js';
 
@@ -29,7 +29,7 @@
 		const clock = new SystemClock();
 		const writeHeartbeat = async (incarnation: string) => store.transact({
 			part: member(incarnation).daemon, writes: [{
-				table: fleetTable, key: memberKey, value: encodeMember({
+				table: fleetTable, key: memberKey(member(incarnation).daemon), value: encodeMember({
 					...member(incarnation), state: 'live', heartbeatCount: 1, role: 'candidate',
 				}),
 			}],
@@ -65,7 +65,7 @@
 				clock, store, follower, self: member('d1#1'), isCandidate: () => isCandidate,
 			});
 			const written = async () => {
-				const outcome = await store.read({table: fleetTable, part: 'd1'});
+				const outcome = await store.read({table: fleetTable, part: memberPart('d1' as DaemonId)});
 				return outcome.kind === 'rows' ? decodeMember(outcome.rows[0]!.value) : undefined;
 			};
 
@@ -84,6 +84,38 @@
 	});
 });
 
+describe('rows of members', () => {
+	it('take as many reads for a daemon that starts in a large fleet as in a small one', () => {
+		const parts = (count: number) => new Set(Array.from({length: count}, (_, index) => memberPart(`edge-west-a-${index}` as DaemonId))).size;
+		expect(parts(400)).toBe(8);
+	});
+
+	describe('beside a daemon of a build that used a part for each daemon', () => {
+		it('are written for both builds, as long as that daemon is alive', async () => {
+			const store = new MemoryRowStore();
+			const clock = new SystemClock();
+			const follower = new TableFollower({
+				store, clock, table: fleetTable, waitMs: 20,
+			});
+			const earlierRow = encodeList(['d2', 'd2#1', 'dc', 'r', 'live', 1]);
+			await store.transact({part: 'd2', writes: [{table: fleetTable, key: earlierMemberKey, value: earlierRow}]});
+			const task = new MembershipTask({
+				clock, store, follower, self: member('d1#1'), isCandidate: () => true,
+			});
+			const partsWithRows = async () => store.parts(fleetTable);
+			follower.start();
+			await expect.poll(() => task.members(clock.now()).map(({daemon}) => daemon)).toEqual(['d2']);
+			task.start();
+			await expect.poll(partsWithRows).toEqual(expect.arrayContaining([memberPart('d1' as DaemonId), 'd1']));
+			expect(task.members(clock.now()).map(({daemon}) => daemon).toSorted()).toEqual(['d1', 'd2']);
+			await store.transact({part: 'd2', writes: [], deletes: [{table: fleetTable, key: earlierMemberKey}]});
+			await expect.poll(partsWithRows, {timeout: 5000}).toEqual([memberPart('d1' as DaemonId)]);
+			task.stop();
+			follower.stop();
+		});
+	});
+});
+
 describe('decodeMember', () => {
 	it('reads the row of a build that wrote no roles as a candidate', () => {
 		const earlier = decodeList(encodeMember({
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -6,7 +6,7 @@
 	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
 } from '@cicadapost/types';
 import {
-	decodeMember, encodeMember, fleetTable, memberKey,
+	decodeMember, earlierMemberKey, encodeMember, fleetTable, isMemberRow, memberKey, memberPart,
 } from './member-rows.js';
 
 export type MembershipOptions = Readonly<{
@@ -28,7 +28,7 @@
 	private heartbeatCount = 0;
 	private timer: NodeJS.Timeout | undefined;
 	private isSendingHeartbeat = false;
-	/** Decoded member rows by daemon. Each row is decoded once per change. */
+	/** Decoded member rows by part and key. Each row is decoded once per change. */
 	private readonly observed = new Map<string, MemberObservation>();
 	/** The same by incarnation, cached until a row changes. */
 	private cachedObservations: ReadonlyMap<DaemonIncarnation, MemberObservation> | undefined;
@@ -104,27 +104,43 @@
 		const {copy} = this.options.follower;
 		for (const change of changes) {
 			const {part, key} = change.kind === 'written' ? change.row : change.key;
-			if (key !== memberKey) {
+			if (!isMemberRow({key})) {
 				continue;
 			}
 
 			this.cachedObservations = undefined;
+			const row = `${part}/${key}`;
 			const record = change.kind === 'written' ? decodeMember(change.row.value) : undefined;
 			if (record === undefined) {
-				this.observed.delete(part);
+				this.observed.delete(row);
 			} else {
-				this.observed.set(part, {record, seenAt: copy.changedAt(part, memberKey) ?? 0});
+				this.observed.set(row, {record, seenAt: copy.changedAt(part, key) ?? 0});
 			}
 		}
 	}
 
 	private observations(): ReadonlyMap<DaemonIncarnation, MemberObservation> {
-		this.cachedObservations ??= new Map([...this.observed.values()].map(observation => [observation.record.incarnation, observation]));
+		this.cachedObservations ??= new Map([...this.newestByDaemon().values()].map(observation => [observation.record.incarnation, observation]));
 		return this.cachedObservations;
 	}
 
+	/** A daemon has two rows if builds with different places for them have run. The one that has changed last counts. */
+	private newestByDaemon(): Map<DaemonId, MemberObservation> {
+		const newest = new Map<DaemonId, MemberObservation>();
+		for (const observation of this.observed.values()) {
+			const {daemon, heartbeatMs} = observation.record;
+			const other = newest.get(daemon);
+			const isNewer = other === undefined || observation.seenAt > other.seenAt || (observation.seenAt === other.seenAt && heartbeatMs !== undefined);
+			if (isNewer) {
+				newest.set(daemon, observation);
+			}
+		}
+
+		return newest;
+	}
+
 	private intervalMs(): Millis {
-		const peers = [...this.observations().values()].filter(({record}) => record.role === this.role);
+		const peers = this.members(this.options.clock.now()).filter(({role}) => role === this.role);
 		return heartbeatIntervalMs(this.role, peers.length);
 	}
 
@@ -139,12 +155,33 @@
 		const value = encodeMember({
 			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(),
 		});
-		const heartbeatRow = {table: fleetTable, key: memberKey, value};
-		const outcome = await store.transact({part: self.daemon, writes: [heartbeatRow]}, heartbeatTimeoutMs);
-		if (outcome.kind === 'committed') {
-			follower.mergeRows([{...heartbeatRow, part: self.daemon, version: outcome.version}]);
+		const rows = [{part: memberPart(self.daemon), key: memberKey(self.daemon)}];
+		if (this.hasEarlierBuilds()) {
+			rows.push({part: self.daemon, key: earlierMemberKey});
 		}
 
+		await Promise.all(rows.map(async ({part, key}) => {
+			const row = {table: fleetTable, key, value};
+			const outcome = await store.transact({part, writes: [row]}, heartbeatTimeoutMs);
+			if (outcome.kind === 'committed') {
+				follower.mergeRows([{...row, part, version: outcome.version}]);
+			}
+		}));
+		await this.deleteEarlierRows();
 		this.isSendingHeartbeat = false;
 	}
+
+	/** Deletes the rows of this daemon that only earlier builds read, once none of them is left. */
+	private async deleteEarlierRows(): Promise<void> {
+		const {store, follower, self} = this.options;
+		const rows = follower.copy.part(self.daemon);
+		if (rows.length > 0 && !this.hasEarlierBuilds()) {
+			await store.transact({part: self.daemon, writes: [], deletes: rows.map(({key}) => ({table: fleetTable, key}))}, heartbeatTimeoutMs);
+		}
+	}
+
+	/** Whether a daemon of a build without roles is alive, which reads only rows in a part of their own. */
+	private hasEarlierBuilds(): boolean {
+		return this.members(this.options.clock.now()).some(({heartbeatMs}) => heartbeatMs === undefined);
+	}
 }
--- a/packages/entry/src/relay-directory.ts
+++ b/packages/entry/src/relay-directory.ts
@@ -3,9 +3,9 @@
 import type {RelayCandidate} from '@cicadapost/relays';
 import type {RowChange, RowStore, TableFollower} from '@cicadapost/store';
 import type {DaemonId, DaemonIncarnation} from '@cicadapost/types';
-import {fleetTable} from './member-rows.js';
+import {fleetTable, memberPart} from './member-rows.js';
 import {
-	decodeRelayRecord, encodeRelayRecord, relayKey, type RelayRecord,
+	daemonOfRelayRow, decodeRelayRecord, encodeRelayRecord, relayKey, type RelayRecord,
 } from './relay-rows.js';
 
 export type RelayDirectoryOptions = Readonly<{
@@ -85,17 +85,17 @@
 	private apply(changes: readonly RowChange[]): void {
 		let hasChanges = false;
 		for (const change of changes) {
-			const {part, key} = change.kind === 'written' ? change.row : change.key;
-			if (key !== relayKey) {
+			const daemon = daemonOfRelayRow(change.kind === 'written' ? change.row : change.key);
+			if (daemon === undefined) {
 				continue;
 			}
 
 			hasChanges = true;
 			const record = change.kind === 'written' ? decodeRelayRecord(change.row.value) : undefined;
 			if (record === undefined) {
-				this.records.delete(part);
+				this.records.delete(daemon);
 			} else {
-				this.records.set(part, record);
+				this.records.set(daemon, record);
 			}
 		}
 
@@ -117,7 +117,7 @@
 		const value = encodeRelayRecord({
 			incarnation: self.incarnation, address, key: this.key, isPartitioned,
 		});
-		const outcome = await store.transact({part: self.daemon, writes: [{table: fleetTable, key: relayKey, value}]}, writeTimeoutMs);
+		const outcome = await store.transact({part: memberPart(self.daemon), writes: [{table: fleetTable, key: relayKey(self.daemon), value}]}, writeTimeoutMs);
 		this.isWriting = false;
 		if (outcome.kind === 'committed') {
 			this.written = isPartitioned;
--- a/packages/entry/src/relay-rows.ts
+++ b/packages/entry/src/relay-rows.ts
@@ -1,7 +1,23 @@
 import {decodeList, encodeList} from '@cicadapost/store';
+import type {DaemonId} from '@cicadapost/types';
+
+const keyPrefix = 'relay/';
+/** Key in builds that used a part for each daemon. */
+const earlierKey = 'relay';
 
 /** Key of a daemon's row in the fleet's table that says how other daemons pass requests on to it. It is apart from the heartbeats, which must stay small. */
-export const relayKey = 'relay';
+export function relayKey(daemon: DaemonId): string {
+	return `${keyPrefix}${daemon}`;
+}
+
+/** Returns the daemon that a row describes, or undefined if it is no row of this kind. */
+export function daemonOfRelayRow({part, key}: Readonly<{part: string; key: string}>): DaemonId | undefined {
+	if (key === earlierKey) {
+		return part as DaemonId;
+	}
+
+	return key.startsWith(keyPrefix) ? key.slice(keyPrefix.length) as DaemonId : undefined;
+}
 
 /** What a daemon publishes for daemons without links to upstreams. */
 export type RelayRecord = Readonly<{
