--- a/packages/entry/src/upstream-list.ts
+++ b/packages/entry/src/upstream-list.ts
@@ -27,8 +27,8 @@
 	onExpired: () => void;
 }>;
 
-/** Interval for removing entries that have not reappeared after an outage of the store. */
-const expiryIntervalMs = 200;
+/** Interval for removing entries that have not reappeared after an outage of the store. It is that of the other background tasks, so that one wake-up serves all. */
+const expiryIntervalMs = 400;
 
 /** Keeps the directory of upstreams in line with the platform's list. */
 export class UpstreamList {
--- a/packages/weights/src/load-weights.ts
+++ b/packages/weights/src/load-weights.ts
@@ -12,7 +12,7 @@
 import {planLoads, type NamedVersion, type PlannedLoad} from './plan-loads.js';
 
 /** How often loads are planned in the absence of events. */
-const planIntervalMs = 500;
+const planIntervalMs = 400;
 /** Delay before the next order to an engine after one that was not accepted. */
 const retryMs = 400;
 
