--- a/packages/entry/src/membership-task.test.ts
+++ b/packages/entry/src/membership-task.test.ts
@@ -80,6 +80,8 @@
 			expect(task.isStandby).toBe(false);
 			await expect.poll(written, {timeout: 5000}).toMatchObject({role: 'standby', heartbeatCount: 3});
 			task.stop();
+			isCandidate = true;
+			expect(task.updateRole()).toBe(false);
 		});
 	});
 });
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -71,6 +71,7 @@
 
 	stop(): void {
 		clearTimeout(this.timer);
+		this.timer = undefined;
 	}
 
 	members(now: Millis): MemberRecord[] {
