--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -137,6 +137,9 @@
 			follower: this.followers.fleet,
 			self,
 			isCandidate: () => this.isCandidate,
+			onRoleChanged(role, candidates) {
+				logger.info({event: 'role', role, candidates}, role === 'candidate' ? 'takes engines from now on' : 'takes no engines unless candidates die');
+			},
 		});
 		this.fleetView = new FleetView({
 			clock,
--- a/packages/entry/src/membership-task.test.ts
+++ b/packages/entry/src/membership-task.test.ts
@@ -4,7 +4,7 @@
 	SystemClock, type DaemonId, type DaemonIncarnation, type DataCentreId, type RegionId,
 } from '@cicadapost/types';
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import {
 	decodeMember, earlierMemberKey, encodeMember, fleetTable, memberKey, memberPart,
@@ -40,7 +40,7 @@
 		});
 		followers.push(follower);
 		const task = new MembershipTask({
-			clock, store, follower, self: member('d1#1'), isCandidate: () => true,
+			clock, store, follower, self: member('d1#1'), isCandidate: () => true, onRoleChanged: vi.fn(),
 		});
 		// Nothing has been read yet: the claim may belong to an incarnation whose heartbeat has not arrived.
 		expect(task.isAlive('d2#new', 2, clock.now())).toBe(true);
@@ -61,8 +61,9 @@
 			});
 			followers.push(follower);
 			let isCandidate = false;
+			const onRoleChanged = vi.fn();
 			const task = new MembershipTask({
-				clock, store, follower, self: member('d1#1'), isCandidate: () => isCandidate,
+				clock, store, follower, self: member('d1#1'), isCandidate: () => isCandidate, onRoleChanged,
 			});
 			const written = async () => {
 				const outcome = await store.read({table: fleetTable, part: memberPart('d1' as DaemonId)});
@@ -79,6 +80,7 @@
 			expect(task.updateRole()).toBe(false);
 			expect(task.isStandby).toBe(false);
 			await expect.poll(written, {timeout: 5000}).toMatchObject({role: 'standby', heartbeatCount: 3});
+			expect(onRoleChanged.mock.calls).toEqual([['candidate', 0], ['standby', 1]]);
 			task.stop();
 			isCandidate = true;
 			expect(task.updateRole()).toBe(false);
@@ -102,7 +104,7 @@
 			const earlierRow = encodeList(['d2', 'd2#1', 'dc', 'r', 'live', 1]);
 			await store.transact({part: 'd2', writes: [{table: fleetTable, key: earlierMemberKey, value: earlierRow}]});
 			const task = new MembershipTask({
-				clock, store, follower, self: member('d1#1'), isCandidate: () => true,
+				clock, store, follower, self: member('d1#1'), isCandidate: () => true, onRoleChanged: vi.fn(),
 			});
 			const partsWithRows = async () => store.parts(fleetTable);
 			follower.start();
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -16,6 +16,8 @@
 	self: Readonly<{daemon: DaemonId; incarnation: DaemonIncarnation; dataCentre: DataCentreId; region: RegionId; cores: number}>;
 	/** Whether this daemon should be a candidate for engines. */
 	isCandidate: () => boolean;
+	/** Called when this daemon has become a candidate or a standby. */
+	onRoleChanged: (role: MemberRecord['role'], candidates: number) => void;
 }>;
 
 /** A heartbeat write that takes longer than the heartbeat interval is abandoned in favour of the next one. */
@@ -41,7 +43,7 @@
 
 	/** Starts sending heartbeats. */
 	start(): void {
-		this.role = this.options.isCandidate() ? 'candidate' : 'standby';
+		this.setRole(this.options.isCandidate() ? 'candidate' : 'standby');
 		void this.sendHeartbeat();
 		this.timer = setTimeout(() => {
 			this.start();
@@ -140,9 +142,19 @@
 		return newest;
 	}
 
+	private setRole(role: MemberRecord['role']): void {
+		if (role !== this.role) {
+			this.role = role;
+			this.options.onRoleChanged(role, this.countMembers('candidate'));
+		}
+	}
+
+	private countMembers(role: MemberRecord['role']): number {
+		return this.members(this.options.clock.now()).filter(member => member.role === role).length;
+	}
+
 	private intervalMs(): Millis {
-		const peers = this.members(this.options.clock.now()).filter(({role}) => role === this.role);
-		return heartbeatIntervalMs(this.role, peers.length);
+		return heartbeatIntervalMs(this.role, this.countMembers(this.role));
 	}
 
 	private async sendHeartbeat(): Promise<void> {
