--- a/packages/cli/src/entry-program.test.ts
+++ b/packages/cli/src/entry-program.test.ts
@@ -5,6 +5,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {promisify} from 'node:util';
+import {settingsVariable} from '@cicadapost/platform-adapter/settings';
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
@@ -52,7 +53,7 @@
 	});
 
 	it('names the environment variable when the settings are missing, with and without a code cache', async () => {
-		const expected = {code: exitCodes.failure, stderr: expect.stringContaining('CICADAPOST_SETTINGS')};
+		const expected = {code: exitCodes.failure, stderr: expect.stringContaining(settingsVariable)};
 		expect(await run(...flags, program)).toMatchObject(expected);
 		rmSync(path.join(directory, 'bundle.cache'));
 		expect(await run(...flags, program)).toMatchObject(expected);
