End a daemon that cannot listen, and never announce it

Other daemons and the platform saw a daemon that was announced, owned engines and was never ready: if an address of its settings was in use, the error of its start only set the exit code, and the tables, heartbeats and other listeners went on. A supervisor would not have started it again.

Its log is gone, so that this was the cause is only suspected: the ports of tests came from the range that the kernel gives to all connections. Ruled out by reading: the age of the copies of tables, which is far below its bound without load.

Listeners are opened first; if one fails, the daemon closes the others and ends with an error that names the address and the setting. Each server also kept the handler of errors of its start, so a second error of accept would have ended the process: listenOn passes later errors to the log. Tests take ports below those of the kernel, from one function, and show what a daemon wrote that does not become ready.

--- a/packages/daemon/src/training-step.test.ts
+++ b/packages/daemon/src/training-step.test.ts
@@ -1,4 +1,3 @@
-import {createServer, type AddressInfo} from 'node:net';
 import 'reflect-metadata';
 import {hashKey} from '@cicadapost/api';
 import {daemonSettingsSchema, documentSchema} from '@cicadapost/settings';
@@ -6,23 +5,12 @@
 import {
 	afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
+import {freePort} from '../../demo/src/free-port.js';
 import {createContainer} from './container.js';
 import {Daemon} from './daemon.js';
 
 type Answer = Readonly<{status: number; body: Record<string, any>}>;
 
-async function freePort(): Promise<number> {
-	const server = createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-}
-
 async function call(method: string, url: string, body: unknown, headers: Record<string, string> = {}): Promise<Answer> {
 	const res = await fetch(url, {method, headers: {authorization: 'Bearer key', ...headers}, body: JSON.stringify(body)});
 	return {status: res.status, body: await res.json() as Record<string, any>};
--- a/packages/entry/src/broken-streams.test.ts
+++ b/packages/entry/src/broken-streams.test.ts
@@ -151,7 +151,7 @@
 		configuration: () => configuration,
 		onCallReport: vi.fn(),
 	});
-	await front.listen({host: '127.0.0.1', port: 0});
+	await front.listen({host: '127.0.0.1', port: 0}, vi.fn());
 	return seen;
 };
 
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -23,12 +23,13 @@
 import type {CallerProtocol} from './caller-protocol.js';
 import {CrashReports} from './crash-reports.js';
 import {EntryMetrics} from './entry-metrics.js';
-import {parseAddress, type EntrySettings} from './entry-settings.js';
+import type {EntrySettings} from './entry-settings.js';
 import {FleetView} from './fleet-view.js';
 import {FrontServer} from './front-server.js';
 import {HealthServer} from './health-server.js';
 import {LoadReporter} from './load-reporter.js';
 import {MembershipTask} from './membership-task.js';
+import {openListener} from './open-listener.js';
 import {OperatorState} from './operator-state.js';
 import type {PlatformTables} from './platform-tables.js';
 import {RelayTask} from './relay-task.js';
@@ -334,9 +335,11 @@
 		}, loadReportIntervalMs);
 	}
 
-	/** Resolves once the listeners are open. The daemon becomes ready later, when the tables have been loaded. */
+	/** Resolves once the listeners are open. The daemon becomes ready later, when the tables have been loaded. Closes the daemon if it can't listen. */
 	async start(): Promise<void> {
-		const {settings, logger} = this.options;
+		const {logger} = this.options;
+		await this.listen();
+
 		this.subscribe();
 		for (const follower of Object.values(this.followers)) {
 			follower.on('lost', () => {
@@ -349,16 +352,27 @@
 			follower.start();
 		}
 
+		// Other daemons count on what an announced daemon does, so it is announced only once it can be reached.
 		this.membership.start();
-		await Promise.all([
-			this.relays.start(),
-			this.frontServer.listen(parseAddress(settings.listen.callers)),
-			this.healthServer.listen(parseAddress(settings.listen.health)),
-			...(settings.listen.metrics === undefined ? [] : [this.metrics.listen(parseAddress(settings.listen.metrics))]),
-		]);
+		this.relays.start();
 		logger.info({event: 'start', life: this.incarnation}, 'daemon started');
 	}
 
+	private async listen(): Promise<void> {
+		const {settings: {listen}, logger} = this.options;
+		const servers = {
+			callers: this.frontServer, health: this.healthServer, relay: this.relays, metrics: this.metrics,
+		};
+		const outcomes = await Promise.allSettled((['callers', 'health', 'relay', 'metrics'] as const).map(async name => openListener({
+			name, address: listen[name], server: servers[name], logger,
+		})));
+		const failure = outcomes.find(({status}) => status === 'rejected');
+		if (failure?.status === 'rejected') {
+			this.close();
+			throw failure.reason as Error;
+		}
+	}
+
 	/** Applies settings that can change at run time, and logs whether other changes require a restart. */
 	reload(settings: EntrySettings): void {
 		const {logger} = this.options;
@@ -403,6 +417,7 @@
 
 	private close(): void {
 		this.upstreamList.stop();
+		this.weightLoader.stop();
 		clearInterval(this.loadReportTimer);
 		for (const follower of Object.values(this.followers)) {
 			follower.stop();
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
 import type {SendReason} from '@cicadapost/rate-limits';
 import type {StoreCallReport} from '@cicadapost/store';
 import type {Millis} from '@cicadapost/types';
@@ -73,15 +74,12 @@
 		return this.registry.metrics();
 	}
 
-	async listen(address: Readonly<{host: string; port: number}>): Promise<void> {
+	async listen(address: ListenerAddress, onError: (err: Error) => void): Promise<void> {
 		const server = createServer((req, res) => {
 			void this.serve(res);
 		});
 		this.server = server;
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(address, resolve);
-		});
+		await listenOn(server, address, onError);
 	}
 
 	close(): void {
--- a/packages/entry/src/front-server.test.ts
+++ b/packages/entry/src/front-server.test.ts
@@ -6,7 +6,7 @@
 } from '@cicadapost/types';
 import {Right} from 'purify-ts';
 import {
-	afterEach, beforeEach, describe, expect, it,
+	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {CallerProtocol, type CallerCall, type RequestHead} from './caller-protocol.js';
 import {FrontServer, type CallReport} from './front-server.js';
@@ -120,7 +120,7 @@
 			callReports.push(report);
 		},
 	});
-	await front.listen({host: '127.0.0.1', port: 0});
+	await front.listen({host: '127.0.0.1', port: 0}, vi.fn());
 	front.applyLimits(configuration.limits);
 	port = front.port;
 });
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -6,6 +6,7 @@
 import {
 	ResponseReceiver, matchRoute, type CallerLimits, type ForwardFailure, type Forwarder, type Route, type RoutingConfiguration,
 } from '@cicadapost/forwarding';
+import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
 import type {
 	BatchId, Clock, Millis, RequestId,
 } from '@cicadapost/types';
@@ -61,11 +62,8 @@
 		this.applyLimits(initialLimits);
 	}
 
-	async listen(address: Readonly<{host: string; port: number}>): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen({...address, backlog: 1024}, resolve);
-		});
+	async listen(address: ListenerAddress, onError: (err: Error) => void): Promise<void> {
+		await listenOn(this.server, {...address, backlog: 1024}, onError);
 	}
 
 	/** The port on which the server listens. */
--- a/packages/entry/src/health-server.ts
+++ b/packages/entry/src/health-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
 
 export type HealthServerOptions = Readonly<{
 	readyPath: string;
@@ -17,11 +18,8 @@
 		});
 	}
 
-	async listen(address: Readonly<{host: string; port: number}>): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(address, resolve);
-		});
+	async listen(address: ListenerAddress, onError: (err: Error) => void): Promise<void> {
+		await listenOn(this.server, address, onError);
 	}
 
 	close(): void {
--- a/packages/entry/src/relay-task.ts
+++ b/packages/entry/src/relay-task.ts
@@ -2,6 +2,7 @@
 	matchRoute, type ConnectionPool, type Forwarder, type PlainRequest, type ResponseHead, type RoutingConfiguration,
 } from '@cicadapost/forwarding';
 import type {MemberRecord, UpstreamRecord, UpstreamStart} from '@cicadapost/fleet';
+import type {ListenerAddress} from '@cicadapost/listeners';
 import type {Logger} from '@cicadapost/observability';
 import {
 	LinkMonitor, RelayClient, RelayServer, type RelayRequest, type Unavailable,
@@ -11,7 +12,6 @@
 	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
 import type {CallerProtocol} from './caller-protocol.js';
-import {parseAddress} from './entry-settings.js';
 import {RelayDirectory} from './relay-directory.js';
 
 export type RelayTaskOptions = Readonly<{
@@ -88,12 +88,11 @@
 		});
 	}
 
-	async start(): Promise<void> {
-		const {address} = this.options;
-		if (address !== undefined) {
-			await this.server.listen(parseAddress(address));
-		}
+	async listen(address: ListenerAddress, onError: (err: Error) => void): Promise<void> {
+		await this.server.listen(address, onError);
+	}
 
+	start(): void {
 		this.directory.start();
 	}
 
--- a/packages/relays/src/relay-server.ts
+++ b/packages/relays/src/relay-server.ts
@@ -9,6 +9,7 @@
 	ResponseReceiver, type ForwardFailure, type Forwarder, type PlainRequest,
 } from '@cicadapost/forwarding';
 import type {UpstreamStart} from '@cicadapost/fleet';
+import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
 import type {Clock, Millis} from '@cicadapost/types';
 import {relayPath} from './relay-client.js';
 import {
@@ -56,11 +57,8 @@
 		});
 	}
 
-	async listen(address: Readonly<{host: string; port: number}>): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen({...address, backlog: 512}, resolve);
-		});
+	async listen(address: ListenerAddress, onError: (err: Error) => void): Promise<void> {
+		await listenOn(this.server, {...address, backlog: 512}, onError);
 	}
 
 	/** The port on which the server listens. */
--- a/packages/relays/src/relay.test.ts
+++ b/packages/relays/src/relay.test.ts
@@ -7,7 +7,7 @@
 	SystemClock, type DaemonId, type DataCentreId, type RegionId, type RequestId, type UpstreamId,
 } from '@cicadapost/types';
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import type {RelayCandidate} from './choose-relay.js';
 import {RelayClient, relayPath} from './relay-client.js';
@@ -61,7 +61,7 @@
 			},
 			...options,
 		});
-		await server.listen({host: '127.0.0.1', port: 0});
+		await server.listen({host: '127.0.0.1', port: 0}, vi.fn());
 		const pool = new ConnectionPool();
 		cleanups.push(() => {
 			pool.close();
