Show a worker with many places that gets no claims

A claim for more than 49 groups exceeds the entries that the store takes in a call and is planned again and again, so a worker with that many free places stays idle.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec node target/review/case-5.cjs
