--- a/review/stand-ins/trainer.ts
+++ b/review/stand-ins/trainer.ts
@@ -34,9 +34,9 @@
 	});
 }
 
-export type BatchShape = Readonly<{groups: number; size: number; prefix: string; step?: number; promptBytes?: number}>;
+export type BatchShape = Readonly<{groups: number; size: number; prefix: string; step?: number}>;
 
-export function submissionBody({groups, size, prefix, step = 0, promptBytes = 0}: BatchShape): string {
+export function submissionBody({groups, size, prefix, step = 0}: BatchShape): string {
 	return JSON.stringify({
 		step,
 		model,
@@ -46,7 +46,7 @@
 			id: `${prefix}-${index}`,
 			path: `/draft/${index}`,
 			headers: {'X-Model': model, 'X-Token-Counts': '40,60', 'X-Prompt-Prefix': `${(4096 + Math.floor(index / size)).toString(16)}:40`},
-			body: Buffer.from(`prompt ${index}`.padEnd(promptBytes, '.')).toString('base64'),
+			body: Buffer.from(`prompt ${index}`).toString('base64'),
 			tokens: 100,
 			group: `${prefix}-g${Math.floor(index / size)}`,
 		})),
