Take a response without a length for cut when its connection was reset with the last bytes

Cause: if a reset is pending when the last bytes are read, libuv reports the end of the stream and never reads the error, so the socket emits `end` and no `error`. The pool took the missing error for a regular close. Ruled out: an error that undici swallows (none is emitted) and regular closes in the middle of an answer (the sockets have a reset pending).

Evidence: plain sockets, 50 of 50 resets showed `end` only, and the socket had no remote address any more, while closed ones kept it.

Change: at the end of a connection the pool asks whether it is still connected; any end but a close by the upstream is a failure with the code ECONNRESET, as for other resets. It holds for all users of the pool: answers, streams, texts, rewards, reports, calls between daemons.

--- a/packages/entry/src/broken-streams.test.ts
+++ b/packages/entry/src/broken-streams.test.ts
@@ -196,6 +196,11 @@
 			socket.write('HTTP/1.1 200 OK\r\nSealed: yes\r\n\r\nid: 0\ndata: piece 0\n\n');
 			setTimeout(() => socket.resetAndDestroy(), 20);
 		}],
+		['with a reset that arrives together with its last bytes, without having named a length', (socket: Socket) => {
+			socket.write('HTTP/1.1 200 OK\r\nSealed: yes\r\n\r\nid: 0\ndata: piece 0\n\n', () => {
+				socket.resetAndDestroy();
+			});
+		}],
 	])('%s looks cut off to its caller, who sees nothing of another upstream', async (_, first) => {
 		const seen = await startUpstreams(first);
 		const text = await requestStream();
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -29,6 +29,7 @@
 import {HealthServer} from './health-server.js';
 import {LoadReporter} from './load-reporter.js';
 import {MembershipTask} from './membership-task.js';
+import {observePool} from './observe-pool.js';
 import {openListener} from './open-listener.js';
 import {OperatorState} from './operator-state.js';
 import type {PlatformTables} from './platform-tables.js';
@@ -111,6 +112,7 @@
 			this.metrics.recordStoreCall(report);
 		});
 		this.pool = options.pool;
+		observePool(this.pool, {metrics: this.metrics, logger});
 		this.incarnation = `${settings.vm}#${randomUUID().slice(0, 8)}` as DaemonIncarnation;
 		this.followers = createFollowers({
 			store,
--- a/packages/forwarding/src/connection-pool.test.ts
+++ b/packages/forwarding/src/connection-pool.test.ts
@@ -1,12 +1,12 @@
 import {
-	createServer, Socket, type AddressInfo,
+	createServer, Socket, type AddressInfo, type Server,
 } from 'node:net';
 import type {UpstreamId} from '@cicadapost/types';
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import type {buildConnector} from 'undici';
-import {ConnectionPool, limitConnectTime} from './connection-pool.js';
+import {ConnectionPool, limitConnectTime, type ExchangeEnd} from './connection-pool.js';
 
 describe('limitConnectTime', () => {
 	beforeEach(() => {
@@ -95,3 +95,85 @@
 		server.close();
 	});
 });
+
+describe('a response without a length', () => {
+	const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+	let pool: ConnectionPool;
+	let server: Server | undefined;
+	let ends: string[];
+
+	beforeEach(() => {
+		ends = [];
+		pool = new ConnectionPool();
+		pool.on('closeDelimited', (_, end) => {
+			ends.push(end);
+		});
+	});
+
+	afterEach(() => {
+		pool.close();
+		server?.close();
+	});
+
+	/** Sends a request to an upstream that behaves like `respond`. */
+	const request = async (respond: (socket: Socket) => void) => {
+		server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				respond(socket);
+			});
+		});
+		await new Promise<void>(resolve => {
+			server!.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as AddressInfo;
+		const chunks: Uint8Array[] = [];
+		const end = await new Promise<ExchangeEnd>(resolve => {
+			pool.exchange({id: 'u1' as UpstreamId, address: `127.0.0.1:${port}`, bornAt: 1}, {method: 'GET', path: '/', headers: ['Host', 'h']}, {
+				onHead: () => true,
+				onData(chunk) {
+					chunks.push(chunk);
+					return true;
+				},
+				onEnd: resolve,
+			});
+		});
+		return {end, body: Buffer.concat(chunks).toString()};
+	};
+
+	it.each([
+		['at once', 0],
+		['some time after them', 20],
+	])('is not complete if its connection is reset %s with its last bytes', async (_, delayMs) => {
+		const {end, body} = await request(socket => {
+			socket.write(`${head}first half`, () => {
+				if (delayMs === 0) {
+					socket.resetAndDestroy();
+				} else {
+					setTimeout(() => socket.resetAndDestroy(), delayMs);
+				}
+			});
+		});
+		expect(body).toBe('first half');
+		expect(end.kind).toBe('broken');
+		expect(ends).toEqual(['failed']);
+	});
+
+	it('is complete if the upstream closes its connection', async () => {
+		const {end, body} = await request(socket => {
+			socket.end(`${head}whole`);
+		});
+		expect([end, body]).toEqual([{kind: 'complete'}, 'whole']);
+		expect(ends).toEqual(['closed']);
+	});
+
+	it('is not confused with one that has a length, whose end no loss of the connection can change', async () => {
+		const {end, body} = await request(socket => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nwhole', () => {
+				socket.resetAndDestroy();
+			});
+		});
+		expect([end, body]).toEqual([{kind: 'complete'}, 'whole']);
+		expect(ends).toEqual([]);
+	});
+});
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -85,11 +85,22 @@
 	};
 }
 
+/**
+Whether the peer has reset a connection whose stream has ended. If a reset arrives together with the last bytes, Node.js reports
+the end of the stream and no error. After a reset the socket is no longer connected, so it has no remote address. A connection
+that the peer has closed stays connected until this side closes it as well.
+*/
+function wasReset(socket: Socket): boolean {
+	return socket.remoteAddress === undefined;
+}
+
 class Connection {
 	readonly client: Client;
 	isOpen = false;
 	/** Cause of the failure of the socket, if it has failed. */
 	failure: string | undefined;
+	/** Whether the upstream has ended the connection, so that nothing further can arrive. */
+	hasEnded = false;
 	private socket: Socket | undefined;
 	/** Number of bytes that the socket had received when the last piece of a response was parsed. */
 	private parsedBytes = 0;
@@ -137,10 +148,23 @@
 
 	private watch(socket: Socket): void {
 		this.socket = socket;
-		// Registered before the listener of undici, which ends a response without a length as complete after a reset.
+		// These listeners are registered before those of undici, which take any end of the connection for that of a response without a length.
 		socket.on('error', err => {
+			this.hasEnded = true;
 			this.failure = errorCodeOrMessage(err);
 		});
+		socket.on('end', () => {
+			this.hasEnded = true;
+			if (wasReset(socket)) {
+				this.failure ??= 'ECONNRESET';
+			}
+		});
+		socket.on('close', () => {
+			if (!this.hasEnded) {
+				this.hasEnded = true;
+				this.failure ??= 'the connection was closed on this side';
+			}
+		});
 		socket.on('readable', () => {
 			if (socket.bytesRead - this.parsedBytes > maxUnparsedBytes) {
 				socket.destroy(new Error(responseTooLong));
@@ -159,6 +183,8 @@
 	connected: [upstream: UpstreamId];
 	/** A connection could not be established, or broke while it had a request. */
 	failed: [upstream: UpstreamId, cause: string];
+	/** A response without a length has ended with its connection, which the upstream has closed or which has failed. */
+	closeDelimited: [upstream: UpstreamId, end: 'closed' | 'failed', cause: string | undefined];
 };
 
 /** Pools connections to upstreams, with one request at a time on each. A connection is reused only after a complete exchange. */
@@ -271,11 +297,16 @@
 					finish({kind: 'broken', cause: responseTooLong});
 				}
 			},
-			onResponseEnd() {
-				if (connection.failure === undefined) {
+			onResponseEnd: () => {
+				const {hasEnded, failure} = connection;
+				if (hasEnded && !isOver) {
+					this.emit('closeDelimited', upstream.id, failure === undefined ? 'closed' : 'failed', failure);
+				}
+
+				if (failure === undefined) {
 					finish({kind: 'complete'});
 				} else {
-					fail({kind: 'broken', cause: connection.failure});
+					fail({kind: 'broken', cause: failure});
 				}
 			},
 			onResponseError(controller, err) {
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -312,6 +312,20 @@
 		expect(whole.seen).toEqual(['one']);
 	});
 
+	it('discards a response without a length that is reset together with its last bytes', async () => {
+		const cut = await startUpstream('u1', (socket, id) => {
+			socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nSealed: yes\r\n\r\nhalf`, () => {
+				socket.resetAndDestroy();
+			});
+		});
+		const whole = await startUpstream('u2', (socket, id) => {
+			socket.end(`HTTP/1.1 200 OK\r\nId: ${id}\r\nSealed: yes\r\n\r\nwhole`);
+		});
+		expect(await send(createForwarder([cut.record, whole.record]), 'one')).toEqual({status: 200, body: 'whole'});
+		expect(await send(createForwarder([cut.record, whole.record]), 'two', 'once')).toMatchObject({failure: {kind: 'failed'}});
+		expect(whole.seen).toEqual(['one']);
+	});
+
 	it('does not pass on a successful response without the signature of an upstream', async () => {
 		const {record} = await startUpstream('u1', (socket, id) => {
 			socket.write(`HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: 2\r\n\r\nok`);
