End a broken stream of an HTTP/1.0 caller with a reset

The front closed the connection of a broken stream in the regular way, which such a caller takes for a complete response. It is reset now; responses with chunks or a length are closed as before, since a reset may drop events that are still on their way.

--- a/packages/entry/src/broken-streams.test.ts
+++ b/packages/entry/src/broken-streams.test.ts
@@ -212,6 +212,26 @@
 		expect(reports.at(-1)?.outcome).toMatch(/^stream broke off/v);
 	});
 
+	it('ends with a reset for a caller of HTTP/1.0, whose response has neither a length nor chunks', async () => {
+		await startUpstreams(socket => {
+			socket.write(streamHead + event(0));
+			setTimeout(() => socket.destroy(), 20);
+		});
+		const outcome = await new Promise<string>(resolve => {
+			const socket = connect(front.port, '127.0.0.1');
+			sockets.add(socket);
+			socket.on('data', vi.fn());
+			socket.on('error', err => {
+				resolve((err as NodeJS.ErrnoException).code ?? '');
+			});
+			socket.on('close', () => {
+				resolve('closed');
+			});
+			socket.write('POST / HTTP/1.0\r\nHost: h\r\nContent-Length: 0\r\n\r\n');
+		});
+		expect(outcome).toBe('ECONNRESET');
+	});
+
 	it('before its first byte is answered with the response of the next upstream only if the first has not run it', async () => {
 		await startUpstreams(socket => socket.write('HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'));
 		const socket = connect(front.port, '127.0.0.1');
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -337,7 +337,7 @@
 
 	private fail(res: ServerResponse, status: number, detail: string): void {
 		if (res.headersSent) {
-			res.destroy();
+			breakOff(res);
 			return;
 		}
 
@@ -363,6 +363,15 @@
 	return rawHeaders.reduce((sum, text) => sum + text.length + 2, requestLine) + lineEnd;
 }
 
+/** Ends a response such that the caller can't take it for complete. One without a length or chunks, as in HTTP/1.0, would be if its connection were closed. */
+function breakOff(res: ServerResponse): void {
+	if (res.chunkedEncoding || res.hasHeader('content-length')) {
+		res.destroy();
+	} else {
+		res.socket?.resetAndDestroy();
+	}
+}
+
 /** Writes an upstream's response to the caller. */
 class CallerResponseReceiver extends ResponseReceiver {
 	constructor(private readonly res: ServerResponse, private readonly onFail: (failure: ForwardFailure) => void) {
@@ -388,8 +397,7 @@
 	}
 
 	override truncate(): void {
-		// Destroying the connection keeps the caller from taking a truncated response for a complete one.
-		this.res.destroy();
+		breakOff(this.res);
 	}
 
 	override fail(failure: ForwardFailure): void {
