Give back samples whose claim took effect without an answer of the store

Cause: if the answer to a claim is lost, the row names a daemon that doesn't run the items. All others take the claim for live as long as that process lives, and the daemon itself finds the claim only while it plans for an engine of its own. If the engine leaves, crashes or goes to another daemon before that, nobody looks. Ruled out: engines that look full (they plan, the items aren't open) and copies that miss a change.

Change: each daemon finds claims and takeovers that name it and that it doesn't work on (planClaimReleases), whatever engines it owns, and releases them in the usual way, by a conditional transaction. A takeover of texts that wait for their score had the same fault. New events claim-unanswered and claim-released, and a counter.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -56,6 +56,8 @@
 	/** Called after claims have been planned. */
 	onPlanned: (tookMs: Millis) => void;
 	onClaimed: (engine: UpstreamId, target: ClaimTarget, copyAgeMs: Millis) => void;
+	/** Called when the store did not respond to a claim, which it may have applied or may yet apply. */
+	onUnanswered: (engine: UpstreamId, targets: readonly ClaimTarget[]) => void;
 }>;
 
 /** A background task that claims samples for free slots on the engines that this daemon owns. */
@@ -105,6 +107,11 @@
 		clearTimeout(this.cooldownTimer);
 	}
 
+	/** Whether a claim of an item is in flight. `itemKey` is a key from `itemKeyOf`. */
+	isClaiming(itemKey: string): boolean {
+		return this.pendingClaims.has(itemKey);
+	}
+
 	private async fillSlots(engine: UpstreamRecord): Promise<void> {
 		this.busy.add(engine.id);
 		try {
@@ -171,9 +178,14 @@
 				return true;
 			}
 
-			case 'refused':
+			case 'refused': {
+				await sleep(retryMs);
+				return false;
+			}
+
 			case 'unknown': {
-				// If the claim was applied but its response was lost, it names this incarnation, which is not running the items, so they are claimed again.
+				// If the claim is applied, its row names this incarnation, which does not run the items: `ClaimReleaser` finds it.
+				this.options.onUnanswered(engine.id, ofBatch);
 				await sleep(retryMs);
 				return false;
 			}
--- a/packages/batches/src/crash-burst.test.ts
+++ b/packages/batches/src/crash-burst.test.ts
@@ -1,23 +1,15 @@
-import {EventEmitter} from 'node:events';
-import {UpstreamDirectory, type UpstreamRecord} from '@cicadapost/fleet';
-import {UnlimitedRequests} from '@cicadapost/rate-limits/testing';
-import {TableFollower} from '@cicadapost/store';
+import {UpstreamDirectory} from '@cicadapost/fleet';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
-	type BatchId, type DaemonIncarnation, type DataCentreId, type ItemId, type ModelId, type ServiceId, type SoftwareVersion, SystemClock, type UpstreamId,
+	type BatchId, type ItemId, type ModelId, SystemClock,
 } from '@cicadapost/types';
 import {
 	afterEach, describe, expect, it, vi,
 } from 'vitest';
-import {BatchCache} from './batch-cache.js';
-import {BatchService} from './batch-service.js';
-import {ClaimWorker} from './claim-work.js';
-import {CommitQueue} from './commit-queue.js';
-import {batchTable} from './encode-rows.js';
+import {BatchDaemon, engineRecord} from './batch-daemon.test-helper.js';
 import {
 	EngineClient, type RunEnd, type SampleCall, type SampleHandlers, type SampleRun,
 } from './engine-client.js';
-import {SampleRunner} from './run-samples.js';
 
 const batch = 'b1' as BatchId;
 const model = 'draft' as ModelId;
@@ -63,63 +55,19 @@
 
 	/** Starts a daemon that owns all engines. */
 	const start = (client: EngineClient, maxAttempts: number) => {
-		const clock = new SystemClock();
-		const store = new MemoryRowStore({now: () => clock.now()});
-		const follower = new TableFollower({
-			store, clock, table: batchTable, waitMs: 50,
-		});
-		const batchCache = new BatchCache();
 		const directory = new UpstreamDirectory();
-		for (const id of ['e1', 'e2', 'e3', 'e4'] as UpstreamId[]) {
-			directory.upsert({
-				id, service: 'lm' as ServiceId, address: '127.0.0.1:1', dataCentre: 'dc' as DataCentreId, slots: 2, state: 'ready', softwareVersion: 'v1' as SoftwareVersion,
-				warmUpMs: 0, models: new Map([[model, 1]]), bornAt: 1,
-			});
+		for (const id of ['e1', 'e2', 'e3', 'e4']) {
+			directory.upsert(engineRecord(id));
 		}
 
-		const incarnation = 'd1#1' as DaemonIncarnation;
-		const commits = new CommitQueue({
-			clock, store, follower, batchCache, incarnation, onCommitFailure: vi.fn(),
-		});
-		const freed = new EventEmitter();
-		const runner = new SampleRunner({
-			clock, store, batchCache, directory, client, limits: new UnlimitedRequests(), commits,
-			rulesOf: () => ({maxAttempts, isSingleVersion: false, runMs: 60_000}), isLoading: () => false, onVersion: vi.fn(),
-			onSlotFreed() {
-				freed.emit('slot');
-			},
-			onTextComplete: vi.fn(),
-			onUnreadableRow: vi.fn(),
-			onRunReport: vi.fn(),
-		});
-		const worker = new ClaimWorker({
-			clock, store, follower, batchCache, directory, runner, limits: new UnlimitedRequests(), commits, incarnation,
-			ownedEngines: () => [...directory.all()],
-			isAlive: () => true,
-			versionsOf: (engine: UpstreamRecord) => engine.models,
-			dueAt: view => view.plan.submittedAt + 7500,
-			storeTime: () => follower.storeTime(clock.now()),
-			onPlanned: vi.fn(),
-			onClaimed: vi.fn(),
-		});
-		freed.on('slot', () => {
-			worker.wake();
-		});
-		follower.on('changed', changes => {
-			batchCache.apply(changes);
-			worker.wake();
+		const clock = new SystemClock();
+		const daemon = new BatchDaemon({
+			store: new MemoryRowStore({now: () => clock.now()}), client, directory, maxAttempts,
 		});
-		follower.start();
 		cleanups.push(() => {
-			follower.stop();
-			worker.stop();
-			runner.stop();
+			daemon.stop();
 		});
-		return {
-			follower, service: new BatchService({
-				clock, store, follower, batchCache, storeTime: () => follower.storeTime(clock.now()),
-			}),
-		};
+		return daemon;
 	};
 
 	const crashesOf = (count: number): RunEnd[] => Array.from({length: count}, (_, index) => (index % 4 === 3
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -1,5 +1,5 @@
 import {
-	ClaimWorker, CommitQueue, BatchSweeper, isExpired, queueDeadlineOf, SampleRunner,
+	ClaimReleaser, ClaimWorker, CommitQueue, BatchSweeper, isExpired, queueDeadlineOf, SampleRunner,
 	type BatchCache, type EngineClient,
 } from '@cicadapost/batches';
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
@@ -51,6 +51,7 @@
 	private readonly sampleRunner: SampleRunner;
 	private readonly claimWorker: ClaimWorker;
 	private readonly rewards: RewardTask;
+	private readonly claimReleaser: ClaimReleaser;
 	private readonly batchSweeper: BatchSweeper;
 
 	constructor(private readonly options: BatchTasksOptions) {
@@ -60,6 +61,7 @@
 		this.rewards = this.createRewards();
 		this.sampleRunner = this.createRunner();
 		this.claimWorker = this.createClaimWorker();
+		this.claimReleaser = this.createClaimReleaser();
 		this.batchSweeper = this.createSweeper();
 	}
 
@@ -97,6 +99,7 @@
 
 	stop(): void {
 		this.claimWorker.stop();
+		this.claimReleaser.stop();
 		this.sampleRunner.stop();
 		this.rewards.stop();
 		this.batchSweeper.stop();
@@ -170,6 +173,22 @@
 					event: 'claim', batch: target.batch, engine, group: target.group, items: target.items, copyAgeMs: Math.round(copyAgeMs),
 				}, 'claimed samples');
 			},
+			onUnanswered(engine, targets) {
+				logger.warn({event: 'claim-unanswered', engine, targets}, 'the store did not respond to a claim');
+			},
+		});
+	}
+
+	private createClaimReleaser(): ClaimReleaser {
+		const {metrics, logger} = this.options;
+		return new ClaimReleaser({
+			...this.options,
+			commits: this.commitQueue,
+			isWorkedOn: itemKey => this.claimWorker.isClaiming(itemKey) || this.sampleRunner.hasItem(itemKey) || this.rewards.hasItem(itemKey) || this.commitQueue.hasFinalOutcome(itemKey),
+			onReleased(target) {
+				metrics.recordReleasedClaims(target.items.length);
+				logger.warn({event: 'claim-released', ...target}, 'gave back items that this daemon had claimed without an answer of the store');
+			},
 		});
 	}
 
--- a/packages/rewards/src/reward-task.ts
+++ b/packages/rewards/src/reward-task.ts
@@ -102,6 +102,11 @@
 		return this.held.size + this.takingOver.size;
 	}
 
+	/** Whether this daemon holds the text of an item or is taking it over. `itemKey` is a key from `itemKeyOf`. */
+	hasItem(itemKey: string): boolean {
+		return this.held.has(itemKey) || this.takingOver.has(itemKey.slice(0, itemKey.lastIndexOf('/')));
+	}
+
 	/** Accepts a text that is about to be stored. */
 	add(completed: CompletedText): void {
 		this.hold(completed, {state: 'saving', history: {failures: 0, retries: 0}});
