Repair the announcement of a daemon that the store applies after a newer one

If the response to a write is lost and the store applies it seconds later, after a newer one, the row shows the old state until the next change, which may never come. A daemon that is wrongly announced as partitioned gets no engines and no requests of others.

A daemon that sees another state than its own in its row writes it again.

--- a/packages/entry/src/relay-directory.ts
+++ b/packages/entry/src/relay-directory.ts
@@ -97,6 +97,10 @@
 			} else {
 				this.records.set(daemon, record);
 			}
+
+			if (daemon === this.options.self.daemon) {
+				this.repairOwnRow(record);
+			}
 		}
 
 		if (hasChanges) {
@@ -104,6 +108,15 @@
 		}
 	}
 
+	/** Writes the present state again if the store has applied an earlier write after it, whose response was lost. */
+	private repairOwnRow(record: RelayRecord | undefined): void {
+		const isCurrent = record?.incarnation === this.options.self.incarnation && record.key === this.key && record.isPartitioned === this.isPartitioned;
+		if (this.written !== undefined && !isCurrent) {
+			this.written = undefined;
+			void this.write();
+		}
+	}
+
 	/** Writes the present state, and again until the store has taken it. */
 	private async write(): Promise<void> {
 		const {store, self, address} = this.options;
