Use no connection twice for requests with the same id

Cause: all runs of a sample have the same id. The run after a 500 got the connection of the failed one, on which a late second copy of the 500 arrived and had the right id. Ruled out: a second 500 of the engine, and one that is counted twice.

Change: a connection remembers the ids that it has carried and is never used again for one of them; it is closed after 200 requests. Requests without an id, which are orders, reports and calls between daemons, get connections of their own, since nothing tells their responses from copies.

--- a/packages/batches/src/engine-client.ts
+++ b/packages/batches/src/engine-client.ts
@@ -48,7 +48,11 @@
 	onEnd: (end: RunEnd) => void;
 }>;
 
-export type SampleRun = Readonly<{abort: () => void}>;
+export type SampleRun = Readonly<{
+	abort: () => void;
+	/** Number of the connection that it uses, for logs. */
+	connectionNumber?: number;
+}>;
 
 /** Runs samples on engines, which respond with streams of events. */
 export abstract class EngineClient {
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -417,6 +417,7 @@
 			tookMs: Math.round(this.options.clock.now() - run.startedAt),
 			failures: run.failures,
 			softwareVersion: run.softwareVersion,
+			connection: run.engineRun?.connectionNumber,
 			resumedEvents: run.resumedEvents,
 			resumedVersion: run.resumedVersion,
 		});
--- a/packages/batches/src/sample-run.ts
+++ b/packages/batches/src/sample-run.ts
@@ -18,6 +18,8 @@
 	tookMs: Millis;
 	failures: number;
 	softwareVersion: SoftwareVersion;
+	/** Number of the connection to the engine. */
+	connection: number | undefined;
 	/** Number of events of earlier runs that this run has continued, and the software version that generated them. */
 	resumedEvents: number;
 	resumedVersion: SoftwareVersion | undefined;
--- a/packages/forwarding/src/attempt-target.ts
+++ b/packages/forwarding/src/attempt-target.ts
@@ -96,6 +96,7 @@
 				received: req.headers, host: req.host, requestId: req.requestId, deadlineMs, upstream: this.upstream,
 			}),
 			body: req.body,
+			id: req.requestId,
 		}, handlers);
 	}
 
--- a/packages/forwarding/src/connection-pool.test.ts
+++ b/packages/forwarding/src/connection-pool.test.ts
@@ -96,6 +96,67 @@
 	});
 });
 
+describe('requests whose ids repeat', () => {
+	let pool: ConnectionPool;
+	let server: Server;
+	/** Ids of the requests that each connection has carried. */
+	let idsByConnection: string[][];
+
+	beforeEach(async () => {
+		idsByConnection = [];
+		pool = new ConnectionPool();
+		server = createServer(socket => {
+			const ids: string[] = [];
+			idsByConnection.push(ids);
+			socket.on('error', () => undefined);
+			socket.on('data', data => {
+				ids.push(/^id: (\S+)/imv.exec(data.toString())?.[1] ?? '');
+				socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+	});
+
+	afterEach(() => {
+		pool.close();
+		server.close();
+	});
+
+	const send = async (id: string | undefined) => new Promise<ExchangeEnd>(resolve => {
+		pool.exchange({id: 'u1' as UpstreamId, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, bornAt: 1}, {
+			method: 'GET', path: '/', headers: ['Host', 'h', 'Id', id ?? 'none'], id,
+		}, {onHead: () => true, onData: () => true, onEnd: resolve});
+	});
+
+	it('use no connection twice, so that a second copy of a response never counts as the response to the next request', async () => {
+		for (let index = 0; index < 60; index++) {
+			await send(`r${(index * 7) % 20}`);
+		}
+
+		expect(idsByConnection.flat()).toHaveLength(60);
+		expect(idsByConnection.map(ids => new Set(ids).size)).toEqual(idsByConnection.map(ids => ids.length));
+		expect(idsByConnection).toHaveLength(3);
+	});
+
+	it('are remembered for all requests of a connection, which is closed before there are too many', async () => {
+		for (let index = 0; index < 450; index++) {
+			await send(`r${index}`);
+		}
+
+		expect(idsByConnection.map(ids => ids.length)).toEqual([200, 200, 50]);
+	});
+
+	it('can\'t be told from those without ids, which get connections of their own', async () => {
+		for (const id of ['r1', undefined, 'r2', undefined]) {
+			await send(id);
+		}
+
+		expect(idsByConnection).toEqual([['r1', 'r2'], ['none'], ['none']]);
+	});
+});
+
 describe('a response without a length', () => {
 	const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
 	let pool: ConnectionPool;
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -14,6 +14,8 @@
 const idleTimeoutMs = 4000;
 /** Maximum number of idle connections kept per upstream. */
 const maxIdleConnections = 32;
+/** A connection is closed after this many requests, whose ids it remembers. */
+const maxRequestsPerConnection = 200;
 
 export type ExchangeRequest = Readonly<{
 	method: string;
@@ -21,6 +23,8 @@
 	/** Alternating names and values. */
 	headers: readonly string[];
 	body?: Uint8Array | undefined;
+	/** Id by which its response is recognized. It may be that of an earlier request. A request without one gets a connection of its own. */
+	id?: string | undefined;
 }>;
 
 export type ResponseHead = Readonly<{status: number; headers: Readonly<Record<string, string | string[] | undefined>>}>;
@@ -50,6 +54,8 @@
 	/** Closes the connection, which makes the upstream stop its work. */
 	abort: () => void;
 	connection: () => ConnectionUse;
+	/** Number of the connection, for logs. */
+	connectionNumber?: number;
 }>;
 
 /** Cause of a `broken` exchange whose upstream sent more bytes than a valid response has. */
@@ -101,11 +107,13 @@
 	failure: string | undefined;
 	/** Whether the upstream has ended the connection, so that nothing further can arrive. */
 	hasEnded = false;
+	/** Ids of the requests that it has carried. A second copy of their responses may still arrive. */
+	readonly requestIds = new Set<string>();
 	private socket: Socket | undefined;
 	/** Number of bytes that the socket had received when the last piece of a response was parsed. */
 	private parsedBytes = 0;
 
-	constructor(address: string, connect: buildConnector.connector) {
+	constructor(address: string, connect: buildConnector.connector, readonly number: number) {
 		this.client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect: (options, callback) => {
@@ -187,11 +195,15 @@
 	closeDelimited: [upstream: UpstreamId, end: 'closed' | 'failed', cause: string | undefined];
 };
 
-/** Pools connections to upstreams, with one request at a time on each. A connection is reused only after a complete exchange. */
+/**
+Pools connections to upstreams, with one request at a time on each. A connection is reused only after a complete exchange, and never
+for a request whose id it has carried before: a second copy of the first response may arrive late, where that of the second is due.
+*/
 export class ConnectionPool extends EventEmitter<PoolEvents> {
 	private readonly idle = new Map<UpstreamId, Connection[]>();
 	private readonly connect: buildConnector.connector;
 	private readonly clock: Clock;
+	private connectionCount = 0;
 	private receivedAt = Number.NEGATIVE_INFINITY;
 	/** Time at which each exchange in progress began. */
 	private readonly startTimes = new Set<Readonly<{at: Millis}>>();
@@ -236,8 +248,13 @@
 
 	/** Sends one request and reports its response to `handlers`. */
 	exchange(upstream: PooledUpstream, req: ExchangeRequest, handlers: ExchangeHandlers): Exchange {
-		const kept = this.takeIdle(upstream.id);
+		const {id} = req;
+		const kept = id === undefined ? undefined : this.takeIdle(upstream.id, id);
 		const connection = kept ?? this.open(upstream);
+		if (id !== undefined) {
+			connection.requestIds.add(id);
+		}
+
 		let isSent = false;
 		let isOver = false;
 		const startTime = {at: this.clock.now()};
@@ -249,10 +266,12 @@
 
 			isOver = true;
 			this.startTimes.delete(startTime);
-			if (end.kind === 'complete') {
-				this.returnToPool(upstream.id, connection);
-			} else {
+			if (end.kind !== 'complete') {
 				connection.reset();
+			} else if (id === undefined) {
+				connection.destroy();
+			} else {
+				this.returnToPool(upstream.id, connection);
 			}
 
 			handlers.onEnd(end);
@@ -331,6 +350,7 @@
 				finish({kind: 'aborted'});
 			},
 			connection: () => (kept === undefined ? (isSent ? 'new' : 'connecting') : 'kept'),
+			connectionNumber: connection.number,
 		};
 	}
 
@@ -350,29 +370,30 @@
 	}
 
 	private open(upstream: Readonly<{id: UpstreamId; address: string}>): Connection {
-		const connection = new Connection(upstream.address, this.connect);
+		this.connectionCount += 1;
+		const connection = new Connection(upstream.address, this.connect, this.connectionCount);
 		connection.client.on('connect', () => {
 			this.emit('connected', upstream.id);
 		});
 		return connection;
 	}
 
-	private takeIdle(upstream: UpstreamId): Connection | undefined {
+	/** Removes and returns the connection that was used last, of those that have not carried a request with this id. */
+	private takeIdle(upstream: UpstreamId, requestId: string): Connection | undefined {
 		const connections = this.idle.get(upstream) ?? [];
-		for (let connection = connections.pop(); connection !== undefined; connection = connections.pop()) {
-			if (connection.isOpen) {
-				return connection;
-			}
-
-			connection.destroy();
+		for (const closed of connections.filter(({isOpen}) => !isOpen)) {
+			closed.destroy();
 		}
 
-		return undefined;
+		const open = connections.filter(({isOpen}) => isOpen);
+		const taken = open.findLast(({requestIds}) => !requestIds.has(requestId));
+		this.idle.set(upstream, open.filter(connection => connection !== taken));
+		return taken;
 	}
 
 	private returnToPool(upstream: UpstreamId, connection: Connection): void {
 		const connections = this.idle.get(upstream) ?? [];
-		if (connections.length >= maxIdleConnections) {
+		if (connections.length >= maxIdleConnections || connection.requestIds.size >= maxRequestsPerConnection) {
 			connection.destroy();
 			return;
 		}
