Claim no sample whose last outcome is still to be recorded

Related to repeated ids: outcomes of two runs of a sample at one daemon name the same item and the same process. If the store took a release and its response was lost, the daemon saw the item open, claimed it again, and then wrote the release once more, which ended the claim of the run at work. The sample ran again elsewhere.

The planner now leaves items alone whose outcome this daemon still has to record; others may claim them.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -193,9 +193,10 @@
 	}
 
 	private plan(engine: UpstreamRecord): ClaimTarget[] {
-		const {clock, batchCache, runner, limits, directory, incarnation, versionsOf, dueAt, storeTime} = this.options;
+		const {clock, batchCache, runner, limits, directory, commits, incarnation, versionsOf, dueAt, storeTime} = this.options;
 		const isClaimLive: IsClaimLive = (claim, item, rowVersion) => this.isClaimLive(claim.incarnation, itemKeyOf(item), rowVersion);
 		const open = batchCache.open();
+		const unrecorded = commits.itemsWithFinalOutcome();
 		const peers = directory.ready(engine.service);
 		const remoteRuns = countRemoteRuns(engine.id, open, {incarnation, isClaimLive});
 		const running = runner.countAt(engine.id) + remoteRuns.running;
@@ -218,7 +219,7 @@
 			return due === undefined ? [] : [{view, dueAt: due}];
 		});
 		return planClaims({
-			engine: capacity, batches, isClaimLive, isHeld: item => this.textHolds.isHeld(itemKeyOf(item), clock.now()), now: storeTime(),
+			engine: capacity, batches, isClaimLive, isHeld: item => this.textHolds.isHeld(itemKeyOf(item), clock.now()), hasOutcome: item => unrecorded.size > 0 && unrecorded.has(itemKeyOf(item)), now: storeTime(),
 		});
 	}
 
--- a/packages/batches/src/commit-queue.ts
+++ b/packages/batches/src/commit-queue.ts
@@ -4,6 +4,7 @@
 import type {BatchCache} from './batch-cache.js';
 import {batchTable, listingKey} from './encode-rows.js';
 import {planCommit, type ItemOutcome} from './plan-commit.js';
+import {itemKeyOf} from './sample-run.js';
 
 /** Delay for collecting outcomes into one transaction. */
 const coalesceMs = 15;
@@ -44,6 +45,11 @@
 		return this.waiting.get(batch as BatchId)?.some(outcome => outcome.kind !== 'progress' && outcome.group === Number(group) && outcome.item === Number(item)) ?? false;
 	}
 
+	/** Keys of the items with outcomes that end a claim and wait to be recorded. */
+	itemsWithFinalOutcome(): ReadonlySet<string> {
+		return new Set([...this.waiting].flatMap(([batch, outcomes]) => outcomes.filter(({kind}) => kind !== 'progress').map(({group, item}) => itemKeyOf({batch, group, item}))));
+	}
+
 	/** Whether no outcome is waiting to be recorded. */
 	get isIdle(): boolean {
 		return this.busy.size === 0;
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -38,6 +38,8 @@
 	isClaimLive: IsClaimLive;
 	/** Whether an item is held back for an engine of the software version that generated its text. */
 	isHeld: (item: ItemReference) => boolean;
+	/** Whether this daemon still has to record the outcome of an earlier run of the item, which must not end the claim of the next. Defaults to none. */
+	hasOutcome?: (item: ItemReference) => boolean;
 	/** On the store's clock. */
 	now: Millis;
 }>;
@@ -84,11 +86,11 @@
 - An engine that is currently slow gets no long samples.
 - Samples whose text only engines of another software version can continue are held back for these, and then come last.
 */
-export function planClaims({engine, batches, isClaimLive, isHeld, now}: PlanClaimsOptions): ClaimTarget[] {
+export function planClaims({engine, batches, isClaimLive, isHeld, hasOutcome = () => false, now}: PlanClaimsOptions): ClaimTarget[] {
 	const usable = batches.filter(({view}) => (engine.versions.get(view.plan.model) ?? -1) >= view.plan.minVersion);
 	const work = usable
 		.flatMap(batch => openItems(batch, isClaimLive, now))
-		.filter(item => !hasForeignText(item, engine) || item.slackMs < urgentSlackMs || !isHeld(item));
+		.filter(item => !hasOutcome(item) && (!hasForeignText(item, engine) || item.slackMs < urgentSlackMs || !isHeld(item)));
 	const reservedCount = countEnginesForLong(batches, engine.engines);
 	const isReservedForLong = engine.rank < reservedCount && !engine.isSlow;
 	const long = engine.isSlow ? [] : work.filter(item => item.isLong && (isReservedForLong || item.waitedMs > maxLongWaitMs));
