Test responses that end within their head

Report of other operators: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

Tried: seven kinds of heads (with and without a length, in chunks, to be closed, HTTP/1.0, after interim responses with and without a close), cut after each of their bytes by a close and by a reset, on new and on kept connections. The tests stay as a guard.

--- a/packages/forwarding/src/connection-pool.test.ts
+++ b/packages/forwarding/src/connection-pool.test.ts
@@ -238,3 +238,86 @@
 		expect(ends).toEqual([]);
 	});
 });
+
+describe('a response that ends within its head', () => {
+	const whole = 'HTTP/1.1 200 OK\r\nSealed: yes\r\nContent-Type: text/plain\r\n\r\n';
+	const framings: Readonly<Record<string, string>> = {
+		'without a length': whole,
+		'with a length': whole.replace('Sealed', 'Content-Length: 4\r\nSealed'),
+		'in chunks': whole.replace('Sealed', 'Transfer-Encoding: chunked\r\nSealed'),
+		'on a connection to be closed': whole.replace('Sealed', 'Connection: close\r\nSealed'),
+		'of HTTP/1.0': whole.replace('1.1', '1.0'),
+		'after an interim response': `HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n${whole}`,
+		'after an interim response with a close': `HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n${whole}`,
+	};
+	let pool: ConnectionPool;
+	let server: Server;
+	let respond: (socket: Socket) => void;
+
+	beforeEach(async () => {
+		pool = new ConnectionPool();
+		server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.on('data', () => {
+				respond(socket);
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+	});
+
+	afterEach(() => {
+		pool.close();
+		server.close();
+	});
+
+	const send = async (id: string) => {
+		const heads: number[] = [];
+		const end = await new Promise<ExchangeEnd>(resolve => {
+			pool.exchange({id: 'u1' as UpstreamId, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, bornAt: 1}, {
+				method: 'GET', path: '/', headers: ['Host', 'h'], id,
+			}, {
+				onHead({status}) {
+					heads.push(status);
+					return true;
+				},
+				onData: () => true,
+				onEnd: resolve,
+			});
+		});
+		return {kind: end.kind, heads};
+	};
+
+	const ways: Readonly<Record<string, (socket: Socket, text: string) => void>> = {
+		'a close': (socket, text) => socket.end(text),
+		'a reset': (socket, text) => socket.write(text, () => socket.resetAndDestroy()),
+	};
+
+	describe.each(Object.entries(framings))('%s', (_, text) => {
+		it.each(Object.entries(ways))('with %s is broken and has no head, wherever it ends', async (__, cut) => {
+			for (let length = 0; length < text.length; length++) {
+				respond = socket => {
+					cut(socket, text.slice(0, length));
+				};
+
+				expect([length, await send(`r${length}`)]).toEqual([length, {kind: 'broken', heads: []}]);
+			}
+		});
+
+		it.each(Object.entries(ways))('with %s is broken on a kept connection too', async (__, cut) => {
+			for (const length of [0, 1, 9, 17, 30, text.length - 3, text.length - 1]) {
+				respond = socket => {
+					socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+				};
+
+				expect(await send(`first-${length}`)).toEqual({kind: 'complete', heads: [200]});
+				respond = socket => {
+					cut(socket, text.slice(0, length));
+				};
+
+				expect([length, await send(`second-${length}`)]).toEqual([length, {kind: 'broken', heads: []}]);
+			}
+		});
+	});
+});
