Restart the history of software versions after a pause of the daemon

Report of other operators: a machine that stood still during a release took streams up that had begun on workers of a new version through other machines, and went on at a worker of another one.

Cause here: a stream without a record is taken for one of the only version that was listed for a minute. An outage of the feed restarts that history, but a pause of the process does not: no call fails, and a worker that came and left in the pause never appears if the feed shows only the last state of its row.

The follower now reports a gap if more than 2.5 s have passed between two polls on either clock, and the history starts anew. Before the first poll after a pause the list counts as unknown.

Measured: the new case of stream-records.test.ts failed first (the version was given); two cases of follow-table.test.ts play a pause of 4 s with a running and with a stopped monotonic clock.

--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -178,9 +178,12 @@
 			},
 		});
 		const versions = new VersionHistory();
-		this.followers.upstreams.on('regained', () => {
-			versions.restart(clock.now());
-		});
+		for (const event of ['regained', 'gap'] as const) {
+			this.followers.upstreams.on(event, () => {
+				versions.restart(clock.now());
+			});
+		}
+
 		this.streamRecords = new StreamRecords({
 			clock,
 			store,
@@ -189,6 +192,7 @@
 			dataCentres: Object.keys(settings.dataCentres) as DataCentreId[],
 			daemons: () => this.membership.members(clock.now()).length,
 			versions,
+			isListContinuous: () => this.followers.upstreams.isContinuous,
 			readVersions: async service => readListedVersions(store, platform.tables, service),
 			isOwner: part => this.isPartOwner(part),
 			onDropped(count) {
@@ -351,6 +355,9 @@
 			follower.on('regained', awayMs => {
 				logger.info({event: 'store-regained', table: follower.copy.table, awayMs: Math.round(awayMs)}, 'the store answers again');
 			});
+			follower.on('gap', ms => {
+				logger.info({event: 'store-gap', table: follower.copy.table, ms: Math.round(ms)}, 'rows may have come and gone between two polls');
+			});
 			follower.start();
 		}
 
--- a/packages/entry/src/stream-records.test.ts
+++ b/packages/entry/src/stream-records.test.ts
@@ -19,12 +19,14 @@
 	let storeTime: Millis;
 	let versions: VersionHistory;
 	let listed: SoftwareVersion[] | undefined;
+	let isContinuous: boolean;
 
 	beforeEach(() => {
 		store = new MemoryRowStore();
 		storeTime = 1000;
 		versions = new VersionHistory();
 		listed = undefined;
+		isContinuous = true;
 	});
 
 	afterEach(() => {
@@ -43,6 +45,7 @@
 			dataCentres: [west, east],
 			daemons: () => 3,
 			versions,
+			isListContinuous: () => isContinuous,
 			readVersions: async () => listed,
 			isOwner: () => true,
 			onDropped: vi.fn(),
@@ -79,6 +82,12 @@
 			expect(await startDaemon(west).onlyVersion(origin.service)).toBeUndefined();
 		});
 
+		it('is of no known version if an upstream of another one may have come and gone while the daemon stood still', async () => {
+			listed = [v1, v1];
+			isContinuous = false;
+			expect(await startDaemon(west).onlyVersion(origin.service)).toBeUndefined();
+		});
+
 		it('is of no known version while the store does not respond', async () => {
 			expect(await startDaemon(west).onlyVersion(origin.service)).toBeUndefined();
 		});
--- a/packages/entry/src/stream-records.ts
+++ b/packages/entry/src/stream-records.ts
@@ -22,6 +22,8 @@
 	/** Returns the number of daemons, which share the store's rate of writes. */
 	daemons: () => number;
 	versions: VersionHistory;
+	/** Whether this daemon's copy of the list can't have missed upstreams since it was last read. */
+	isListContinuous: () => boolean;
 	/** Reads from the store which software versions of a service are listed now. Returns undefined if the store does not respond. */
 	readVersions: (service: ServiceId) => Promise<readonly SoftwareVersion[] | undefined>;
 	/** Whether this daemon is responsible for deleting the old records of a part. */
@@ -86,9 +88,9 @@
 
 	/** Reads the list anew, since an upstream of another version may have begun the stream before this daemon's copy shows it. */
 	override async onlyVersion(service: ServiceId): Promise<SoftwareVersion | undefined> {
-		const {clock, versions, readVersions} = this.options;
+		const {clock, versions, isListContinuous, readVersions} = this.options;
 		const now = clock.now();
-		const version = versions.onlyVersionSince(service, now - maxStreamMs, now);
+		const version = isListContinuous() ? versions.onlyVersionSince(service, now - maxStreamMs, now) : undefined;
 		const listed = version === undefined ? undefined : await Promise.race([readVersions(service), sleep(findTimeoutMs, undefined, {ref: false})]);
 		return listed?.every(other => other === version) === true ? version : undefined;
 	}
--- a/packages/fleet/src/version-history.ts
+++ b/packages/fleet/src/version-history.ts
@@ -8,7 +8,7 @@
 	/** Time from which on all changes of the list are recorded. Undefined until the list has been read. */
 	private startedAt: Millis | undefined;
 
-	/** Call this when the list has been read for the first time or after an outage, in which versions may have come and left unseen. */
+	/** Call this when the list has been read for the first time or after an outage or a long pause, in which versions may have come and left unseen. */
 	restart(now: Millis): void {
 		this.startedAt = now;
 	}
--- a/packages/store/src/follow-table.test.ts
+++ b/packages/store/src/follow-table.test.ts
@@ -137,4 +137,73 @@
 			});
 		});
 	});
+
+	describe('of a process that stands still between two polls', () => {
+		/** A clock that can be set forward. */
+		class SkippingClock extends RealClock {
+			steadyMs = 0;
+			wallMs = 0;
+
+			override now(): number {
+				return super.now() + this.steadyMs;
+			}
+
+			override wallTime(): number {
+				return super.wallTime() + this.wallMs;
+			}
+		}
+
+		/** Shows only the last state of each changed row, and holds responses back on demand. */
+		class HoldingStore extends MemoryRowStore {
+			released: Promise<void> = Promise.resolve();
+
+			override async changes(options: Parameters<MemoryRowStore['changes']>[0]): ReturnType<MemoryRowStore['changes']> {
+				const outcome = await super.changes(options);
+				await this.released;
+				if (outcome.kind !== 'changes') {
+					return outcome;
+				}
+
+				const last = new Map(outcome.changes.map(change => [change.kind === 'written' ? change.row.key : change.key.key, change]));
+				return {...outcome, changes: [...last.values()]};
+			}
+		}
+
+		it.each([
+			['running', {steadyMs: 4000, wallMs: 4000}],
+			['stopped', {steadyMs: 0, wallMs: 4000}],
+		])('says that rows may have come and gone, also with a %s monotonic clock', async (_, skip) => {
+			const clock = new SkippingClock();
+			const store = new HoldingStore();
+			const follower = new TableFollower({
+				store, clock, table: 't', waitMs: 20,
+			});
+			followers.push(follower);
+			const gaps: number[] = [];
+			const seen: string[] = [];
+			follower.on('gap', ms => {
+				gaps.push(ms);
+			});
+			follower.on('changed', changes => {
+				seen.push(...changes.filter(({kind}) => kind === 'written').map(change => (change.kind === 'written' ? change.row.key : '')));
+			});
+			follower.start();
+			await until(() => follower.isContinuous);
+			let release: () => void = () => undefined;
+			store.released = new Promise<void>(resolve => {
+				release = resolve;
+			});
+			await store.transact(write('a', 1));
+			await store.transact({part: 'p', writes: [], deletes: [{table: 't', key: 'a'}]});
+			Object.assign(clock, skip);
+			// Right after it goes on, it has not polled yet.
+			expect(follower.isContinuous).toBe(false);
+			release();
+			await until(() => gaps.length > 0);
+			expect(gaps[0]).toBeGreaterThanOrEqual(4000);
+			expect(seen).toEqual([]);
+			await until(() => follower.isContinuous);
+			expect(gaps).toHaveLength(1);
+		});
+	});
 });
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -10,6 +10,11 @@
 export const defaultPollWaitMs = 700;
 /** Delay after a failed call. Prevents a busy loop and a thundering herd when the store recovers. */
 const retryDelayMs = 120;
+/**
+Longest time between two polls in which no row can have come and gone unseen: the feed may show only the last state of a row, and
+rows of upstreams stay for longer than this. A standby polls every two seconds at most.
+*/
+const maxGapMs = 2500;
 /** Parts that are read concurrently when a whole table is loaded. */
 const maxConcurrentPartReads = 8;
 
@@ -20,8 +25,17 @@
 	lost: never[];
 	/** The store responds again. `awayMs` is the time since the previous successful call was sent, or 0 for the first response. */
 	regained: [awayMs: Millis];
+	/** So much time has passed between two polls, for example because the process was suspended, that rows may have come and gone unseen. */
+	gap: [ms: Millis];
 };
 
+/** Both clocks, since the monotonic one may stop while the VM is suspended, and the wall clock may be adjusted. */
+type ClockReadings = Readonly<{steady: Millis; wall: Millis}>;
+
+function elapsedMs(from: ClockReadings, to: ClockReadings): Millis {
+	return Math.max(to.steady - from.steady, to.wall - from.wall);
+}
+
 export type TableFollowerOptions = Readonly<{
 	store: RowStore;
 	clock: Clock;
@@ -37,7 +51,7 @@
 export class TableFollower extends EventEmitter<FollowerEvents> {
 	readonly copy: TableCopy;
 	private version: number | undefined;
-	private lastSuccessfulCallSentAt: Millis | undefined;
+	private lastSuccessfulCall: ClockReadings | undefined;
 	private connectedSince: Millis | undefined;
 	/** When the first call was sent since the last response; undefined while no call is in flight. */
 	private unansweredSince: Millis | undefined;
@@ -78,7 +92,12 @@
 
 	/** Age of the copy: time since the last successful call was sent; infinite before the first one. */
 	age(now: Millis): Millis {
-		return this.lastSuccessfulCallSentAt === undefined ? Number.POSITIVE_INFINITY : now - this.lastSuccessfulCallSentAt;
+		return this.lastSuccessfulCall === undefined ? Number.POSITIVE_INFINITY : now - this.lastSuccessfulCall.steady;
+	}
+
+	/** Whether no row can have come and gone unseen since the last poll. */
+	get isContinuous(): boolean {
+		return this.lastSuccessfulCall !== undefined && elapsedMs(this.lastSuccessfulCall, this.readClocks()) <= maxGapMs;
 	}
 
 	/** How long the store has owed this follower a response. Pauses between polls don't count. */
@@ -103,8 +122,8 @@
 
 	private async run(): Promise<void> {
 		while (!this.isStopped) {
-			const sentAt = this.options.clock.now();
-			this.unansweredSince ??= sentAt;
+			const sentAt = this.readClocks();
+			this.unansweredSince ??= sentAt.steady;
 			const isSuccessful = await (this.version === undefined ? this.load() : this.poll(this.version));
 			if (isSuccessful) {
 				this.recordSuccess(sentAt);
@@ -136,17 +155,24 @@
 		this.endPause = undefined;
 	}
 
-	private recordSuccess(sentAt: Millis): void {
+	private recordSuccess(sentAt: ClockReadings): void {
 		const now = this.options.clock.now();
-		const before = this.lastSuccessfulCallSentAt;
-		this.lastSuccessfulCallSentAt = sentAt;
+		const before = this.lastSuccessfulCall;
+		this.lastSuccessfulCall = sentAt;
 		this.unansweredSince = undefined;
 		if (this.connectedSince === undefined) {
 			this.connectedSince = now;
-			this.emit('regained', before === undefined ? 0 : now - before);
+			this.emit('regained', before === undefined ? 0 : now - before.steady);
+		} else if (before !== undefined && elapsedMs(before, sentAt) > maxGapMs) {
+			this.emit('gap', elapsedMs(before, sentAt));
 		}
 	}
 
+	private readClocks(): ClockReadings {
+		const {clock} = this.options;
+		return {steady: clock.now(), wall: clock.wallTime()};
+	}
+
 	private async poll(after: number): Promise<boolean> {
 		const {store, table, waitMs} = this.options;
 		const outcome = await store.changes({table, after, waitMs: waitMs ?? defaultPollWaitMs});
