Take a plain service's response without a length for cut after a reset in `cicadapost serve`

Related to the responses of the pool: `cicadapost serve` sends plain requests with undici's own agent, which ends a response without a length with any end of its connection. A script that resets the connection with or after the last bytes got the first half as a finished answer, 5 of 5 times.

Undici tells its handlers neither the socket nor how it ended, but calls them while the socket emits its event. ResetGuard watches the sockets and turns such an end into an error.

Measured: two new cases of completion-stream.test.ts failed first and pass; a response that ends with a close is still finished.

--- a/packages/engines/src/completion-stream.test.ts
+++ b/packages/engines/src/completion-stream.test.ts
@@ -1,7 +1,9 @@
 import {
 	createServer as createHttpServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {createServer as createTcpServer, type AddressInfo, type Server as TcpServer} from 'node:net';
+import {
+	createServer as createTcpServer, type AddressInfo, type Server as TcpServer, type Socket,
+} from 'node:net';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
@@ -263,5 +265,31 @@
 			});
 			expect(await lastReport(url, {kind: 'service', idempotent})).toMatchObject(expected);
 		});
+
+		describe('whose response has no length', () => {
+			const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n';
+			const respondWith = async (respond: (socket: Socket) => void) => {
+				const server = createTcpServer(socket => {
+					socket.on('error', () => undefined);
+					socket.once('data', () => {
+						respond(socket);
+					});
+				});
+				open.push(server);
+				return run(await listen(server), {kind: 'service'});
+			};
+
+			it.each([
+				['together with its last bytes', (socket: Socket) => socket.write(`${head}first half`, () => socket.resetAndDestroy())],
+				['after its last bytes', (socket: Socket) => socket.write(`${head}first half`, () => setTimeout(() => socket.resetAndDestroy(), 20))],
+			])('is not finished if its connection is reset %s', async (_, respond) => {
+				expect(reportKinds(await respondWith(respond))).toEqual(['sent', ['upstream-died', true]]);
+			});
+
+			it('is finished if the service closes the connection', async () => {
+				const reports = await respondWith(socket => socket.end(`${head}whole`));
+				expect(reports.slice(1)).toMatchObject([{chunk: {text: 'whole'}}, {kind: 'finished', status: 200}]);
+			});
+		});
 	});
 });
--- a/packages/engines/src/completion-stream.ts
+++ b/packages/engines/src/completion-stream.ts
@@ -1,12 +1,13 @@
 import type {Chunk, Millis} from '@cicadapost/types';
 import {
-	Agent, DecoratorHandler, request, type Dispatcher,
+	Agent, buildConnector, DecoratorHandler, request, type Dispatcher,
 } from 'undici';
 import {
 	failureFromResponse, failureFromError, SendDeadlineError, type AttemptReport,
 } from './attempt-failure.js';
 import {ProgressWatchdog} from './progress-watchdog.js';
 import {MalformedStreamError, readEvents} from './read-events.js';
+import {ResetGuard} from './reset-guard.js';
 
 export type {AttemptReport} from './attempt-failure.js';
 
@@ -44,8 +45,9 @@
 
 /** HTTP connections to upstreams. A connection that goes silent is closed, and the next attempt opens a new one. */
 export class UpstreamConnections {
+	private readonly guard = new ResetGuard();
 	private readonly agent = new Agent({
-		connect: {timeout: connectTimeoutMs}, pipelining: 1, keepAliveTimeout: 10_000, connections: 256,
+		connect: this.guard.watch(buildConnector({timeout: connectTimeoutMs})), pipelining: 1, keepAliveTimeout: 10_000, connections: 256,
 	});
 
 	/** Runs one attempt and reports its progress. The last report is `finished` or `failed`, unless the signal aborts the attempt. */
@@ -78,7 +80,7 @@
 	private async send(options: AttemptOptions, onSent: () => void): Promise<Dispatcher.ResponseData> {
 		const silenceMs = options.silenceMs ?? defaultSilenceMs;
 		const maySend = options.maySend ?? (() => true);
-		const dispatcher = this.agent.compose(dispatch => (options_, handler) => dispatch(options_, new SendGateHandler(handler, {maySend, onSent})));
+		const dispatcher = this.agent.compose(dispatch => (options_, handler) => dispatch(options_, this.guard.protect(new SendGateHandler(handler, {maySend, onSent}))));
 		return request(`${options.url}${options.path}`, {
 			method: options.method as 'POST',
 			headers: headersOf(options),
