--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -219,7 +219,12 @@
 			return due === undefined ? [] : [{view, dueAt: due}];
 		});
 		return planClaims({
-			engine: capacity, batches, isClaimLive, isHeld: item => this.textHolds.isHeld(itemKeyOf(item), clock.now()), hasOutcome: item => unrecorded.size > 0 && unrecorded.has(itemKeyOf(item)), now: storeTime(),
+			engine: capacity,
+			batches,
+			isClaimLive,
+			isHeld: item => this.textHolds.isHeld(itemKeyOf(item), clock.now()),
+			hasOutcome: item => unrecorded.size > 0 && unrecorded.has(itemKeyOf(item)),
+			now: storeTime(),
 		});
 	}
 
--- a/packages/rewards/src/reward-task.ts
+++ b/packages/rewards/src/reward-task.ts
@@ -104,6 +104,7 @@
 
 	/** Whether this daemon holds the text of an item or is taking it over. `itemKey` is a key from `itemKeyOf`. */
 	hasItem(itemKey: string): boolean {
+		// Takeovers have the key of the group, which is that of the item without its last part.
 		return this.held.has(itemKey) || this.takingOver.has(itemKey.slice(0, itemKey.lastIndexOf('/')));
 	}
 
