--- a/packages/batches/src/batch-daemon.test-helper.ts
+++ b/packages/batches/src/batch-daemon.test-helper.ts
@@ -24,7 +24,7 @@
 	maxAttempts?: number;
 	/** Defaults to all engines of the directory. */
 	ownedEngines?: () => UpstreamRecord[];
-	/** Whether claims that took effect without a response are given back. */
+	/** Whether claims that took effect without a response are released. */
 	releasesClaims?: boolean;
 }>;
 
@@ -41,7 +41,7 @@
 	readonly follower: TableFollower;
 	readonly batchCache = new BatchCache();
 	readonly service: BatchService;
-	/** Numbers of the items that were given back. */
+	/** Numbers of the items whose claims were released. */
 	readonly released: number[] = [];
 	private readonly runner: SampleRunner;
 	private readonly worker: ClaimWorker;
--- a/packages/batches/src/lost-claims.test.ts
+++ b/packages/batches/src/lost-claims.test.ts
@@ -133,7 +133,7 @@
 		expect(new Set(client.runs.map(({engine}) => engine))).toEqual(new Set(['e2']));
 	});
 
-	it('keeps its items from all engines if it is not given back', async () => {
+	it('keeps its items from all engines if it is not released', async () => {
 		const store = new ForgetfulStore('e1', 0);
 		await start(store, {releasesClaims: false});
 		await sleep(1500);
@@ -141,7 +141,7 @@
 		expect(await countResults()).toBeLessThan(12);
 	});
 
-	it('is not given back while its daemon works on the items', async () => {
+	it('is not released while its daemon works on the items', async () => {
 		client.runMs = 600;
 		await start(new ForgetfulStore('none', 0));
 		await vi.waitUntil(async () => await countResults() === 12, {timeout: 5000});
@@ -191,7 +191,7 @@
 		}), {seed: 20_261_205, numRuns: 300});
 	});
 
-	it('gives back a text whose takeover took effect without a response, so that another daemon gets its score', () => {
+	it('finds a text whose takeover took effect without a response, so that another daemon gets its score', () => {
 		const claim: ItemClaim = {
 			kind: 'rewarding', incarnation: self, rewardFailures: 1, failures: 0, hasPartialText: true,
 		};
--- a/packages/batches/src/plan-claim-releases.ts
+++ b/packages/batches/src/plan-claim-releases.ts
@@ -14,7 +14,7 @@
 /**
 Finds claims that name this daemon although it does not work on their items. The store applies a claim whose response is lost,
 at once or seconds later. Only the daemon that wrote it can tell that nobody works on the items: all others take the claim for
-live as long as this process lives. It has to give them back whoever owns their engine now.
+live as long as this process runs. It has to release them whoever owns their engine now.
 */
 export function planClaimReleases({batches, incarnation, isWorkedOn}: PlanClaimReleasesOptions): ClaimTarget[] {
 	return batches.flatMap(view => view.claims.flatMap((claims, group) => {
--- a/packages/batches/src/release-claims.ts
+++ b/packages/batches/src/release-claims.ts
@@ -17,7 +17,7 @@
 /** It is that of the other background tasks, so that one wake-up serves all. */
 const checkIntervalMs = 400;
 
-/** A background task that gives back items which this daemon has claimed without knowing. */
+/** A background task that releases items which this daemon has claimed without knowing. */
 export class ClaimReleaser {
 	private readonly timer: NodeJS.Timeout;
 
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -187,7 +187,7 @@
 			isWorkedOn: itemKey => this.claimWorker.isClaiming(itemKey) || this.sampleRunner.hasItem(itemKey) || this.rewards.hasItem(itemKey) || this.commitQueue.hasFinalOutcome(itemKey),
 			onReleased(target) {
 				metrics.recordReleasedClaims(target.items.length);
-				logger.warn({event: 'claim-released', ...target}, 'gave back items that this daemon had claimed without an answer of the store');
+				logger.warn({event: 'claim-released', ...target}, 'released items that this daemon had claimed without a response of the store');
 			},
 		});
 	}
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -24,7 +24,7 @@
 	private readonly storeRows = this.counter('store_rows_total', 'Rows that the store returned, by call and table', ['call', 'table']);
 	private readonly limitedRequests = this.counter('limited_requests_total', 'Requests to upstreams that have named a limit, by reason', ['reason']);
 	private readonly requestsOfOtherDaemons = this.counter('requests_of_other_daemons_total', 'Requests taken from daemons without links to upstreams', []);
-	private readonly releasedClaims = this.counter('released_claims_total', 'Items given back whose claim took effect although the store did not respond to it', []);
+	private readonly releasedClaims = this.counter('released_claims_total', 'Items released because their claim took effect although the store did not respond to it', []);
 	private readonly closeDelimited = this.counter('close_delimited_responses_total', 'Responses of upstreams without a length, by whether the upstream closed their connection or it failed', ['end']);
 	private readonly requestLatency = this.histogram('request_duration_ms', 'Time to the answer of plain requests', ['route']);
 	private readonly sampleLatency = this.histogram('sample_duration_ms', 'Time of runs of samples', ['outcome']);
