Separate arrival, shared state and the end of a request from the daemon's large files

Change: decideArrival decides from the head alone; BatchCalls, ResponseWriter and CallerResponseReceiver are files of their own; FleetTasks owns the state that daemons share through the store; RequestReporter reports steps and the end of a request (RequestEnd); EngineWatch holds what runs show about engines. PlainRequest has an optional team. No change of behaviour is intended.

--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -14,8 +14,7 @@
 import type {
 	EngineClient, RunEnd, SampleEvent, SampleRun,
 } from './engine-client.js';
-import {SlowdownDetector} from './slowdown-detector.js';
-import {LivenessMonitor} from './liveness-monitor.js';
+import {EngineWatch} from './engine-watch.js';
 import {isLong, type ClaimTarget, type ItemReference} from './plan-claims.js';
 import {readBodies, readText} from './read-items.js';
 import {
@@ -67,12 +66,13 @@
 	private readonly running = new Map<string, ActiveRun>();
 	/** Items whose request bodies are being read, with their engines. */
 	private readonly starting = new Map<string, UpstreamId>();
-	private readonly liveness = new LivenessMonitor();
-	private readonly slowdowns = new SlowdownDetector();
+	private readonly watch: EngineWatch;
 	/** Set while there are runs to check. */
 	private timer: NodeJS.Timeout | undefined;
 
-	constructor(private readonly options: SampleRunnerOptions) {}
+	constructor(private readonly options: SampleRunnerOptions) {
+		this.watch = new EngineWatch(options.isLoading);
+	}
 
 	/** Number of samples that this daemon has on an engine, including those whose request bodies are still being read. */
 	countAt(engine: UpstreamId): number {
@@ -95,12 +95,12 @@
 
 	/** Whether an engine has recently failed and should not get new samples. */
 	isSuspended(engine: UpstreamId): boolean {
-		return this.liveness.isSuspended(engine, this.options.clock.now());
+		return this.watch.isSuspended(engine, this.options.clock.now());
 	}
 
 	/** Whether an engine currently generates events much more slowly than usual. */
 	isSlow(engine: UpstreamId): boolean {
-		return this.slowdowns.isSlow(engine, this.options.clock.now());
+		return this.watch.isSlow(engine, this.options.clock.now());
 	}
 
 	/** Number of long samples that this daemon has on an engine. */
@@ -260,7 +260,7 @@
 
 		run.version = version;
 		run.lastActivityAt = this.options.clock.now();
-		this.liveness.recordActivity(run.engine, run.lastActivityAt);
+		this.watch.recordActivity(run.engine, run.lastActivityAt);
 		if (version === undefined) {
 			return;
 		}
@@ -277,12 +277,12 @@
 		}
 
 		const now = this.options.clock.now();
-		if (run.eventsSinceSent > 0 && !this.options.isLoading(run.engine)) {
-			this.slowdowns.recordGap(run.engine, now - run.lastActivityAt, now);
+		if (run.eventsSinceSent > 0) {
+			this.watch.recordGap(run.engine, now - run.lastActivityAt, now);
 		}
 
 		run.lastActivityAt = now;
-		this.liveness.recordActivity(run.engine, now);
+		this.watch.recordActivity(run.engine, now);
 		run.eventsSinceSent += 1;
 		run.version = event.version ?? run.version;
 		if (run.text.events.length > 0 && event.id !== run.text.lastEventId + 1) {
@@ -315,9 +315,9 @@
 
 		run.refusals = end.kind === 'not-run' ? run.refusals + 1 : 0;
 		if (end.kind === 'unreachable' || end.kind === 'invalid') {
-			this.liveness.recordFailure(run.engine, this.options.clock.now());
+			this.watch.recordFailure(run.engine, this.options.clock.now());
 		} else if (end.kind !== 'broken') {
-			this.liveness.recordActivity(run.engine, this.options.clock.now());
+			this.watch.recordActivity(run.engine, this.options.clock.now());
 		}
 
 		const followUp = decideFollowUp(end, {
@@ -404,7 +404,7 @@
 		run.engineRun?.abort();
 		this.running.delete(itemKeyOf(run));
 		if (this.countAt(run.engine) === 0) {
-			this.slowdowns.reset(run.engine);
+			this.watch.resetPace(run.engine);
 		}
 
 		this.options.onRunReport({
@@ -424,20 +424,9 @@
 		this.options.onSlotFreed();
 	}
 
-	/** Releases all runs of silent engines. This detects a dead engine much sooner than the timeouts of single runs. */
 	private releaseFromSilentEngines(now: Millis): void {
-		const oldest = new Map<UpstreamId, Millis>();
-		const sent = [...this.running.values()].filter(run => run.withdrawTurn === undefined);
-		for (const {engine, sentAt} of sent) {
-			oldest.set(engine, Math.min(sentAt, oldest.get(engine) ?? Number.POSITIVE_INFINITY));
-		}
-
-		for (const [engine, oldestSentAt] of oldest) {
-			if (!this.liveness.isSilent(engine, {oldestSentAt, isLoading: this.options.isLoading(engine), now})) {
-				continue;
-			}
-
-			this.liveness.recordFailure(engine, now);
+		for (const engine of this.watch.silentEngines(this.running.values(), now)) {
+			this.watch.recordFailure(engine, now);
 			for (const run of this.running.values()) {
 				if (run.engine === engine) {
 					this.release(run, run.failures, 'the engine is silent');
@@ -449,7 +438,7 @@
 	/** Moves long samples away from slow engines. Short samples finish faster than they could be moved. */
 	private releaseFromSlowEngines(now: Millis): void {
 		for (const run of this.running.values()) {
-			if (run.isLong && run.eventsSinceSent > 0 && this.slowdowns.isSlow(run.engine, now)) {
+			if (run.isLong && run.eventsSinceSent > 0 && this.watch.isSlow(run.engine, now)) {
 				this.release(run, run.failures, 'the engine is slow');
 			}
 		}
--- /dev/null
+++ b/packages/entry/src/batch-calls.ts
@@ -0,0 +1,115 @@
+import type {ServerResponse} from 'node:http';
+import type {BatchService} from '@cicadapost/batches';
+import type {BatchId} from '@cicadapost/types';
+import {noConfigurationRetryMs, type BatchCall, type RoutedCall} from './arrival.js';
+import type {CallReport} from './call-report.js';
+import type {CallerProtocol} from './caller-protocol.js';
+import type {ResponseWriter} from './response-writer.js';
+
+export type BatchCallsOptions = Readonly<{
+	protocol: CallerProtocol;
+	batches: Pick<BatchService, 'submit' | 'results' | 'body' | 'end'>;
+	writer: ResponseWriter;
+	onCallReport: (report: CallReport) => void;
+}>;
+
+/** Answers submissions of batches and the calls about them. */
+export class BatchCalls {
+	constructor(private readonly options: BatchCallsOptions) {}
+
+	async submit(res: ServerResponse, {call, method, body}: Readonly<{call: RoutedCall; method: string | undefined; body: Uint8Array}>): Promise<void> {
+		const {protocol, batches, writer} = this.options;
+		if (method !== 'POST' || call.requestId === undefined) {
+			writer.fail(res, 400, 'a batch is submitted with POST and an id of its own');
+			return;
+		}
+
+		const id = call.requestId as string as BatchId;
+		const parsedSubmission = protocol.parseSubmission({
+			batch: id, host: call.host, path: call.path, body,
+		});
+		await parsedSubmission.caseOf({
+			Left: async err => {
+				this.report(id, 'batch is not valid', {reason: err.message});
+				writer.fail(res, 400, err.message);
+			},
+			Right: async submission => {
+				const outcome = await batches.submit(submission);
+				this.report(id, `batch ${outcome.kind}`, {step: submission.step, items: submission.items.length, minVersion: submission.minVersion});
+				switch (outcome.kind) {
+					case 'accepted': {
+						writer.send(res, 202, '{}');
+						break;
+					}
+
+					case 'refused': {
+						writer.refuse(res, outcome.retryAfterMs, 'the store can\'t be reached from here');
+						break;
+					}
+
+					case 'unknown': {
+						writer.fail(res, 504, 'the store did not answer; submit the same batch again');
+						break;
+					}
+				}
+			},
+		});
+	}
+
+	async respond(res: ServerResponse, call: BatchCall): Promise<void> {
+		const {batches, protocol, writer} = this.options;
+		const disconnected = new AbortController();
+		res.once('close', () => {
+			disconnected.abort();
+		});
+		switch (call.kind) {
+			case 'batch-results': {
+				const outcome = await batches.results(call.batch, {after: call.after, waitMs: call.waitMs, signal: disconnected.signal});
+				if (outcome.kind === 'page') {
+					writer.send(res, 200, protocol.encodeResults(outcome.page));
+				} else {
+					this.fail(res, call.batch, outcome.kind);
+				}
+
+				break;
+			}
+
+			case 'item-body': {
+				const outcome = await batches.body(call.batch, call.item);
+				if (outcome.kind === 'body') {
+					res.writeHead(200, {'Content-Type': 'application/octet-stream', 'Content-Length': outcome.body.length});
+					res.end(outcome.body);
+				} else {
+					this.fail(res, call.batch, outcome.kind);
+				}
+
+				break;
+			}
+
+			case 'end-batch': {
+				const outcome = await batches.end(call.batch);
+				this.report(call.batch, `end of batch: ${outcome}`, {});
+				if (outcome === 'ended') {
+					writer.send(res, 200, '{}');
+				} else {
+					this.fail(res, call.batch, outcome);
+				}
+
+				break;
+			}
+		}
+	}
+
+	private fail(res: ServerResponse, batch: BatchId, outcome: 'not-found' | 'unavailable'): void {
+		this.report(batch, `batch call: ${outcome}`, {});
+		if (outcome === 'not-found') {
+			this.options.writer.fail(res, 404, 'no such batch or item');
+		} else {
+			this.options.writer.refuse(res, noConfigurationRetryMs, 'the store can\'t be reached from here');
+		}
+	}
+
+	private report(requestId: CallReport['requestId'], outcome: string, inputs: CallReport['inputs']): void {
+		this.options.onCallReport({requestId, outcome, inputs});
+	}
+}
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -3,40 +3,35 @@
 import {
 	batchFeedPause, BatchCache, BatchService, type EngineClient,
 } from '@cicadapost/batches';
-import {UpstreamDirectory, VersionHistory} from '@cicadapost/fleet';
+import {UpstreamDirectory} from '@cicadapost/fleet';
 import {
 	ConnectionPool, Forwarder, UpstreamHealthTracker, type RequestReport, type UpstreamProtocol,
 } from '@cicadapost/forwarding';
-import {ownerOf} from '@cicadapost/membership';
 import type {Logger} from '@cicadapost/observability';
-import {RateLimiter} from '@cicadapost/rate-limits';
 import {
 	ObservedRowStore, type RowStore,
 } from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
+	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis,
 } from '@cicadapost/types';
 import {
 	EngineVersions, WeightLoader, type OrderClient,
 } from '@cicadapost/weights';
 import {BatchTasks} from './batch-tasks.js';
 import type {CallerProtocol} from './caller-protocol.js';
-import {CrashReports} from './crash-reports.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
-import {FleetView} from './fleet-view.js';
+import {FleetTasks} from './fleet-tasks.js';
 import {FrontServer} from './front-server.js';
 import {HealthServer} from './health-server.js';
 import {LoadReporter} from './load-reporter.js';
-import {MembershipTask} from './membership-task.js';
 import {observePool} from './observe-pool.js';
 import {openListener} from './open-listener.js';
 import {OperatorState} from './operator-state.js';
 import type {PlatformTables} from './platform-tables.js';
 import {RelayTask} from './relay-task.js';
-import {StreamRecords} from './stream-records.js';
 import {createFollowers, type TableFollowers} from './table-followers.js';
-import {readListedVersions, UpstreamList} from './upstream-list.js';
+import {UpstreamList} from './upstream-list.js';
 
 /** The interfaces that a platform adapter implements for the daemon. */
 export type PlatformAdapter = Readonly<{
@@ -79,12 +74,8 @@
 	private readonly versions = new EngineVersions();
 	private readonly metrics = new EntryMetrics();
 	private readonly followers: TableFollowers;
-	private readonly membership: MembershipTask;
+	private readonly fleet: FleetTasks;
 	private readonly relays: RelayTask;
-	private readonly fleetView: FleetView;
-	private readonly crashReports: CrashReports;
-	private readonly rateLimiter: RateLimiter;
-	private readonly streamRecords: StreamRecords;
 	private readonly batchService: BatchService;
 	private readonly batchTasks: BatchTasks;
 	private readonly weightLoader: WeightLoader;
@@ -118,87 +109,29 @@
 			store,
 			clock,
 			tables: platform.tables,
-			ownsEngines: () => this.fleetView.ownedEngines().length > 0,
-			isStandby: () => this.membership.isStandby,
+			ownsEngines: () => this.fleet.fleetView.ownedEngines().length > 0,
+			isStandby: () => this.fleet.membership.isStandby,
 			batchPause: () => batchFeedPause({
-				ownsEngines: this.fleetView.ownedEngines().length > 0,
-				isStandby: this.membership.isStandby,
+				ownsEngines: this.fleet.fleetView.ownedEngines().length > 0,
+				isStandby: this.fleet.membership.isStandby,
 				running: this.batchTasks.running + this.batchTasks.rewarding,
 				waiting: this.batchService.waiting,
 			}),
 		});
-		const self = {
-			daemon: settings.vm as DaemonId,
-			incarnation: this.incarnation,
-			dataCentre: settings.dataCentre as DataCentreId,
-			region: settings.region as RegionId,
-			cores: settings.processor.share * settings.processor.speed,
-		};
-		this.membership = new MembershipTask({
-			clock,
+		this.fleet = new FleetTasks({
+			...options,
 			store,
-			follower: this.followers.fleet,
-			self,
-			isCandidate: () => this.isCandidate,
-			onRoleChanged(role, candidates) {
-				logger.info({event: 'role', role, candidates}, role === 'candidate' ? 'takes engines from now on' : 'takes no engines unless candidates die');
-			},
-		});
-		this.fleetView = new FleetView({
-			clock,
-			self: settings.vm as DaemonId,
+			tables: platform.tables,
+			followers: this.followers,
+			incarnation: this.incarnation,
 			directory: this.directory,
-			members: now => this.relays.linkedMembers(this.membership.members(now)),
-			regionOf: dataCentre => settings.dataCentres[dataCentre] as RegionId | undefined,
-		});
-		this.crashReports = new CrashReports({
-			clock,
-			store,
-			follower: this.followers.fleet,
-			isOwner: part => this.isPartOwner(part),
+			metrics: this.metrics,
+			loadReporter: this.loadReporter,
+			isCandidate: () => this.isCandidate,
+			linkedMembers: members => this.relays.linkedMembers(members),
 			reachesAnother: async upstream => this.relays.reachesAnother(upstream),
-			onCrash(fingerprint, incarnation) {
-				logger.warn({event: 'crash', fingerprint, ...incarnation}, 'a request has crashed an upstream');
-			},
-		});
-		this.rateLimiter = new RateLimiter({
-			clock,
-			store,
-			follower: this.followers.fleet,
-			self: settings.vm as DaemonId,
-			daemons: () => this.membership.members(clock.now()).map(member => member.daemon),
-			isListed: upstream => this.directory.get(upstream.id)?.bornAt === upstream.bornAt,
-			isOwner: upstream => this.isPartOwner(upstream),
-			onLimitReport(report) {
-				logger.info({event: 'upstream-limit', ...report}, report.requestsPerSecond === undefined ? 'limit of an upstream lifted' : 'upstream has a limit');
-			},
-			onLimitedSend: (upstream, reason) => {
-				this.metrics.recordLimitedRequest(reason);
-				this.loadReporter.recordLimitedRequest(upstream, reason);
-			},
-		});
-		const versions = new VersionHistory();
-		for (const event of ['regained', 'gap'] as const) {
-			this.followers.upstreams.on(event, () => {
-				versions.restart(clock.now());
-			});
-		}
-
-		this.streamRecords = new StreamRecords({
-			clock,
-			store,
-			storeTime: () => this.followers.fleet.storeTime(clock.now()),
-			dataCentre: settings.dataCentre as DataCentreId,
-			dataCentres: Object.keys(settings.dataCentres) as DataCentreId[],
-			daemons: () => this.membership.members(clock.now()).length,
-			versions,
-			isListContinuous: () => this.followers.upstreams.isContinuous,
-			readVersions: async service => readListedVersions(store, platform.tables, service),
-			isOwner: part => this.isPartOwner(part),
-			onDropped(count) {
-				logger.warn({event: 'stream-records-dropped', count}, 'the store takes no records of streams');
-			},
 		});
+		const {membership, fleetView, versions} = this.fleet;
 		this.batchService = new BatchService({
 			clock, store, follower: this.followers.batches, batchCache: this.batchCache, storeTime: () => this.followers.batches.storeTime(clock.now()),
 		});
@@ -210,8 +143,8 @@
 			versions: this.versions,
 			self: settings.vm as DaemonId,
 			silenceMs: settings.orderSilenceMs,
-			services: () => this.fleetView.engineServices(this.operatorState.namedVersions),
-			isOwner: engine => this.fleetView.isOwner(engine),
+			services: () => this.fleet.fleetView.engineServices(this.operatorState.namedVersions),
+			isOwner: engine => this.fleet.fleetView.isOwner(engine),
 			onOrderReport: report => {
 				this.metrics.recordOrder(report.outcome);
 				logger.info({event: 'order', ...report}, report.outcome);
@@ -226,9 +159,9 @@
 			pool: this.pool,
 			health: this.health,
 			protocol: platform.upstreams,
-			crashes: this.crashReports,
-			limits: this.rateLimiter,
-			streams: this.streamRecords,
+			crashes: this.fleet.crashReports,
+			limits: this.fleet.rateLimiter,
+			streams: this.fleet.streamRecords,
 			dataCentre: settings.dataCentre as DataCentreId,
 			random: options.random ?? Math.random,
 		};
@@ -237,7 +170,7 @@
 			logger,
 			store,
 			follower: this.followers.fleet,
-			self,
+			self: this.fleet.self,
 			address: settings.listen.relay,
 			protocol: platform.callers,
 			upstreamPool: this.pool,
@@ -249,10 +182,10 @@
 				},
 			}),
 			upstreams: () => this.directory.all(),
-			members: now => this.membership.members(now),
+			members: now => this.fleet.membership.members(now),
 			configuration: () => this.operatorState.configuration,
 			onChanged: () => {
-				this.fleetView.invalidate();
+				this.fleet.fleetView.invalidate();
 				this.batchTasks.wake();
 			},
 			onAccepted: () => {
@@ -270,17 +203,17 @@
 			batchCache: this.batchCache,
 			directory: this.directory,
 			engines: platform.engines,
-			limits: this.rateLimiter,
+			limits: this.fleet.rateLimiter,
 			versions: this.versions,
-			membership: this.membership,
-			fleetView: this.fleetView,
+			membership,
+			fleetView,
 			metrics: this.metrics,
 			loadReporter: this.loadReporter,
 			forwarding: {...forwarding, relays: this.relays.path},
 			configuration: () => this.operatorState.configuration,
 			incarnation: this.incarnation,
 			retentionMs: settings.resultRetentionSeconds * 1000,
-			isBatchOwner: batch => this.isPartOwner(batch),
+			isBatchOwner: batch => this.fleet.isPartOwner(batch),
 			onRequestReport: report => {
 				this.recordRequest(report);
 			},
@@ -326,14 +259,14 @@
 			health: this.health,
 			onChanged: () => {
 				versions.update(this.directory.all(), clock.now());
-				this.fleetView.invalidate();
+				this.fleet.fleetView.invalidate();
 				this.updateRole();
 				this.weightLoader.wake();
 				this.batchTasks.wake();
 			},
 			onExpired: () => {
 				versions.update(this.directory.all(), clock.now());
-				this.fleetView.invalidate();
+				this.fleet.fleetView.invalidate();
 			},
 		});
 		this.loadReportTimer = setInterval(() => {
@@ -362,7 +295,7 @@
 		}
 
 		// Other daemons count on what an announced daemon does, so it is announced only once it can be reached.
-		this.membership.start();
+		this.fleet.membership.start();
 		this.relays.start();
 		logger.info({event: 'start', life: this.incarnation}, 'daemon started');
 	}
@@ -399,7 +332,7 @@
 		const graceMs = settings.shutdownSeconds * 1000;
 		this.isStopping = true;
 		logger.info({event: 'stop', running: this.batchTasks.running, rewarding: this.batchTasks.rewarding}, 'daemon is shutting down');
-		this.membership.leave();
+		this.fleet.membership.leave();
 		this.batchTasks.startDraining();
 		this.weightLoader.stop();
 		this.frontServer.startDraining();
@@ -432,11 +365,8 @@
 			follower.stop();
 		}
 
-		this.membership.stop();
+		this.fleet.stop();
 		this.batchTasks.stop();
-		this.crashReports.stop();
-		this.rateLimiter.stop();
-		this.streamRecords.stop();
 		this.relays.stop();
 		this.frontServer.close();
 		this.healthServer.close();
@@ -461,7 +391,7 @@
 			this.batchTasks.wake();
 		});
 		this.followers.fleet.on('changed', () => {
-			this.fleetView.invalidate();
+			this.fleet.fleetView.invalidate();
 			this.updateRole();
 		});
 	}
@@ -472,22 +402,16 @@
 	*/
 	private get isCandidate(): boolean {
 		const {fleet, upstreams} = this.followers;
-		return !fleet.isLoaded || !upstreams.isLoaded || this.fleetView.isCandidate || this.batchTasks.running + this.batchTasks.rewarding > 0;
+		return !fleet.isLoaded || !upstreams.isLoaded || this.fleet.fleetView.isCandidate || this.batchTasks.running + this.batchTasks.rewarding > 0;
 	}
 
 	private updateRole(): void {
-		if (this.membership.updateRole()) {
+		if (this.fleet.membership.updateRole()) {
 			this.followers.batches.hurry();
 			this.followers.fleet.hurry();
 		}
 	}
 
-	/** Whether this daemon is responsible for cleaning up a part of a table. */
-	private isPartOwner(part: string): boolean {
-		const {clock, settings} = this.options;
-		return ownerOf(part, this.membership.members(clock.now()).map(member => member.daemon)) === settings.vm;
-	}
-
 	/** Whether the load balancer may send new connections to this daemon. */
 	get isReady(): boolean {
 		const now = this.options.clock.now();
--- a/packages/entry/src/front-server.test.ts
+++ b/packages/entry/src/front-server.test.ts
@@ -9,7 +9,8 @@
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {CallerProtocol, type CallerCall, type RequestHead} from './caller-protocol.js';
-import {FrontServer, type CallReport} from './front-server.js';
+import type {CallReport} from './call-report.js';
+import {FrontServer} from './front-server.js';
 
 const configuration: RoutingConfiguration = {
 	version: 1,
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -9,15 +9,15 @@
 import {
 	choosePath, decideNextStep, hedgeDelay, relayedAttempts, type AttemptOutcome,
 } from './decide-attempt.js';
-import type {PlainRequest, RequestReport, ResponseReceiver} from './plain-request.js';
+import type {PlainRequest, ResponseReceiver} from './plain-request.js';
 import {NoRelayPath, type RelayPath} from './relay-path.js';
+import {RequestReporter, type RequestProgress, type RequestReporterOptions} from './request-reporter.js';
 import {resolveOrigin, type StreamContinuation} from './stream-origins.js';
 import {UpstreamSelection, type UpstreamSelectionOptions} from './upstream-selection.js';
 
-export type ForwarderOptions = UpstreamSelectionOptions & UpstreamTargetOptions & Readonly<{
+export type ForwarderOptions = UpstreamSelectionOptions & UpstreamTargetOptions & RequestReporterOptions & Readonly<{
 	/** Defaults to none. */
 	relays?: RelayPath;
-	onRequestReport: (report: RequestReport) => void;
 }>;
 
 /** `Retry-After` for a request that no upstream accepts. It is short, so that callers with short deadlines can still retry. */
@@ -56,7 +56,7 @@
 	private relayRetryMs = 0;
 	private mayHaveRun = false;
 	private isOver = false;
-	private readonly startedAt: Millis;
+	private readonly reporter: RequestReporter;
 	private hedgeTimer: NodeJS.Timeout | undefined;
 	private deadlineTimer: NodeJS.Timeout | undefined;
 
@@ -65,7 +65,7 @@
 		private readonly req: PlainRequest,
 		private readonly receiver: ResponseReceiver,
 	) {
-		this.startedAt = options.clock.now();
+		this.reporter = new RequestReporter(options, req);
 		this.relayPath = options.relays ?? new NoRelayPath();
 		this.selection = new UpstreamSelection(options, req);
 	}
@@ -344,7 +344,7 @@
 			remainingMs: this.remainingMs(),
 		});
 		if (step.kind !== 'answer') {
-			this.reportOutcome(attempt, `${outcome.kind}, then ${step.kind}`, 'cause' in outcome ? {cause: outcome.cause} : {status: outcome.status});
+			this.reporter.reportStep(`${outcome.kind}, then ${step.kind}`, this.progress(attempt), 'cause' in outcome ? {cause: outcome.cause} : {status: outcome.status});
 		}
 
 		switch (step.kind) {
@@ -440,7 +440,7 @@
 
 		this.hedgeTimer = setTimeout(() => {
 			if (!this.isOver && this.tryNext('hedge')) {
-				this.reportOutcome(undefined, 'hedged', {afterMs: delay});
+				this.reporter.reportStep('hedged', this.progress(undefined), {afterMs: delay});
 			}
 		}, delay);
 	}
@@ -455,7 +455,7 @@
 		clearTimeout(this.hedgeTimer);
 		clearTimeout(this.deadlineTimer);
 		this.withdrawTurn?.();
-		this.reportOutcome(kept ?? [...this.attempts][0], outcome, inputs, this.options.clock.now() - this.startedAt);
+		this.reporter.reportEnd(outcome, this.progress(kept ?? [...this.attempts][0]), inputs);
 		this.abortOtherAttempts(kept);
 	}
 
@@ -467,27 +467,7 @@
 		}
 	}
 
-	private reportOutcome(attempt: Attempt | undefined, outcome: string, inputs: Readonly<Record<string, unknown>> = {}, tookMs?: Millis): void {
-		this.options.onRequestReport({
-			requestId: this.req.requestId,
-			upstream: attempt?.target.upstream,
-			outcome,
-			tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
-			inputs: {
-				...inputs,
-				...(this.req.route.kind === 'stream' ? {softwareVersion: attempt?.target.softwareVersion, continues: this.req.continues?.stream} : {}),
-				route: this.req.route.name,
-				...(attempt?.target.relay === undefined ? {} : {relay: attempt.target.relay}),
-				...this.unanswered(),
-				sent: this.sent,
-				remainingMs: Math.round(this.remainingMs()),
-			},
-		});
-	}
-
-	/** The attempts without a response, each with the state of its connection. */
-	private unanswered(): Readonly<{unanswered?: readonly string[]}> {
-		const attempts = [...this.attempts].filter(attempt => attempt.head === undefined);
-		return attempts.length === 0 ? {} : {unanswered: attempts.map(attempt => attempt.describe())};
+	private progress(attempt: Attempt | undefined): RequestProgress {
+		return {attempt, running: this.attempts, sent: this.sent};
 	}
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -7,6 +7,7 @@
 export * from './forward-request.js';
 export * from './plain-request.js';
 export * from './relay-path.js';
+export * from './request-reporter.js';
 export * from './route.js';
 export * from './stream-origins.js';
 export * from './upstream-health.js';
--- a/packages/forwarding/src/plain-request.ts
+++ b/packages/forwarding/src/plain-request.ts
@@ -1,5 +1,7 @@
 import type {UpstreamStart} from '@cicadapost/fleet';
-import type {Millis, RequestId, UpstreamId} from '@cicadapost/types';
+import type {
+	Millis, RequestId, TeamId, UpstreamId,
+} from '@cicadapost/types';
 import type {Route} from './route.js';
 import type {StreamContinuation} from './stream-origins.js';
 
@@ -13,6 +15,8 @@
 	headers: readonly string[];
 	body: Uint8Array;
 	route: Route;
+	/** The team whose key the caller presented, if any. */
+	team?: TeamId;
 	/** Set if the caller continues an interrupted stream. */
 	continues?: StreamContinuation;
 	/** The caller's deadline or the end of the route's timeout, whichever is first, on this daemon's clock. */
@@ -48,3 +52,15 @@
 	/** Inputs of the decision that is reported. */
 	inputs: Readonly<Record<string, unknown>>;
 }>;
+
+/** The end of a request, for accounting. */
+export type RequestEnd = Readonly<{
+	requestId: RequestId | undefined;
+	team: TeamId | undefined;
+	/** Name of the route. */
+	route: string;
+	outcome: string;
+	tookMs: Millis;
+	/** Set if an upstream has responded to the request and did not say that it has not run it. `upstream` is undefined if another daemon chose it. */
+	ran: Readonly<{sentAt: Millis; upstream: UpstreamId | undefined}> | undefined;
+}>;
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -20,6 +20,8 @@
 /** Correlates the response to a platform call with the code that awaits it. */
 export type CallId = Brand<string, 'CallId'>;
 export type ServiceId = Brand<string, 'ServiceId'>;
+/** A customer that shares the system with others and presents keys of its own. */
+export type TeamId = Brand<string, 'TeamId'>;
 export type ModelId = Brand<string, 'ModelId'>;
 /** Version of an upstream's software, not of its weights. Output of two versions must not be joined. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
