Check the keys of teams at arrival and name the team to upstreams

Cause: a configuration may list teams with keys and public routes. Daemons ignored both: any caller reached any route, upstreams got the caller's Authorization header, and an X-Tenant header of the caller passed as it was.

Change: the package `teams` has the index of keys, the freshness of the configuration and the decision on access. `decideArrival` decides access once the route is known, and again when the body has been read. Headers are rewritten at arrival, and those of items at submission, so retries, hedges, relays and the previous build carry the team. The plan of a batch names its team, and other teams get 404. Where revocation is strict, a daemon that can't confirm its copy refuses calls with keys with 503.

Ruled out: rewriting headers at each attempt, which the previous build would not do for relayed requests and items.

--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -7,7 +7,7 @@
 } from '@cicadapost/types';
 import type {BatchCache} from './batch-cache.js';
 import {
-	itemCount, type BatchItem, type BatchPlan, type BatchSubmission, type SampleResult,
+	anyone, isVisible, itemCount, type BatchItem, type BatchPlan, type BatchReader, type BatchSubmission, type SampleResult,
 } from './batch.js';
 import {writtenRows} from './commit-queue.js';
 import {
@@ -20,6 +20,8 @@
 	| Readonly<{kind: 'accepted'; isRepeated: boolean}>
 	/** No part of the batch will run. */
 	| Readonly<{kind: 'refused'; retryAfterMs: Millis}>
+	/** Another team has a batch with this id. No part of the batch will run. */
+	| Readonly<{kind: 'taken'}>
 	/** The batch may have been stored. The caller must submit the same batch again. */
 	| Readonly<{kind: 'unknown'}>;
 
@@ -73,8 +75,9 @@
 	/** Stores a batch. Repeated submissions of the same batch have no further effect. */
 	async submit(submission: BatchSubmission): Promise<SubmitOutcome> {
 		const {clock, follower, batchCache} = this.options;
-		if (batchCache.get(submission.id) !== undefined) {
-			return {kind: 'accepted', isRepeated: true};
+		const known = batchCache.get(submission.id);
+		if (known !== undefined) {
+			return repeatedOutcome(known.plan, submission);
 		}
 
 		if (follower.connectedFor(clock.now()) === 0) {
@@ -98,7 +101,8 @@
 			}
 
 			case 'conflict': {
-				return {kind: 'accepted', isRepeated: true};
+				const plan = batchCache.get(submission.id)?.plan;
+				return plan === undefined ? {kind: 'accepted', isRepeated: true} : repeatedOutcome(plan, submission);
 			}
 
 			case 'refused': {
@@ -112,8 +116,8 @@
 	}
 
 	/** Returns the results from position `after` on. Waits up to `waitMs` until there is one. */
-	async results(id: BatchId, options: Readonly<{after: number; waitMs: Millis; signal: AbortSignal}>): Promise<ReadResult> {
-		const plan = await this.findPlan(id);
+	async results(id: BatchId, options: Readonly<{after: number; waitMs: Millis; signal: AbortSignal; reader?: BatchReader}>): Promise<ReadResult> {
+		const plan = await this.findPlan(id, options.reader);
 		if (typeof plan === 'string') {
 			return {kind: plan};
 		}
@@ -139,8 +143,8 @@
 		return {kind: 'page', page: {total, next: options.after + results.length, results}};
 	}
 
-	async body(id: BatchId, item: ItemId): Promise<BodyOutcome> {
-		const plan = await this.findPlan(id);
+	async body(id: BatchId, item: ItemId, reader?: BatchReader): Promise<BodyOutcome> {
+		const plan = await this.findPlan(id, reader);
 		if (typeof plan === 'string') {
 			return {kind: plan};
 		}
@@ -159,8 +163,8 @@
 		return body === undefined ? {kind: 'unavailable'} : {kind: 'body', body};
 	}
 
-	async end(id: BatchId): Promise<EndOutcome> {
-		const plan = await this.findPlan(id);
+	async end(id: BatchId, reader?: BatchReader): Promise<EndOutcome> {
+		const plan = await this.findPlan(id, reader);
 		if (typeof plan === 'string') {
 			return plan;
 		}
@@ -176,12 +180,12 @@
 		return outcome === 'committed' ? 'ended' : 'unavailable';
 	}
 
-	/** Returns the plan from the cache, or reads it from the store. */
-	private async findPlan(id: BatchId): Promise<BatchPlan | 'not-found' | 'unavailable'> {
+	/** Returns the plan from the cache, or reads it from the store. A batch of another team looks as if it did not exist. */
+	private async findPlan(id: BatchId, reader: BatchReader = anyone): Promise<BatchPlan | 'not-found' | 'unavailable'> {
 		const {batchCache, store, follower} = this.options;
 		const known = batchCache.get(id);
 		if (known !== undefined) {
-			return known.plan;
+			return isVisible(known.plan, reader) ? known.plan : 'not-found';
 		}
 
 		const rows = await readAll(store, {table: batchTable, part: id});
@@ -190,7 +194,8 @@
 		}
 
 		follower.mergeRows(rows);
-		return batchCache.get(id)?.plan ?? 'not-found';
+		const plan = batchCache.get(id)?.plan;
+		return plan !== undefined && isVisible(plan, reader) ? plan : 'not-found';
 	}
 
 	private async waitForCount(id: BatchId, after: number, {waitMs, signal}: Readonly<{waitMs: Millis; signal: AbortSignal}>): Promise<void> {
@@ -259,6 +264,11 @@
 	}
 }
 
+/** Returns the outcome of a submission whose id belongs to a stored batch. */
+function repeatedOutcome(plan: BatchPlan, {team}: BatchSubmission): SubmitOutcome {
+	return plan.team === undefined || team === undefined || plan.team === team ? {kind: 'accepted', isRepeated: true} : {kind: 'taken'};
+}
+
 function groupItems(items: readonly BatchItem[]): BatchItem[][] {
 	const groups = new Map<string, BatchItem[]>();
 	for (const item of items) {
@@ -282,6 +292,7 @@
 		submittedAt,
 		groups: groups.map(group => ({items: group.map(({id, expectedTokens}) => ({id, expectedTokens}))})),
 		...(submission.items.some(({reward}) => reward !== undefined) ? {hasRewards: true} : {}),
+		...(submission.team === undefined ? {} : {team: submission.team}),
 	};
 }
 
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -1,5 +1,5 @@
 import type {
-	BatchId, ItemId, Millis, ModelId, RequestId, SoftwareVersion,
+	BatchId, ItemId, Millis, ModelId, RequestId, SoftwareVersion, TeamId,
 } from '@cicadapost/types';
 
 /** The request to a plain service whose signed response is the reward of a sample. It may be repeated. */
@@ -41,6 +41,8 @@
 	minVersion: number;
 	/** Number of complete groups that the trainer waits for. */
 	targetGroups: number;
+	/** The team that the batch belongs to, if any. */
+	team?: TeamId;
 	items: readonly BatchItem[];
 }>;
 
@@ -77,8 +79,24 @@
 	groups: readonly GroupPlan[];
 	/** Set if an item has a reward call. Daemons of builds that can't send such calls must not run the batch. */
 	hasRewards?: true;
+	/** The team that the batch belongs to. Absent if there were no teams when it was submitted, or a daemon of an earlier build took it. */
+	team?: TeamId;
 }>;
 
+/** Who makes a call about a batch. */
+export type BatchReader =
+	/** The configuration has no teams. */
+	| Readonly<{kind: 'anyone'}>
+	/** `team` is undefined for a public call without a known key. */
+	| Readonly<{kind: 'team'; team: TeamId | undefined}>;
+
+export const anyone: BatchReader = {kind: 'anyone'};
+
+/** Whether the batch exists as far as the reader can tell. A batch without a team exists for everyone. */
+export function isVisible(plan: BatchPlan, reader: BatchReader): boolean {
+	return reader.kind === 'anyone' || plan.team === undefined || plan.team === reader.team;
+}
+
 export type GroupPlan = Readonly<{
 	items: ReadonlyArray<Readonly<{id: ItemId; expectedTokens: number}>>;
 }>;
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -1,6 +1,6 @@
 import {decodeList, encodeList} from '@cicadapost/store';
 import type {
-	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, RequestId, SoftwareVersion,
+	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, RequestId, SoftwareVersion, TeamId,
 } from '@cicadapost/types';
 import type {
 	BatchItem, BatchPlan, ClaimedText, ItemClaim, RewardCall, SampleResult, SampleText,
@@ -72,12 +72,14 @@
 		plan.targetGroups,
 		plan.submittedAt,
 		plan.groups.map(group => group.items.map(item => [item.id, item.expectedTokens])),
-		...(plan.hasRewards === true ? [plan.model] : []),
+		// Earlier builds read this field only if it is a string.
+		...(plan.hasRewards === true ? [plan.model] : (plan.team === undefined ? [] : [null])),
+		...(plan.team === undefined ? [] : [plan.team]),
 	]);
 }
 
 export function decodePlan(value: Uint8Array): BatchPlan {
-	return decodeRow(value, 'the plan of a batch', ([host, path, step, model, minVersion, targetGroups, submittedAt, groups, modelWithRewards]) => {
+	return decodeRow(value, 'the plan of a batch', ([host, path, step, model, minVersion, targetGroups, submittedAt, groups, modelWithRewards, team]) => {
 		if (typeof host !== 'string' || typeof path !== 'string' || typeof model !== 'string' || typeof submittedAt !== 'number') {
 			return undefined;
 		}
@@ -94,6 +96,7 @@
 				items: items.map(([id, expectedTokens]) => ({id: id as ItemId, expectedTokens})),
 			})),
 			...(typeof modelWithRewards === 'string' ? {hasRewards: true} : {}),
+			...(typeof team === 'string' ? {team: team as TeamId} : {}),
 		};
 	});
 }
--- /dev/null
+++ b/packages/entry/src/access-monitor.ts
@@ -0,0 +1,57 @@
+import type {RoutingConfiguration} from '@cicadapost/forwarding';
+import type {Logger} from '@cicadapost/observability';
+import type {TableFollower} from '@cicadapost/store';
+import {isConfigurationFresh, type CopyFreshness} from '@cicadapost/teams';
+import type {Clock, Millis} from '@cicadapost/types';
+
+/**
+Age up to which the copy may reject a key or a path that it does not list. The operator counts on a new configuration some seconds
+after its confirmation; before then callers expect to be rejected.
+*/
+const maxRejectionAgeMs = 2500;
+
+export type AccessMonitorOptions = Readonly<{
+	clock: Clock;
+	logger: Logger;
+	/** Follows the operator's table. */
+	follower: Pick<TableFollower, 'confirmedAt'>;
+	configuration: () => RoutingConfiguration | undefined;
+	/** Time after which a revoked key must not be accepted by any daemon, in milliseconds. Undefined if there is no such bound. */
+	revocationMs: Millis | undefined;
+}>;
+
+/** Knows what this daemon's copy of the configuration is recent enough for, and logs when it stops being so. */
+export class AccessMonitor {
+	private allowedKeys = true;
+
+	constructor(private readonly options: AccessMonitorOptions) {}
+
+	/** Reads both clocks. Called once for each check of a call. */
+	freshness(): CopyFreshness {
+		const {clock, follower: {confirmedAt}, revocationMs} = this.options;
+		const now = {steady: clock.now(), wall: clock.wallTime()};
+		const isFresh = (maxAgeMs: Millis) => isConfigurationFresh({confirmedAt, now, maxAgeMs});
+		const allowsKeys = revocationMs === undefined || isFresh(revocationMs);
+		this.logChange(allowsKeys, confirmedAt === undefined ? undefined : Math.round(now.steady - confirmedAt.steady));
+		return {allowsKeys, allowsRejection: isFresh(Math.min(maxRejectionAgeMs, revocationMs ?? maxRejectionAgeMs))};
+	}
+
+	/** Whether calls with keys are served. */
+	get servesKeys(): boolean {
+		return this.options.configuration()?.teams === undefined || this.freshness().allowsKeys;
+	}
+
+	private logChange(allowsKeys: boolean, ageMs: Millis | undefined): void {
+		if (allowsKeys === this.allowedKeys || this.options.configuration()?.teams === undefined) {
+			return;
+		}
+
+		this.allowedKeys = allowsKeys;
+		const {logger} = this.options;
+		if (allowsKeys) {
+			logger.info({event: 'keys-accepted', ageMs}, 'the configuration is known to be current; calls with keys are served again');
+		} else {
+			logger.warn({event: 'keys-refused', ageMs}, 'the configuration is not known to be current; calls with keys are refused until the store confirms it');
+		}
+	}
+}
--- a/packages/entry/src/batch-calls.ts
+++ b/packages/entry/src/batch-calls.ts
@@ -1,5 +1,8 @@
 import type {ServerResponse} from 'node:http';
-import type {BatchService} from '@cicadapost/batches';
+import {
+	anyone, type BatchReader, type BatchService, type BatchSubmission,
+} from '@cicadapost/batches';
+import type {Access} from '@cicadapost/teams';
 import type {BatchId} from '@cicadapost/types';
 import {noConfigurationRetryMs, type BatchCall, type RoutedCall} from './arrival.js';
 import type {CallReport} from './call-report.js';
@@ -17,7 +20,7 @@
 export class BatchCalls {
 	constructor(private readonly options: BatchCallsOptions) {}
 
-	async submit(res: ServerResponse, {call, method, body}: Readonly<{call: RoutedCall; method: string | undefined; body: Uint8Array}>): Promise<void> {
+	async submit(res: ServerResponse, {call, method, body, access}: Readonly<{call: RoutedCall; method: string | undefined; body: Uint8Array; access: Access}>): Promise<void> {
 		const {protocol, batches, writer} = this.options;
 		if (method !== 'POST' || call.requestId === undefined) {
 			writer.fail(res, 400, 'a batch is submitted with POST and an id of its own');
@@ -34,7 +37,7 @@
 				writer.fail(res, 400, err.message);
 			},
 			Right: async submission => {
-				const outcome = await batches.submit(submission);
+				const outcome = await batches.submit(this.admit(submission, access));
 				this.report(id, `batch ${outcome.kind}`, {step: submission.step, items: submission.items.length, minVersion: submission.minVersion});
 				switch (outcome.kind) {
 					case 'accepted': {
@@ -42,6 +45,11 @@
 						break;
 					}
 
+					case 'taken': {
+						writer.fail(res, 409, 'the id of the batch is not available; submit the batch with another one');
+						break;
+					}
+
 					case 'refused': {
 						writer.refuse(res, outcome.retryAfterMs, 'the store can\'t be reached from here');
 						break;
@@ -56,7 +64,8 @@
 		});
 	}
 
-	async respond(res: ServerResponse, call: BatchCall): Promise<void> {
+	async respond(res: ServerResponse, call: BatchCall, access: Access): Promise<void> {
+		const reader: BatchReader = access.kind === 'open' ? anyone : {kind: 'team', team: access.team?.name};
 		const {batches, protocol, writer} = this.options;
 		const disconnected = new AbortController();
 		res.once('close', () => {
@@ -64,7 +73,9 @@
 		});
 		switch (call.kind) {
 			case 'batch-results': {
-				const outcome = await batches.results(call.batch, {after: call.after, waitMs: call.waitMs, signal: disconnected.signal});
+				const outcome = await batches.results(call.batch, {
+					after: call.after, waitMs: call.waitMs, signal: disconnected.signal, reader,
+				});
 				if (outcome.kind === 'page') {
 					writer.send(res, 200, protocol.encodeResults(outcome.page));
 				} else {
@@ -75,7 +86,7 @@
 			}
 
 			case 'item-body': {
-				const outcome = await batches.body(call.batch, call.item);
+				const outcome = await batches.body(call.batch, call.item, reader);
 				if (outcome.kind === 'body') {
 					res.writeHead(200, {'Content-Type': 'application/octet-stream', 'Content-Length': outcome.body.length});
 					res.end(outcome.body);
@@ -87,7 +98,7 @@
 			}
 
 			case 'end-batch': {
-				const outcome = await batches.end(call.batch);
+				const outcome = await batches.end(call.batch, reader);
 				this.report(call.batch, `end of batch: ${outcome}`, {});
 				if (outcome === 'ended') {
 					writer.send(res, 200, '{}');
@@ -100,6 +111,21 @@
 		}
 	}
 
+	/** Names the team of an allowed submission in the batch and in the headers of each item, which all builds send to the engines. */
+	private admit(submission: BatchSubmission, access: Access): BatchSubmission {
+		if (access.kind === 'open') {
+			return submission;
+		}
+
+		const team = access.team?.name;
+		const {protocol} = this.options;
+		return {
+			...submission,
+			...(team === undefined ? {} : {team}),
+			items: submission.items.map(item => ({...item, headers: protocol.admittedHeaders({received: item.headers, team})})),
+		};
+	}
+
 	private fail(res: ServerResponse, batch: BatchId, outcome: 'not-found' | 'unavailable'): void {
 		this.report(batch, `batch call: ${outcome}`, {});
 		if (outcome === 'not-found') {
--- a/packages/entry/src/batch-routes.ts
+++ b/packages/entry/src/batch-routes.ts
@@ -1,6 +1,8 @@
 import {queueDeadlineOf, type BatchRules, type BatchView} from '@cicadapost/batches';
 import type {UpstreamRecord} from '@cicadapost/fleet';
-import {matchRoute, type Route, type RoutingConfiguration} from '@cicadapost/forwarding';
+import {
+	matchRoute, routeForTeam, type Route, type RoutingConfiguration,
+} from '@cicadapost/forwarding';
 import type {RewardRules} from '@cicadapost/rewards';
 import type {Millis} from '@cicadapost/types';
 
@@ -15,10 +17,10 @@
 	constructor(private readonly options: BatchRoutesOptions) {}
 
 	/** Returns undefined if no route serves the batch any more. */
-	routeOf(batch: BatchView): Route | undefined {
+	routeOf({plan: {host, path, team}}: BatchView): Route | undefined {
 		const configuration = this.options.configuration();
-		const route = configuration === undefined ? undefined : matchRoute(configuration, batch.plan.host, batch.plan.path);
-		return route?.kind === 'batch' ? route : undefined;
+		const route = configuration === undefined ? undefined : matchRoute(configuration, host, path);
+		return route?.kind === 'batch' ? routeForTeam(route, team === undefined ? undefined : configuration?.teams?.teamNamed(team)) : undefined;
 	}
 
 	rulesOf(batch: BatchView): BatchRules | undefined {
--- a/packages/entry/src/broken-streams.test.ts
+++ b/packages/entry/src/broken-streams.test.ts
@@ -40,6 +40,10 @@
 		};
 	}
 
+	override admittedHeaders({received}: Readonly<{received: readonly string[]}>): string[] {
+		return [...received];
+	}
+
 	override parseSubmission() {
 		return Right({} as never);
 	}
--- a/packages/entry/src/caller-protocol.ts
+++ b/packages/entry/src/caller-protocol.ts
@@ -1,7 +1,8 @@
 import type {BatchSubmission, ResultsPage} from '@cicadapost/batches';
 import type {StreamContinuation} from '@cicadapost/forwarding';
+import type {Credential} from '@cicadapost/teams';
 import type {
-	BatchId, ItemId, Millis, RequestId,
+	BatchId, ItemId, Millis, RequestId, TeamId,
 } from '@cicadapost/types';
 import type {Either} from 'purify-ts';
 
@@ -25,10 +26,11 @@
 		deadlineMs: Millis | undefined;
 		/** Set if the caller continues an interrupted stream. */
 		continues?: StreamContinuation;
+		credential?: Credential;
 	}>
-	| Readonly<{kind: 'batch-results'; batch: BatchId; after: number; waitMs: Millis}>
-	| Readonly<{kind: 'item-body'; batch: BatchId; item: ItemId}>
-	| Readonly<{kind: 'end-batch'; batch: BatchId}>
+	| Readonly<{kind: 'batch-results'; batch: BatchId; after: number; waitMs: Millis; credential?: Credential}>
+	| Readonly<{kind: 'item-body'; batch: BatchId; item: ItemId; credential?: Credential}>
+	| Readonly<{kind: 'end-batch'; batch: BatchId; credential?: Credential}>
 	| Readonly<{kind: 'invalid'; detail: string}>;
 
 /** An invalid submission. The message names the field and the remedy. */
@@ -41,6 +43,8 @@
 	/** Path of the platform's readiness probe. */
 	abstract readonly readyPath: string;
 	abstract parseCall(head: RequestHead): CallerCall;
+	/** Returns the headers of an allowed request without its credential and with the name of its team, if any, as alternating names and values. */
+	abstract admittedHeaders(options: Readonly<{received: readonly string[]; team: TeamId | undefined}>): string[];
 	abstract parseSubmission(options: Readonly<{batch: BatchId; host: string; path: string; body: Uint8Array}>): Either<SubmissionError, BatchSubmission>;
 	abstract encodeResults(page: ResultsPage): string;
 	abstract encodeError(detail: string): string;
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -17,6 +17,7 @@
 import {
 	EngineVersions, WeightLoader, type OrderClient,
 } from '@cicadapost/weights';
+import {AccessMonitor} from './access-monitor.js';
 import {BatchTasks} from './batch-tasks.js';
 import type {CallerProtocol} from './caller-protocol.js';
 import {EntryMetrics} from './entry-metrics.js';
@@ -79,6 +80,7 @@
 	private readonly batchService: BatchService;
 	private readonly batchTasks: BatchTasks;
 	private readonly weightLoader: WeightLoader;
+	private readonly accessMonitor: AccessMonitor;
 	private readonly frontServer: FrontServer;
 	private readonly healthServer: HealthServer;
 	private readonly operatorState: OperatorState;
@@ -218,6 +220,13 @@
 				this.recordRequest(report);
 			},
 		});
+		this.accessMonitor = new AccessMonitor({
+			clock,
+			logger,
+			follower: this.followers.operator,
+			configuration: () => this.operatorState.configuration,
+			revocationMs: settings.revocation.isStrict ? settings.revocation.maxMs : undefined,
+		});
 		this.frontServer = new FrontServer({
 			clock,
 			protocol: platform.callers,
@@ -230,6 +239,8 @@
 			}),
 			batches: this.batchService,
 			configuration: () => this.operatorState.configuration,
+			freshness: () => this.accessMonitor.freshness(),
+			random: options.random ?? Math.random,
 			onCallReport: report => {
 				this.metrics.recordCall(report.outcome);
 				logger.info({event: 'call', ...report}, report.outcome);
@@ -415,6 +426,7 @@
 	/** Whether the load balancer may send new connections to this daemon. */
 	get isReady(): boolean {
 		const now = this.options.clock.now();
-		return !this.isStopping && this.operatorState.configuration !== undefined && Object.values(this.followers).every(follower => follower.isLoaded && follower.silentFor(now) < maxStoreSilenceMs);
+		const hasStore = Object.values(this.followers).every(follower => follower.isLoaded && follower.silentFor(now) < maxStoreSilenceMs);
+		return !this.isStopping && this.operatorState.configuration !== undefined && this.accessMonitor.servesKeys && hasStore;
 	}
 }
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -36,6 +36,13 @@
 	orderSilenceMs: z.number().nonnegative(),
 	/** Time after submission for which the results of a batch can be read, in seconds. */
 	resultRetentionSeconds: z.number().positive().default(120),
+	/** How soon a key that the operator has taken from its team is no longer accepted. */
+	revocation: z.strictObject({
+		/** Whether each daemon rejects calls with keys while it can't confirm that its configuration is recent enough. */
+		isStrict: z.boolean().default(false),
+		/** Time after the confirmation of a configuration at which no daemon accepts the keys that it revokes any more, in milliseconds. */
+		maxMs: z.number().positive().default(5000),
+	}).prefault({}),
 	log: z.strictObject({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 	}).prefault({}),
--- a/packages/entry/src/front-server.test.ts
+++ b/packages/entry/src/front-server.test.ts
@@ -33,6 +33,10 @@
 		};
 	}
 
+	override admittedHeaders({received}: Readonly<{received: readonly string[]}>): string[] {
+		return [...received];
+	}
+
 	override parseSubmission() {
 		return Right({} as never);
 	}
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -7,6 +7,7 @@
 	CallerLimits, ForwardFailure, Forwarder, Route, RoutingConfiguration,
 } from '@cicadapost/forwarding';
 import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
+import type {Access, CopyFreshness} from '@cicadapost/teams';
 import type {Clock, Millis} from '@cicadapost/types';
 import {decideArrival, type ArrivalDecision, type RoutedCall} from './arrival.js';
 import {BatchCalls} from './batch-calls.js';
@@ -16,6 +17,8 @@
 import {readWholeBody} from './read-whole-body.js';
 import {ResponseWriter} from './response-writer.js';
 
+type RoutedDecision = Extract<ArrivalDecision, {kind: 'routed'}>;
+type RoutedCallWithBody = Readonly<{call: RoutedCall; decision: ArrivalDecision; body: Uint8Array; arrivedAt: Millis}>;
 type CallReportOfArrival = Extract<ArrivalDecision, {kind: 'rejected'}>['report'];
 
 export type FrontServerOptions = Readonly<{
@@ -24,6 +27,10 @@
 	forwarder: Pick<Forwarder, 'forward'>;
 	batches: Pick<BatchService, 'submit' | 'results' | 'body' | 'end'>;
 	configuration: () => RoutingConfiguration | undefined;
+	/** What the copy of the configuration is recent enough for. Defaults to everything. */
+	freshness?: () => CopyFreshness;
+	/** Returns a number from 0 to 1. */
+	random?: () => number;
 	onCallReport: (report: CallReport) => void;
 }>;
 
@@ -112,36 +119,69 @@
 	}
 
 	private async respond(req: IncomingMessage, res: ServerResponse, call: CallerCall, arrivedAt: Millis): Promise<void> {
-		const decision = decideArrival({call, headBytes: headBytes(req), configuration: this.options.configuration()});
+		const decision = this.decide(req, call);
 		switch (decision.kind) {
-			case 'refused': {
-				this.reportArrival(call, decision.report);
-				this.writer.refuse(res, decision.retryAfterMs, decision.detail);
+			case 'refused':
+			case 'rejected': {
+				this.turnAway(res, call, decision);
 				break;
 			}
 
-			case 'rejected': {
-				this.reportArrival(call, decision.report);
-				if (decision.closes) {
-					res.setHeader('Connection', 'close');
+			case 'routed': {
+				const body = await this.readBody(req, res, decision.configuration.limits);
+				if (body !== undefined) {
+					await this.serveRouted(req, res, {
+						call: decision.call, decision: this.decideAgain(req, decision), body, arrivedAt,
+					});
 				}
 
-				this.writer.fail(res, decision.status, decision.detail);
 				break;
 			}
 
-			case 'routed': {
-				const {route, configuration} = decision;
-				const body = await this.readBody(req, res, configuration.limits);
-				if (body === undefined) {
-					return;
-				}
+			case 'batch-call': {
+				req.resume();
+				await this.batchCalls.respond(res, decision.call, decision.access);
+				break;
+			}
+		}
+	}
+
+	private decide(req: IncomingMessage, call: CallerCall): ArrivalDecision {
+		const {configuration, freshness, random} = this.options;
+		return decideArrival({
+			call,
+			headBytes: headBytes(req),
+			configuration: configuration(),
+			freshness: freshness?.() ?? {allowsKeys: true, allowsRejection: true},
+			random: (random ?? Math.random)(),
+		});
+	}
+
+	/** Decides again on a call whose body has been read, since its key may have been revoked or the copy of the configuration have become too old meanwhile. */
+	private decideAgain(req: IncomingMessage, decision: RoutedDecision): ArrivalDecision {
+		return this.options.configuration()?.teams === undefined ? decision : this.decide(req, decision.call);
+	}
 
+	private async serveRouted(req: IncomingMessage, res: ServerResponse, options: RoutedCallWithBody): Promise<void> {
+		const {
+			call, decision, body, arrivedAt,
+		} = options;
+		switch (decision.kind) {
+			case 'refused':
+			case 'rejected': {
+				this.turnAway(res, call, decision);
+				break;
+			}
+
+			case 'routed': {
+				const {route, access} = decision;
 				if (route.kind === 'batch') {
-					await this.batchCalls.submit(res, {call: decision.call, method: req.method, body});
+					await this.batchCalls.submit(res, {
+						call, method: req.method, body, access,
+					});
 				} else {
 					this.forward(req, res, {
-						call: decision.call, route, body, arrivedAt,
+						call, route, access, body, arrivedAt,
 					});
 				}
 
@@ -149,13 +189,30 @@
 			}
 
 			case 'batch-call': {
-				req.resume();
-				await this.batchCalls.respond(res, decision.call);
-				break;
+				throw new Error('a routed call does not become one about a batch; check `decideArrival`');
 			}
 		}
 	}
 
+	/** Answers a call that goes no further. */
+	private turnAway(res: ServerResponse, call: CallerCall, decision: Extract<ArrivalDecision, {kind: 'refused' | 'rejected'}>): void {
+		this.reportArrival(call, decision.report);
+		if (decision.kind === 'refused') {
+			this.writer.refuse(res, decision.retryAfterMs, decision.detail);
+			return;
+		}
+
+		if (decision.closes) {
+			res.setHeader('Connection', 'close');
+		}
+
+		if (decision.status === 401) {
+			res.setHeader('WWW-Authenticate', 'Bearer');
+		}
+
+		this.writer.fail(res, decision.status, decision.detail);
+	}
+
 	/** Reads the whole body. Returns undefined if the request has been answered or the caller has disconnected. */
 	private async readBody(req: IncomingMessage, res: ServerResponse, limits: CallerLimits): Promise<Uint8Array | undefined> {
 		const outcome = await readWholeBody(req, {bytes: limits.bodyBytes, idleMs: limits.idleTimeoutMs});
@@ -180,16 +237,20 @@
 		}
 	}
 
-	private forward(req: IncomingMessage, res: ServerResponse, options: Readonly<{call: RoutedCall; route: Route; body: Uint8Array; arrivedAt: Millis}>): void {
-		const {call, route, body, arrivedAt} = options;
+	private forward(req: IncomingMessage, res: ServerResponse, options: Readonly<{call: RoutedCall; route: Route; access: Access; body: Uint8Array; arrivedAt: Millis}>): void {
+		const {
+			call, route, access, body, arrivedAt,
+		} = options;
+		const team = access.kind === 'checked' ? access.team?.name : undefined;
 		const cancel = this.options.forwarder.forward({
 			requestId: call.requestId,
 			method: req.method ?? 'GET',
 			path: req.url ?? '/',
 			host: call.host,
-			headers: req.rawHeaders,
+			headers: access.kind === 'checked' ? this.options.protocol.admittedHeaders({received: req.rawHeaders, team}) : req.rawHeaders,
 			body,
 			route,
+			...(team === undefined ? {} : {team}),
 			...(call.continues === undefined ? {} : {continues: call.continues}),
 			deadlineAt: arrivedAt + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 		}, new CallerResponseReceiver(res, failure => {
--- a/packages/forwarding/src/route.ts
+++ b/packages/forwarding/src/route.ts
@@ -1,3 +1,4 @@
+import type {KeyIndex, Team} from '@cicadapost/teams';
 import type {Millis, ServiceId} from '@cicadapost/types';
 
 /** Whether a request may be repeated. A request of kind `once` runs at most once. */
@@ -27,6 +28,8 @@
 	maxQueueMs: Millis;
 	/** Batches: all events of a sample must come from one weight version. */
 	isSingleVersion: boolean;
+	/** Whether requests need no key where the configuration has teams. False if absent. */
+	isPublic?: boolean;
 }>;
 
 export type ServiceConfiguration = Readonly<{
@@ -50,6 +53,8 @@
 	routes: readonly Route[];
 	services: readonly ServiceConfiguration[];
 	limits: CallerLimits;
+	/** Absent if requests need no keys. */
+	teams?: KeyIndex;
 }>;
 
 /** Returns the route of the host with the longest prefix that matches the path. */
@@ -64,6 +69,11 @@
 	return best;
 }
 
+/** Returns the route with the priority of the team, if the team has one. */
+export function routeForTeam(route: Route, team: Team | undefined): Route {
+	return team?.priority === undefined ? route : {...route, priority: team.priority};
+}
+
 /** Picks one of the route's services by weight. `random` is a number from 0 to 1. */
 export function pickService(route: Route, random: number): ServiceId | undefined {
 	const total = route.services.reduce((sum, {weight}) => sum + weight, 0);
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -1,6 +1,6 @@
 import {EventEmitter} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Clock, Millis} from '@cicadapost/types';
+import type {Clock, ClockReadings, Millis} from '@cicadapost/types';
 import {
 	readAll, type RowChange, type RowStore, type StoredRow,
 } from './row-store.js';
@@ -29,9 +29,6 @@
 	gap: [ms: Millis];
 };
 
-/** Both clocks, since the monotonic one may stop while the VM is suspended, and the wall clock may be adjusted. */
-type ClockReadings = Readonly<{steady: Millis; wall: Millis}>;
-
 function elapsedMs(from: ClockReadings, to: ClockReadings): Millis {
 	return Math.max(to.steady - from.steady, to.wall - from.wall);
 }
@@ -90,6 +87,11 @@
 		return this.version ?? 0;
 	}
 
+	/** When the call was sent whose response last confirmed the copy: the copy shows every change made before then. Undefined before the first one. */
+	get confirmedAt(): ClockReadings | undefined {
+		return this.lastSuccessfulCall;
+	}
+
 	/** Age of the copy: time since the last successful call was sent; infinite before the first one. */
 	age(now: Millis): Millis {
 		return this.lastSuccessfulCall === undefined ? Number.POSITIVE_INFINITY : now - this.lastSuccessfulCall.steady;
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -22,6 +22,8 @@
 export type ServiceId = Brand<string, 'ServiceId'>;
 /** A customer that shares the system with others and presents keys of its own. */
 export type TeamId = Brand<string, 'TeamId'>;
+/** SHA-256 of a team's key. */
+export type KeyFingerprint = Brand<string, 'KeyFingerprint'>;
 export type ModelId = Brand<string, 'ModelId'>;
 /** Version of an upstream's software, not of its weights. Output of two versions must not be joined. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
