Confirm the configuration by the time at which a poll was sent, on both clocks

Change: followers keep the clock readings of the call sent last whose response confirmed the copy, and can confirm it beside a poll in flight. Where revocation is strict, long polls of the operator's table are short enough for keys to be accepted for 0.6 of the bound after the loss of the store. Bodies of a submission are written only while the batch has no plan, so that another team can't replace them. Keys of earlier teams stay hidden from upstreams.

--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -89,6 +89,10 @@
 		const {bodyTransactions, planTransaction} = planSubmission(submission.id, createPlan(submission, groups, this.options.storeTime()), groups);
 		for (const transaction of bodyTransactions) {
 			const outcome = await this.write(transaction, giveUpAt);
+			if (outcome === 'conflict') {
+				return this.outcomeOfStored(submission);
+			}
+
 			if (outcome !== 'committed') {
 				// A batch does not exist without its plan, even if some bodies were stored.
 				return {kind: 'refused', retryAfterMs: disconnectedRetryMs};
@@ -101,8 +105,7 @@
 			}
 
 			case 'conflict': {
-				const plan = batchCache.get(submission.id)?.plan;
-				return plan === undefined ? {kind: 'accepted', isRepeated: true} : repeatedOutcome(plan, submission);
+				return this.outcomeOfStored(submission);
 			}
 
 			case 'refused': {
@@ -180,6 +183,12 @@
 		return outcome === 'committed' ? 'ended' : 'unavailable';
 	}
 
+	/** Returns the outcome of a submission that the store has rejected because the batch has a plan, which is in the cache then. */
+	private outcomeOfStored(submission: BatchSubmission): SubmitOutcome {
+		const plan = this.options.batchCache.get(submission.id)?.plan;
+		return plan === undefined ? {kind: 'accepted', isRepeated: true} : repeatedOutcome(plan, submission);
+	}
+
 	/** Returns the plan from the cache, or reads it from the store. A batch of another team looks as if it did not exist. */
 	private async findPlan(id: BatchId, reader: BatchReader = anyone): Promise<BatchPlan | 'not-found' | 'unavailable'> {
 		const {batchCache, store, follower} = this.options;
@@ -296,14 +305,18 @@
 	};
 }
 
-/** Builds the transactions that store a batch. If one cannot hold all bodies, the others come first, and the last one includes the plan. */
+/**
+Builds the transactions that store a batch. If one cannot hold all bodies, the others come first, and the last one includes the plan. Each
+expects that there is no plan, so that a submission with the id of a stored batch, perhaps of another team, does not replace its bodies.
+*/
 function planSubmission(id: BatchId, plan: BatchPlan, groups: readonly BatchItem[][]): Readonly<{bodyTransactions: readonly Transaction[]; planTransaction: Transaction}> {
+	const expected = [{table: batchTable, key: planKey, version: 0}];
 	const bodyTransactions: Transaction[] = [];
 	let writes: Array<{table: string; key: string; value: Uint8Array}> = [];
 	let bytes = 0;
 	for (const {key, value} of encodeBodies(groups)) {
 		if (writes.length >= maxEntries || bytes + value.length > maxTransactionBytes) {
-			bodyTransactions.push({part: id, writes});
+			bodyTransactions.push({part: id, expected, writes});
 			writes = [];
 			bytes = 0;
 		}
@@ -316,7 +329,7 @@
 		bodyTransactions,
 		planTransaction: {
 			part: id,
-			expected: [{table: batchTable, key: planKey, version: 0}],
+			expected,
 			writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(plan)}],
 		},
 	};
--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -3,13 +3,13 @@
 	decodeList, encodeList, type StoredRow, type Transaction,
 } from '@cicadapost/store';
 import type {
-	BatchId, DaemonIncarnation, ItemId, ModelId, RequestId, SoftwareVersion, UpstreamId,
+	BatchId, DaemonIncarnation, ItemId, ModelId, RequestId, SoftwareVersion, TeamId, UpstreamId,
 } from '@cicadapost/types';
 import * as fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {BatchCache, type BatchView} from './batch-cache.js';
 import {
-	unclaimed, type BatchItem, type BatchPlan, type ItemClaim,
+	anyone, isVisible, unclaimed, type BatchItem, type BatchPlan, type ItemClaim,
 } from './batch.js';
 import {decideFollowUp, type RunState} from './decide-run.js';
 import {
@@ -70,6 +70,26 @@
 		expect(decodePartial(encodePartial(0, 1, text))).toEqual(text);
 	});
 
+	describe('a batch of a team', () => {
+		const plan = {...planWith(1, 1), team: 'red' as TeamId};
+
+		it('keeps its team, and is run by builds that know no teams', () => {
+			for (const stored of [plan, {...plan, hasRewards: true as const}]) {
+				expect(decodePlan(encodePlan(stored))).toEqual(stored);
+			}
+
+			// The field of the model with rewards, which such a build reads last.
+			expect(decodeList(encodePlan(plan))?.[8]).toBe(null);
+			expect(decodeList(encodePlan(planWith(1, 1)))).toHaveLength(8);
+		});
+
+		it('does not exist for other teams, while a batch without a team exists for all', () => {
+			const readers = [{kind: 'team', team: 'red' as TeamId}, {kind: 'team', team: 'blue' as TeamId}, {kind: 'team', team: undefined}, anyone] as const;
+			expect(readers.map(reader => isVisible(plan, reader))).toEqual([true, false, false, true]);
+			expect(readers.every(reader => isVisible(planWith(1, 1), reader))).toBe(true);
+		});
+	});
+
 	describe('a batch with reward calls', () => {
 		const reward = {
 			id: 'r1' as RequestId, host: 'h', path: '/score/?a=1', body: Buffer.from([1, 2]),
--- a/packages/entry/src/arrival.ts
+++ b/packages/entry/src/arrival.ts
@@ -97,7 +97,7 @@
 	}
 
 	const access = decideAccess({
-		teams: configuration.teams, isPublic: route.isPublic === true, credential: call.credential, freshness,
+		teams: configuration.teams, formerTeams: configuration.formerTeams, isPublic: route.isPublic === true, credential: call.credential, freshness,
 	});
 	switch (access.kind) {
 		case 'open': {
--- a/packages/entry/src/batch-calls.ts
+++ b/packages/entry/src/batch-calls.ts
@@ -113,11 +113,11 @@
 
 	/** Names the team of an allowed submission in the batch and in the headers of each item, which all builds send to the engines. */
 	private admit(submission: BatchSubmission, access: Access): BatchSubmission {
-		if (access.kind === 'open') {
+		if (access.kind === 'open' && !access.hasFormerKey) {
 			return submission;
 		}
 
-		const team = access.team?.name;
+		const team = access.kind === 'open' ? undefined : access.team?.name;
 		const {protocol} = this.options;
 		return {
 			...submission,
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -107,7 +107,9 @@
 		this.pool = options.pool;
 		observePool(this.pool, {metrics: this.metrics, logger});
 		this.incarnation = `${settings.vm}#${randomUUID().slice(0, 8)}` as DaemonIncarnation;
+		const revocationMs = settings.revocation.isStrict ? settings.revocation.maxMs : undefined;
 		this.followers = createFollowers({
+			revocationMs,
 			store,
 			clock,
 			tables: platform.tables,
@@ -225,7 +227,7 @@
 			logger,
 			follower: this.followers.operator,
 			configuration: () => this.operatorState.configuration,
-			revocationMs: settings.revocation.isStrict ? settings.revocation.maxMs : undefined,
+			revocationMs,
 		});
 		this.frontServer = new FrontServer({
 			clock,
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -247,7 +247,7 @@
 			method: req.method ?? 'GET',
 			path: req.url ?? '/',
 			host: call.host,
-			headers: access.kind === 'checked' ? this.options.protocol.admittedHeaders({received: req.rawHeaders, team}) : req.rawHeaders,
+			headers: access.kind === 'checked' || access.hasFormerKey ? this.options.protocol.admittedHeaders({received: req.rawHeaders, team}) : req.rawHeaders,
 			body,
 			route,
 			...(team === undefined ? {} : {team}),
--- a/packages/entry/src/operator-state.ts
+++ b/packages/entry/src/operator-state.ts
@@ -82,10 +82,11 @@
 		}
 
 		const before = this.newest?.version;
-		this.newest = configuration;
+		const formerTeams = this.newest?.teams ?? this.newest?.formerTeams;
+		this.newest = configuration.teams === undefined && formerTeams !== undefined ? {...configuration, formerTeams} : configuration;
 		this.options.onConfiguration(configuration);
 		this.options.logger.info({
-			event: 'configuration', version: configuration.version, before, routes: configuration.routes.length,
+			event: 'configuration', version: configuration.version, before, routes: configuration.routes.length, ...(configuration.teams === undefined ? {} : {teams: configuration.teams.teamCount}),
 		}, 'configuration applied');
 	}
 }
--- a/packages/entry/src/poll-intervals.test.ts
+++ b/packages/entry/src/poll-intervals.test.ts
@@ -2,6 +2,7 @@
 import {defaultPollWaitMs} from '@cicadapost/store';
 import {describe, expect, it} from 'vitest';
 import {maxStoreSilenceMs} from './entry-daemon.js';
+import {operatorPollWait} from './table-followers.js';
 
 /** Duration of a call to a slow store. */
 const slowCallMs = 240;
@@ -12,6 +13,15 @@
 		expect(2 * (defaultPollWaitMs + slowCallMs)).toBeLessThan(maxStoreSilenceMs);
 	});
 
+	it('never end the acceptance of keys before the store has been away for the served share of the bound', () => {
+		for (const revocationMs of [4000, 5000, 8000]) {
+			// Age of the copy just before a poll returns, and then the outage.
+			expect((2 * (operatorPollWait(revocationMs) + slowCallMs)) + (0.6 * revocationMs)).toBeLessThan(revocationMs);
+		}
+
+		expect(operatorPollWait(undefined)).toBe(operatorPollWait(60_000));
+	});
+
 	it('never keep a daemon with engines from claiming the samples that a poll has just returned', () => {
 		const pauseMs = batchFeedPause({
 			ownsEngines: true, isStandby: false, running: 0, waiting: 0,
--- a/packages/forwarding/src/route.ts
+++ b/packages/forwarding/src/route.ts
@@ -55,6 +55,8 @@
 	limits: CallerLimits;
 	/** Absent if requests need no keys. */
 	teams?: KeyIndex;
+	/** The teams of an earlier configuration, if this one has none. Upstreams still never get their keys. */
+	formerTeams?: KeyIndex;
 }>;
 
 /** Returns the route of the host with the longest prefix that matches the path. */
--- a/packages/store/src/follow-table.test.ts
+++ b/packages/store/src/follow-table.test.ts
@@ -97,6 +97,78 @@
 		expect(emittedEvents).toEqual(['lost', 'regained']);
 	});
 
+	describe('the time up to which the copy is confirmed', () => {
+		class CountingClock extends Clock {
+			wall = 0;
+
+			override now(): number {
+				return performance.now();
+			}
+
+			override wallTime(): number {
+				return this.wall;
+			}
+		}
+
+		/** Holds each long poll until it is released, and answers other calls at once. */
+		class SlowStore extends MemoryRowStore {
+			releases: Array<() => void> = [];
+
+			override async changes(options: Parameters<MemoryRowStore['changes']>[0]): ReturnType<MemoryRowStore['changes']> {
+				if (options.waitMs > 0) {
+					await new Promise<void>(resolve => {
+						this.releases.push(resolve);
+					});
+				}
+
+				return super.changes({...options, waitMs: 0});
+			}
+		}
+
+		const start = async () => {
+			const [clock, store] = [new CountingClock(), new SlowStore()];
+			const follower = new TableFollower({
+				store, clock, table: 't', waitMs: 50,
+			});
+			followers.push(follower);
+			follower.start();
+			await until(() => store.releases.length === 1);
+			return {clock, store, follower};
+		};
+
+		it('is the time at which the poll was sent, however late its response is, also if it leads to a reload', async () => {
+			const {clock, store, follower} = await start();
+			for (const [at, truncates] of [[10, false], [20, true]] as const) {
+				clock.wall = at;
+				await store.transact(write('a', at));
+				if (truncates) {
+					store.truncateHistory();
+				}
+
+				const polls = store.releases.length;
+				store.releases.at(-1)!();
+				await until(() => store.releases.length > polls);
+				expect(follower.confirmedAt?.wall).toBe(at - 10);
+				expect(follower.copy.get('p', 'a')?.value).toEqual(new Uint8Array([at]));
+			}
+		});
+
+		it('follows a call beside a poll that hangs, and does not go back when the poll is answered', async () => {
+			const {clock, store, follower} = await start();
+			clock.wall = 30;
+			await store.transact(write('a', 1));
+			await follower.confirm();
+			expect([follower.confirmedAt?.wall, follower.copy.get('p', 'a')?.version]).toEqual([30, 1]);
+			store.releases[0]!();
+			await until(() => store.releases.length === 2);
+			expect(follower.confirmedAt?.wall).toBe(30);
+			store.fault = 'down';
+			clock.wall = 40;
+			await follower.confirm();
+			expect(follower.confirmedAt?.wall).toBe(30);
+		});
+	});
+
 	describe('with a delay between polls', () => {
 		/** Counts the polls that returned changes. */
 		class CountingStore extends MemoryRowStore {
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -49,6 +49,12 @@
 	readonly copy: TableCopy;
 	private version: number | undefined;
 	private lastSuccessfulCall: ClockReadings | undefined;
+	/** The call sent last of those whose response has confirmed the copy. */
+	private lastConfirmation: Readonly<{call: number; sentAt: ClockReadings}> | undefined;
+	/** Number of polls, loads and confirmations sent so far. */
+	private callCount = 0;
+	private loadCount = 0;
+	private isConfirming = false;
 	private connectedSince: Millis | undefined;
 	/** When the first call was sent since the last response; undefined while no call is in flight. */
 	private unansweredSince: Millis | undefined;
@@ -77,6 +83,29 @@
 		this.endPause?.();
 	}
 
+	/**
+	Asks the store for changes now, beside the long poll in flight, for a caller that needs the copy to be confirmed. Without effect if
+	such a call is in flight already or the table has not been loaded.
+	*/
+	async confirm(): Promise<void> {
+		const {store, table, clock} = this.options;
+		if (this.isConfirming || this.version === undefined) {
+			return;
+		}
+
+		this.isConfirming = true;
+		const {loadCount} = this;
+		const sent = this.countCall(this.readClocks());
+		const outcome = await store.changes({table, after: this.version, waitMs: 0});
+		this.isConfirming = false;
+		// After a reload the response may be about a history that the store no longer has.
+		if (outcome.kind === 'changes' && loadCount === this.loadCount) {
+			this.version = Math.max(this.version, outcome.version);
+			this.emitChanges(this.copy.apply(outcome.changes, clock.now()));
+			this.recordConfirmation(sent);
+		}
+	}
+
 	/** Whether the table has been loaded at least once. */
 	get isLoaded(): boolean {
 		return this.version !== undefined;
@@ -89,7 +118,7 @@
 
 	/** When the call was sent whose response last confirmed the copy: the copy shows every change made before then. Undefined before the first one. */
 	get confirmedAt(): ClockReadings | undefined {
-		return this.lastSuccessfulCall;
+		return this.lastConfirmation?.sentAt;
 	}
 
 	/** Age of the copy: time since the last successful call was sent; infinite before the first one. */
@@ -125,9 +154,11 @@
 	private async run(): Promise<void> {
 		while (!this.isStopped) {
 			const sentAt = this.readClocks();
+			const sent = this.countCall(sentAt);
 			this.unansweredSince ??= sentAt.steady;
 			const isSuccessful = await (this.version === undefined ? this.load() : this.poll(this.version));
 			if (isSuccessful) {
+				this.recordConfirmation(sent);
 				this.recordSuccess(sentAt);
 				if (this.hasReceivedChanges && this.options.coalesceMs !== undefined) {
 					await this.pause(this.options.coalesceMs());
@@ -170,6 +201,18 @@
 		}
 	}
 
+	private countCall(sentAt: ClockReadings): Readonly<{call: number; sentAt: ClockReadings}> {
+		this.callCount += 1;
+		return {call: this.callCount, sentAt};
+	}
+
+	/** A response proves nothing about the time after its call was sent, so the call sent last counts, whichever response arrives last. */
+	private recordConfirmation(sent: Readonly<{call: number; sentAt: ClockReadings}>): void {
+		if (this.lastConfirmation === undefined || sent.call > this.lastConfirmation.call) {
+			this.lastConfirmation = sent;
+		}
+	}
+
 	private readClocks(): ClockReadings {
 		const {clock} = this.options;
 		return {steady: clock.now(), wall: clock.wallTime()};
@@ -180,7 +223,7 @@
 		const outcome = await store.changes({table, after, waitMs: waitMs ?? defaultPollWaitMs});
 		switch (outcome.kind) {
 			case 'changes': {
-				this.version = Math.max(after, outcome.version);
+				this.version = Math.max(this.version ?? after, outcome.version);
 				this.storeClockOffsetMs = outcome.storeTime - this.options.clock.now();
 				this.hasReceivedChanges = outcome.changes.length > 0;
 				this.emitChanges(this.copy.apply(outcome.changes, this.options.clock.now()));
@@ -223,6 +266,7 @@
 		}
 
 		this.version = firstRead.version;
+		this.loadCount += 1;
 		this.storeClockOffsetMs = firstRead.storeTime - this.options.clock.now();
 		this.emitChanges(this.copy.replace(rows, firstRead.version, this.options.clock.now()));
 		return true;
--- a/packages/teams/src/decide-access.ts
+++ b/packages/teams/src/decide-access.ts
@@ -12,6 +12,8 @@
 export type AccessQuery = Readonly<{
 	/** Undefined if the configuration has no teams, and so needs no keys. */
 	teams: KeyIndex | undefined;
+	/** The teams of an earlier configuration, if this one has none. */
+	formerTeams?: KeyIndex | undefined;
 	/** Whether the call needs no key. */
 	isPublic: boolean;
 	credential: Credential;
@@ -20,8 +22,8 @@
 
 /** A call that is allowed. */
 export type Access =
-	/** The configuration has no teams. The headers of the call pass as they are. */
-	| Readonly<{kind: 'open'}>
+	/** The configuration has no teams. The headers of the call pass as they are, unless they hold a key that a team has had. */
+	| Readonly<{kind: 'open'; hasFormerKey: boolean}>
 	/** The headers of the call name the team, or none if a public call presents no known key. */
 	| Readonly<{kind: 'checked'; team: Team | undefined}>;
 
@@ -33,13 +35,15 @@
 	| Readonly<{kind: 'not-current'}>;
 
 /** Decides whether a call is allowed, and for which team. Costs one lookup, whatever the number of keys. */
-export function decideAccess({teams, isPublic, credential, freshness}: AccessQuery): AccessDecision {
+export function decideAccess({teams, formerTeams, isPublic, credential, freshness}: AccessQuery): AccessDecision {
 	if (teams === undefined) {
 		// A newer configuration, unknown here, may have teams again and may have revoked the key that the call presents.
-		return isPublic || credential === undefined || freshness.allowsKeys ? {kind: 'open'} : {kind: 'not-current'};
+		return isPublic || credential === undefined || freshness.allowsKeys
+			? {kind: 'open', hasFormerKey: formerTeams !== undefined && teamOf(credential, formerTeams) !== undefined}
+			: {kind: 'not-current'};
 	}
 
-	const team = credential === undefined || credential === 'malformed' ? undefined : teams.teamOf(credential.fingerprint);
+	const team = teamOf(credential, teams);
 	if (isPublic) {
 		// An old copy may name a team that has lost the key; without a team the call is served all the same.
 		return {kind: 'checked', team: freshness.allowsKeys ? team : undefined};
@@ -55,3 +59,7 @@
 
 	return freshness.allowsRejection ? {kind: 'denied'} : {kind: 'not-current'};
 }
+
+function teamOf(credential: Credential, teams: KeyIndex): Team | undefined {
+	return credential === undefined || credential === 'malformed' ? undefined : teams.teamOf(credential.fingerprint);
+}
