--- a/packages/entry/src/front-server.test.ts
+++ b/packages/entry/src/front-server.test.ts
@@ -1,8 +1,9 @@
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type ResponseReceiver, type PlainRequest, type RoutingConfiguration} from '@cicadapost/forwarding';
+import {KeyIndex, PresentedKey, type CopyFreshness} from '@cicadapost/teams';
 import {
-	SystemClock, type RequestId,
+	SystemClock, type RequestId, type TeamId,
 } from '@cicadapost/types';
 import {Right} from 'purify-ts';
 import {
@@ -29,7 +30,12 @@
 	override parseCall({target, headers}: RequestHead): CallerCall {
 		const id = headers.findIndex(name => name.toLowerCase() === 'x-id');
 		return {
-			kind: 'routed', host: 'h', path: target, requestId: id === -1 ? undefined : headers[id + 1] as RequestId, deadlineMs: undefined,
+			kind: 'routed',
+			host: 'h',
+			path: target,
+			requestId: id === -1 ? undefined : headers[id + 1] as RequestId,
+			deadlineMs: undefined,
+			...(headers.includes('X-Key') ? {credential: new PresentedKey(headers[headers.indexOf('X-Key') + 1]!)} : {}),
 		};
 	}
 
@@ -52,6 +58,8 @@
 
 type Forwarded = {request: PlainRequest; receiver: ResponseReceiver; isCancelled: boolean};
 
+let newest: RoutingConfiguration;
+let freshness: CopyFreshness;
 let front: FrontServer;
 let forwarded: Forwarded[];
 let callReports: CallReport[];
@@ -95,6 +103,8 @@
 	forwarded = [];
 	callReports = [];
 	respondsImmediately = true;
+	newest = configuration;
+	freshness = {allowsKeys: true, allowsRejection: true};
 	front = new FrontServer({
 		clock: new SystemClock(),
 		protocol: new PlainProtocol(),
@@ -120,7 +130,8 @@
 			body: async () => ({kind: 'not-found'}),
 			end: async () => 'not-found',
 		},
-		configuration: () => configuration,
+		configuration: () => newest,
+		freshness: () => freshness,
 		onCallReport(report) {
 			callReports.push(report);
 		},
@@ -243,3 +254,36 @@
 		expect(isClosed).toBe(true);
 	});
 });
+
+describe('a request with a key', () => {
+	const withTeams = (version: number, ...keys: string[]): RoutingConfiguration => ({
+		...configuration, version, teams: KeyIndex.build([{name: 'red' as TeamId, keys}]).unsafeCoerce(),
+	});
+
+	beforeEach(() => {
+		newest = withTeams(1, 'k1');
+	});
+
+	it('is forwarded for its team, and is not if its key is revoked or the copy ages while its body arrives', async () => {
+		await sendRaw([post('/a', 'X-Key: k1\r\nContent-Length: 2\r\n', 'x'), 50, 'y'], 100);
+		expect(forwarded.map(({request}) => request.team)).toEqual(['red']);
+		const sending = [sendRaw([post('/b', 'X-Key: k1\r\nContent-Length: 2\r\n', 'x'), 150, 'y'], 300), sendRaw([post('/c', 'Content-Length: 2\r\n', 'x'), 150, 'y'], 300)];
+		await sleep(50);
+		newest = withTeams(2, 'k2');
+		const [revoked, keyless] = await Promise.all(sending);
+		expect([statuses(revoked!.text), statuses(keyless!.text)]).toEqual([[401], [401]]);
+		const aging = sendRaw([post('/d', 'X-Key: k2\r\nContent-Length: 2\r\n', 'x'), 150, 'y'], 300);
+		await sleep(50);
+		freshness = {allowsKeys: false, allowsRejection: false};
+		const {text} = await aging;
+		expect(statuses(text)).toEqual([503]);
+		expect(text).toMatch(/Retry-After: 0\.\d+/v);
+		expect(forwarded).toHaveLength(1);
+	});
+
+	it('is refused at once while the copy is too old, without waiting for its body', async () => {
+		freshness = {allowsKeys: false, allowsRejection: false};
+		const {text} = await sendRaw([post('/a', 'X-Key: k1\r\nContent-Length: 2\r\n')], 200);
+		expect(statuses(text)).toEqual([503]);
+	});
+});
