--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -7,7 +7,7 @@
 } from '@cicadapost/types';
 import type {BatchCache} from './batch-cache.js';
 import {
-	itemCount, type BatchItem, type BatchPlan, type BatchSubmission, type SampleResult,
+	anyone, isVisible, itemCount, type BatchItem, type BatchPlan, type BatchReader, type BatchSubmission, type SampleResult,
 } from './batch.js';
 import {writtenRows} from './commit-queue.js';
 import {
@@ -20,6 +20,8 @@
 	| Readonly<{kind: 'accepted'; isRepeated: boolean}>
 	/** No part of the batch will run. */
 	| Readonly<{kind: 'refused'; retryAfterMs: Millis}>
+	/** Another team has a batch with this id. No part of the batch will run. */
+	| Readonly<{kind: 'taken'}>
 	/** The batch may have been stored. The caller must submit the same batch again. */
 	| Readonly<{kind: 'unknown'}>;
 
@@ -73,8 +75,9 @@
 	/** Stores a batch. Repeated submissions of the same batch have no further effect. */
 	async submit(submission: BatchSubmission): Promise<SubmitOutcome> {
 		const {clock, follower, batchCache} = this.options;
-		if (batchCache.get(submission.id) !== undefined) {
-			return {kind: 'accepted', isRepeated: true};
+		const known = batchCache.get(submission.id);
+		if (known !== undefined) {
+			return repeatedOutcome(known.plan, submission);
 		}
 
 		if (follower.connectedFor(clock.now()) === 0) {
@@ -86,6 +89,10 @@
 		const {bodyTransactions, planTransaction} = planSubmission(submission.id, createPlan(submission, groups, this.options.storeTime()), groups);
 		for (const transaction of bodyTransactions) {
 			const outcome = await this.write(transaction, giveUpAt);
+			if (outcome === 'conflict') {
+				return this.outcomeOfStored(submission);
+			}
+
 			if (outcome !== 'committed') {
 				// A batch does not exist without its plan, even if some bodies were stored.
 				return {kind: 'refused', retryAfterMs: disconnectedRetryMs};
@@ -98,7 +105,7 @@
 			}
 
 			case 'conflict': {
-				return {kind: 'accepted', isRepeated: true};
+				return this.outcomeOfStored(submission);
 			}
 
 			case 'refused': {
@@ -112,8 +119,8 @@
 	}
 
 	/** Returns the results from position `after` on. Waits up to `waitMs` until there is one. */
-	async results(id: BatchId, options: Readonly<{after: number; waitMs: Millis; signal: AbortSignal}>): Promise<ReadResult> {
-		const plan = await this.findPlan(id);
+	async results(id: BatchId, options: Readonly<{after: number; waitMs: Millis; signal: AbortSignal; reader?: BatchReader}>): Promise<ReadResult> {
+		const plan = await this.findPlan(id, options.reader);
 		if (typeof plan === 'string') {
 			return {kind: plan};
 		}
@@ -139,8 +146,8 @@
 		return {kind: 'page', page: {total, next: options.after + results.length, results}};
 	}
 
-	async body(id: BatchId, item: ItemId): Promise<BodyOutcome> {
-		const plan = await this.findPlan(id);
+	async body(id: BatchId, item: ItemId, reader?: BatchReader): Promise<BodyOutcome> {
+		const plan = await this.findPlan(id, reader);
 		if (typeof plan === 'string') {
 			return {kind: plan};
 		}
@@ -159,8 +166,8 @@
 		return body === undefined ? {kind: 'unavailable'} : {kind: 'body', body};
 	}
 
-	async end(id: BatchId): Promise<EndOutcome> {
-		const plan = await this.findPlan(id);
+	async end(id: BatchId, reader?: BatchReader): Promise<EndOutcome> {
+		const plan = await this.findPlan(id, reader);
 		if (typeof plan === 'string') {
 			return plan;
 		}
@@ -176,12 +183,18 @@
 		return outcome === 'committed' ? 'ended' : 'unavailable';
 	}
 
-	/** Returns the plan from the cache, or reads it from the store. */
-	private async findPlan(id: BatchId): Promise<BatchPlan | 'not-found' | 'unavailable'> {
+	/** Returns the outcome of a submission that the store has rejected because the batch has a plan, which is in the cache then. */
+	private outcomeOfStored(submission: BatchSubmission): SubmitOutcome {
+		const plan = this.options.batchCache.get(submission.id)?.plan;
+		return plan === undefined ? {kind: 'accepted', isRepeated: true} : repeatedOutcome(plan, submission);
+	}
+
+	/** Returns the plan from the cache, or reads it from the store. A batch of another team looks as if it did not exist. */
+	private async findPlan(id: BatchId, reader: BatchReader = anyone): Promise<BatchPlan | 'not-found' | 'unavailable'> {
 		const {batchCache, store, follower} = this.options;
 		const known = batchCache.get(id);
 		if (known !== undefined) {
-			return known.plan;
+			return isVisible(known.plan, reader) ? known.plan : 'not-found';
 		}
 
 		const rows = await readAll(store, {table: batchTable, part: id});
@@ -190,7 +203,8 @@
 		}
 
 		follower.mergeRows(rows);
-		return batchCache.get(id)?.plan ?? 'not-found';
+		const plan = batchCache.get(id)?.plan;
+		return plan !== undefined && isVisible(plan, reader) ? plan : 'not-found';
 	}
 
 	private async waitForCount(id: BatchId, after: number, {waitMs, signal}: Readonly<{waitMs: Millis; signal: AbortSignal}>): Promise<void> {
@@ -259,6 +273,11 @@
 	}
 }
 
+/** Returns the outcome of a submission whose id belongs to a stored batch. */
+function repeatedOutcome(plan: BatchPlan, {team}: BatchSubmission): SubmitOutcome {
+	return plan.team === undefined || team === undefined || plan.team === team ? {kind: 'accepted', isRepeated: true} : {kind: 'taken'};
+}
+
 function groupItems(items: readonly BatchItem[]): BatchItem[][] {
 	const groups = new Map<string, BatchItem[]>();
 	for (const item of items) {
@@ -282,17 +301,22 @@
 		submittedAt,
 		groups: groups.map(group => ({items: group.map(({id, expectedTokens}) => ({id, expectedTokens}))})),
 		...(submission.items.some(({reward}) => reward !== undefined) ? {hasRewards: true} : {}),
+		...(submission.team === undefined ? {} : {team: submission.team}),
 	};
 }
 
-/** Builds the transactions that store a batch. If one cannot hold all bodies, the others come first, and the last one includes the plan. */
+/**
+Builds the transactions that store a batch. If one cannot hold all bodies, the others come first, and the last one includes the plan. Each
+expects that there is no plan, so that a submission with the id of a stored batch, perhaps of another team, does not replace its bodies.
+*/
 function planSubmission(id: BatchId, plan: BatchPlan, groups: readonly BatchItem[][]): Readonly<{bodyTransactions: readonly Transaction[]; planTransaction: Transaction}> {
+	const expected = [{table: batchTable, key: planKey, version: 0}];
 	const bodyTransactions: Transaction[] = [];
 	let writes: Array<{table: string; key: string; value: Uint8Array}> = [];
 	let bytes = 0;
 	for (const {key, value} of encodeBodies(groups)) {
 		if (writes.length >= maxEntries || bytes + value.length > maxTransactionBytes) {
-			bodyTransactions.push({part: id, writes});
+			bodyTransactions.push({part: id, expected, writes});
 			writes = [];
 			bytes = 0;
 		}
@@ -305,7 +329,7 @@
 		bodyTransactions,
 		planTransaction: {
 			part: id,
-			expected: [{table: batchTable, key: planKey, version: 0}],
+			expected,
 			writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(plan)}],
 		},
 	};
