Move permits for orders to a package of their own

Cause: duties need the same permits as orders to engines, and a copy would drift.

The rows of orders are the same as before, so the former build reads them.

--- a/packages/weights/src/load-weights.ts
+++ b/packages/weights/src/load-weights.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamRecord} from '@cicadapost/fleet';
+import {isPermitValid, requestPermit, type ClockReadings} from '@cicadapost/permits';
 import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
 	Clock, DaemonId, Millis, ServiceId, UpstreamId,
@@ -7,7 +8,7 @@
 import type {EngineVersions} from './engine-versions.js';
 import type {OrderClient, OrderOutcome} from './order-client.js';
 import {
-	decodePermit, encodePermit, isPermitValid, canRequestPermit, permitKey, type ClockReadings, type OrderPermit,
+	decodePermit, encodePermit, permitKey, type OrderPermit,
 } from './order-permit.js';
 import {planLoads, type NamedVersion, type PlannedLoad} from './plan-loads.js';
 
@@ -165,43 +166,38 @@
 
 	private async requestPermit(engine: UpstreamRecord, load: PlannedLoad, now: Millis): Promise<OrderPermit | undefined> {
 		const {store, follower, self, silenceMs} = this.options;
-		const row = follower.copy.get(engine.id, permitKey);
-		const currentPermit = row === undefined ? undefined : decodePermit(row.value);
-		if (row !== undefined && currentPermit === undefined) {
-			this.reportOutcome(load, 'the permit row has an unknown shape; delete it once no daemon of another version runs', undefined);
-			return undefined;
-		}
-
-		const unchangedMs = now - (follower.copy.changedAt(engine.id, permitKey) ?? now);
-		if (!canRequestPermit({
-			permit: currentPermit, unchangedMs, self, silenceMs,
-		})) {
-			return undefined;
-		}
-
-		const permit: OrderPermit = {
-			holder: self, fencingToken: (currentPermit?.fencingToken ?? 0) + 1, model: load.model, version: load.version,
-		};
-		const write = {table: follower.copy.table, key: permitKey, value: encodePermit(permit)};
-		const outcome = await store.transact({
+		const outcome = await requestPermit<OrderPermit>({
+			store,
+			follower,
 			part: engine.id,
-			expected: [{table: write.table, key: permitKey, version: row?.version ?? 0}],
-			writes: [write],
+			key: permitKey,
+			self,
+			silenceMs,
+			now,
+			decode: decodePermit,
+			encode: encodePermit,
+			next: current => ({
+				holder: self, fencingToken: (current?.fencingToken ?? 0) + 1, model: load.model, version: load.version,
+			}),
 		});
 		switch (outcome.kind) {
-			case 'committed': {
-				follower.mergeRows([{...write, part: engine.id, version: outcome.version}]);
-				return permit;
+			case 'granted': {
+				return outcome.permit;
 			}
 
+			case 'held':
 			case 'conflict': {
-				follower.mergeRows(outcome.rows);
+				return undefined;
+			}
+
+			case 'unreadable': {
+				this.reportOutcome(load, 'the permit row has an unknown shape; delete it once no daemon of another version runs', undefined);
 				return undefined;
 			}
 
 			case 'refused':
 			case 'unknown': {
-				this.reportOutcome(load, `the permit was ${outcome.kind === 'refused' ? 'refused' : 'not answered'} by the store`, permit);
+				this.reportOutcome(load, `the permit was ${outcome.kind === 'refused' ? 'refused' : 'not answered'} by the store`, outcome.permit);
 				return undefined;
 			}
 		}
