Report when an upstream begins to run a request

Cause: RequestEnd comes when a request is over. The usage of a window is due 10 s after its end, and streams may last longer.

Change: an optional observer onRequestRun is called once for each request, at the head of the first response that does not state that the request has not run, or at the end if the response was lost.

--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -259,6 +259,7 @@
 		});
 		attempt.head = head;
 		attempt.metadata = metadata;
+		this.reporter.reportHead(attempt);
 		if (this.req.route.kind === 'stream' && head.status < 300 && metadata.isSigned && !this.isOver) {
 			this.abortOtherAttempts(attempt);
 			attempt.isStreaming = true;
--- a/packages/forwarding/src/plain-request.ts
+++ b/packages/forwarding/src/plain-request.ts
@@ -1,4 +1,4 @@
-import type {UpstreamStart} from '@cicadapost/fleet';
+import type {LoadReport, UpstreamStart} from '@cicadapost/fleet';
 import type {
 	Millis, RequestId, TeamId, UpstreamId,
 } from '@cicadapost/types';
@@ -64,3 +64,18 @@
 	/** Set if an upstream has responded to the request and did not say that it has not run it. `upstream` is undefined if another daemon chose it. */
 	ran: Readonly<{sentAt: Millis; upstream: UpstreamId | undefined}> | undefined;
 }>;
+
+/** A request that an upstream has begun to run, or may have, for accounting. */
+export type RequestRun = Readonly<{
+	requestId: RequestId | undefined;
+	team: TeamId | undefined;
+	/** Name of the route. */
+	route: string;
+	/** Undefined if another daemon chose it. */
+	upstream: UpstreamId | undefined;
+	sentAt: Millis;
+	/** When the head of the response arrived. Undefined if the response was lost. */
+	answeredAt: Millis | undefined;
+	/** The load that the upstream reported with the response. */
+	load: LoadReport | undefined;
+}>;
