Count requests of teams by window, and report each window once

Cause: the platform bills teams by the requests that began to run in each window of true time.

Change: daemons write their counts as rows every 250 to 1500 ms, on condition, if they have changed. The holder of the duty sums a window 5 s after its end, writes the report on the condition that none exists, and sends exactly these bytes; the note of the lease is the next window, so windows go in order. True time is the store's clock plus the median of the offsets that daemons publish.

--- a/packages/cli/src/commands/entry/run-entry.ts
+++ b/packages/cli/src/commands/entry/run-entry.ts
@@ -18,6 +18,7 @@
 		pool,
 		platform: createPlatform({
 			storeAddress: settings.store.address,
+			dutyAddress: settings.duties?.address,
 			pool,
 			onUnexpectedResponse(detail) {
 				logger.warn({event: 'store-answer'}, detail);
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -3,6 +3,7 @@
 import {
 	batchFeedPause, BatchCache, BatchService, type EngineClient,
 } from '@cicadapost/batches';
+import type {DutyClient} from '@cicadapost/duties';
 import {UpstreamDirectory} from '@cicadapost/fleet';
 import {
 	ConnectionPool, Forwarder, UpstreamHealthTracker, type RequestReport, type UpstreamProtocol,
@@ -19,6 +20,7 @@
 } from '@cicadapost/weights';
 import {BatchTasks} from './batch-tasks.js';
 import type {CallerProtocol} from './caller-protocol.js';
+import {DutyTasks} from './duty-tasks.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetTasks} from './fleet-tasks.js';
@@ -41,6 +43,8 @@
 	upstreams: UpstreamProtocol;
 	engines: EngineClient;
 	orders: OrderClient;
+	/** Absent if the settings name no receiver of duties. */
+	duties?: DutyClient;
 }>;
 
 export type EntryDaemonOptions = Readonly<{
@@ -84,6 +88,7 @@
 	private readonly operatorState: OperatorState;
 	private readonly upstreamList: UpstreamList;
 	private readonly loadReporter: LoadReporter;
+	private readonly duties: DutyTasks | undefined;
 	private readonly loadReportTimer: NodeJS.Timeout;
 	private isStopping = false;
 
@@ -227,6 +232,9 @@
 				onRequestReport: report => {
 					this.recordRequest(report);
 				},
+				onRequestRun: run => {
+					this.duties?.recordRun(run);
+				},
 			}),
 			batches: this.batchService,
 			configuration: () => this.operatorState.configuration,
@@ -269,6 +277,20 @@
 				this.fleet.fleetView.invalidate();
 			},
 		});
+		this.duties = platform.duties === undefined || settings.duties === undefined
+			? undefined
+			: new DutyTasks({
+				settings: settings.duties,
+				clock,
+				logger,
+				store,
+				follower: this.followers.fleet,
+				client: platform.duties,
+				self: this.fleet.self,
+				members: now => membership.members(now),
+				metrics: this.metrics.duties,
+				random: options.random ?? Math.random,
+			});
 		this.loadReportTimer = setInterval(() => {
 			this.loadReporter.report(clock.now());
 		}, loadReportIntervalMs);
@@ -297,6 +319,7 @@
 		// Other daemons count on what an announced daemon does, so it is announced only once it can be reached.
 		this.fleet.membership.start();
 		this.relays.start();
+		this.duties?.start();
 		logger.info({event: 'start', life: this.incarnation}, 'daemon started');
 	}
 
@@ -353,6 +376,7 @@
 			await sleep(shutdownPollMs);
 		}
 
+		await this.duties?.finish();
 		this.close();
 		logger.info({event: 'stopped', tookMs: Math.round(clock.now() - startedAt)}, 'daemon stopped');
 	}
@@ -365,6 +389,7 @@
 			follower.stop();
 		}
 
+		this.duties?.stop();
 		this.fleet.stop();
 		this.batchTasks.stop();
 		this.relays.stop();
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -4,6 +4,7 @@
 import type {StoreCallReport} from '@cicadapost/store';
 import type {Millis} from '@cicadapost/types';
 import {Counter, Histogram, Registry} from 'prom-client';
+import {DutyMetrics} from './duty-metrics.js';
 
 /** Upper bounds of the histogram buckets in milliseconds, from an immediate response to a whole training step. */
 const latencyBuckets = [5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12_800];
@@ -29,6 +30,7 @@
 	private readonly requestLatency = this.histogram('request_duration_ms', 'Time to the answer of plain requests', ['route']);
 	private readonly sampleLatency = this.histogram('sample_duration_ms', 'Time of runs of samples', ['outcome']);
 	private readonly rewardLatency = this.histogram('reward_call_duration_ms', 'Time of reward calls', []);
+	readonly duties = new DutyMetrics(this.registry);
 	private server: Server | undefined;
 
 	recordRequest(route: string, outcome: string, tookMs: Millis): void {
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -36,12 +36,28 @@
 	orderSilenceMs: z.number().nonnegative(),
 	/** Time after submission for which the results of a batch can be read, in seconds. */
 	resultRetentionSeconds: z.number().positive().default(120),
+	/** Calls to the platform that one daemon at a time makes on behalf of all. None are made if absent. */
+	duties: z.strictObject({
+		/** Receiver of the calls. */
+		address,
+		/** Duties to carry out, by the names of the platform. */
+		names: z.array(z.string()),
+		/** Permitted calls of all daemons together. */
+		callsPerSecond: z.number().positive().default(50),
+		/** Minimum time between calls of two different holders, in milliseconds. */
+		leaseMs: z.number().nonnegative().default(3000),
+		/** Length of a window of usage, in seconds. */
+		usageWindowSeconds: z.number().positive().default(5),
+		/** Time from the end of a window until its report is due, in seconds. */
+		usageLateSeconds: z.number().positive().default(10),
+	}).optional(),
 	log: z.strictObject({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 	}).prefault({}),
 });
 
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+export type DutySettings = NonNullable<EntrySettings['duties']>;
 
 export function parseAddress(value: string): Readonly<{host: string; port: number}> {
 	const colon = value.lastIndexOf(':');
