End streams that stop within an event as broken

Cause: the connection of a killed upstream closes like that of one that has finished, so a response without a length looked complete. HttpEngines and the forwarder took the end of the response for the end of the text, and the parser drops an unfinished event silently.

Ruled out: an end after a reset, which the pool already reports as broken.

Change: EventBoundary (new package event-streams) follows the bytes of a stream and knows whether it ends between two events. A caller's stream is broken off, also if another daemon relayed it, and counts as a possible crash of its upstream. Streams whose head names another content type are not checked.

--- a/packages/engines/src/completion-stream.test.ts
+++ b/packages/engines/src/completion-stream.test.ts
@@ -142,6 +142,25 @@
 		});
 	});
 
+	describe('when a stream without a length ends as if it were complete', () => {
+		it.each([
+			['within an event', `data: ${event(1)}\n`],
+			['within the end marker', 'data: [DONE]\n'],
+			['between two events', ''],
+		])('has not finished if the end is %s, so that no cut text counts as whole', async (_, end) => {
+			const server = createTcpServer(socket => {
+				socket.on('error', () => undefined);
+				socket.once('data', () => {
+					socket.end(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ${event(0)}\n\n${end}`);
+				});
+			});
+			open.push(server);
+			const reports = await run(await listen(server));
+			expect(reports.filter(({kind}) => kind === 'chunk')).toHaveLength(1);
+			expect(reports.at(-1)).toMatchObject({kind: 'failed'});
+		});
+	});
+
 	describe('when the connection goes silent', () => {
 		it('reports silence rather than a dead upstream, before the response and in mid-stream', async () => {
 			const before = await upstream(() => undefined);
--- a/packages/entry/src/broken-streams.test.ts
+++ b/packages/entry/src/broken-streams.test.ts
@@ -201,6 +201,16 @@
 				socket.resetAndDestroy();
 			});
 		}],
+		['in the middle of an event, without having named a length, as a regular end', (socket: Socket) => {
+			socket.end('HTTP/1.1 200 OK\r\nSealed: yes\r\n\r\nid: 0\ndata: piece 0\n\nid: 1\ndata: pie');
+		}],
+		['before the blank line of an event, without having named a length, as a regular end', (socket: Socket) => {
+			socket.end('HTTP/1.1 200 OK\r\nSealed: yes\r\n\r\nid: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n');
+		}],
+		['in the middle of an event, with the last of its chunks', (socket: Socket) => {
+			socket.write(streamHead + event(0) + chunk('id: 1\ndata: piece 1\n'));
+			setTimeout(() => socket.write(endOfChunks), 20);
+		}],
 	])('%s looks cut off to its caller, who sees nothing of another upstream', async (_, first) => {
 		const seen = await startUpstreams(first);
 		const text = await requestStream();
@@ -245,6 +255,20 @@
 		expect(text).toMatch(/^HTTP\/1\.1 500/v);
 	});
 
+	it.each([
+		['whose events are whole', '\r\nid: 0\ndata: piece 0\n\n'],
+		['of lines instead of events', 'Content-Type: application/x-ndjson\r\n\r\n{"data":"piece 0"}\n'],
+	])('is delivered with its end if it has no length and closes regularly, for a stream %s', async (_, text) => {
+		await startUpstreams(socket => {
+			socket.end(`HTTP/1.1 200 OK\r\nSealed: yes\r\n${text}`);
+		});
+		const whole = requestStream();
+		await expect.poll(() => reports.at(-1)?.outcome).toBe('streamed');
+		front.close();
+		const received = await whole;
+		expect(received.endsWith(endOfChunks)).toBe(true);
+	});
+
 	it('is delivered with its end if it is whole, so that the cases above can tell the difference', async () => {
 		await startUpstreams(socket => socket.write(streamHead + event(0) + endOfChunks));
 		const whole = requestStream();
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,6 +1,7 @@
+import {EventBoundary} from '@cicadapost/event-streams';
 import type {Millis} from '@cicadapost/types';
 import type {AttemptTarget} from './attempt-target.js';
-import type {Exchange, ResponseHead} from './connection-pool.js';
+import {firstHeaderValue, type Exchange, type ResponseHead} from './connection-pool.js';
 import type {ResponseMetadata} from './upstream-protocol.js';
 
 /** Maximum size of a buffered response, which is passed on only when complete. An attempt with a longer response fails. */
@@ -8,6 +9,7 @@
 /** Maximum length of a line in a stream of events. Longer ones are no events, and a caller's parser would have to keep them. */
 const maxStreamLineBytes = 1024 * 1024;
 const lineFeed = 0x0A;
+const eventStream = 'text/event-stream';
 
 /** One attempt of a request, and what has arrived of its response. */
 export class Attempt {
@@ -18,6 +20,7 @@
 	private readonly chunks: Uint8Array[] = [];
 	/** Size of `chunks`, or of the current line of a stream. */
 	private size = 0;
+	private readonly boundary = new EventBoundary();
 
 	constructor(readonly target: AttemptTarget, readonly sentAt: Millis) {}
 
@@ -28,13 +31,20 @@
 		return this.size <= maxBufferedResponseBytes;
 	}
 
-	/** Returns false if a chunk of a stream continues a line that is too long. */
+	/** Follows the lines of a stream. Returns false if a chunk continues a line that is too long. */
 	checkLine(chunk: Uint8Array): boolean {
+		this.boundary.feed(chunk);
 		const lineEnd = chunk.lastIndexOf(lineFeed);
 		this.size = lineEnd === -1 ? this.size + chunk.length : chunk.length - lineEnd - 1;
 		return this.size <= maxStreamLineBytes;
 	}
 
+	/** Whether a stream of events that ends here lacks the end of an event. A stream of another content type has no events. */
+	get isWithinEvent(): boolean {
+		const contentType = this.head === undefined ? undefined : firstHeaderValue(this.head.headers, 'content-type');
+		return (contentType ?? eventStream).trim().toLowerCase().startsWith(eventStream) && this.boundary.isWithinEvent;
+	}
+
 	get body(): Uint8Array {
 		return Buffer.concat(this.chunks);
 	}
--- a/packages/forwarding/src/crash-registry.ts
+++ b/packages/forwarding/src/crash-registry.ts
@@ -9,6 +9,8 @@
 const crashLimit = 3;
 /** Error codes of Node.js and undici for a connection that the other side closed or reset. */
 const closedConnectionCodes = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
+/** Cause of the failure of a stream that ended regularly in the middle of an event. Without a length, the end of the connection ends the stream. */
+export const endedWithinEvent = 'the stream ended within an event';
 
 /** The parts of a request that determine its work. */
 export type RequestContent = Readonly<{method: string; host: string; path: string; body: Uint8Array}>;
@@ -21,7 +23,7 @@
 
 /** Whether an attempt that ended this way may have crashed its upstream: the connection was closed before the response was complete. */
 export function mayHaveCrashed(end: Readonly<{kind: ExchangeEnd['kind']; cause?: string}>): boolean {
-	return end.kind === 'broken' && closedConnectionCodes.has(end.cause ?? '');
+	return end.kind === 'broken' && (end.cause === endedWithinEvent || closedConnectionCodes.has(end.cause ?? ''));
 }
 
 /**
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -5,6 +5,7 @@
 	RelayTarget, UpstreamTarget, type AttemptEnd, type AttemptTarget, type UpstreamTargetOptions,
 } from './attempt-target.js';
 import {Attempt} from './attempt.js';
+import {endedWithinEvent} from './crash-registry.js';
 import type {ResponseHead} from './connection-pool.js';
 import {
 	choosePath, decideNextStep, hedgeDelay, relayedAttempts, type AttemptOutcome,
@@ -294,6 +295,11 @@
 			return;
 		}
 
+		if (attempt.isStreaming && attempt.isWithinEvent) {
+			this.onFailure(attempt, {kind: 'broken', cause: endedWithinEvent});
+			return;
+		}
+
 		if (attempt.isStreaming) {
 			attempt.target.record({kind: 'succeeded'});
 			this.finish('streamed', attempt);
--- a/packages/forwarding/src/relayed-requests.test.ts
+++ b/packages/forwarding/src/relayed-requests.test.ts
@@ -80,7 +80,7 @@
 }
 
 /** How one attempt ends, and after which time. */
-type Behaviour = Readonly<{end: 'answers' | 'runs and breaks' | 'never connects' | 'declines' | 'hangs'; afterMs: Millis}>;
+type Behaviour = Readonly<{end: 'answers' | 'runs and breaks' | 'never connects' | 'declines' | 'hangs' | 'streams half an event'; afterMs: Millis}>;
 
 type Send = Readonly<{through: 'upstream' | 'relay'; maxAttempts: number}> & {runs: boolean; wasNotSent: boolean; isOver: boolean};
 
@@ -149,6 +149,13 @@
 				case 'hangs': {
 					break;
 				}
+
+				case 'streams half an event': {
+					handlers.onHead({status: 200, headers: {}});
+					handlers.onData(Buffer.from('id: 0\ndata: first\n\nid: 1\nda'));
+					finish({kind: 'complete'});
+					break;
+				}
 			}
 		}, afterMs);
 		return {
@@ -248,6 +255,14 @@
 		expect(sends.filter(({through}) => through === 'upstream').length).toBe(relays === 0 ? 1 : 0);
 	});
 
+	it('do not end a stream as complete that another daemon, such as one of an earlier build, ends within an event', () => {
+		const {outcomes, sends} = play({
+			kind: 'stream', maxAttempts: 2, isPartitioned: true, relays: 2, upstreams: 0, script: [{end: 'streams half an event', afterMs: 5}],
+		});
+		expect(outcomes).toEqual(['failed']);
+		expect(sends.map(({through}) => through)).toEqual(['relay']);
+	});
+
 	it('are not hedged once a partition has been found and there is no other daemon', () => {
 		const {sends} = play({
 			kind: 'idempotent', maxAttempts: 3, isPartitioned: false, relays: 0, upstreams: 6, script: [{end: 'hangs', afterMs: 0}],
