Clear requests of crashes that responses explain

Cause: each crash of an upstream counts against every request in flight there, so a request that many callers send reaches the limit of three crashes by chance and is answered 502 by all daemons for 15 minutes.

Change: a request that crashes its upstreams never gets a complete response, so only crashes after the last one count. Reports are spread by the number of daemons, at most one each 100 ms at a daemon, and left out if another daemon's report has arrived. A response with neither a length nor chunks proves nothing. If other requests were in flight at all three crashes, the block begins 500 ms later, so that a response that is on its way can arrive. A blocked request is sent once 6 s and once 60 s after its third crash, by the daemon that wins a conditional write; with shared crashes once more, 1 s after it. It is not retried. decideBlock is a pure function. Crashes that were never written expire at their daemon too, and a fingerprint is computed once for each request.

--- a/packages/entry/src/fleet-tasks.ts
+++ b/packages/entry/src/fleet-tasks.ts
@@ -119,6 +119,13 @@
 			onCrash(fingerprint, incarnation) {
 				logger.warn({event: 'crash', fingerprint, ...incarnation}, 'a request has crashed an upstream');
 			},
+			onExplained(fingerprint) {
+				logger.info({event: 'crash-explained', fingerprint}, 'a request that was in flight at crashes has had a response');
+			},
+			onProbe(fingerprint, probe) {
+				logger.warn({event: 'crash-probe', fingerprint, probe}, 'a blocked request is sent to one upstream');
+			},
+			daemonCount: () => this.daemons().length,
 		});
 	}
 
--- a/packages/forwarding/src/attempt-target.ts
+++ b/packages/forwarding/src/attempt-target.ts
@@ -61,6 +61,8 @@
 export class UpstreamTarget extends AttemptTarget {
 	override readonly relay = undefined;
 	override readonly maxAttempts = 1;
+	/** Whether the end of the response proves that the upstream has run the request and is still there. */
+	private provesRun = false;
 
 	constructor(
 		private readonly options: UpstreamTargetOptions,
@@ -115,6 +117,10 @@
 
 			case 'succeeded': {
 				health.recordSuccess(this.upstream);
+				if (this.provesRun) {
+					this.options.crashes.reportResponse(this.req);
+				}
+
 				break;
 			}
 
@@ -141,6 +147,9 @@
 
 	private recordHead({head, metadata, sentAt}: Extract<AttemptEvent, {kind: 'head'}>): void {
 		const {limits, health, clock} = this.options;
+		// A response without a length or chunks also ends when its upstream crashes.
+		const isFramed = head.headers['content-length'] !== undefined || head.headers['transfer-encoding'] !== undefined;
+		this.provesRun = isFramed && metadata.isSigned && !metadata.didNotRun && isFromUpstream(metadata, head.status);
 		if (isFromUpstream(metadata, head.status)) {
 			limits.recordResponse(this.upstreamRecord, {requestsPerSecond: metadata.requestsPerSecond, sentAt});
 		}
--- a/packages/forwarding/src/crash-registry.ts
+++ b/packages/forwarding/src/crash-registry.ts
@@ -1,12 +1,13 @@
 import {createHash} from 'node:crypto';
-import type {Fingerprint, UpstreamId} from '@cicadapost/types';
+import type {Fingerprint, Millis, UpstreamId} from '@cicadapost/types';
 import type {ExchangeEnd} from './connection-pool.js';
+import {
+	crashRetentionMs, decideBlock, isExplained, type BlockDecision, type CrashRecord,
+} from './decide-block.js';
 
 /** One run of an upstream's process. A restarted upstream keeps its id but has another `bornAt`. */
 export type UpstreamIncarnation = Readonly<{upstream: UpstreamId; bornAt: number}>;
 
-/** A request that has crashed this many upstreams is blocked. Three, so that a request that happened to be at two crashing upstreams by chance is not blocked. */
-const crashLimit = 3;
 /** Error codes of Node.js and undici for a connection that the other side closed or reset. */
 const closedConnectionCodes = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
 /** Cause of the failure of a stream that ended regularly in the middle of an event. Without a length, the end of the connection ends the stream. */
@@ -27,36 +28,119 @@
 }
 
 /**
-Records which requests have crashed which upstreams. A request that crashes every upstream that runs it, and that is retried
-through any daemon, takes the whole service down unless all daemons share this record.
+Records which requests have crashed which upstreams, and what speaks for them. A request that crashes every upstream that runs it,
+and that is retried through any daemon, takes the whole service down unless all daemons share this record. Times are on the store's clock.
 */
 export class CrashRegistry {
-	private readonly incarnationsByFingerprint = new Map<Fingerprint, Set<string>>();
+	private readonly crashes = new Map<Fingerprint, Map<string, CrashRecord>>();
+	private readonly responses = new Map<Fingerprint, Millis>();
+	private readonly probes = new Map<Fingerprint, Map<number, Millis>>();
 
 	/** Records a crash and returns whether it was new. */
-	record(fingerprint: Fingerprint, incarnation: UpstreamIncarnation): boolean {
-		const known = this.incarnationsByFingerprint.get(fingerprint) ?? new Set<string>();
-		const before = known.size;
-		known.add(incarnationKey(incarnation));
-		this.incarnationsByFingerprint.set(fingerprint, known);
-		return known.size > before;
+	record(fingerprint: Fingerprint, incarnation: UpstreamIncarnation, {at = 0, isShared = false}: Partial<CrashRecord> = {}): boolean {
+		const known = this.crashes.get(fingerprint) ?? new Map<string, CrashRecord>();
+		const key = incarnationKey(incarnation);
+		const before = known.get(key);
+		// Daemons report the same crash. The earliest time counts, and the crash is shared if any of them saw other requests.
+		known.set(key, {at: Math.min(at, before?.at ?? at), isShared: isShared || before?.isShared === true});
+		this.crashes.set(fingerprint, known);
+		return before === undefined;
 	}
 
 	forget(fingerprint: Fingerprint, incarnation: UpstreamIncarnation): void {
-		const known = this.incarnationsByFingerprint.get(fingerprint);
+		const known = this.crashes.get(fingerprint);
 		known?.delete(incarnationKey(incarnation));
 		if (known?.size === 0) {
-			this.incarnationsByFingerprint.delete(fingerprint);
+			this.crashes.delete(fingerprint);
+		}
+	}
+
+	/** Records a complete response to the request, which explains all crashes up to then and makes earlier probes void. */
+	recordResponse(fingerprint: Fingerprint, at: Millis): void {
+		this.responses.set(fingerprint, Math.max(at, this.responses.get(fingerprint) ?? at));
+	}
+
+	forgetResponse(fingerprint: Fingerprint): void {
+		this.responses.delete(fingerprint);
+	}
+
+	recordProbe(fingerprint: Fingerprint, probe: number, at: Millis): void {
+		const known = this.probes.get(fingerprint) ?? new Map<number, Millis>();
+		this.probes.set(fingerprint, known.set(probe, at));
+	}
+
+	forgetProbe(fingerprint: Fingerprint, probe: number): void {
+		const known = this.probes.get(fingerprint);
+		known?.delete(probe);
+		if (known?.size === 0) {
+			this.probes.delete(fingerprint);
 		}
 	}
 
 	/** Whether no crashes are recorded, in which case requests need no fingerprint. */
 	get isEmpty(): boolean {
-		return this.incarnationsByFingerprint.size === 0;
+		return this.crashes.size === 0;
+	}
+
+	crashesOf(fingerprint: Fingerprint): CrashRecord[] {
+		return [...this.crashes.get(fingerprint)?.values() ?? []];
+	}
+
+	respondedAt(fingerprint: Fingerprint): Millis | undefined {
+		return this.responses.get(fingerprint);
+	}
+
+	/** Whether the request has crashes that no response explains. */
+	isSuspect(fingerprint: Fingerprint): boolean {
+		const respondedAt = this.responses.get(fingerprint);
+		return this.crashesOf(fingerprint).some(crash => !isExplained(crash, respondedAt));
+	}
+
+	decide(fingerprint: Fingerprint, now: Millis): BlockDecision {
+		const crashes = this.crashes.get(fingerprint);
+		if (crashes === undefined) {
+			return {kind: 'send'};
+		}
+
+		const respondedAt = this.responses.get(fingerprint);
+		const probedAt = [...this.probes.get(fingerprint)?.values() ?? []].filter(at => respondedAt === undefined || at > respondedAt);
+		return decideBlock({crashes: [...crashes.values()], respondedAt, probedAt}, now);
+	}
+
+	isBlocked(fingerprint: Fingerprint, now: Millis = 0): boolean {
+		return this.decide(fingerprint, now).kind === 'block';
 	}
 
-	isBlocked(fingerprint: Fingerprint): boolean {
-		return (this.incarnationsByFingerprint.get(fingerprint)?.size ?? 0) >= crashLimit;
+	/** Returns the upstreams whose crashes a response explains. */
+	explained(fingerprint: Fingerprint): UpstreamIncarnation[] {
+		const respondedAt = this.responses.get(fingerprint);
+		return [...this.crashes.get(fingerprint) ?? []].filter(([, crash]) => isExplained(crash, respondedAt)).map(([key]) => parseIncarnationKey(key)!);
+	}
+
+	/** Drops what no longer counts, also what was never written to a row. */
+	prune(now: Millis): void {
+		for (const [fingerprint, respondedAt] of this.responses) {
+			if (now - respondedAt >= crashRetentionMs) {
+				this.responses.delete(fingerprint);
+			}
+		}
+
+		for (const [fingerprint, probes] of this.probes) {
+			for (const [probe, at] of probes) {
+				if (now - at >= crashRetentionMs) {
+					this.forgetProbe(fingerprint, probe);
+				}
+			}
+		}
+
+		for (const [fingerprint, crashes] of this.crashes) {
+			const respondedAt = this.responses.get(fingerprint);
+			for (const [key, crash] of crashes) {
+				if (isExplained(crash, respondedAt) || now - crash.at >= crashRetentionMs) {
+					this.forget(fingerprint, parseIncarnationKey(key)!);
+				}
+			}
+		}
 	}
 }
 
@@ -66,9 +150,26 @@
 	abstract isBlocked(req: RequestContent): boolean;
 	/** Reports that the upstream closed the connection before its response to the request was complete. */
 	abstract reportPossibleCrash(req: RequestContent, upstream: Readonly<{id: UpstreamId; address: string; bornAt: number}>): void;
+
+	/** Reports that an upstream has run the request and that its response is certainly complete. Does nothing by default. */
+	reportResponse(req: RequestContent): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	/**
+	Asks for permission to send a blocked request to one upstream, so that a request that was blocked by chance can show it. Returns
+	undefined if it may not be asked for now, as by default.
+	*/
+	requestProbe(req: RequestContent): Promise<boolean> | undefined {
+		return undefined;
+	}
 }
 
 /** Returns a string that identifies an incarnation of an upstream, for use in sets and table rows. */
 export function incarnationKey({upstream, bornAt}: UpstreamIncarnation): string {
 	return `${upstream}#${bornAt}`;
 }
+
+/** Returns undefined if the string does not identify an incarnation of an upstream. */
+export function parseIncarnationKey(key: string): UpstreamIncarnation | undefined {
+	const [upstream, bornAt] = key.split('#');
+	return upstream === undefined || bornAt === undefined ? undefined : {upstream: upstream as UpstreamId, bornAt: Number(bornAt)};
+}
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -76,7 +76,7 @@
 			this.onDeadline();
 		}, Math.max(1, this.remainingMs()));
 		if (this.options.crashes.isBlocked(this.req)) {
-			this.rejectBlocked();
+			void this.probeOrReject();
 		} else if (this.req.continues !== undefined && this.req.route.kind === 'stream') {
 			void this.continueStream(this.req.continues);
 		} else if (!this.tryNext('first')) {
@@ -88,6 +88,23 @@
 		};
 	}
 
+	/** Sends a blocked request to one upstream if it may be probed now. Otherwise rejects it immediately. */
+	private async probeOrReject(): Promise<void> {
+		const {req} = this;
+		// A continued stream would first need the origin of the stream.
+		const permission = req.continues === undefined && this.choosePath('first') === 'upstream' ? this.options.crashes.requestProbe(req) : undefined;
+		const isAllowed = permission !== undefined && await permission;
+		if (this.isOver) {
+			return;
+		}
+
+		if (!isAllowed) {
+			this.rejectBlocked();
+		} else if (!this.tryNext('first')) {
+			this.refuse('no upstream of the service is ready');
+		}
+	}
+
 	/** Sends the request only to upstreams at which the stream may go on. */
 	private async continueStream({stream}: StreamContinuation): Promise<void> {
 		const {streams} = this.options;
