--- a/packages/weights/src/weights.test.ts
+++ b/packages/weights/src/weights.test.ts
@@ -94,6 +94,17 @@
 		});
 	});
 
+	it('spreads the models of four trainers over 31 engines, so that the slots of a few engines do not limit all steps while others are idle', () => {
+		const models = ['draft', 'score', 'classify', 'plan'] as ModelId[];
+		const engines = Array.from({length: 31}, (_, index) => engine(`e${index}`, Object.fromEntries(models.map(name => [name, 1]))));
+		simulateLoads(engines, [2, 3, 4, 5].flatMap(version => models.map(model => ({model, version}))), models.length);
+		const usable = engines.map(({versions}) => models.filter(model => versions.get(model)! >= 4).length);
+		// Each of the four models is usable on 14 engines, 1.8 models on the average engine.
+		expect(usable.reduce((sum, count) => sum + count)).toBe(56);
+		expect(Math.max(...usable)).toBeLessThanOrEqual(2);
+		expect(Math.min(...usable)).toBeGreaterThanOrEqual(1);
+	});
+
 	it('lets the model with the fewest engines go first, so that no model is never loaded', () => {
 		const engines = Array.from({length: 12}, (_, index) => engine(`e${index}`, {draft: index < 3 ? 2 : 1, score: 1}));
 		expect(planLoads({engines, named: [{model: draft, version: 2}, {model: score, version: 2}], models: 2}).map(load => load.model)).toEqual([score, score, score]);
