--- a/packages/teams/src/access.test.ts
+++ b/packages/teams/src/access.test.ts
@@ -1,14 +1,18 @@
 import {inspect} from 'node:util';
 import type {TeamId} from '@cicadapost/types';
+import * as fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {isConfigurationFresh} from './configuration-freshness.js';
 import {decideAccess} from './decide-access.js';
 import {KeyIndex, type TeamEntry} from './key-index.js';
-import {PresentedKey} from './presented-key.js';
+import {fingerprintOfKey, PresentedKey} from './presented-key.js';
 
 const entry = (name: string, ...keys: string[]): TeamEntry => ({name: name as TeamId, keys});
 const teams = KeyIndex.build([entry('red', 'r1', 'r2'), entry('blue', 'b'), entry('none')]).unsafeCoerce();
 
+const listedKeys = ['k1', 'k2', 'k3', 'k4', 'k5'];
+const ownersIn = (index: KeyIndex) => listedKeys.map(key => index.teamOf(fingerprintOfKey(key))?.name);
+
 describe('KeyIndex', () => {
 	it.each([
 		['a team', [entry('red', 'r1'), entry('red', 'r2')], /"red"/v],
@@ -26,6 +30,20 @@
 		expect([teams, moved, KeyIndex.build([], moved).unsafeCoerce()].map(index => index.teamOf(fingerprint)?.name)).toEqual(['red', 'blue', undefined]);
 	});
 
+	it('built from the one before is the same as one built anew, whatever has changed', () => {
+		const keys = fc.array(fc.constantFrom(...listedKeys), {maxLength: 3});
+		const lists = fc.uniqueArray(fc.tuple(fc.constantFrom('red', 'blue', 'green'), keys), {selector: ([name]) => name});
+		fc.assert(fc.property(fc.array(lists, {maxLength: 6}), versions => {
+			let index = new KeyIndex();
+			for (const entries of versions.map(list => list.map(([name, listed]) => entry(name, ...listed)))) {
+				const outcomes = [KeyIndex.build(entries, index), KeyIndex.build(entries)];
+				const seen = outcomes.map(outcome => outcome.mapLeft(err => err.name).map(built => ownersIn(built)).extract());
+				expect(seen[0]).toEqual(seen[1]);
+				index = outcomes[0]!.orDefault(index);
+			}
+		}), {seed: 20_261_206, numRuns: 300});
+	});
+
 	it('and a presented key show no key in a log or an error', () => {
 		const key = new PresentedKey('r1-secret');
 		const index = KeyIndex.build([entry('red', 'r1-secret')]).unsafeCoerce();
