--- a/packages/duties/src/duty-runner.ts
+++ b/packages/duties/src/duty-runner.ts
@@ -50,6 +50,8 @@
 	duty: DutyKind;
 	/** Empty for a duty with a single subject. */
 	subject: string;
+	/** Subjects with the same key normally have the same holder. By default each has its own. */
+	rankKey?: string;
 	self: DaemonId;
 	leaseMs: Millis;
 	/** Daemons that are alive. */
@@ -100,7 +102,7 @@
 
 		const dueSince = work.dueSince(record?.note, now);
 		if (dueSince === undefined || !shouldTryDuty({
-			self, part: this.part, holder: record?.holder, members: members(now), dueForMs: now - dueSince, leaseMs,
+			self, part: this.options.rankKey ?? this.part, holder: record?.holder, members: members(now), dueForMs: now - dueSince, leaseMs,
 		})) {
 			return;
 		}
--- a/packages/entry/src/duty-metrics.ts
+++ b/packages/entry/src/duty-metrics.ts
@@ -5,6 +5,7 @@
 export class DutyMetrics {
 	private readonly calls: Counter;
 	private readonly windows: Counter;
+	private readonly scaleOrders: Counter;
 	private readonly held: Gauge;
 
 	constructor(registry: Registry) {
@@ -15,6 +16,9 @@
 		this.windows = new Counter({
 			name: 'cicadapost_usage_windows_total', help: 'Windows of usage by what happened to their report', labelNames: ['outcome'], registers,
 		});
+		this.scaleOrders = new Counter({
+			name: 'cicadapost_scale_orders_total', help: 'Orders of numbers of upstreams by kind and outcome', labelNames: ['kind', 'outcome'], registers,
+		});
 		this.held = new Gauge({
 			name: 'cicadapost_duties_held', help: 'Subjects of a duty that this daemon holds', labelNames: ['duty'], registers,
 		});
@@ -28,6 +32,10 @@
 		this.windows.inc({outcome});
 	}
 
+	recordScaleOrder(kind: string, outcome: string): void {
+		this.scaleOrders.inc({kind, outcome});
+	}
+
 	recordHeld(duty: DutyKind, subjects: number): void {
 		this.held.set({duty}, subjects);
 	}
--- a/packages/entry/src/duty-tasks.ts
+++ b/packages/entry/src/duty-tasks.ts
@@ -1,12 +1,13 @@
 import {
 	DutyRunner, minCallIntervalMs, type DutyClient, type DutyKind, type DutyReport, type DutyWork,
 } from '@cicadapost/duties';
-import type {MemberRecord} from '@cicadapost/fleet';
-import type {RequestRun} from '@cicadapost/forwarding';
+import type {BatchCache} from '@cicadapost/batches';
+import type {MemberRecord, UpstreamDirectory} from '@cicadapost/fleet';
+import type {RequestRun, RoutingConfiguration, UpstreamHealthTracker} from '@cicadapost/forwarding';
 import type {Logger} from '@cicadapost/observability';
 import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonIncarnation, Millis,
+	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis,
 } from '@cicadapost/types';
 import {
 	CountWriter, FleetClock, settleMs, sweepUsage, UsageWork,
@@ -14,6 +15,7 @@
 import {DutyMembers} from './duty-members.js';
 import type {DutyMetrics} from './duty-metrics.js';
 import type {DutySettings} from './entry-settings.js';
+import {scalingSubject, ScalingTasks} from './scaling-tasks.js';
 
 /** How often due calls are looked for. */
 const tickMs = 150;
@@ -30,6 +32,12 @@
 	self: Readonly<{daemon: DaemonId; incarnation: DaemonIncarnation}>;
 	/** Daemons that are alive. */
 	members: (now: Millis) => readonly MemberRecord[];
+	/** Data centres of the platform. */
+	dataCentres: readonly DataCentreId[];
+	directory: UpstreamDirectory;
+	health: UpstreamHealthTracker;
+	batchCache: BatchCache;
+	configuration: () => RoutingConfiguration | undefined;
 	metrics: DutyMetrics;
 	random: () => number;
 }>;
@@ -40,6 +48,7 @@
 	private readonly fleetClock: FleetClock;
 	private readonly countWriter: CountWriter;
 	private readonly usage: DutyRunner | undefined;
+	private readonly scaling: ScalingTasks | undefined;
 	private readonly kinds: ReadonlySet<DutyKind>;
 	private readonly timers: NodeJS.Timeout[] = [];
 
@@ -66,6 +75,7 @@
 			daemons: () => members(clock.now()).length,
 		});
 		this.usage = this.kinds.has('usage') ? this.createRunner('usage', '', this.createUsageWork(), () => 1) : undefined;
+		this.scaling = this.kinds.has('scaling') ? this.createScaling() : undefined;
 	}
 
 	start(): void {
@@ -82,7 +92,9 @@
 		this.timers.push(setInterval(() => {
 			void this.dutyMembers.announce(clock.now());
 			void this.usage?.run();
+			this.scaling?.run();
 			this.options.metrics.recordHeld('usage', this.usage?.isHolder === true ? 1 : 0);
+			this.options.metrics.recordHeld('scaling', this.scaling?.held ?? 0);
 		}, tickMs), setInterval(() => {
 			void this.sweep();
 		}, sweepMs));
@@ -114,12 +126,26 @@
 		}
 	}
 
-	private createRunner(duty: DutyKind, subject: string, work: DutyWork, subjects: () => number): DutyRunner {
+	private createScaling(): ScalingTasks {
+		const {logger, metrics} = this.options;
+		return new ScalingTasks({
+			...this.options,
+			// One daemon normally holds all data centres of a service, so that it sees its own orders when it plans the next.
+			createRunner: (subject, work) => this.createRunner('scaling', scalingSubject(subject), work, () => this.scaling?.subjects ?? 1, `duty-scaling-${subject.service}`),
+			onScaleReport(report) {
+				metrics.recordScaleOrder(report.kind, report.outcome);
+				logger.info({event: 'scale-order', ...report}, report.reason);
+			},
+		});
+	}
+
+	private createRunner(duty: DutyKind, subject: string, work: DutyWork, subjects: () => number, rankKey?: string): DutyRunner {
 		const {settings, self} = this.options;
 		return new DutyRunner({
 			...this.options,
 			duty,
 			subject,
+			...(rankKey === undefined ? {} : {rankKey}),
 			work,
 			self: self.daemon,
 			leaseMs: settings.leaseMs,
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -288,6 +288,11 @@
 				client: platform.duties,
 				self: this.fleet.self,
 				members: now => membership.members(now),
+				dataCentres: Object.keys(settings.dataCentres) as DataCentreId[],
+				directory: this.directory,
+				health: this.health,
+				batchCache: this.batchCache,
+				configuration: () => this.operatorState.configuration,
 				metrics: this.metrics.duties,
 				random: options.random ?? Math.random,
 			});
--- a/packages/fleet/src/upstream.ts
+++ b/packages/fleet/src/upstream.ts
@@ -19,6 +19,8 @@
 	models: ReadonlyMap<ModelId, number>;
 	/** Unix time in milliseconds at which it was started. An upstream may be restarted under the same id. */
 	bornAt: number;
+	/** Set if the platform may reclaim it at any time. */
+	isSpot?: true;
 }>;
 
 /** The load that an upstream reports with a response. */
--- a/packages/forwarding/src/route.ts
+++ b/packages/forwarding/src/route.ts
@@ -1,4 +1,4 @@
-import type {Millis, ServiceId} from '@cicadapost/types';
+import type {DataCentreId, Millis, ServiceId} from '@cicadapost/types';
 
 /** Whether a request may be repeated. A request of kind `once` runs at most once. */
 export type RequestKind = 'idempotent' | 'once' | 'stream' | 'batch';
@@ -36,6 +36,21 @@
 	maxConnections: number;
 	/** Models of an engine service; empty for a plain service. */
 	models: readonly string[];
+	/** Absent if the number of its upstreams is not up to the daemons. */
+	scaling?: ScalingRules;
+}>;
+
+/** Limits and prices of the upstreams of a service. */
+export type ScalingRules = Readonly<{
+	/** Fewest and most upstreams in each data centre, of both kinds together. */
+	min: number;
+	max: number;
+	/** Time from the order of an upstream until it serves. */
+	bootMs: Millis;
+	/** Price of an upstream that may be reclaimed, relative to one that may not. */
+	spotPrice: number;
+	/** Price of an upstream in each data centre, relative to the others. 1 where absent. */
+	prices: ReadonlyMap<DataCentreId, number>;
 }>;
 
 export type CallerLimits = Readonly<{
