Let another daemon try if the holder of a duty can't reach the receiver

Cause: a holder whose link to the receiver failed renewed its lease with each attempt, so no other daemon could ever take the duty over.

Change: after three calls in a row that may not have arrived the holder marks its row as released and pauses for two rests of the lease. Others may then try as soon as the row has rested.

--- a/packages/duties/src/decide-candidate.ts
+++ b/packages/duties/src/decide-candidate.ts
@@ -13,6 +13,8 @@
 	part: string;
 	/** Undefined if nobody has held the duty yet. */
 	holder: DaemonId | undefined;
+	/** Whether the holder lets others try. */
+	isReleased?: boolean;
 	/** Daemons that are alive. */
 	members: readonly DaemonId[];
 	/** Time for which a call has been due. */
@@ -25,13 +27,13 @@
 If it is gone, the first member by rendezvous hashing takes over, and the next ones only if the call stays undone for clearly
 longer. Designed for 370 daemons: the members are ranked only when a call is due and the holder is gone or late.
 */
-export function shouldTryDuty({self, part, holder, members, dueForMs, leaseMs}: CandidateState): boolean {
+export function shouldTryDuty({self, part, holder, isReleased = false, members, dueForMs, leaseMs}: CandidateState): boolean {
 	if (holder === self) {
 		return true;
 	}
 
 	const restMs = permitRestMs(leaseMs);
-	const isHolderAlive = holder !== undefined && members.includes(holder);
+	const isHolderAlive = !isReleased && holder !== undefined && members.includes(holder);
 	const patienceMs = isHolderAlive ? holderPatience * restMs : 0;
 	if (dueForMs < patienceMs) {
 		return false;
--- a/packages/duties/src/duties.test.ts
+++ b/packages/duties/src/duties.test.ts
@@ -53,7 +53,7 @@
 }
 
 /** A runner that always has a call to make and sees no other member. The fleet's table reaches it whenever `sync` is called. */
-function createRunner(self: DaemonId, store: MemoryRowStore, client: Receiver) {
+function createRunner(self: DaemonId, store: MemoryRowStore, client: Receiver, members: readonly DaemonId[] = [self]) {
 	const clock = new VmClock();
 	const copy = new TableCopy('fleet');
 	const runner = new DutyRunner({
@@ -68,7 +68,7 @@
 		subject: '',
 		self,
 		leaseMs,
-		members: () => [self],
+		members: () => members,
 		minIntervalMs: () => 100,
 		work: {
 			dueSince: () => 0,
@@ -84,11 +84,11 @@
 }
 
 describe('DutyRunner', () => {
-	const setUp = () => {
+	const setUp = (members?: readonly DaemonId[]) => {
 		let time = 0;
 		const store = new MemoryRowStore();
 		const receiver = new Receiver(() => time);
-		const runners = [d1, d2].map(self => createRunner(self, store, receiver));
+		const runners = [d1, d2].map(self => createRunner(self, store, receiver, members));
 		const advance = async (ms: Millis, running = runners) => {
 			for (const end = time + ms; time < end;) {
 				time += 50;
@@ -156,6 +156,19 @@
 		expect(receiver.calls.length).toBeLessThan(16);
 	});
 
+	it('lets another daemon try if the holder can\'t reach the receiver, after the lease has rested', async () => {
+		const {receiver, advance} = setUp([d1, d2]);
+		await advance(2000);
+		const {holder} = receiver.calls.at(-1)!;
+		receiver.answer = call => (call.holder === holder ? {kind: 'not-sent', cause: 'no connection'} : {kind: 'done'});
+		await advance(8000);
+		const lastOfHolder = receiver.calls.findLast(call => call.holder === holder)!;
+		const firstOfOther = receiver.calls.find(call => call.holder !== holder)!;
+		expect(firstOfOther.at - lastOfHolder.at).toBeGreaterThan(leaseMs + 500);
+		expect(receiver.calls.at(-1)!.holder).toBe(firstOfOther.holder);
+		expect(firstOfOther.fencingToken).toBe(lastOfHolder.fencingToken + 1);
+	});
+
 	it('tells the client to abort a call that would arrive after the lease', async () => {
 		const {receiver, runners: [runner]} = setUp();
 		const overdue: boolean[] = [];
--- a/packages/duties/src/duty-record.ts
+++ b/packages/duties/src/duty-record.ts
@@ -6,6 +6,8 @@
 export type DutyRecord = Permit & Readonly<{
 	/** Progress of the duty, in a form that its work defines. Undefined before the first call. */
 	note: unknown;
+	/** Set if the holder can't reach the receiver and lets others try. It still holds the lease until it has rested. */
+	isReleased?: true;
 }>;
 
 export const dutyKey = 'duty';
@@ -15,15 +17,17 @@
 	return subject === '' ? `duty-${duty}` : `duty-${duty}-${subject}`;
 }
 
-export function encodeDuty({holder, fencingToken, note}: DutyRecord): Uint8Array {
-	return encodeList([holder, fencingToken, note ?? null]);
+export function encodeDuty({holder, fencingToken, note, isReleased}: DutyRecord): Uint8Array {
+	return encodeList([holder, fencingToken, note ?? null, ...(isReleased === true ? [true] : [])]);
 }
 
 /** Returns undefined for a row of an unknown shape. Such a row is never overwritten. */
 export function decodeDuty(value: Uint8Array): DutyRecord | undefined {
-	const [holder, fencingToken, note] = decodeList(value) ?? [];
+	const [holder, fencingToken, note, isReleased] = decodeList(value) ?? [];
 	return typeof holder === 'string' && typeof fencingToken === 'number'
-		? {holder: holder as DaemonId, fencingToken, note: note ?? undefined}
+		? {
+			holder: holder as DaemonId, fencingToken, note: note ?? undefined, ...(isReleased === true ? {isReleased} : {}),
+		}
 		: undefined;
 }
 
--- a/packages/duties/src/duty-runner.ts
+++ b/packages/duties/src/duty-runner.ts
@@ -1,5 +1,5 @@
 import {
-	canRequestPermit, isPermitValid, maxTransitMs, requestPermit, type ClockReadings, type PermitTable,
+	canRequestPermit, isPermitValid, maxTransitMs, permitRestMs, requestPermit, type ClockReadings, type PermitTable,
 } from '@cicadapost/permits';
 import type {RowStore} from '@cicadapost/store';
 import type {Clock, DaemonId, Millis} from '@cicadapost/types';
@@ -63,6 +63,8 @@
 	onDutyReport: (report: DutyReport) => void;
 }>;
 
+/** After this many calls in a row that may not have reached the receiver, the holder lets another daemon try: its link may be at fault. */
+const maxUnreached = 3;
 /** A call must have ended within this share of the lease, before another daemon may make one. */
 const callShareOfLease = 0.8;
 
@@ -71,6 +73,7 @@
 	readonly part: string;
 	private isBusy = false;
 	private failures = 0;
+	private unreached = 0;
 	private nextCallAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: DutyRunnerOptions) {
@@ -102,7 +105,7 @@
 
 		const dueSince = work.dueSince(record?.note, now);
 		if (dueSince === undefined || !shouldTryDuty({
-			self, part: this.options.rankKey ?? this.part, holder: record?.holder, members: members(now), dueForMs: now - dueSince, leaseMs,
+			self, part: this.options.rankKey ?? this.part, holder: record?.holder, isReleased: record?.isReleased === true, members: members(now), dueForMs: now - dueSince, leaseMs,
 		})) {
 			return;
 		}
@@ -162,6 +165,7 @@
 	}
 
 	private async applyOutcome({outcome, prepared, permit, version}: Readonly<{outcome: DutyOutcome; prepared: PreparedCall; permit: DutyRecord; version: number}>): Promise<void> {
+		this.unreached = outcome.kind === 'not-sent' || outcome.kind === 'unknown' ? this.unreached + 1 : 0;
 		const note = prepared.noteAfter(outcome);
 		if (outcome.kind === 'done') {
 			this.failures = 0;
@@ -169,8 +173,15 @@
 			this.pauseAfterFailure(outcome.kind === 'busy' ? outcome.retryAfterMs : 0);
 		}
 
-		if (note !== undefined) {
-			await this.writeNote({...permit, note}, version);
+		const isReleased = this.unreached >= maxUnreached && this.options.members(this.options.clock.now()).length > 1;
+		if (isReleased) {
+			this.unreached = 0;
+			this.nextCallAt = this.options.clock.now() + (2 * permitRestMs(this.options.leaseMs));
+			this.report('released', permit.fencingToken, 0);
+		}
+
+		if (note !== undefined || isReleased) {
+			await this.writeRecord({...permit, note: note ?? permit.note, ...(isReleased ? {isReleased} : {})}, version);
 		}
 	}
 
@@ -230,7 +241,7 @@
 	}
 
 	/** Records the progress, unless another daemon has taken the duty over meanwhile. If it can't be recorded, the call is repeated. */
-	private async writeNote(record: DutyRecord, version: number): Promise<void> {
+	private async writeRecord(record: DutyRecord, version: number): Promise<void> {
 		const {store, follower} = this.options;
 		const write = {table: follower.copy.table, key: dutyKey, value: encodeDuty(record)};
 		const outcome = await store.transact({
