Write counts of usage with at most 130 writes a second up to 195 daemons

Cause: 65 daemons wrote 200 times a second, a quarter of the smallest store. The last write at shutdown could take longer than the grace period.

Change: 250 ms between writes with up to 32 daemons, 500 ms with 65; the last write is given 300 ms.

--- a/packages/entry/src/duty-tasks.ts
+++ b/packages/entry/src/duty-tasks.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	DutyRunner, minCallIntervalMs, type DutyClient, type DutyKind, type DutyReport, type DutyWork,
 } from '@cicadapost/duties';
@@ -20,6 +21,8 @@
 /** How often due calls are looked for. */
 const tickMs = 150;
 const sweepMs = 30_000;
+/** The last write of counts must not delay the exit of the process past the grace period of the platform. */
+const maxFinalWriteMs = 300;
 
 export type DutyTasksOptions = Readonly<{
 	settings: DutySettings;
@@ -110,7 +113,7 @@
 	/** Stops, after the last counts have been written. */
 	async finish(): Promise<void> {
 		this.stopTimers();
-		await this.countWriter.flush();
+		await Promise.race([this.countWriter.flush(), sleep(maxFinalWriteMs)]);
 		this.countWriter.stop();
 	}
 
--- a/packages/usage/src/count-writer.ts
+++ b/packages/usage/src/count-writer.ts
@@ -6,7 +6,7 @@
 import {WindowCounts} from './window-counts.js';
 
 /** Writes of counts that all daemons together make in a second, unless there are so many that the longest interval exceeds it. */
-const writesPerSecond = 200;
+const writesPerSecond = 130;
 const minIntervalMs = 250;
 /** A window's last counts must reach the store well before it is summed. */
 const maxIntervalMs = 1500;
