Merge the number of upstreams and the cost of counts

Cause: the number of upstreams never followed the work; counts of usage were written without a bound on the fleet's writes.

--- a/packages/entry/src/duty-tasks.ts
+++ b/packages/entry/src/duty-tasks.ts
@@ -1,12 +1,14 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	DutyRunner, minCallIntervalMs, type DutyClient, type DutyKind, type DutyReport, type DutyWork,
 } from '@cicadapost/duties';
-import type {MemberRecord} from '@cicadapost/fleet';
-import type {RequestRun} from '@cicadapost/forwarding';
+import type {BatchCache} from '@cicadapost/batches';
+import type {MemberRecord, UpstreamDirectory} from '@cicadapost/fleet';
+import type {RequestRun, RoutingConfiguration, UpstreamHealthTracker} from '@cicadapost/forwarding';
 import type {Logger} from '@cicadapost/observability';
 import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonIncarnation, Millis,
+	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis,
 } from '@cicadapost/types';
 import {
 	CountWriter, FleetClock, settleMs, sweepUsage, UsageWork,
@@ -14,10 +16,13 @@
 import {DutyMembers} from './duty-members.js';
 import type {DutyMetrics} from './duty-metrics.js';
 import type {DutySettings} from './entry-settings.js';
+import {scalingSubject, ScalingTasks} from './scaling-tasks.js';
 
 /** How often due calls are looked for. */
 const tickMs = 150;
 const sweepMs = 30_000;
+/** The last write of counts must not delay the exit of the process past the grace period of the platform. */
+const maxFinalWriteMs = 300;
 
 export type DutyTasksOptions = Readonly<{
 	settings: DutySettings;
@@ -30,6 +35,12 @@
 	self: Readonly<{daemon: DaemonId; incarnation: DaemonIncarnation}>;
 	/** Daemons that are alive. */
 	members: (now: Millis) => readonly MemberRecord[];
+	/** Data centres of the platform. */
+	dataCentres: readonly DataCentreId[];
+	directory: UpstreamDirectory;
+	health: UpstreamHealthTracker;
+	batchCache: BatchCache;
+	configuration: () => RoutingConfiguration | undefined;
 	metrics: DutyMetrics;
 	random: () => number;
 }>;
@@ -40,6 +51,7 @@
 	private readonly fleetClock: FleetClock;
 	private readonly countWriter: CountWriter;
 	private readonly usage: DutyRunner | undefined;
+	private readonly scaling: ScalingTasks | undefined;
 	private readonly kinds: ReadonlySet<DutyKind>;
 	private readonly timers: NodeJS.Timeout[] = [];
 
@@ -66,6 +78,7 @@
 			daemons: () => members(clock.now()).length,
 		});
 		this.usage = this.kinds.has('usage') ? this.createRunner('usage', '', this.createUsageWork(), () => 1) : undefined;
+		this.scaling = this.kinds.has('scaling') ? this.createScaling() : undefined;
 	}
 
 	start(): void {
@@ -82,7 +95,9 @@
 		this.timers.push(setInterval(() => {
 			void this.dutyMembers.announce(clock.now());
 			void this.usage?.run();
+			this.scaling?.run();
 			this.options.metrics.recordHeld('usage', this.usage?.isHolder === true ? 1 : 0);
+			this.options.metrics.recordHeld('scaling', this.scaling?.held ?? 0);
 		}, tickMs), setInterval(() => {
 			void this.sweep();
 		}, sweepMs));
@@ -98,7 +113,7 @@
 	/** Stops, after the last counts have been written. */
 	async finish(): Promise<void> {
 		this.stopTimers();
-		await this.countWriter.flush();
+		await Promise.race([this.countWriter.flush(), sleep(maxFinalWriteMs)]);
 		this.countWriter.stop();
 	}
 
@@ -114,12 +129,26 @@
 		}
 	}
 
-	private createRunner(duty: DutyKind, subject: string, work: DutyWork, subjects: () => number): DutyRunner {
+	private createScaling(): ScalingTasks {
+		const {logger, metrics} = this.options;
+		return new ScalingTasks({
+			...this.options,
+			// One daemon normally holds all data centres of a service, so that it sees its own orders when it plans the next.
+			createRunner: (subject, work) => this.createRunner('scaling', scalingSubject(subject), work, () => this.scaling?.subjects ?? 1, `duty-scaling-${subject.service}`),
+			onScaleReport(report) {
+				metrics.recordScaleOrder(report.kind, report.outcome);
+				logger.info({event: 'scale-order', ...report}, report.reason);
+			},
+		});
+	}
+
+	private createRunner(duty: DutyKind, subject: string, work: DutyWork, subjects: () => number, rankKey?: string): DutyRunner {
 		const {settings, self} = this.options;
 		return new DutyRunner({
 			...this.options,
 			duty,
 			subject,
+			...(rankKey === undefined ? {} : {rankKey}),
 			work,
 			self: self.daemon,
 			leaseMs: settings.leaseMs,
