Order the groups of several trainers' steps by what can still be in time

Cause: items were ordered by slack alone. The time for a token (0.9 ms), the length of a long sample and the number of runs beside one were constants, up to half of the engines were reserved for long samples by their rank, and an engine that is slow from the start was among them. Above capacity the order by due times makes everything late: no group yields.

Change: package sample-order. rankGroups accepts groups by due time as long as their work fits into the time left at the measured pace (Moore and Hodgson); where it doesn't, groups beyond the target of their step yield first, then those of the route with the most work ahead, the largest first. Accepted groups run in the order of their slack, late ones that a trainer waits for follow, those of the route with the least running first. PaceMeter measures the time for an expected token at each engine. planContendedClaims replaces planClaims in ClaimWorker; engines with free slots begin with different groups of the same class. planClaims stays as the baseline of the measurement. No row or message changes.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -12,8 +12,9 @@
 	batchTable, claimKey, encodeClaims, endKey, planKey,
 } from './encode-rows.js';
 import {
-	planClaims, countRemoteRuns, applyClaim, type ClaimTarget, type EligibleBatch, type EngineCapacity, type IsClaimLive,
+	countRemoteRuns, applyClaim, type ClaimTarget, type EngineCapacity, type IsClaimLive,
 } from './plan-claims.js';
+import {countRunsByEngine, planContendedClaims, type ContendedBatch} from './plan-contended-claims.js';
 import type {SampleRunner} from './run-samples.js';
 import {itemKeyOf} from './sample-run.js';
 import {TextHolds} from './text-holds.js';
@@ -51,6 +52,8 @@
 	versionsOf: (engine: UpstreamRecord) => ReadonlyMap<ModelId, number>;
 	/** Returns when the batch is due, on the store's clock, or undefined if the engine's service may not run it (any more). */
 	dueAt: (batch: BatchView, engine: UpstreamRecord) => Millis | undefined;
+	/** Returns the name of the route or team that capacity is divided by. Defaults to one share for all batches. */
+	shareOf?: (batch: BatchView) => string;
 	/** Returns the current time on the store's clock. */
 	storeTime: () => Millis;
 	/** Called after claims have been planned. */
@@ -193,7 +196,7 @@
 	}
 
 	private plan(engine: UpstreamRecord): ClaimTarget[] {
-		const {clock, batchCache, runner, limits, directory, commits, incarnation, versionsOf, dueAt, storeTime} = this.options;
+		const {clock, batchCache, runner, limits, directory, commits, incarnation, versionsOf, dueAt, shareOf = () => '', storeTime} = this.options;
 		const isClaimLive: IsClaimLive = (claim, item, rowVersion) => this.isClaimLive(claim.incarnation, itemKeyOf(item), rowVersion);
 		const open = batchCache.open();
 		const unrecorded = commits.itemsWithFinalOutcome();
@@ -214,13 +217,18 @@
 			rank: Math.max(0, peers.findIndex(peer => peer.id === engine.id)),
 			engines: peers.length,
 		};
-		const batches = open.flatMap((view): EligibleBatch[] => {
+		const batches = open.flatMap((view): ContendedBatch[] => {
 			const due = dueAt(view, engine);
-			return due === undefined ? [] : [{view, dueAt: due}];
+			return due === undefined ? [] : [{view, dueAt: due, share: shareOf(view)}];
 		});
-		return planClaims({
+		const runs = countRunsByEngine(open, isClaimLive);
+		const free = peers.filter(peer => peer.id === engine.id || (runs.get(peer.id) ?? 0) < peer.slots);
+		return planContendedClaims({
 			engine: capacity,
 			batches,
+			msPerToken: runner.msPerToken(engine.id),
+			slots: peers.reduce((sum, peer) => sum + peer.slots, 0),
+			free: {index: Math.max(0, free.findIndex(peer => peer.id === engine.id)), count: Math.max(1, free.length)},
 			isClaimLive,
 			isHeld: item => this.textHolds.isHeld(itemKeyOf(item), clock.now()),
 			hasOutcome: item => unrecorded.size > 0 && unrecorded.has(itemKeyOf(item)),
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -13,6 +13,7 @@
 export * from './plan-claim-releases.js';
 export * from './plan-claims.js';
 export * from './plan-commit.js';
+export * from './plan-contended-claims.js';
 export * from './result-order.js';
 export * from './read-items.js';
 export * from './release-claims.js';
--- a/packages/batches/src/plan-claims.ts
+++ b/packages/batches/src/plan-claims.ts
@@ -63,7 +63,7 @@
 /** Long samples wait no longer than this for an engine that is reserved for them. */
 const maxLongWaitMs = 600;
 /** If a sample has less slack than this, all slots of every engine may be used. */
-const urgentSlackMs = 800;
+export const urgentSlackMs = 800;
 
 type ItemWork = Readonly<{
 	batch: BatchId;
@@ -117,7 +117,10 @@
 }
 
 /** Whether only engines of another software version can continue the item's text, and one of them accepts work. */
-function hasForeignText({textVersion}: ItemWork, {softwareVersion, readyVersions}: EngineCapacity): boolean {
+export function hasForeignText(
+	{textVersion}: Readonly<{textVersion?: SoftwareVersion | undefined}>,
+	{softwareVersion, readyVersions}: Pick<EngineCapacity, 'softwareVersion' | 'readyVersions'>,
+): boolean {
 	return textVersion !== undefined && textVersion !== softwareVersion && readyVersions.has(textVersion);
 }
 
@@ -180,7 +183,7 @@
 	});
 }
 
-function expectedTokens(batch: BatchView, group: number, item: number): number {
+export function expectedTokens(batch: BatchView, group: number, item: number): number {
 	return batch.plan.groups[group]?.items[item]?.expectedTokens ?? 0;
 }
 
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -1,5 +1,6 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
+import {PaceMeter} from '@cicadapost/sample-order';
 import type {RowStore} from '@cicadapost/store';
 import type {
 	BatchId, Clock, ItemId, Millis, UpstreamId,
@@ -67,6 +68,7 @@
 	/** Items whose request bodies are being read, with their engines. */
 	private readonly starting = new Map<string, UpstreamId>();
 	private readonly watch: EngineWatch;
+	private readonly pace = new PaceMeter();
 	/** Set while there are runs to check. */
 	private timer: NodeJS.Timeout | undefined;
 
@@ -103,6 +105,11 @@
 		return this.watch.isSlow(engine, this.options.clock.now());
 	}
 
+	/** Measured time for one expected token in a run at an engine, in ms, or undefined if no run has ended there yet. */
+	msPerToken(engine: UpstreamId): number | undefined {
+		return this.pace.msPerToken(engine);
+	}
+
 	/** Number of long samples that this daemon has on an engine. */
 	countLongAt(engine: UpstreamId): number {
 		return [...this.running.values()].filter(run => run.engine === engine && run.isLong).length;
@@ -361,6 +368,10 @@
 	private recordEnd(run: ActiveRun, state: SampleResult['state']): void {
 		const {batch, group, item, failures, body: {id, reward}} = run;
 		const text = snapshotText(run.text);
+		if (state === 'completed' && run.resumedEvents === 0) {
+			this.pace.record(run.engine, {tookMs: this.options.clock.now() - run.startedAt, expectedTokens: run.expectedTokens});
+		}
+
 		if (state === 'completed' && reward !== undefined) {
 			this.options.commits.push(batch, {
 				group, item, kind: 'text-complete', failures, text,
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -164,6 +164,7 @@
 			isAlive: (incarnation, claimedVersion) => this.isAlive(incarnation, claimedVersion),
 			versionsOf: engine => versions.usableVersions(engine, clock.now()),
 			dueAt: (batch, engine) => this.batchRoutes.dueAt(batch, engine),
+			shareOf: batch => this.batchRoutes.routeOf(batch)?.name ?? '',
 			storeTime: () => this.storeTime(),
 			onPlanned(tookMs) {
 				loadReporter.recordClaimPlan(tookMs);
--- /dev/null
+++ b/packages/sample-order/src/index.ts
@@ -0,0 +1,4 @@
+/** Order of the groups of samples of several training steps on contended engines. */
+
+export * from './pace-meter.js';
+export * from './rank-groups.js';
