Give the items of a group to the engines that have its prompt

Cause: with one slot free at a time each engine takes the first open item of the order, so a group of 8 or 16 was spread over 4.5 to 6.4 engines, each of which reads the group's prompt.

Change: within as many groups of a class as there are engines, which run at about the same time, an engine takes first the groups whose prompt it has read under its weight version (PromptMemory, in the memory of the daemon that owns it), then those that no engine has begun, then the others. A group waits for no engine in particular: all engines still take it when they have nothing better.

The engines of the right version only generate the rest of the text, so the time of a run is not subtracted.

Tests of batches, sample-order and contended-load: 86 passed.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -15,6 +15,7 @@
 	countRemoteRuns, applyClaim, type ClaimTarget, type EngineCapacity, type IsClaimLive,
 } from './plan-claims.js';
 import {countRunsByEngine, planContendedClaims, type ContendedBatch} from './plan-contended-claims.js';
+import {PromptMemory} from './prompt-memory.js';
 import type {SampleRunner} from './run-samples.js';
 import {itemKeyOf} from './sample-run.js';
 import {TextHolds} from './text-holds.js';
@@ -70,6 +71,7 @@
 	private readonly pendingClaims = new Set<string>();
 	private readonly timer: NodeJS.Timeout;
 	private readonly textHolds = new TextHolds();
+	private readonly prompts = new PromptMemory();
 	private isStopped = false;
 	/** End of the cooldown. Until then, changes to batches only set a timer. */
 	private cooldownUntil = 0;
@@ -160,7 +162,9 @@
 		const outcome = await store.transact(transaction);
 		if (outcome.kind === 'committed') {
 			// Start the items before the cache shows the claim, since that triggers planning for the other engines of this daemon.
+			const version = this.options.versionsOf(engine).get(view.plan.model);
 			for (const target of ofBatch) {
+				this.prompts.record(target, engine.id, version ?? view.plan.minVersion);
 				onClaimed(engine.id, target, follower.age(clock.now()));
 				void runner.start(engine, target);
 			}
@@ -221,12 +225,17 @@
 			const due = dueAt(view, engine);
 			return due === undefined ? [] : [{view, dueAt: due, share: shareOf(view)}];
 		});
+		this.prompts.retain(new Set(open.map(({id}) => id)));
 		const runs = countRunsByEngine(open, isClaimLive);
 		const free = peers.filter(peer => peer.id === engine.id || (runs.get(peer.id) ?? 0) < peer.slots);
 		return planContendedClaims({
 			engine: capacity,
 			batches,
 			msPerToken: runner.msPerToken(engine.id),
+			hasPrompt: (batch, group) => {
+				const version = capacity.versions.get(batchCache.get(batch)?.plan.model ?? '' as ModelId);
+				return version !== undefined && this.prompts.has({batch, group}, engine.id, version);
+			},
 			slots: peers.reduce((sum, peer) => sum + peer.slots, 0),
 			free: {index: Math.max(0, free.findIndex(peer => peer.id === engine.id)), count: Math.max(1, free.length)},
 			isClaimLive,
--- a/packages/batches/src/plan-contended-claims.ts
+++ b/packages/batches/src/plan-contended-claims.ts
@@ -19,6 +19,8 @@
 	msPerToken: number | undefined;
 	/** Number of samples that all engines of the service run concurrently. */
 	slots: number;
+	/** Whether the engine has the prompt of a group under the weight version that it has now. Defaults to none. */
+	hasPrompt?: (batch: BatchId, group: number) => boolean;
 	/** Position of this engine among the engines with free slots, and their number. */
 	free: Readonly<{index: number; count: number}>;
 }>;
@@ -42,7 +44,7 @@
 	const claimable = ranked
 		.map(group => ({group, ...claimableItems(byId.get(group.batch)!, group, options)}))
 		.filter(({items, foreign}) => items.length + foreign.length > 0);
-	const ordered = rotateGroups(claimable, options);
+	const ordered = orderByPrompt(claimable, options);
 	return takeItems([
 		...ordered.map(({group, items}) => ({...group, items})),
 		...ordered.map(({group, foreign}) => ({...group, items: foreign})),
@@ -68,17 +70,36 @@
 }
 
 /** `foreign` are the items whose text only engines of another software version can continue. */
-type ClaimableGroup = Readonly<{group: RankedGroup; items: readonly number[]; foreign: readonly number[]}>;
+type ClaimableGroup = Readonly<{group: RankedGroup; items: readonly number[]; foreign: readonly number[]; isBegun: boolean}>;
 
-/** Rotates each run of as many groups of a class as there are engines with free slots, so that it begins with the one for this engine. */
-function rotateGroups(groups: readonly ClaimableGroup[], {free: {index, count}}: PlanContendedClaimsOptions): ClaimableGroup[] {
-	const rotated: ClaimableGroup[] = [];
+/**
+Orders the groups of each window by what the engine has: those whose prompt it has, those that no engine has begun, the others. A
+window has as many groups of a class as there are engines, since about as many run at a time, so that a group waits for no
+engine in particular. The groups that no engine has begun are rotated, so that engines with free slots begin with different ones.
+*/
+function orderByPrompt(groups: readonly ClaimableGroup[], options: PlanContendedClaimsOptions): ClaimableGroup[] {
+	const {free, engine, hasPrompt = () => false} = options;
+	const ordered: ClaimableGroup[] = [];
 	for (let from = 0; from < groups.length;) {
 		const kind = groups[from]!.group.class;
-		const window = groups.slice(from, from + count).filter(({group}) => group.class === kind);
+		const window = groups.slice(from, from + Math.max(free.count, engine.engines)).filter(({group}) => group.class === kind);
+		const own = window.filter(({group}) => hasPrompt(group.batch, group.group));
+		const others = window.filter(entry => !own.includes(entry));
+		const unbegun = others.filter(({isBegun}) => !isBegun);
+		ordered.push(...own, ...rotate(unbegun, free), ...others.filter(({isBegun}) => isBegun));
+		from += window.length;
+	}
+
+	return ordered;
+}
+
+/** Moves the group for this engine to the front of each run of as many groups as there are engines with free slots. */
+function rotate(groups: readonly ClaimableGroup[], {index, count}: PlanContendedClaimsOptions['free']): ClaimableGroup[] {
+	const rotated: ClaimableGroup[] = [];
+	for (let from = 0; from < groups.length; from += count) {
+		const window = groups.slice(from, from + count);
 		const first = index % window.length;
 		rotated.push(...window.slice(first), ...window.slice(0, first));
-		from += window.length;
 	}
 
 	return rotated;
@@ -86,11 +107,11 @@
 
 /** Items of a group that the engine may claim, the longest first. */
 function claimableItems({view, dueAt}: ContendedBatch, {group}: RankedGroup, options: PlanContendedClaimsOptions): Omit<ClaimableGroup, 'group'> {
-	const {engine, isClaimLive, isHeld, hasOutcome = () => false, msPerToken = 0, now} = options;
+	const {engine, isClaimLive, isHeld, hasOutcome = () => false, now} = options;
 	const items: number[] = [];
 	const foreign: number[] = [];
 	if ((engine.versions.get(view.plan.model) ?? -1) < view.plan.minVersion) {
-		return {items, foreign};
+		return {items, foreign, isBegun: false};
 	}
 
 	const claims = view.claims[group]!;
@@ -103,13 +124,14 @@
 
 		if (!hasForeignText(claim, engine)) {
 			items.push(item);
-		} else if (dueAt - now - (expectedTokens(view, group, item) * msPerToken) < urgentSlackMs || !isHeld(reference)) {
+		} else if (dueAt - now < urgentSlackMs || !isHeld(reference)) {
+			// The time of a whole run is not subtracted: an engine of the right version only has to generate the rest of the text.
 			foreign.push(item);
 		}
 	}
 
 	const byLength = (a: number, b: number) => expectedTokens(view, group, b) - expectedTokens(view, group, a);
-	return {items: items.sort(byLength), foreign: foreign.sort(byLength)};
+	return {items: items.sort(byLength), foreign: foreign.sort(byLength), isBegun: items.length + foreign.length < claims.items.length};
 }
 
 function toStepWork({view, share, dueAt}: ContendedBatch, {isClaimLive}: PlanContendedClaimsOptions): StepWork {
--- a/packages/measure/src/contended-load.ts
+++ b/packages/measure/src/contended-load.ts
@@ -29,6 +29,9 @@
 /** Time of an engine step with one run, and for each further run, in ms. */
 const stepMs = [0.57, 0.62, 0.66, 0.73] as const;
 const furtherRunMs = 0.03;
+/** A group shares a prompt of this length, which delays all runs of an engine that reads it. */
+const promptTokens = 1000;
+const prefillTokensPerMs = 650;
 const slotsOfEngines = [6, 8] as const;
 
 type Sample = {readonly batch: Batch; readonly group: number; readonly item: number; left: number; readonly expected: number; startedAt: Millis; engine: string | undefined; isWhole: boolean};
@@ -42,7 +45,7 @@
 	doneAt: Millis | undefined;
 };
 
-export type LoadEngine = {readonly id: UpstreamId; readonly rank: number; readonly slots: number; readonly stepMs: number; running: Sample[]};
+export type LoadEngine = {readonly id: UpstreamId; readonly rank: number; readonly slots: number; readonly stepMs: number; running: Sample[]; stallMs: Millis};
 
 /** What a planner knows when an engine has free slots. */
 export type PlanningState = Readonly<{
@@ -50,6 +53,8 @@
 	engines: readonly LoadEngine[];
 	batches: readonly ContendedBatch[];
 	msPerToken: (engine: UpstreamId) => number | undefined;
+	/** Whether the engine has read the prompt of a group. */
+	hasPrompt: (batch: BatchId, group: number) => boolean;
 	now: Millis;
 }>;
 
@@ -85,7 +90,9 @@
 	private readonly batches: Batch[] = [];
 	private readonly steps = trainers.map(() => 0);
 	private pace = new PaceMeter();
+	/** Engines and the groups whose prompt they have read. */
 	private readonly prompts = new Set<string>();
+
 	private readonly tokensPerLength: number;
 	private readonly endMs: Millis;
 	private now: Millis = 0;
@@ -100,7 +107,7 @@
 		const perEngine = 7 / (0.645 + (furtherRunMs * 6));
 		const count = Math.max(2, Math.round(work / options.load / stepIntervalMs / perEngine));
 		this.engines = Array.from({length: count}, (_, rank) => ({
-			id: `e${rank}` as UpstreamId, rank, slots: slotsOfEngines[rank % 2]!, stepMs: stepMs[rank % 4]! * (rank === 0 ? options.slowFactor ?? 1 : 1), running: [],
+			id: `e${rank}` as UpstreamId, rank, slots: slotsOfEngines[rank % 2]!, stepMs: stepMs[rank % 4]! * (rank === 0 ? options.slowFactor ?? 1 : 1), running: [], stallMs: 0,
 		}));
 		const capacity = this.engines.reduce((sum, engine) => sum + (engine.slots / tokenMsOf(engine, engine.slots)), 0);
 		this.tokensPerLength = meanTokens * options.load * capacity * stepIntervalMs / work;
@@ -184,7 +191,8 @@
 
 	private advance(): void {
 		for (const engine of this.engines) {
-			const tokens = tickMs / tokenMsOf(engine, engine.running.length);
+			const tokens = Math.max(0, tickMs - engine.stallMs) / tokenMsOf(engine, engine.running.length);
+			engine.stallMs = Math.max(0, engine.stallMs - tickMs);
 			for (const sample of engine.running) {
 				sample.left -= tokens;
 				if (sample.left <= 0) {
@@ -234,12 +242,15 @@
 			batches: this.batches.filter(batch => this.isOpen(batch)).map(batch => ({
 				view: toView(batch), dueAt: batch.plan.submittedAt + deadlineMs, share: String(batch.trainer),
 			})),
+			hasPrompt: (id, group) => this.prompts.has(`${engine.id}/${id}/${group}`),
 			msPerToken: id => this.pace.msPerToken(id),
 			now: this.now,
 		});
 		for (const {batch: id, group, items} of targets) {
 			const batch = this.batches.find(candidate => candidate.id === id)!;
-			this.prompts.add(`${engine.id}/${id}/${group}`);
+			const prompt = `${engine.id}/${id}/${group}`;
+			engine.stallMs += this.prompts.has(prompt) ? 0 : promptTokens / prefillTokensPerMs;
+			this.prompts.add(prompt);
 			for (const item of items) {
 				batch.claims[group]!.items[item] = {
 					kind: 'running', failures: 0, hasPartialText: false, incarnation: 'd', engine: engine.id,
--- a/packages/measure/src/contended-planners.ts
+++ b/packages/measure/src/contended-planners.ts
@@ -22,7 +22,7 @@
 
 /** Orders items by the rank of their groups. */
 export function planByRank(state: PlanningState): readonly ClaimTarget[] {
-	const {engine, engines, batches, msPerToken, now} = state;
+	const {engine, engines, batches, msPerToken, hasPrompt, now} = state;
 	const free = engines.filter(({running, slots}) => running.length < slots);
 	return planContendedClaims({
 		engine: capacityOf(state),
@@ -30,6 +30,7 @@
 		isClaimLive: () => true,
 		isHeld: () => false,
 		msPerToken: msPerToken(engine.id),
+		hasPrompt,
 		slots: engines.reduce((sum, {slots}) => sum + slots, 0),
 		free: {index: Math.max(0, free.indexOf(engine)), count: Math.max(1, free.length)},
 		now,
