--- a/packages/measure/src/bench.ts
+++ b/packages/measure/src/bench.ts
@@ -12,7 +12,7 @@
 	| Readonly<{kind: 'policy'; pool?: Readonly<Record<string, unknown>>; policy?: Readonly<Record<string, unknown>>; hasFixedWindows?: boolean; hasNoWeights?: boolean; hasNoPrefixKeys?: boolean; hasNoClasses?: boolean}>
 	| Readonly<{kind: 'dispatcher'; rule: DispatchRule}>
 	/** How the samples of batches are ordered; used only by the batch-order case. */
-	| Readonly<{kind: 'planner'; planner: 'product' | 'submission-order' | 'shortest-first' | 'longest-first'}>
+	| Readonly<{kind: 'planner'; planner: 'product' | 'slack' | 'submission-order' | 'shortest-first' | 'longest-first'}>
 );
 
 export const policy: Variant = {name: 'policy', kind: 'policy'};
--- a/packages/measure/src/cases/batch-order.ts
+++ b/packages/measure/src/cases/batch-order.ts
@@ -1,7 +1,8 @@
 import {
-	longSampleTokens, planClaims, unclaimed, type BatchPlan, type BatchView, type ClaimTarget, type ItemClaim,
+	longSampleTokens, planClaims, planContendedClaims, unclaimed, type BatchPlan, type BatchView, type ClaimTarget, type EngineCapacity, type ItemClaim,
 } from '@cicadapost/batches';
 import {Random} from '@cicadapost/fakes';
+import {PaceMeter} from '@cicadapost/sample-order';
 import type {
 	BatchId, ItemId, Millis, ModelId, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
@@ -29,7 +30,7 @@
 const model = 'draft' as ModelId;
 const softwareVersion = 'v1' as SoftwareVersion;
 
-type Sample = {readonly batch: Batch; readonly group: number; readonly item: number; remainingEvents: number; readonly expected: number};
+type Sample = {readonly batch: Batch; readonly group: number; readonly item: number; remainingEvents: number; readonly expected: number; startedAt: Millis};
 type Batch = {
 	readonly id: BatchId;
 	readonly plan: BatchPlan;
@@ -58,7 +59,7 @@
 	batch.samples.push(...expected.map((items, group) => items.map((tokens, item) => {
 		const actual = tokens * (random.bernoulli(0.08) ? 5 : 2 ** (random.next() - random.next()));
 		return {
-			batch, group, item, remainingEvents: Math.max(1, Math.min(longestEvents, Math.round(actual / tokensPerEvent))), expected: tokens,
+			batch, group, item, remainingEvents: Math.max(1, Math.min(longestEvents, Math.round(actual / tokensPerEvent))), expected: tokens, startedAt: 0,
 		};
 	})));
 	return batch;
@@ -71,7 +72,7 @@
 }
 
 /** Sort orders of the baselines, which fill all slots of each engine in one global order. */
-const orders: Readonly<Record<Exclude<Planner, 'product'>, (a: Sample, b: Sample) => number>> = {
+const orders: Readonly<Record<Exclude<Planner, 'product' | 'slack'>, (a: Sample, b: Sample) => number>> = {
 	'submission-order': () => 0,
 	'shortest-first': (a, b) => a.expected - b.expected,
 	'longest-first': (a, b) => b.expected - a.expected,
@@ -82,6 +83,9 @@
 	private readonly batches: Batch[] = [];
 	private readonly steps = trainers.map(() => 0);
 	private readonly engines: Engine[];
+	private readonly pace = new PaceMeter();
+	/** Engines and the groups of which they have run an item. */
+	private readonly prompts = new Set<string>();
 	private now: Millis = 0;
 	/** Set when samples have been submitted or a slot has become free. */
 	private isPlanningNeeded = false;
@@ -141,11 +145,14 @@
 	private fillEngine(engine: Engine, rank: number): void {
 		for (const {batch, group, items} of this.plan(engine, rank)) {
 			const claimedBatch = this.batches.find(candidate => candidate.id === batch)!;
+			this.prompts.add(`${engine.id}/${batch}/${group}`);
 			for (const item of items) {
 				claimedBatch.claims[group]!.items[item] = {
 					kind: 'running', failures: 0, hasPartialText: false, incarnation: 'd', engine: engine.id,
 				};
-				engine.running.push(claimedBatch.samples[group]![item]!);
+				const sample = claimedBatch.samples[group]![item]!;
+				sample.startedAt = this.now;
+				engine.running.push(sample);
 			}
 		}
 
@@ -156,20 +163,30 @@
 
 	private plan(engine: Engine, rank: number): ClaimTarget[] {
 		const open = this.batches.filter(batch => batch.groupCompletedAt.includes(undefined));
-		if (this.planner !== 'product') {
+		if (this.planner !== 'product' && this.planner !== 'slack') {
 			const samples = open.flatMap(batch => batch.samples.flat().filter(({group, item}) => batch.claims[group]!.items[item]!.kind === 'open'));
 			return samples.sort(orders[this.planner]).slice(0, slots - engine.running.length).map(({batch, group, item}) => ({batch: batch.id, group, items: [item]}));
 		}
 
-		return planClaims({
-			engine: {
-				id: engine.id, slots, running: engine.running.length, runningLong: engine.running.filter(sample => sample.expected > longSampleTokens).length, isSlow: false,
-				softwareVersion, readyVersions: new Set([softwareVersion]), versions: new Map([[model, 1]]), rank, engines: engineCount,
-			},
-			batches: open.map(batch => ({view: toBatchView(batch), dueAt: batch.plan.submittedAt + deadlineMs})),
-			isClaimLive: () => true,
-			isHeld: () => false,
-			now: this.now,
+		const capacity: EngineCapacity = {
+			id: engine.id, slots, running: engine.running.length, runningLong: engine.running.filter(sample => sample.expected > longSampleTokens).length, isSlow: false,
+			softwareVersion, readyVersions: new Set([softwareVersion]), versions: new Map([[model, 1]]), rank, engines: engineCount,
+		};
+		const batches = open.map(batch => ({view: toBatchView(batch), dueAt: batch.plan.submittedAt + deadlineMs, share: batch.id.split('/')[0]!}));
+		const common = {
+			engine: capacity, batches, isClaimLive: () => true, isHeld: () => false, now: this.now,
+		};
+		if (this.planner === 'slack') {
+			return planClaims(common);
+		}
+
+		const free = this.engines.filter(({running}) => running.length < slots);
+		return planContendedClaims({
+			...common,
+			msPerToken: this.pace.msPerToken(engine.id),
+			slots: engineCount * slots,
+			hasPrompt: (batch, group) => this.prompts.has(`${engine.id}/${batch}/${group}`),
+			free: {index: Math.max(0, free.indexOf(engine)), count: Math.max(1, free.length)},
 		});
 	}
 
@@ -179,6 +196,7 @@
 			if (sample.remainingEvents === 0) {
 				this.isPlanningNeeded = true;
 				const {batch, group, item} = sample;
+				this.pace.record(engine.id, {tookMs: this.now - sample.startedAt, expectedTokens: sample.expected});
 				batch.claims[group]!.items[item] = {kind: 'listed'};
 				if (batch.claims[group]!.items.every(claim => claim.kind === 'listed')) {
 					batch.groupCompletedAt[group] = this.now;
@@ -202,7 +220,7 @@
 		{key: 'p90', title: 'p90 s of a step', digits: 2},
 	],
 	bounds: [],
-	variants: [planner('policy', 'product'), planner('submission order', 'submission-order'), planner('shortest first', 'shortest-first'), planner('longest first', 'longest-first')],
+	variants: [planner('policy', 'product'), planner('slack, long samples on reserved engines', 'slack'), planner('submission order', 'submission-order'), planner('shortest first', 'shortest-first'), planner('longest first', 'longest-first')],
 	run(variant, seed) {
 		if (variant.kind !== 'planner') {
 			throw new Error(`batch-order runs only variants that are planners, not "${variant.name}"`);
