Give long samples to faster engines, and move them there while they run

Cause: engines of one service differ in speed, and a step waits for its longest sample.

Change: heartbeats carry the measured time for an event of each engine of the daemon (an optional field, which earlier builds ignore). An engine leaves samples that would end clearly earlier elsewhere to a faster engine that has a free slot and the weights, and running samples move there (shouldLeaveToFaster, shouldMove in packages/sample-order).

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
+import {slowerThanFreeEngines, type EngineRoom} from '@cicadapost/sample-order';
 import type {RowStore, TableFollower, Transaction} from '@cicadapost/store';
 import type {
 	Clock, DaemonIncarnation, Millis, ModelId, UpstreamId,
@@ -32,6 +33,8 @@
 const cooldownFactor = 9;
 /** Upper limit of the cooldown, so that free slots are filled soon. */
 const maxCooldownMs = 100;
+/** The numbers of runs of all engines are counted anew after this time. They change with each claim and result in the fleet. */
+const runCountMs = 50;
 /** Delay after the store has refused a transaction or did not respond. */
 const retryMs = 150;
 
@@ -55,6 +58,8 @@
 	dueAt: (batch: BatchView, engine: UpstreamRecord) => Millis | undefined;
 	/** Returns the name of the route or team that capacity is divided by. Defaults to one share for all batches. */
 	shareOf?: (batch: BatchView) => string;
+	/** Returns the measured time between two events of a run on an engine of another daemon. Defaults to unknown. */
+	remoteEventMs?: (engine: UpstreamId) => Millis | undefined;
 	/** Returns the current time on the store's clock. */
 	storeTime: () => Millis;
 	/** Called after claims have been planned. */
@@ -73,6 +78,7 @@
 	private readonly textHolds = new TextHolds();
 	private readonly prompts = new PromptMemory();
 	private isStopped = false;
+	private countedRuns: Readonly<{at: Millis; runs: ReadonlyMap<UpstreamId, number>}> | undefined;
 	/** End of the cooldown. Until then, changes to batches only set a timer. */
 	private cooldownUntil = 0;
 	private cooldownTimer: NodeJS.Timeout | undefined;
@@ -226,7 +232,7 @@
 			return due === undefined ? [] : [{view, dueAt: due, share: shareOf(view)}];
 		});
 		this.prompts.retain(new Set(open.map(({id}) => id)));
-		const runs = countRunsByEngine(open, isClaimLive);
+		const runs = this.runsByEngine();
 		const free = peers.filter(peer => peer.id === engine.id || (runs.get(peer.id) ?? 0) < peer.slots);
 		return planContendedClaims({
 			engine: capacity,
@@ -236,6 +242,7 @@
 				const version = capacity.versions.get(batchCache.get(batch)?.plan.model ?? '' as ModelId);
 				return version !== undefined && this.prompts.has({batch, group}, engine.id, version);
 			},
+			slowerBy: batch => this.slowerBy(engine.id, batch),
 			slots: peers.reduce((sum, peer) => sum + peer.slots, 0),
 			free: {index: Math.max(0, free.findIndex(peer => peer.id === engine.id)), count: Math.max(1, free.length)},
 			isClaimLive,
@@ -245,6 +252,37 @@
 		});
 	}
 
+	/** Returns how many times as long an engine takes for an event as faster ones that have room and the weights for the batch. */
+	slowerBy(engineId: UpstreamId, batch: BatchView): number {
+		const {directory, versionsOf} = this.options;
+		const engine = directory.get(engineId);
+		const self = {engine: engineId, eventMs: this.eventMs(engineId)};
+		if (engine === undefined || self.eventMs === undefined) {
+			return 1;
+		}
+
+		const runs = this.runsByEngine();
+		const others = directory.ready(engine.service)
+			.filter(peer => peer.softwareVersion === engine.softwareVersion && (versionsOf(peer).get(batch.plan.model) ?? -1) >= batch.plan.minVersion)
+			.map((peer): EngineRoom => ({engine: peer.id, eventMs: this.eventMs(peer.id), freeSlots: peer.slots - (runs.get(peer.id) ?? 0)}));
+		return slowerThanFreeEngines(self, others);
+	}
+
+	private eventMs(engine: UpstreamId): Millis | undefined {
+		return this.options.runner.eventMs(engine) ?? this.options.remoteEventMs?.(engine);
+	}
+
+	/** Numbers of runs by engine, counted anew only some times a second. */
+	private runsByEngine(): ReadonlyMap<UpstreamId, number> {
+		const now = this.options.clock.now();
+		if (this.countedRuns === undefined || now - this.countedRuns.at > runCountMs) {
+			const isClaimLive: IsClaimLive = (claim, item, rowVersion) => this.isClaimLive(claim.incarnation, itemKeyOf(item), rowVersion);
+			this.countedRuns = {at: now, runs: countRunsByEngine(this.options.batchCache.open(), isClaimLive)};
+		}
+
+		return this.countedRuns.runs;
+	}
+
 	private isClaimLive(incarnation: string, itemKey: string, rowVersion: number): boolean {
 		const {runner, commits} = this.options;
 		return incarnation === this.options.incarnation
--- a/packages/batches/src/engine-watch.ts
+++ b/packages/batches/src/engine-watch.ts
@@ -40,6 +40,11 @@
 		return this.slowdowns.isSlow(engine, now);
 	}
 
+	/** Measured time between two events of a run on an engine. Undefined if too few have been seen. */
+	eventMs(engine: UpstreamId, now: Millis): Millis | undefined {
+		return this.slowdowns.eventMs(engine, now);
+	}
+
 	/** Engines that have been silent for too long although they have runs. This detects a dead engine much sooner than the timeouts of single runs. */
 	silentEngines(runs: Iterable<ActiveRun>, now: Millis): UpstreamId[] {
 		const oldest = new Map<UpstreamId, Millis>();
--- a/packages/batches/src/plan-contended-claims.ts
+++ b/packages/batches/src/plan-contended-claims.ts
@@ -1,5 +1,5 @@
 import {
-	rankGroups, type GroupWork, type RankedGroup, type StepWork,
+	rankGroups, shouldLeaveToFaster, type GroupWork, type RankedGroup, type StepWork,
 } from '@cicadapost/sample-order';
 import type {BatchId, Millis, UpstreamId} from '@cicadapost/types';
 import type {BatchView} from './batch-cache.js';
@@ -21,6 +21,8 @@
 	slots: number;
 	/** Whether the engine has the prompt of a group under the weight version that it has now. Defaults to none. */
 	hasPrompt?: (batch: BatchId, group: number) => boolean;
+	/** Returns how many times as long the engine takes for an event as faster ones that could take a sample of the batch now. Defaults to 1. */
+	slowerBy?: (batch: BatchView) => number;
 	/** Position of this engine among the engines with free slots, and their number. */
 	free: Readonly<{index: number; count: number}>;
 }>;
@@ -28,7 +30,7 @@
 /**
 Chooses the samples that an engine runs next by the rank of their groups (see `rankGroups`), the longest of a group first.
 - Engines with free slots begin with different groups of the same class, so that their claims rarely conflict.
-- An engine that is currently slow gets no long samples.
+- An engine that is currently slow gets no long samples, and leaves those that end clearly earlier at a faster engine to it while that one is free.
 - Samples whose text only engines of another software version can continue are held back for these, and then come last.
 */
 export function planContendedClaims(options: PlanContendedClaimsOptions): ClaimTarget[] {
@@ -107,7 +109,7 @@
 
 /** Items of a group that the engine may claim, the longest first. */
 function claimableItems({view, dueAt}: ContendedBatch, {group}: RankedGroup, options: PlanContendedClaimsOptions): Omit<ClaimableGroup, 'group'> {
-	const {engine, isClaimLive, isHeld, hasOutcome = () => false, now} = options;
+	const {engine, isClaimLive, isHeld, hasOutcome = () => false, slowerBy = () => 1, msPerToken = 0, now} = options;
 	const items: number[] = [];
 	const foreign: number[] = [];
 	if ((engine.versions.get(view.plan.model) ?? -1) < view.plan.minVersion) {
@@ -115,6 +117,7 @@
 	}
 
 	const claims = view.claims[group]!;
+	const slower = slowerBy(view);
 	for (const [item, claim] of claims.items.entries()) {
 		const reference = {batch: view.id, group, item};
 		const isOpen = claim.kind === 'open' || (claim.kind === 'running' && !isClaimLive(claim, reference, claims.version));
@@ -122,6 +125,11 @@
 			continue;
 		}
 
+		// A faster engine that is free takes the sample within some milliseconds.
+		if (shouldLeaveToFaster({expectedMs: expectedTokens(view, group, item) * msPerToken, slowerBy: slower})) {
+			continue;
+		}
+
 		if (!hasForeignText(claim, engine)) {
 			items.push(item);
 		} else if (dueAt - now < urgentSlackMs || !isHeld(reference)) {
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -1,6 +1,6 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
-import {PaceMeter} from '@cicadapost/sample-order';
+import {PaceMeter, shouldMove} from '@cicadapost/sample-order';
 import type {RowStore} from '@cicadapost/store';
 import type {
 	BatchId, Clock, ItemId, Millis, UpstreamId,
@@ -47,6 +47,8 @@
 	isLoading: (engine: UpstreamId) => boolean;
 	/** Called when an engine has reported its weight version. */
 	onVersion: (engine: UpstreamId, batch: BatchView, version: number) => void;
+	/** Returns how many times as long an engine takes for an event as faster ones that could take a sample of the batch now. Defaults to 1. */
+	slowerBy?: (engine: UpstreamId, batch: BatchView) => number;
 	/** Called when the complete text of a sample with a reward call is about to be stored. */
 	onTextComplete: (completed: CompletedText) => void;
 	/** Called when a slot of an engine has become free. */
@@ -110,6 +112,11 @@
 		return this.pace.msPerToken(engine);
 	}
 
+	/** Measured time between two events of a run on an engine, in ms, or undefined if too few have been seen. */
+	eventMs(engine: UpstreamId): Millis | undefined {
+		return this.watch.eventMs(engine, this.options.clock.now());
+	}
+
 	/** Number of long samples that this daemon has on an engine. */
 	countLongAt(engine: UpstreamId): number {
 		return [...this.running.values()].filter(run => run.engine === engine && run.isLong).length;
@@ -455,6 +462,25 @@
 		}
 	}
 
+	/** Moves samples that end earlier at a faster engine, although another daemon has to go on with them. */
+	private releaseToFasterEngines(now: Millis): void {
+		const {batchCache, slowerBy = () => 1, rulesOf} = this.options;
+		for (const run of this.running.values()) {
+			const view = batchCache.get(run.batch);
+			const msPerToken = this.pace.msPerToken(run.engine);
+			// The text of a route that wants a single version is of no use to an engine with another one.
+			if (view === undefined || msPerToken === undefined || run.eventsSinceSent === 0 || rulesOf(view)?.isSingleVersion !== false) {
+				continue;
+			}
+
+			const resumedMs = run.resumedEvents * (this.watch.eventMs(run.engine, now) ?? 0);
+			const progress = {elapsedMs: now - run.sentAt, expectedMs: (run.expectedTokens * msPerToken) - resumedMs, slowerBy: slowerBy(run.engine, view)};
+			if (shouldMove(progress)) {
+				this.release(run, run.failures, 'a faster engine is free');
+			}
+		}
+	}
+
 	private check(): void {
 		if (this.running.size === 0) {
 			clearInterval(this.timer);
@@ -465,6 +491,7 @@
 		const now = this.options.clock.now();
 		this.releaseFromSilentEngines(now);
 		this.releaseFromSlowEngines(now);
+		this.releaseToFasterEngines(now);
 		for (const run of this.running.values()) {
 			const view = this.options.batchCache.get(run.batch);
 			const claim = view?.claims[run.group]?.items[run.item];
--- a/packages/batches/src/slowdown-detector.ts
+++ b/packages/batches/src/slowdown-detector.ts
@@ -61,6 +61,16 @@
 		return (this.timings.get(engine)?.slowUntil ?? 0) > now;
 	}
 
+	/** Returns the time between two events of a run: the present one of a slow engine, otherwise the long-term average. Undefined before there are enough gaps. */
+	eventMs(engine: UpstreamId, now: Millis): Millis | undefined {
+		const timing = this.timings.get(engine);
+		if (timing === undefined || timing.samples < minSamples) {
+			return undefined;
+		}
+
+		return this.isSlow(engine, now) ? timing.recentMs : timing.baselineMs;
+	}
+
 	/** Resets the short-term average when the engine has no runs left that could show a recovery. */
 	reset(engine: UpstreamId): void {
 		const timing = this.timings.get(engine);
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -11,7 +11,7 @@
 import {callShare, ForwardedRewards, RewardTask} from '@cicadapost/rewards';
 import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
-	BatchId, Clock, DaemonIncarnation, Millis,
+	BatchId, Clock, DaemonIncarnation, Millis, UpstreamId,
 } from '@cicadapost/types';
 import type {EngineVersions} from '@cicadapost/weights';
 import {BatchRoutes} from './batch-routes.js';
@@ -70,6 +70,14 @@
 		return this.sampleRunner.count;
 	}
 
+	/** Measured time between two events of a run, for each engine of this daemon where it is known. */
+	get paces(): ReadonlyMap<UpstreamId, Millis> {
+		return new Map(this.options.fleetView.ownedEngines().flatMap(({id}): Array<[UpstreamId, Millis]> => {
+			const eventMs = this.sampleRunner.eventMs(id);
+			return eventMs === undefined ? [] : [[id, eventMs]];
+		}));
+	}
+
 	/** Number of texts whose reward this daemon gets. */
 	get rewarding(): number {
 		return this.rewards.count;
@@ -141,6 +149,7 @@
 					versions.recordVersion(record, batch.plan.model, version);
 				}
 			},
+			slowerBy: (engine, batch) => this.claimWorker.slowerBy(engine, batch),
 			onTextComplete: completed => {
 				this.rewards.add(completed);
 			},
@@ -165,6 +174,7 @@
 			versionsOf: engine => versions.usableVersions(engine, clock.now()),
 			dueAt: (batch, engine) => this.batchRoutes.dueAt(batch, engine),
 			shareOf: batch => this.batchRoutes.routeOf(batch)?.name ?? '',
+			remoteEventMs: engine => this.options.membership.eventMs(engine),
 			storeTime: () => this.storeTime(),
 			onPlanned(tookMs) {
 				loadReporter.recordClaimPlan(tookMs);
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -127,6 +127,7 @@
 			directory: this.directory,
 			metrics: this.metrics,
 			loadReporter: this.loadReporter,
+			paces: () => this.batchTasks.paces,
 			isCandidate: () => this.isCandidate,
 			linkedMembers: members => this.relays.linkedMembers(members),
 			reachesAnother: async upstream => this.relays.reachesAnother(upstream),
--- a/packages/entry/src/fleet-tasks.ts
+++ b/packages/entry/src/fleet-tasks.ts
@@ -30,6 +30,8 @@
 	directory: UpstreamDirectory;
 	metrics: EntryMetrics;
 	loadReporter: LoadReporter;
+	/** Returns the measured paces of this daemon's engines. */
+	paces: () => ReadonlyMap<UpstreamId, Millis>;
 	/** Whether this daemon takes engines. */
 	isCandidate: () => boolean;
 	/** Returns the members that reach upstreams. */
--- a/packages/entry/src/member-rows.ts
+++ b/packages/entry/src/member-rows.ts
@@ -1,7 +1,7 @@
 import type {MemberRecord} from '@cicadapost/fleet';
 import {decodeList, encodeList, type RowKey} from '@cicadapost/store';
 import type {
-	DaemonId, DaemonIncarnation, DataCentreId, RegionId,
+	DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
 
 /** Table of daemons, order permits and crash reports. The part is one of those of the members, the engine or the request fingerprint. */
@@ -36,12 +36,12 @@
 }
 
 export function encodeMember(member: MemberRecord): Uint8Array {
-	return encodeList([member.daemon, member.incarnation, member.dataCentre, member.region, member.state, member.heartbeatCount, member.role, member.cores, member.heartbeatMs ?? null]);
+	return encodeList([member.daemon, member.incarnation, member.dataCentre, member.region, member.state, member.heartbeatCount, member.role, member.cores, member.heartbeatMs ?? null, [...member.paces ?? []].map(([engine, ms]) => [engine, Math.round(ms * 10) / 10])]);
 }
 
 /** Returns undefined if the value is not an encoded member. */
 export function decodeMember(value: Uint8Array): MemberRecord | undefined {
-	const [daemon, incarnation, dataCentre, region, state, heartbeatCount, role, cores, heartbeatMs] = decodeList(value) ?? [];
+	const [daemon, incarnation, dataCentre, region, state, heartbeatCount, role, cores, heartbeatMs, paces] = decodeList(value) ?? [];
 	if (typeof daemon !== 'string' || typeof incarnation !== 'string' || typeof dataCentre !== 'string' || typeof region !== 'string') {
 		return undefined;
 	}
@@ -57,5 +57,14 @@
 		role: role === 'standby' ? 'standby' : 'candidate',
 		cores: typeof cores === 'number' && cores > 0 ? cores : 1,
 		...(typeof heartbeatMs === 'number' && heartbeatMs > 0 ? {heartbeatMs} : {}),
+		...(Array.isArray(paces) && paces.length > 0 ? {paces: decodePaces(paces)} : {}),
 	};
 }
+
+/** Entries of an unknown shape are left out. */
+function decodePaces(entries: readonly unknown[]): ReadonlyMap<UpstreamId, Millis> {
+	return new Map(entries.flatMap((entry): Array<[UpstreamId, Millis]> => {
+		const [engine, ms] = Array.isArray(entry) ? entry as unknown[] : [];
+		return typeof engine === 'string' && typeof ms === 'number' && ms > 0 ? [[engine as UpstreamId, ms]] : [];
+	}));
+}
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -3,7 +3,7 @@
 } from '@cicadapost/fleet';
 import type {RowChange, RowStore, TableFollower} from '@cicadapost/store';
 import type {
-	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
+	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
 import {
 	decodeMember, earlierMemberKey, encodeMember, fleetTable, isMemberRow, memberKey, memberPart,
@@ -16,6 +16,8 @@
 	self: Readonly<{daemon: DaemonId; incarnation: DaemonIncarnation; dataCentre: DataCentreId; region: RegionId; cores: number}>;
 	/** Whether this daemon should be a candidate for engines. */
 	isCandidate: () => boolean;
+	/** Returns the measured paces of this daemon's engines, which heartbeats carry. Defaults to none. */
+	paces?: () => ReadonlyMap<UpstreamId, Millis>;
 	/** Called when this daemon has become a candidate or a standby. */
 	onRoleChanged: (role: MemberRecord['role'], candidates: number) => void;
 }>;
@@ -32,8 +34,10 @@
 	private isSendingHeartbeat = false;
 	/** Decoded member rows by part and key. Each row is decoded once per change. */
 	private readonly observed = new Map<string, MemberObservation>();
-	/** The same by incarnation, cached until a row changes. */
+	/** The newest observation of each daemon by incarnation, cached until a row changes. */
 	private cachedObservations: ReadonlyMap<DaemonIncarnation, MemberObservation> | undefined;
+	/** Announced paces of engines, cached until a row changes. */
+	private cachedPaces: ReadonlyMap<UpstreamId, Millis> | undefined;
 
 	constructor(private readonly options: MembershipOptions) {
 		options.follower.on('changed', changes => {
@@ -99,6 +103,14 @@
 		return mayBeRunning(observation, this.livenessContext(now));
 	}
 
+	/** Returns the time between two events of a run on an engine, as the daemon that has measured it last has announced it. */
+	eventMs(engine: UpstreamId): Millis | undefined {
+		this.cachedPaces ??= new Map([...this.observations().values()]
+			.sort((a, b) => a.seenAt - b.seenAt)
+			.flatMap(({record}) => [...record.paces ?? []]));
+		return this.cachedPaces.get(engine);
+	}
+
 	private livenessContext(now: Millis): LivenessContext {
 		return {members: this.observations().size, connectedForMs: this.options.follower.connectedFor(now), now};
 	}
@@ -112,6 +124,7 @@
 			}
 
 			this.cachedObservations = undefined;
+			this.cachedPaces = undefined;
 			const row = `${part}/${key}`;
 			const record = change.kind === 'written' ? decodeMember(change.row.value) : undefined;
 			if (record === undefined) {
@@ -164,9 +177,9 @@
 
 		this.isSendingHeartbeat = true;
 		this.heartbeatCount += 1;
-		const {store, follower, self} = this.options;
+		const {store, follower, self, paces} = this.options;
 		const value = encodeMember({
-			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(),
+			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(), ...(paces === undefined ? {} : {paces: paces()}),
 		});
 		const rows = [{part: memberPart(self.daemon), key: memberKey(self.daemon)}];
 		if (this.hasEarlierBuilds()) {
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -1,5 +1,5 @@
 import type {
-	DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId,
+	DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
 
 /** The record that a daemon publishes about itself in the store. */
@@ -15,6 +15,8 @@
 	cores: number;
 	/** Interval at which the daemon writes heartbeats. Undefined in rows of builds that wrote none. */
 	heartbeatMs?: Millis;
+	/** Measured time between two events of a run on each engine of this daemon. Undefined in rows of builds that wrote none. */
+	paces?: ReadonlyMap<UpstreamId, Millis>;
 	/** Incremented with each heartbeat, so that each one changes the row. */
 	heartbeatCount: number;
 }>;
