Test a daemon against clients that respect no limits

No test sent a crowd of such requests to a real process.

They run alone, in a step of their own at the end of scripts/test.sh. The settings limits.memoryMb and limits.maxDescriptors exist, and nothing reads them yet.

--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -30,6 +30,13 @@
 	store: z.strictObject({
 		address,
 	}),
+	/** What the platform lets the process use. Without a limit the daemon does not count what it concerns. */
+	limits: z.strictObject({
+		/** Memory of the VM, in megabytes of 1,048,576 bytes. */
+		memoryMb: z.number().positive().optional(),
+		/** Number of file descriptors that the process may have open. */
+		maxDescriptors: z.int().positive().optional(),
+	}).prefault({}),
 	/** Maximum time from SIGTERM to the exit of the process, in seconds. */
 	shutdownSeconds: z.number().positive(),
 	/** Minimum time between orders of two different holders to one engine, in milliseconds. */
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,3 +8,4 @@
 npm run --silent unit
 npm run --silent fuzz -- --runs 80 --known-red KNOWN-RED.txt
 npm run --silent model
+npm run --silent unit:isolated
