Limit the memory and connections that clients of a daemon take

Cause: a daemon kept each piece of a body as an object of its own, held any number of bodies, responses and unread output, and accepted any number of connections.

Change: package byte-budget. Bodies over 64 KB share one region of fixed size (a quarter of the VM's memory, at least 44 MB), into which pieces are copied at once; smaller ones have a share of their own. When the region is short, stalled bodies are closed, largest first; others get 503 before they are read, or 408. Buffered responses and output that callers do not read are counted. Connections stay below 0.6 of the descriptors beyond 200; those without a request are closed first. A body that goes on after its response is discarded up to the size of a body, then its connection is closed. A connection to an upstream that has not sent its whole request is not used again, since the memory of the request may be. Large bodies are refused when the heap is 85% full. Each limit has a reason in cicadapost_client_limits_total and in a rate-limited log line. Without limits.memoryMb and limits.maxDescriptors nothing is refused.

--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {UnreadOutput, type UnreadResponse} from '@cicadapost/byte-budget';
 import {ResponseReceiver, type ForwardFailure} from '@cicadapost/forwarding';
 
 /** Ends a response such that the caller can't take it for complete. One without a length or chunks, as in HTTP/1.0, would be if its connection were closed. */
@@ -11,9 +12,27 @@
 }
 
 /** Writes an upstream's response to the caller. */
-export class CallerResponseReceiver extends ResponseReceiver {
-	constructor(private readonly res: ServerResponse, private readonly onFail: (failure: ForwardFailure) => void) {
+export class CallerResponseReceiver extends ResponseReceiver implements UnreadResponse {
+	constructor(
+		private readonly res: ServerResponse,
+		private readonly onFail: (failure: ForwardFailure) => void,
+		private readonly unread = new UnreadOutput(),
+	) {
 		super();
+		res.on('drain', () => {
+			unread.update(this);
+		});
+		res.once('close', () => {
+			unread.remove(this);
+		});
+	}
+
+	get writableLength(): number {
+		return this.res.writableLength;
+	}
+
+	breakOff(): void {
+		breakOff(this.res);
 	}
 
 	override head(status: number, headers: readonly string[]): void {
@@ -27,7 +46,9 @@
 	}
 
 	override data(chunk: Uint8Array): void {
-		this.res.write(chunk);
+		if (!this.res.write(chunk)) {
+			this.unread.update(this);
+		}
 	}
 
 	override end(): void {
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -19,6 +19,7 @@
 } from '@cicadapost/weights';
 import {BatchTasks} from './batch-tasks.js';
 import type {CallerProtocol} from './caller-protocol.js';
+import {createClientLimits} from './client-limits.js';
 import {EntryMetrics} from './entry-metrics.js';
 import type {EntrySettings} from './entry-settings.js';
 import {FleetTasks} from './fleet-tasks.js';
@@ -132,6 +133,15 @@
 			reachesAnother: async upstream => this.relays.reachesAnother(upstream),
 		});
 		const {membership, fleetView, versions} = this.fleet;
+		const clients = createClientLimits({
+			clock,
+			logger,
+			limits: settings.limits,
+			random: options.random ?? Math.random,
+			onReport: ({reason}) => {
+				this.metrics.recordClientLimit(reason);
+			},
+		});
 		this.batchService = new BatchService({
 			clock, store, follower: this.followers.batches, batchCache: this.batchCache, storeTime: () => this.followers.batches.storeTime(clock.now()),
 		});
@@ -162,11 +172,13 @@
 			crashes: this.fleet.crashReports,
 			limits: this.fleet.rateLimiter,
 			streams: this.fleet.streamRecords,
+			responseBytes: clients.responses,
 			dataCentre: settings.dataCentre as DataCentreId,
 			random: options.random ?? Math.random,
 		};
 		this.relays = new RelayTask({
 			...forwarding,
+			clients,
 			logger,
 			store,
 			follower: this.followers.fleet,
@@ -220,6 +232,7 @@
 		});
 		this.frontServer = new FrontServer({
 			clock,
+			clients,
 			protocol: platform.callers,
 			forwarder: new Forwarder({
 				...forwarding,
--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -24,6 +24,7 @@
 	private readonly storeRows = this.counter('store_rows_total', 'Rows that the store returned, by call and table', ['call', 'table']);
 	private readonly limitedRequests = this.counter('limited_requests_total', 'Requests to upstreams that have named a limit, by reason', ['reason']);
 	private readonly requestsOfOtherDaemons = this.counter('requests_of_other_daemons_total', 'Requests taken from daemons without links to upstreams', []);
+	private readonly clientLimits = this.counter('client_limits_total', 'Bodies, connections and responses that were refused or closed because of a limit for clients, by reason', ['reason']);
 	private readonly releasedClaims = this.counter('released_claims_total', 'Items released because their claim took effect although the store did not respond to it', []);
 	private readonly closeDelimited = this.counter('close_delimited_responses_total', 'Responses of upstreams without a length, by whether the upstream closed their connection or it failed', ['end']);
 	private readonly requestLatency = this.histogram('request_duration_ms', 'Time to the answer of plain requests', ['route']);
@@ -80,6 +81,10 @@
 		this.closeDelimited.inc({end});
 	}
 
+	recordClientLimit(reason: string): void {
+		this.clientLimits.inc({reason});
+	}
+
 	async text(): Promise<string> {
 		return this.registry.metrics();
 	}
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -6,16 +6,19 @@
 import type {
 	CallerLimits, ForwardFailure, Forwarder, Route, RoutingConfiguration,
 } from '@cicadapost/forwarding';
-import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
+import {limitConnections, listenOn, type ListenerAddress} from '@cicadapost/listeners';
 import type {Clock, Millis} from '@cicadapost/types';
 import {decideArrival, type ArrivalDecision, type RoutedCall} from './arrival.js';
 import {BatchCalls} from './batch-calls.js';
 import type {CallReport} from './call-report.js';
+import {unlimitedClients, type ClientLimits} from './client-limits.js';
 import type {CallerCall, CallerProtocol} from './caller-protocol.js';
 import {CallerResponseReceiver} from './caller-response.js';
-import {readWholeBody} from './read-whole-body.js';
+import {limitUnreadBody} from './limit-unread-body.js';
+import {readWholeBody, type BodyOutcome} from './read-whole-body.js';
 import {ResponseWriter} from './response-writer.js';
 
+type ReceivedBody = Extract<BodyOutcome, {kind: 'body'}>;
 type CallReportOfArrival = Extract<ArrivalDecision, {kind: 'rejected'}>['report'];
 
 export type FrontServerOptions = Readonly<{
@@ -25,6 +28,8 @@
 	batches: Pick<BatchService, 'submit' | 'results' | 'body' | 'end'>;
 	configuration: () => RoutingConfiguration | undefined;
 	onCallReport: (report: CallReport) => void;
+	/** Limits for clients that are not under control. Everything is unlimited by default. */
+	clients?: ClientLimits;
 }>;
 
 /** Node.js accepts this limit only on creation of the server, before a configuration is loaded, so it exceeds any configured limit. */
@@ -45,6 +50,7 @@
 	private isDraining = false;
 	private readonly writer: ResponseWriter;
 	private readonly batchCalls: BatchCalls;
+	private readonly clients: ClientLimits;
 
 	constructor(private readonly options: FrontServerOptions) {
 		this.writer = new ResponseWriter(options.protocol);
@@ -59,6 +65,14 @@
 			void this.serve(req, res);
 		});
 		this.server.maxRequestsPerSocket = 0;
+		this.clients = options.clients ?? unlimitedClients(options.clock);
+		limitConnections(this.server, {
+			maxConnections: this.clients.maxConnections,
+			now: () => options.clock.now(),
+			onClosed: peer => {
+				this.clients.report({reason: 'too many connections', peer});
+			},
+		});
 		this.applyLimits(initialLimits);
 	}
 
@@ -101,6 +115,12 @@
 			res.setHeader('Connection', 'close');
 		}
 
+		limitUnreadBody(req, res, {
+			limits: () => this.options.configuration()?.limits ?? initialLimits,
+			onClosed: () => {
+				this.clients.report({reason: 'a body went on after the response', peer: req.socket.remoteAddress});
+			},
+		});
 		const call = protocol.parseCall({method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders});
 		try {
 			await this.respond(req, res, call, arrivedAt);
@@ -138,7 +158,11 @@
 				}
 
 				if (route.kind === 'batch') {
-					await this.batchCalls.submit(res, {call: decision.call, method: req.method, body});
+					try {
+						await this.batchCalls.submit(res, {call: decision.call, method: req.method, body: body.body});
+					} finally {
+						body.release();
+					}
 				} else {
 					this.forward(req, res, {
 						call: decision.call, route, body, arrivedAt,
@@ -157,11 +181,24 @@
 	}
 
 	/** Reads the whole body. Returns undefined if the request has been answered or the caller has disconnected. */
-	private async readBody(req: IncomingMessage, res: ServerResponse, limits: CallerLimits): Promise<Uint8Array | undefined> {
-		const outcome = await readWholeBody(req, {bytes: limits.bodyBytes, idleMs: limits.idleTimeoutMs});
+	private async readBody(req: IncomingMessage, res: ServerResponse, limits: CallerLimits): Promise<ReceivedBody | undefined> {
+		const {memory, report} = this.clients;
+		const outcome = await readWholeBody(req, {bytes: limits.bodyBytes, idleMs: limits.idleTimeoutMs}, memory);
 		switch (outcome.kind) {
 			case 'body': {
-				return outcome.body;
+				return outcome;
+			}
+
+			case 'no-memory': {
+				report({reason: 'no memory for a body', peer: req.socket.remoteAddress});
+				this.writer.refuse(res, memory.retryAfterMs(), 'there is no memory for the body now; send it again later');
+				return undefined;
+			}
+
+			case 'slow': {
+				report({reason: 'a slow body was closed', peer: req.socket.remoteAddress});
+				this.failAndClose(res, 408, 'the body arrived slowly while memory was short; send it again');
+				return undefined;
 			}
 
 			case 'too-large': {
@@ -180,8 +217,8 @@
 		}
 	}
 
-	private forward(req: IncomingMessage, res: ServerResponse, options: Readonly<{call: RoutedCall; route: Route; body: Uint8Array; arrivedAt: Millis}>): void {
-		const {call, route, body, arrivedAt} = options;
+	private forward(req: IncomingMessage, res: ServerResponse, options: Readonly<{call: RoutedCall; route: Route; body: ReceivedBody; arrivedAt: Millis}>): void {
+		const {call, route, body: {body, release}, arrivedAt} = options;
 		const cancel = this.options.forwarder.forward({
 			requestId: call.requestId,
 			method: req.method ?? 'GET',
@@ -194,11 +231,14 @@
 			deadlineAt: arrivedAt + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 		}, new CallerResponseReceiver(res, failure => {
 			this.respondToFailure(res, failure);
-		}));
+		}, this.clients.unread));
 		res.once('close', () => {
 			if (!res.writableFinished) {
 				cancel();
 			}
+
+			// All attempts have ended, so no connection reads the body any more.
+			release();
 		});
 	}
 
--- a/packages/entry/src/relay-task.ts
+++ b/packages/entry/src/relay-task.ts
@@ -11,6 +11,7 @@
 import type {
 	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
+import {unlimitedClients, type ClientLimits} from './client-limits.js';
 import type {CallerProtocol} from './caller-protocol.js';
 import {RelayDirectory} from './relay-directory.js';
 
@@ -34,6 +35,8 @@
 	members: (now: Millis) => readonly MemberRecord[];
 	configuration: () => RoutingConfiguration | undefined;
 	random: () => number;
+	/** Limits for clients, which the requests of other daemons share. Everything is unlimited by default. */
+	clients?: ClientLimits;
 	/** Called when this or another daemon has found or lost its links to the upstreams. */
 	onChanged: () => void;
 	/** Called for each request of another daemon that was taken. */
@@ -51,7 +54,7 @@
 	private readonly server: RelayServer;
 
 	constructor(private readonly options: RelayTaskOptions) {
-		const {clock, logger, self, upstreamPool, daemonPool, forwarder, upstreams, members, configuration, random, onChanged, onAccepted, onResponse} = options;
+		const {clock, logger, self, upstreamPool, daemonPool, forwarder, upstreams, members, configuration, random, onChanged, onAccepted, onResponse, clients = unlimitedClients(clock)} = options;
 		this.directory = new RelayDirectory(options);
 		this.monitor = new LinkMonitor({
 			clock,
@@ -85,6 +88,8 @@
 				logger.warn({event: 'relay-rejected', from}, 'a call without the key of this daemon was rejected');
 			},
 			onAccepted,
+			memory: clients.memory,
+			unread: clients.unread,
 		});
 	}
 
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,3 +1,4 @@
+import {GrowingBuffer, smallBodyBytes, type ByteMeter} from '@cicadapost/byte-budget';
 import type {Millis} from '@cicadapost/types';
 import type {AttemptTarget} from './attempt-target.js';
 import type {Exchange, ResponseHead} from './connection-pool.js';
@@ -15,17 +16,38 @@
 	head: ResponseHead | undefined;
 	metadata: ResponseMetadata | undefined;
 	isStreaming = false;
-	private readonly chunks: Uint8Array[] = [];
-	/** Size of `chunks`, or of the current line of a stream. */
+	private readonly received = new GrowingBuffer();
+	/** Bytes of `received` that are counted. Small responses are not: there is at most one for each connection of a caller. */
+	private counted = 0;
+	/** Size of the current line of a stream. */
 	private size = 0;
 
-	constructor(readonly target: AttemptTarget, readonly sentAt: Millis) {}
+	constructor(readonly target: AttemptTarget, readonly sentAt: Millis, private readonly responseBytes?: ByteMeter) {}
 
-	/** Keeps a chunk until the response is complete. Returns false if the response is too long. */
+	/** Keeps a chunk until the response is complete. Returns false if the response is too long, or if there is no memory for it. */
 	buffer(chunk: Uint8Array): boolean {
-		this.chunks.push(chunk);
-		this.size += chunk.length;
-		return this.size <= maxBufferedResponseBytes;
+		if (this.received.length + chunk.length > maxBufferedResponseBytes) {
+			return false;
+		}
+
+		this.received.append(chunk);
+		const more = this.received.capacity - this.counted;
+		if (this.received.length <= smallBodyBytes || more === 0 || this.responseBytes === undefined) {
+			return true;
+		}
+
+		if (!this.responseBytes.tryAdd(more)) {
+			return false;
+		}
+
+		this.counted += more;
+		return true;
+	}
+
+	/** Counts the response no longer. Called when the attempt has ended. */
+	release(): void {
+		this.responseBytes?.remove(this.counted);
+		this.counted = 0;
 	}
 
 	/** Returns false if a chunk of a stream continues a line that is too long. */
@@ -36,7 +58,7 @@
 	}
 
 	get body(): Uint8Array {
-		return Buffer.concat(this.chunks);
+		return this.received.bytes;
 	}
 
 	/** The target and the state of its connection, for logs. */
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -139,6 +139,11 @@
 		});
 	}
 
+	/** Whether a part of a request still waits to be sent. The caller of the pool may reuse the memory of the request once its exchange has ended. */
+	get hasUnsentBytes(): boolean {
+		return (this.socket?.writableLength ?? 0) > 0;
+	}
+
 	/** Records that a piece of a response has been parsed, or that a request is about to be sent. */
 	recordProgress(): void {
 		this.parsedBytes = this.socket?.bytesRead ?? 0;
@@ -266,7 +271,7 @@
 
 			isOver = true;
 			this.startTimes.delete(startTime);
-			if (end.kind !== 'complete') {
+			if (end.kind !== 'complete' || connection.hasUnsentBytes) {
 				connection.reset();
 			} else if (id === undefined) {
 				connection.destroy();
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -1,3 +1,4 @@
+import type {ByteMeter} from '@cicadapost/byte-budget';
 import type {UpstreamRecord} from '@cicadapost/fleet';
 import type {SendReason, Turn} from '@cicadapost/rate-limits';
 import type {DaemonId, Millis} from '@cicadapost/types';
@@ -18,6 +19,8 @@
 export type ForwarderOptions = UpstreamSelectionOptions & UpstreamTargetOptions & RequestReporterOptions & Readonly<{
 	/** Defaults to none. */
 	relays?: RelayPath;
+	/** Counts buffered responses of all requests. They are not counted by default. */
+	responseBytes?: ByteMeter;
 }>;
 
 /** `Retry-After` for a request that no upstream accepts. It is short, so that callers with short deadlines can still retry. */
@@ -201,7 +204,7 @@
 
 	private startAttempt(target: AttemptTarget): void {
 		this.sent += target.maxAttempts;
-		const attempt = new Attempt(target, this.options.clock.now());
+		const attempt = new Attempt(target, this.options.clock.now(), this.options.responseBytes);
 		this.attempts.add(attempt);
 		attempt.exchange = target.send(Math.max(1, Math.floor(this.remainingMs())), {
 			onHead: head => this.onHead(attempt, head),
@@ -212,6 +215,8 @@
 				if (!this.isOver) {
 					this.onEnd(attempt, end);
 				}
+
+				attempt.release();
 			},
 		});
 		this.scheduleHedge();
--- a/packages/listeners/src/index.ts
+++ b/packages/listeners/src/index.ts
@@ -1,3 +1,4 @@
 /** Opens the listener of a server, and keeps its later errors from ending the process. */
 
 export * from './listen-on.js';
+export * from './connection-limiter.js';
--- a/packages/relays/src/relay-server.ts
+++ b/packages/relays/src/relay-server.ts
@@ -9,6 +9,9 @@
 	ResponseReceiver, type ForwardFailure, type Forwarder, type PlainRequest,
 } from '@cicadapost/forwarding';
 import type {UpstreamStart} from '@cicadapost/fleet';
+import {
+	unlimitedBodies, UnreadOutput, type BodyBuffer, type BodyMemory, type UnreadResponse,
+} from '@cicadapost/byte-budget';
 import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
 import type {Clock, Millis} from '@cicadapost/types';
 import {relayPath} from './relay-client.js';
@@ -36,11 +39,17 @@
 	maxRequests?: number;
 	/** Maximum size of the requests of other daemons in progress, in bytes. */
 	maxBytes?: number;
+	/** Memory for the requests of other daemons, shared with those of callers. Unlimited by default. */
+	memory?: BodyMemory;
+	/** Counts responses that other daemons have not read yet. Unlimited by default. */
+	unread?: UnreadOutput;
 }>;
 
 /** A daemon sends a whole request at once, so a longer transfer has stalled. */
 const requestTimeoutMs = 5000;
 const checkConnectionsMs = 1000;
+/** No request of a daemon is larger: the largest body of today's configurations is half of it. */
+const maxDiscardedBytes = 64 * 1024 * 1024;
 
 /** Takes requests of daemons that have no links to upstreams. */
 export class RelayServer {
@@ -48,8 +57,12 @@
 	private requests = 0;
 	private bytes = 0;
 	private isDraining = false;
+	private readonly memory: BodyMemory;
+	private readonly unread: UnreadOutput;
 
 	constructor(private readonly options: RelayServerOptions) {
+		this.memory = options.memory ?? unlimitedBodies(options.clock);
+		this.unread = options.unread ?? new UnreadOutput();
 		this.server = createServer({
 			requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs, connectionsCheckingInterval: checkConnectionsMs, keepAliveTimeout: 1, noDelay: true,
 		}, (req, res) => {
@@ -90,10 +103,20 @@
 		}
 
 		const size = Number(req.headers['content-length'] ?? Number.POSITIVE_INFINITY);
+		let isClosed = false;
 		const refusal = this.reasonToDecline(size);
-		if (refusal !== undefined) {
+		const buffer = refusal === undefined
+			? this.memory.open({
+				declaredBytes: size,
+				onClosed() {
+					isClosed = true;
+					req.socket.destroy();
+				},
+			})
+			: undefined;
+		if (buffer === undefined) {
 			await discardBody(req);
-			finish(res, {kind: 'unavailable', reason: refusal});
+			finish(res, {kind: 'unavailable', reason: refusal ?? 'the daemon has no memory for the request'});
 			return;
 		}
 
@@ -103,12 +126,17 @@
 			this.requests -= 1;
 			this.bytes -= size;
 		});
-		const body = await readBody(req);
+		const body = await readBody(req, buffer);
 		// Lets a close of the connection be noticed that arrived together with the request, after this process was suspended.
 		await nextTurn();
-		if (body !== undefined && !res.destroyed) {
-			this.forward(res, body);
+		if (body === undefined || isClosed || res.destroyed) {
+			buffer.release();
+			return;
 		}
+
+		this.forward(res, body, () => {
+			buffer.release();
+		});
 	}
 
 	private hasKey(req: IncomingMessage): boolean {
@@ -130,8 +158,13 @@
 		return this.requests >= maxRequests || this.bytes + size > maxBytes ? 'the daemon has too many requests of others' : undefined;
 	}
 
-	private forward(res: ServerResponse, body: Uint8Array): void {
+	/** `release` is called when nothing reads the body any more. */
+	private forward(res: ServerResponse, body: Uint8Array, release: () => void): void {
 		const relayed = decodeRelayRequest(body);
+		res.once('close', () => {
+			// Listeners that were added later cancel the request first.
+			setImmediate(release);
+		});
 		if (relayed === undefined) {
 			finish(res, {kind: 'unavailable', reason: 'the request can\'t be decoded'});
 			return;
@@ -145,7 +178,7 @@
 		}
 
 		onAccepted();
-		const cancel = forwarder.forward(req, new RelayResponseReceiver(res));
+		const cancel = forwarder.forward(req, new RelayResponseReceiver(res, this.unread));
 		res.once('close', () => {
 			if (!res.writableFinished) {
 				cancel();
@@ -154,28 +187,37 @@
 	}
 }
 
-/** Reads a body to its end. Closing a connection with unread bytes would reset it, and the reply could be lost. */
+/** Reads a body to its end. Closing a connection with unread bytes would reset it, and the reply could be lost. The connection is closed beyond `maxDiscardedBytes`. */
 async function discardBody(req: IncomingMessage): Promise<void> {
+	let bytes = 0;
+	req.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+		if (bytes > maxDiscardedBytes) {
+			req.destroy();
+		}
+	});
 	try {
-		await finished(req.resume());
+		await finished(req);
 	} catch {
 		// The connection was lost, so nobody waits for the reply.
 	}
 }
 
 /** Reads a body whose size was checked. Returns undefined if the other daemon has disconnected. */
-async function readBody(req: IncomingMessage): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
-	try {
-		for await (const chunk of req as AsyncIterable<Uint8Array>) {
-			chunks.push(chunk);
+async function readBody(req: IncomingMessage, buffer: BodyBuffer): Promise<Uint8Array | undefined> {
+	req.on('data', (chunk: Uint8Array) => {
+		if (!req.destroyed && !buffer.append(chunk)) {
+			req.destroy();
 		}
+	});
+	try {
+		await finished(req);
 	} catch {
 		// The connection was lost.
 		return undefined;
 	}
 
-	return Buffer.concat(chunks);
+	return buffer.finish();
 }
 
 function finish(res: ServerResponse, reply: RelayReply): void {
@@ -185,9 +227,23 @@
 }
 
 /** Writes the response of an upstream to another daemon. */
-class RelayResponseReceiver extends ResponseReceiver {
-	constructor(private readonly res: ServerResponse) {
+class RelayResponseReceiver extends ResponseReceiver implements UnreadResponse {
+	constructor(private readonly res: ServerResponse, private readonly unread: UnreadOutput) {
 		super();
+		res.on('drain', () => {
+			unread.update(this);
+		});
+		res.once('close', () => {
+			unread.remove(this);
+		});
+	}
+
+	get writableLength(): number {
+		return this.res.writableLength;
+	}
+
+	breakOff(): void {
+		this.res.destroy();
 	}
 
 	override head(status: number, headers: readonly string[], from?: UpstreamStart): void {
@@ -198,7 +254,9 @@
 	}
 
 	override data(chunk: Uint8Array): void {
-		this.res.write(chunk);
+		if (!this.res.write(chunk)) {
+			this.unread.update(this);
+		}
 	}
 
 	override end(): void {
