Read and store submissions one item and one transaction at a time

Cause: a submission was held as bytes, as text, as parsed JSON with base64 strings, as decoded bodies, as encoded rows and as planned transactions at once: peaks of 289, 273 and 234 MB for 31 MB in 1, 64 and 4,096 items, 348 MB for two.

Transactions are encoded when they are sent. Ruled out: a streaming parser, which builds the same strings of base64 before anything is decoded.

--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -11,7 +11,7 @@
 } from './batch.js';
 import {writtenRows} from './commit-queue.js';
 import {
-	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeBodies, encodePlan, endKey, listingTable, planKey, resultRange,
+	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeGroupBodies, encodePlan, endKey, listingTable, planKey, resultRange,
 } from './encode-rows.js';
 import {orderResults} from './result-order.js';
 
@@ -83,8 +83,11 @@
 
 		const giveUpAt = clock.now() + writeTimeoutMs;
 		const groups = groupItems(submission.items);
-		const {bodyTransactions, planTransaction} = planSubmission(submission.id, createPlan(submission, groups, this.options.storeTime()), groups);
-		for (const transaction of bodyTransactions) {
+		for (const transaction of planTransactions(submission.id, createPlan(submission, groups, this.options.storeTime()), groups)) {
+			if (transaction.expected !== undefined) {
+				return this.writePlan(transaction, giveUpAt);
+			}
+
 			const outcome = await this.write(transaction, giveUpAt);
 			if (outcome !== 'committed') {
 				// A batch does not exist without its plan, even if some bodies were stored.
@@ -92,7 +95,11 @@
 			}
 		}
 
-		switch (await this.write(planTransaction, giveUpAt)) {
+		return {kind: 'unknown'};
+	}
+
+	private async writePlan(transaction: Transaction, giveUpAt: Millis): Promise<SubmitOutcome> {
+		switch (await this.write(transaction, giveUpAt)) {
 			case 'committed': {
 				return {kind: 'accepted', isRepeated: false};
 			}
@@ -285,29 +292,30 @@
 	};
 }
 
-/** Builds the transactions that store a batch. If one cannot hold all bodies, the others come first, and the last one includes the plan. */
-function planSubmission(id: BatchId, plan: BatchPlan, groups: readonly BatchItem[][]): Readonly<{bodyTransactions: readonly Transaction[]; planTransaction: Transaction}> {
-	const bodyTransactions: Transaction[] = [];
+/**
+Builds the transactions that store a batch, each when it is asked for, so that only one is in memory. If one cannot hold all
+bodies, the others come first. The last one includes the plan, and is the only one with a condition.
+*/
+function * planTransactions(id: BatchId, plan: BatchPlan, groups: readonly BatchItem[][]): Generator<Transaction> {
 	let writes: Array<{table: string; key: string; value: Uint8Array}> = [];
 	let bytes = 0;
-	for (const {key, value} of encodeBodies(groups)) {
-		if (writes.length >= maxEntries || bytes + value.length > maxTransactionBytes) {
-			bodyTransactions.push({part: id, writes});
-			writes = [];
-			bytes = 0;
-		}
+	for (const [group, items] of groups.entries()) {
+		for (const {key, value} of encodeGroupBodies(items, group)) {
+			if (writes.length >= maxEntries || bytes + value.length > maxTransactionBytes) {
+				yield {part: id, writes};
+				writes = [];
+				bytes = 0;
+			}
 
-		writes.push({table: bodyTable, key, value});
-		bytes += value.length;
+			writes.push({table: bodyTable, key, value});
+			bytes += value.length;
+		}
 	}
 
-	return {
-		bodyTransactions,
-		planTransaction: {
-			part: id,
-			expected: [{table: batchTable, key: planKey, version: 0}],
-			writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(plan)}],
-		},
+	yield {
+		part: id,
+		expected: [{table: batchTable, key: planKey, version: 0}],
+		writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(plan)}],
 	};
 }
 
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -224,7 +224,12 @@
 
 /** Encodes the request bodies of a batch. The items of a group are stored together, so that a daemon only reads the groups that it runs. */
 export function encodeBodies(groups: ReadonlyArray<readonly BatchItem[]>): ValueChunk[] {
-	return groups.flatMap((items, group) => splitValue(padNumber(group), encodeList(items.map(item => [item.id, item.path, item.headers, item.body, ...(item.reward === undefined ? [] : [rewardFields(item.reward)])]))));
+	return groups.flatMap((items, group) => encodeGroupBodies(items, group));
+}
+
+/** Encodes the request bodies of one group. */
+export function encodeGroupBodies(items: readonly BatchItem[], group: number): ValueChunk[] {
+	return splitValue(padNumber(group), encodeList(items.map(item => [item.id, item.path, item.headers, item.body, ...(item.reward === undefined ? [] : [rewardFields(item.reward)])])));
 }
 
 function rewardFields({id, host, path, body}: RewardCall): unknown[] {
--- a/packages/entry/src/caller-protocol.ts
+++ b/packages/entry/src/caller-protocol.ts
@@ -41,6 +41,7 @@
 	/** Path of the platform's readiness probe. */
 	abstract readonly readyPath: string;
 	abstract parseCall(head: RequestHead): CallerCall;
+	/** Parses a submission in the memory of its body, which can't be read again. The bodies of its items share that memory. */
 	abstract parseSubmission(options: Readonly<{batch: BatchId; host: string; path: string; body: Uint8Array}>): Either<SubmissionError, BatchSubmission>;
 	abstract encodeResults(page: ResultsPage): string;
 	abstract encodeError(detail: string): string;
