Close stalled small bodies when their share is short, name slow readers, limit daemons' connections

Cause: the share of small bodies could be held by callers that declare 64 KB and stall, for the length of the idle timeout. Log lines about slow readers named no peer, and refused responses were not counted. The listener between daemons accepted any number of connections.

Change: stalled small bodies are closed for other small ones; reports have the peer; the relay listener gets a tenth of the descriptors beyond 200.

--- a/packages/byte-budget/src/body-memory.ts
+++ b/packages/byte-budget/src/body-memory.ts
@@ -66,8 +66,18 @@
 		return this.options.clock.now();
 	}
 
-	trySmall(bytes: number): boolean {
-		return this.smallBodies.tryAdd(bytes);
+	/** Counts bytes of a small body, closing slow ones if necessary. */
+	trySmall(body: BodyBuffer, bytes: number): boolean {
+		while (!this.smallBodies.tryAdd(bytes)) {
+			const closed = chooseBodyToClose([...this.arriving].filter(other => other !== body && !other.isInRegion), this.now());
+			if (closed === undefined) {
+				return false;
+			}
+
+			closed.close();
+		}
+
+		return true;
 	}
 
 	releaseSmall(bytes: number): void {
@@ -224,11 +234,12 @@
 			return true;
 		}
 
-		if (!this.memory.trySmall(bytes - this.smallBytes)) {
+		if (!this.memory.trySmall(this, bytes - this.smallBytes)) {
 			return false;
 		}
 
 		this.smallBytes = bytes;
+		this.progress = {...this.progress, heldBytes: bytes};
 		return true;
 	}
 
--- a/packages/byte-budget/src/byte-budget.test.ts
+++ b/packages/byte-budget/src/byte-budget.test.ts
@@ -116,6 +116,14 @@
 		expect(open(maxBodyBytes).body).toBeDefined();
 	});
 
+	it('closes stalled small bodies for other small ones', () => {
+		const stalled = Array.from({length: 1000}, () => open(60_000));
+		expect(stalled.some(({body}) => body === undefined)).toBe(true);
+		expect(open(60_000).body).toBeUndefined();
+		clock.at = 1000;
+		expect(open(1000).body).toBeDefined();
+	});
+
 	it('keeps a share for small bodies, also when the heap is nearly full', () => {
 		open(maxBodyBytes);
 		isHeapShort = true;
@@ -127,7 +135,7 @@
 describe('UnreadOutput', () => {
 	it('breaks off the response with the most unread bytes when all together are too many', () => {
 		const unread = new UnreadOutput(3000);
-		const responses = [1000, 1500, 900].map(writableLength => ({writableLength, breakOff: vi.fn()}));
+		const responses = [1000, 1500, 900].map(writableLength => ({writableLength, peer: undefined, breakOff: vi.fn()}));
 		for (const response of responses) {
 			unread.update(response);
 		}
--- a/packages/byte-budget/src/byte-meter.ts
+++ b/packages/byte-budget/src/byte-meter.ts
@@ -2,20 +2,13 @@
 export class ByteMeter {
 	private total = 0;
 
-	/** `limit` is in bytes. */
-	constructor(private readonly limit: number = Number.POSITIVE_INFINITY) {}
-
-	get bytes(): number {
-		return this.total;
-	}
-
-	get isOver(): boolean {
-		return this.total > this.limit;
-	}
+	/** `limit` is in bytes. `onFull` is called when bytes do not fit. */
+	constructor(private readonly limit: number = Number.POSITIVE_INFINITY, private readonly onFull: () => void = () => undefined) {}
 
 	/** Counts further bytes if they fit. */
 	tryAdd(bytes: number): boolean {
 		if (this.total + bytes > this.limit) {
+			this.onFull();
 			return false;
 		}
 
@@ -23,11 +16,6 @@
 		return true;
 	}
 
-	/** Counts bytes that are there in any case. */
-	add(bytes: number): void {
-		this.total += bytes;
-	}
-
 	remove(bytes: number): void {
 		this.total -= bytes;
 	}
--- a/packages/byte-budget/src/unread-output.ts
+++ b/packages/byte-budget/src/unread-output.ts
@@ -2,6 +2,8 @@
 export type UnreadResponse = {
 	/** Bytes that the reader has not taken yet. */
 	readonly writableLength: number;
+	/** IP address of the reader, if known. */
+	readonly peer: string | undefined;
 	/** Ends the response as broken. */
 	breakOff: () => void;
 };
@@ -27,7 +29,7 @@
 	private total = 0;
 
 	/** `limit` is in bytes, for all responses together. */
-	constructor(private readonly limit: number = Number.POSITIVE_INFINITY, private readonly onBroken: () => void = () => undefined) {}
+	constructor(private readonly limit: number = Number.POSITIVE_INFINITY, private readonly onBroken: (peer: string | undefined) => void = () => undefined) {}
 
 	get bytes(): number {
 		return this.total;
@@ -62,7 +64,7 @@
 
 	private break(response: UnreadResponse): void {
 		this.remove(response);
-		this.onBroken();
+		this.onBroken(response.peer);
 		response.breakOff();
 	}
 
--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -31,6 +31,10 @@
 		return this.res.writableLength;
 	}
 
+	get peer(): string | undefined {
+		return this.res.socket?.remoteAddress;
+	}
+
 	breakOff(): void {
 		breakOff(this.res);
 	}
--- a/packages/entry/src/client-limits.ts
+++ b/packages/entry/src/client-limits.ts
@@ -19,14 +19,18 @@
 	/** Buffered responses of upstreams. */
 	responses: ByteMeter;
 	unread: UnreadOutput;
+	/** Connections of callers. */
 	maxConnections: number;
+	/** Connections of other daemons. */
+	maxDaemonConnections: number;
 	report: (report: ClientReport) => void;
 }>;
 
 /** Descriptors that files, listeners and the store need. */
 const reservedDescriptors = 200;
-/** Share of the other descriptors for connections of callers. The rest is for those to upstreams and other daemons. */
+/** Shares of the other descriptors for connections of callers and of other daemons. The rest is for those that this daemon opens. */
 const callerShare = 0.6;
+const daemonShare = 0.1;
 /** Large bodies are refused while this share of the heap is used. */
 const maxHeapShare = 0.85;
 /** The state of the heap is read at most this often. */
@@ -40,6 +44,7 @@
 		responses: new ByteMeter(),
 		unread: new UnreadOutput(),
 		maxConnections: Number.POSITIVE_INFINITY,
+		maxDaemonConnections: Number.POSITIVE_INFINITY,
 		report() {
 			// Nothing is limited.
 		},
@@ -76,18 +81,21 @@
 		memory: new BodyMemory({
 			clock, shares, random, isHeapShort: heapCheck(clock),
 		}),
-		responses: new ByteMeter(shares.responses),
-		unread: new UnreadOutput(shares.unread, () => {
-			report({reason: 'a reader was too slow'});
+		responses: new ByteMeter(shares.responses, () => {
+			report({reason: 'no memory for a response'});
 		}),
-		maxConnections: limits.maxDescriptors === undefined ? Number.POSITIVE_INFINITY : maxCallerConnections(limits.maxDescriptors),
+		unread: new UnreadOutput(shares.unread, peer => {
+			report({reason: 'a reader was too slow', peer});
+		}),
+		maxConnections: connectionLimit(limits.maxDescriptors, callerShare),
+		maxDaemonConnections: connectionLimit(limits.maxDescriptors, daemonShare),
 		report,
 	};
 }
 
-/** Returns the number of connections of callers, from the number of descriptors of the process. */
-export function maxCallerConnections(maxDescriptors: number): number {
-	return Math.max(1, Math.floor((maxDescriptors - reservedDescriptors) * callerShare));
+/** Returns a number of connections, from the number of descriptors of the process. */
+function connectionLimit(maxDescriptors: number | undefined, share: number): number {
+	return maxDescriptors === undefined ? Number.POSITIVE_INFINITY : Math.max(1, Math.floor((maxDescriptors - reservedDescriptors) * share));
 }
 
 function heapCheck(clock: Clock): () => boolean {
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -219,6 +219,10 @@
 
 	private forward(req: IncomingMessage, res: ServerResponse, options: Readonly<{call: RoutedCall; route: Route; body: ReceivedBody; arrivedAt: Millis}>): void {
 		const {call, route, body: {body, release}, arrivedAt} = options;
+		res.once('close', () => {
+			// The listener below has ended all attempts by then, so that no connection reads the body any more.
+			setImmediate(release);
+		});
 		const cancel = this.options.forwarder.forward({
 			requestId: call.requestId,
 			method: req.method ?? 'GET',
@@ -236,9 +240,6 @@
 			if (!res.writableFinished) {
 				cancel();
 			}
-
-			// All attempts have ended, so no connection reads the body any more.
-			release();
 		});
 	}
 
--- a/packages/entry/src/relay-task.ts
+++ b/packages/entry/src/relay-task.ts
@@ -88,6 +88,10 @@
 				logger.warn({event: 'relay-rejected', from}, 'a call without the key of this daemon was rejected');
 			},
 			onAccepted,
+			maxConnections: clients.maxDaemonConnections,
+			onConnectionClosed(peer) {
+				clients.report({reason: 'too many connections', peer});
+			},
 			memory: clients.memory,
 			unread: clients.unread,
 		});
--- a/packages/forwarding/src/connection-pool.test.ts
+++ b/packages/forwarding/src/connection-pool.test.ts
@@ -64,6 +64,39 @@
 });
 
 describe('ConnectionPool', () => {
+	it('does not use a connection again that has not sent its whole request, since the memory of the request may hold another one by then', async () => {
+		let connections = 0;
+		const server = createServer(socket => {
+			connections += 1;
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				// Responds before it has read the body, and reads nothing further.
+				socket.pause();
+				socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const pool = new ConnectionPool();
+		const upstream = {id: 'u' as UpstreamId, bornAt: 1, address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+		for (const id of ['a', 'b']) {
+			const end = await new Promise<ExchangeEnd>(resolve => {
+				pool.exchange(upstream, {
+					method: 'POST', path: '/', headers: ['Host', 'h'], body: Buffer.alloc(32 * 1024 * 1024), id,
+				}, {
+					onHead: () => true, onData: () => true, onEnd: resolve,
+				});
+			});
+			expect(end).toEqual({kind: 'complete'});
+			expect(pool.hasIdle(upstream.id)).toBe(false);
+		}
+
+		expect(connections).toBe(2);
+		pool.close();
+		server.close();
+	});
+
 	it('resets the connection of a request that is given up, so that a partition can\'t deliver the request later', async () => {
 		const errors: string[] = [];
 		let received = 0;
--- a/packages/relays/src/relay-server.ts
+++ b/packages/relays/src/relay-server.ts
@@ -12,7 +12,7 @@
 import {
 	unlimitedBodies, UnreadOutput, type BodyBuffer, type BodyMemory, type UnreadResponse,
 } from '@cicadapost/byte-budget';
-import {listenOn, type ListenerAddress} from '@cicadapost/listeners';
+import {limitConnections, listenOn, type ListenerAddress} from '@cicadapost/listeners';
 import type {Clock, Millis} from '@cicadapost/types';
 import {relayPath} from './relay-client.js';
 import {
@@ -39,6 +39,10 @@
 	maxRequests?: number;
 	/** Maximum size of the requests of other daemons in progress, in bytes. */
 	maxBytes?: number;
+	/** Maximum number of connections. Unlimited by default. */
+	maxConnections?: number;
+	/** Called with the IP address of a connection that was closed because there were too many. */
+	onConnectionClosed?: (peer: string | undefined) => void;
 	/** Memory for the requests of other daemons, shared with those of callers. Unlimited by default. */
 	memory?: BodyMemory;
 	/** Counts responses that other daemons have not read yet. Unlimited by default. */
@@ -68,6 +72,14 @@
 		}, (req, res) => {
 			void this.serve(req, res);
 		});
+		const {maxConnections = Number.POSITIVE_INFINITY, onConnectionClosed, clock} = options;
+		limitConnections(this.server, {
+			maxConnections,
+			now: () => clock.now(),
+			onClosed(peer) {
+				onConnectionClosed?.(peer);
+			},
+		});
 	}
 
 	async listen(address: ListenerAddress, onError: (err: Error) => void): Promise<void> {
@@ -242,6 +254,10 @@
 		return this.res.writableLength;
 	}
 
+	get peer(): string | undefined {
+		return this.res.socket?.remoteAddress;
+	}
+
 	breakOff(): void {
 		this.res.destroy();
 	}
