--- a/packages/byte-budget/src/share-memory.ts
+++ b/packages/byte-budget/src/share-memory.ts
@@ -15,12 +15,12 @@
 /** Bodies up to this size have a share of their own. */
 export const smallBodyBytes = 64 * 1024;
 /** The region holds one body of the largest size beside some smaller ones, however small the VM is. */
-const minRegionBytes = 44 * mebibyte;
+const minRegionBytes = 40 * mebibyte;
 /**
 Shares of the memory of the VM. A daemon without load takes a third of the smallest VM (61 of 178 MB), and its heap may grow by
 another third before the garbage is collected.
 */
-const regionShare = 0.25;
+const regionShare = 0.225;
 const smallShare = 0.04;
 const responseShare = 0.07;
 const unreadShare = 0.07;
