--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -11,7 +11,7 @@
 } from './batch.js';
 import {writtenRows} from './commit-queue.js';
 import {
-	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeBodies, encodePlan, endKey, listingTable, planKey, resultRange,
+	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeGroupBodies, encodePlan, endKey, listingTable, planKey, resultRange,
 } from './encode-rows.js';
 import {orderResults} from './result-order.js';
 
@@ -86,8 +86,11 @@
 
 		const giveUpAt = clock.now() + writeTimeoutMs;
 		const groups = groupItems(submission.items);
-		const {bodyTransactions, planTransaction} = planSubmission(submission.id, createPlan(submission, groups, this.options.storeTime()), groups);
-		for (const transaction of bodyTransactions) {
+		for (const {transaction, hasPlan} of planTransactions(submission.id, createPlan(submission, groups, this.options.storeTime()), groups)) {
+			if (hasPlan) {
+				return this.writePlan(submission, transaction, giveUpAt);
+			}
+
 			const outcome = await this.write(transaction, giveUpAt);
 			if (outcome === 'conflict') {
 				return this.outcomeOfStored(submission);
@@ -99,7 +102,11 @@
 			}
 		}
 
-		switch (await this.write(planTransaction, giveUpAt)) {
+		return {kind: 'unknown'};
+	}
+
+	private async writePlan(submission: BatchSubmission, transaction: Transaction, giveUpAt: Millis): Promise<SubmitOutcome> {
+		switch (await this.write(transaction, giveUpAt)) {
 			case 'committed': {
 				return {kind: 'accepted', isRepeated: false};
 			}
@@ -306,32 +313,30 @@
 }
 
 /**
-Builds the transactions that store a batch. If one cannot hold all bodies, the others come first, and the last one includes the plan. Each
-expects that there is no plan, so that a submission with the id of a stored batch, perhaps of another team, does not replace its bodies.
+Builds the transactions that store a batch, each when it is asked for, so that only one is in memory. If one cannot hold all
+bodies, the others come first, and the last one includes the plan. Each expects that there is no plan, so that a submission with
+the id of a stored batch, perhaps of another team, does not replace its bodies.
 */
-function planSubmission(id: BatchId, plan: BatchPlan, groups: readonly BatchItem[][]): Readonly<{bodyTransactions: readonly Transaction[]; planTransaction: Transaction}> {
+function * planTransactions(id: BatchId, plan: BatchPlan, groups: readonly BatchItem[][]): Generator<Readonly<{transaction: Transaction; hasPlan: boolean}>> {
 	const expected = [{table: batchTable, key: planKey, version: 0}];
-	const bodyTransactions: Transaction[] = [];
 	let writes: Array<{table: string; key: string; value: Uint8Array}> = [];
 	let bytes = 0;
-	for (const {key, value} of encodeBodies(groups)) {
-		if (writes.length >= maxEntries || bytes + value.length > maxTransactionBytes) {
-			bodyTransactions.push({part: id, expected, writes});
-			writes = [];
-			bytes = 0;
-		}
+	for (const [group, items] of groups.entries()) {
+		for (const {key, value} of encodeGroupBodies(items, group)) {
+			if (writes.length >= maxEntries || bytes + value.length > maxTransactionBytes) {
+				yield {transaction: {part: id, expected, writes}, hasPlan: false};
+				writes = [];
+				bytes = 0;
+			}
 
-		writes.push({table: bodyTable, key, value});
-		bytes += value.length;
+			writes.push({table: bodyTable, key, value});
+			bytes += value.length;
+		}
 	}
 
-	return {
-		bodyTransactions,
-		planTransaction: {
-			part: id,
-			expected,
-			writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(plan)}],
-		},
+	yield {
+		transaction: {part: id, expected, writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(plan)}]},
+		hasPlan: true,
 	};
 }
 
--- a/packages/entry/src/caller-protocol.ts
+++ b/packages/entry/src/caller-protocol.ts
@@ -45,6 +45,7 @@
 	abstract parseCall(head: RequestHead): CallerCall;
 	/** Returns the headers of an allowed request without its credential and with the name of its team, if any, as alternating names and values. */
 	abstract admittedHeaders(options: Readonly<{received: readonly string[]; team: TeamId | undefined}>): string[];
+	/** Parses a submission in the memory of its body, which can't be read again. The bodies of its items share that memory. */
 	abstract parseSubmission(options: Readonly<{batch: BatchId; host: string; path: string; body: Uint8Array}>): Either<SubmissionError, BatchSubmission>;
 	abstract encodeResults(page: ResultsPage): string;
 	abstract encodeError(detail: string): string;
