Split the move of samples and the timers of a request from their files

Change: isWorthMoving, OneShotTimer, and the types of runs in sample-run.ts. No change of behaviour.

--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -1,6 +1,6 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
-import {PaceMeter, shouldMove} from '@cicadapost/sample-order';
+import {PaceMeter} from '@cicadapost/sample-order';
 import type {RowStore} from '@cicadapost/store';
 import type {
 	BatchId, Clock, ItemId, Millis, UpstreamId,
@@ -12,6 +12,7 @@
 	areVersionsAllowed, decideFollowUp, isStalled, type FollowUp,
 } from './decide-run.js';
 import type {RowShapeError} from './encode-rows.js';
+import {isWorthMoving} from './is-worth-moving.js';
 import type {
 	EngineClient, RunEnd, SampleEvent, SampleRun,
 } from './engine-client.js';
@@ -20,19 +21,9 @@
 import {readBodies, readText} from './read-items.js';
 import {
 	snapshotText, toResult, createRun, describeEnd, emptyText, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
+	type BatchRules, type CompletedText,
 } from './sample-run.js';
 
-/** Limits that the route of a batch sets. */
-export type BatchRules = Readonly<{
-	maxAttempts: number;
-	isSingleVersion: boolean;
-	/** Time limit for a run. */
-	runMs: Millis;
-}>;
-
-/** A sample whose text is complete, and the reward call that its result still needs. */
-export type CompletedText = ItemReference & Readonly<{id: ItemId; text: SampleText; reward: RewardCall}>;
-
 export type SampleRunnerOptions = Readonly<{
 	clock: Clock;
 	store: RowStore;
@@ -467,15 +458,11 @@
 		const {batchCache, slowerBy = () => 1, rulesOf} = this.options;
 		for (const run of this.running.values()) {
 			const view = batchCache.get(run.batch);
-			const msPerToken = this.pace.msPerToken(run.engine);
 			// The text of a route that wants a single version is of no use to an engine with another one.
-			if (view === undefined || msPerToken === undefined || run.eventsSinceSent === 0 || rulesOf(view)?.isSingleVersion !== false) {
-				continue;
-			}
-
-			const resumedMs = run.resumedEvents * (this.watch.eventMs(run.engine, now) ?? 0);
-			const progress = {elapsedMs: now - run.sentAt, expectedMs: (run.expectedTokens * msPerToken) - resumedMs, slowerBy: slowerBy(run.engine, view)};
-			if (shouldMove(progress)) {
+			const canContinue = view !== undefined && rulesOf(view)?.isSingleVersion === false;
+			if (canContinue && isWorthMoving(run, {
+				msPerToken: this.pace.msPerToken(run.engine), eventMs: this.watch.eventMs(run.engine, now), slowerBy: slowerBy(run.engine, view), now,
+			})) {
 				this.release(run, run.failures, 'a faster engine is free');
 			}
 		}
--- a/packages/batches/src/sample-run.ts
+++ b/packages/batches/src/sample-run.ts
@@ -2,11 +2,22 @@
 import type {
 	BatchId, ItemId, Millis, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
-import type {SampleResult, SampleText} from './batch.js';
+import type {RewardCall, SampleResult, SampleText} from './batch.js';
 import type {ItemBody} from './encode-rows.js';
 import type {RunEnd, SampleRun} from './engine-client.js';
 import type {ClaimTarget, ItemReference} from './plan-claims.js';
 
+/** Limits that the route of a batch sets. */
+export type BatchRules = Readonly<{
+	maxAttempts: number;
+	isSingleVersion: boolean;
+	/** Time limit for a run. */
+	runMs: Millis;
+}>;
+
+/** A sample whose text is complete, and the reward call that its result still needs. */
+export type CompletedText = ItemReference & Readonly<{id: ItemId; text: SampleText; reward: RewardCall}>;
+
 /** The outcome of a run, for logs and metrics. */
 export type RunReport = Readonly<{
 	batch: BatchId;
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -11,6 +11,7 @@
 import {
 	choosePath, decideNextStep, hedgeDelay, relayedAttempts, type AttemptOutcome,
 } from './decide-attempt.js';
+import {OneShotTimer} from './one-shot-timer.js';
 import type {PlainRequest, ResponseReceiver} from './plain-request.js';
 import {NoRelayPath, type RelayPath} from './relay-path.js';
 import {RequestReporter, type RequestProgress, type RequestReporterOptions} from './request-reporter.js';
@@ -61,8 +62,8 @@
 	private mayHaveRun = false;
 	private isOver = false;
 	private readonly reporter: RequestReporter;
-	private hedgeTimer: NodeJS.Timeout | undefined;
-	private deadlineTimer: NodeJS.Timeout | undefined;
+	private readonly hedge = new OneShotTimer();
+	private readonly deadline = new OneShotTimer();
 
 	constructor(
 		private readonly options: ForwarderOptions,
@@ -75,9 +76,9 @@
 	}
 
 	start(): () => void {
-		this.deadlineTimer = setTimeout(() => {
+		this.deadline.schedule(Math.max(1, this.remainingMs()), () => {
 			this.onDeadline();
-		}, Math.max(1, this.remainingMs()));
+		});
 		if (this.options.crashes.isBlocked(this.req)) {
 			void this.probeOrReject();
 		} else if (this.req.continues !== undefined && this.req.route.kind === 'stream') {
@@ -455,7 +456,6 @@
 	}
 
 	private scheduleHedge(): void {
-		clearTimeout(this.hedgeTimer);
 		const delay = hedgeDelay({
 			requestKind: this.req.route.kind,
 			targetLatencyMs: this.req.route.targetLatencyMs,
@@ -463,15 +463,11 @@
 			maxAttempts: this.req.route.maxAttempts,
 			hasCandidate: this.hasCandidate('hedge'),
 		});
-		if (delay === undefined) {
-			return;
-		}
-
-		this.hedgeTimer = setTimeout(() => {
+		this.hedge.schedule(delay, () => {
 			if (!this.isOver && this.tryNext('hedge')) {
 				this.reporter.reportStep('hedged', this.progress(undefined), {afterMs: delay});
 			}
-		}, delay);
+		});
 	}
 
 	/** Ends the request and aborts all of its attempts except `kept`. */
@@ -481,8 +477,8 @@
 		}
 
 		this.isOver = true;
-		clearTimeout(this.hedgeTimer);
-		clearTimeout(this.deadlineTimer);
+		this.hedge.cancel();
+		this.deadline.cancel();
 		this.withdrawTurn?.();
 		this.reporter.reportEnd(outcome, this.progress(kept ?? [...this.attempts][0]), inputs);
 		this.abortOtherAttempts(kept);
