Record weight versions that events of running samples announce

Cause: an engine that loads weights with `retain` announces the new version in an event of each running sample. SampleRunner noted it for the text of the sample only. EngineVersions learned of a version from the heads of new runs, from the list and from reports. Until then the load counted as in progress, for up to 3.5 s, and no sample was claimed, so that no new run began that would have shown the version. When the load timed out, the loader often repeated the order before a claim was made, which started the next 3.5 s.

Trace of the test "gets no further sample and no order" (daemon state every 0.5 s, scratch copy): the engine had version 2 from the first order on, the daemon knew version 1 until 18.3 s after the version was named, with orders at 42, 3893, 7495, 11097, 14699 and 18315 ms and no run in between. The engine was owned and ready.

Ruled out: a hung poll or an old copy, a suspended engine, a lost owner. The orders and the claim at the end needed a working store, and the state "loading" alone covers the pause.

Change: an event that announces a version reports it like a head does. The new test of run-samples.test.ts failed before ([3] instead of [3, 4]).

--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -58,11 +58,13 @@
 let client: ScriptedEngineClient;
 let store: MemoryRowStore;
 let outcomes: ItemOutcome[];
+let reportedVersions: number[];
 let runner: SampleRunner;
 
 async function startRunner(limits: RequestLimits): Promise<void> {
 	client = new ScriptedEngineClient();
 	outcomes = [];
+	reportedVersions = [];
 	store = new MemoryRowStore();
 	const bodies = items.map(id => ({
 		id, path: '/p/', headers: [], body: new Uint8Array([1]), tokens: 100, group: 'g0', expectedTokens: 100,
@@ -89,7 +91,9 @@
 		},
 		rulesOf: () => ({maxAttempts: 3, isSingleVersion: false, runMs: 60_000}),
 		isLoading: () => false,
-		onVersion() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		onVersion(_engine, _batch, version) {
+			reportedVersions.push(version);
+		},
 		onTextComplete: vi.fn(),
 		onUnreadableRow: vi.fn(),
 		onSlotFreed() {}, // eslint-disable-line @typescript-eslint/no-empty-function
@@ -192,6 +196,14 @@
 		expect(outcomes.map(({kind}) => kind)).toContain('released');
 	});
 
+	it('reports a version that an event announces, so that a load does not count as in progress until it times out', () => {
+		const [{handlers}] = client.runs as [(typeof client.runs)[number]];
+		handlers.onStart(3);
+		handlers.onEvent({id: 0, data: 'x', version: undefined});
+		handlers.onEvent({id: 1, data: 'x', version: 4});
+		expect(reportedVersions).toEqual([3, 4]);
+	});
+
 	it('releases samples whose bodies can\'t be read, so that an unreadable row ends no daemon', async () => {
 		const rows = [{table: bodyTable, key: '000000/000000-000001', value: encodeList([['i0', '/p/', 7, 'no bytes']])}];
 		await store.transact({part: batch, writes: rows});
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -298,6 +298,12 @@
 		run.lastActivityAt = now;
 		this.watch.recordActivity(run.engine, now);
 		run.eventsSinceSent += 1;
+		const view = this.options.batchCache.get(run.batch);
+		if (event.version !== undefined && view !== undefined) {
+			// Without this, a load that only running samples announce counts as in progress until it times out, and no samples are claimed.
+			this.options.onVersion(run.engine, view, event.version);
+		}
+
 		run.version = event.version ?? run.version;
 		if (run.text.events.length > 0 && event.id !== run.text.lastEventId + 1) {
 			run.text = emptyText();
