--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -33,8 +33,11 @@
 const cooldownFactor = 9;
 /** Upper limit of the cooldown, so that free slots are filled soon. */
 const maxCooldownMs = 100;
-/** The numbers of runs of all engines are counted anew after this time. They change with each claim and result in the fleet. */
-const runCountMs = 50;
+/**
+The runs of all engines are counted and their paces compared anew after this time. They change with each claim and result in the
+fleet, and a slow engine matters only if it stays slow for longer.
+*/
+const runCountMs = 150;
 /** Delay after the store has refused a transaction or did not respond. */
 const retryMs = 150;
 
@@ -78,6 +81,9 @@
 	private readonly textHolds = new TextHolds();
 	private readonly prompts = new PromptMemory();
 	private isStopped = false;
+	/** Results of `slowerBy` since `comparedAt`, by engine, model and version. */
+	private readonly comparisons = new Map<string, number>();
+	private comparedAt = Number.NEGATIVE_INFINITY;
 	private countedRuns: Readonly<{at: Millis; runs: ReadonlyMap<UpstreamId, number>}> | undefined;
 	/** End of the cooldown. Until then, changes to batches only set a timer. */
 	private cooldownUntil = 0;
@@ -253,7 +259,20 @@
 	}
 
 	/** Returns how many times as long an engine takes for an event as faster ones that have room and the weights for the batch. */
-	slowerBy(engineId: UpstreamId, batch: BatchView): number {
+	slowerBy(engineId: UpstreamId, {plan: {model, minVersion}}: BatchView): number {
+		const now = this.options.clock.now();
+		if (now - this.comparedAt > runCountMs) {
+			this.comparedAt = now;
+			this.comparisons.clear();
+		}
+
+		const key = `${engineId}/${model}/${minVersion}`;
+		const known = this.comparisons.get(key) ?? this.compareEngine(engineId, model, minVersion);
+		this.comparisons.set(key, known);
+		return known;
+	}
+
+	private compareEngine(engineId: UpstreamId, model: ModelId, minVersion: number): number {
 		const {directory, versionsOf} = this.options;
 		const engine = directory.get(engineId);
 		const self = {engine: engineId, eventMs: this.eventMs(engineId)};
@@ -263,7 +282,7 @@
 
 		const runs = this.runsByEngine();
 		const others = directory.ready(engine.service)
-			.filter(peer => peer.softwareVersion === engine.softwareVersion && (versionsOf(peer).get(batch.plan.model) ?? -1) >= batch.plan.minVersion)
+			.filter(peer => peer.softwareVersion === engine.softwareVersion && (versionsOf(peer).get(model) ?? -1) >= minVersion)
 			.map((peer): EngineRoom => ({engine: peer.id, eventMs: this.eventMs(peer.id), freeSlots: peer.slots - (runs.get(peer.id) ?? 0)}));
 		return slowerThanFreeEngines(self, others);
 	}
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -9,7 +9,7 @@
 import type {RewardCall, SampleResult, SampleText} from './batch.js';
 import type {CommitQueue} from './commit-queue.js';
 import {
-	areVersionsAllowed, decideFollowUp, isStalled, type FollowUp,
+	decideFollowUp, isStalled, type FollowUp,
 } from './decide-run.js';
 import type {RowShapeError} from './encode-rows.js';
 import {isWorthMoving} from './is-worth-moving.js';
@@ -21,7 +21,7 @@
 import {readBodies, readText} from './read-items.js';
 import {
 	snapshotText, toResult, createRun, describeEnd, emptyText, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
-	type BatchRules, type CompletedText,
+	usableText, type BatchRules, type CompletedText,
 } from './sample-run.js';
 
 export type SampleRunnerOptions = Readonly<{
@@ -146,7 +146,7 @@
 				item,
 				body,
 				failures,
-				text: this.usableText(view, engine, texts[index]),
+				text: usableText(view, {text: texts[index], rules: this.options.rulesOf(view), softwareVersion: engine.softwareVersion}),
 				isLong: isLong(view, target.group, item),
 				expectedTokens: planned?.expectedTokens ?? 0,
 			});
@@ -167,15 +167,6 @@
 		}
 	}
 
-	private usableText(view: BatchView, engine: UpstreamRecord, text: SampleText | undefined): SampleText | undefined {
-		const rules = this.options.rulesOf(view);
-		if (text === undefined || rules === undefined || rules.isSingleVersion || text.softwareVersion !== engine.softwareVersion) {
-			return undefined;
-		}
-
-		return areVersionsAllowed(text.versions, {...rules, minVersion: view.plan.minVersion}) ? text : undefined;
-	}
-
 	private startRun(options: RunOptions): void {
 		const run = createRun(options, this.options.clock.now());
 		this.running.set(itemKeyOf(run), run);
--- a/packages/batches/src/sample-run.ts
+++ b/packages/batches/src/sample-run.ts
@@ -2,7 +2,9 @@
 import type {
 	BatchId, ItemId, Millis, SoftwareVersion, UpstreamId,
 } from '@cicadapost/types';
+import type {BatchView} from './batch-cache.js';
 import type {RewardCall, SampleResult, SampleText} from './batch.js';
+import {areVersionsAllowed} from './decide-run.js';
 import type {ItemBody} from './encode-rows.js';
 import type {RunEnd, SampleRun} from './engine-client.js';
 import type {ClaimTarget, ItemReference} from './plan-claims.js';
@@ -139,3 +141,15 @@
 
 	return 'cause' in end ? `${end.kind}: ${end.cause}` : end.kind;
 }
+
+/** Returns the text that a run on an engine of the software version may continue. */
+export function usableText(
+	{plan}: BatchView,
+	{text, rules, softwareVersion}: Readonly<{text: SampleText | undefined; rules: BatchRules | undefined; softwareVersion: SoftwareVersion}>,
+): SampleText | undefined {
+	if (text === undefined || rules === undefined || rules.isSingleVersion || text.softwareVersion !== softwareVersion) {
+		return undefined;
+	}
+
+	return areVersionsAllowed(text.versions, {...rules, minVersion: plan.minVersion}) ? text : undefined;
+}
