Decide which prompts go to which engines by queued prefill tokens

Cause: engines process prompts in order, so a prompt of 100 times the median delays the first events of the short ones queued behind it. Change: packages/prefill decides by queued prefill tokens, slack and measured prefill rate, with one long prompt for each engine. No daemon calls it yet.

--- /dev/null
+++ b/packages/prefill/src/index.ts
@@ -0,0 +1,4 @@
+/** Placement of long prompts beside short ones. */
+
+export * from './decide-prefills.js';
+export * from './prefill-meter.js';
