Store the prompt tokens of samples in the plan of their batch

Cause: which engine a prompt may go to depends on its tokens and on the parts that it shares, and daemons know neither. A plan that would not fit into a row with the field is stored without it.

--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -7,8 +7,9 @@
 } from '@cicadapost/types';
 import type {BatchCache} from './batch-cache.js';
 import {
-	anyone, isVisible, itemCount, type BatchItem, type BatchPlan, type BatchReader, type BatchSubmission, type SampleResult,
+	anyone, isVisible, itemCount, type BatchItem, type BatchPlan, type BatchReader, type BatchSubmission, type GroupPlan, type SampleResult,
 } from './batch.js';
+import {groupPromptOf} from './group-prompt.js';
 import {writtenRows} from './commit-queue.js';
 import {
 	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeBodies, encodePlan, endKey, listingTable, planKey, resultRange,
@@ -299,7 +300,10 @@
 		minVersion,
 		targetGroups,
 		submittedAt,
-		groups: groups.map(group => ({items: group.map(({id, expectedTokens}) => ({id, expectedTokens}))})),
+		groups: groups.map((group): GroupPlan => {
+			const prompt = groupPromptOf(group);
+			return {items: group.map(({id, expectedTokens}) => ({id, expectedTokens})), ...(prompt === undefined ? {} : {prompt})};
+		}),
 		...(submission.items.some(({reward}) => reward !== undefined) ? {hasRewards: true} : {}),
 		...(submission.team === undefined ? {} : {team: submission.team}),
 	};
--- a/packages/batches/src/batch.ts
+++ b/packages/batches/src/batch.ts
@@ -1,6 +1,7 @@
 import type {
 	BatchId, ItemId, Millis, ModelId, RequestId, SoftwareVersion, TeamId,
 } from '@cicadapost/types';
+import type {GroupPrompt, PromptPart} from './group-prompt.js';
 
 /** The request to a plain service whose signed response is the reward of a sample. It may be repeated. */
 export type RewardCall = Readonly<{
@@ -25,6 +26,9 @@
 	group: string;
 	/** The trainer's estimate of the number of output tokens. Only its median is accurate. */
 	expectedTokens: number;
+	/** Tokens of the prompt, and the parts that it begins with, in order. Absent if the trainer does not give them. */
+	promptTokens?: number;
+	promptParts?: readonly PromptPart[];
 	/** Absent if the trainer computes the reward itself. */
 	reward?: RewardCall;
 }>;
@@ -99,6 +103,8 @@
 
 export type GroupPlan = Readonly<{
 	items: ReadonlyArray<Readonly<{id: ItemId; expectedTokens: number}>>;
+	/** Absent if the trainer does not give the prompt tokens of all items, or a daemon of an earlier build took the batch. */
+	prompt?: GroupPrompt;
 }>;
 
 /** What earlier runs of an item have left. */
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -3,8 +3,9 @@
 	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, RequestId, SoftwareVersion, TeamId,
 } from '@cicadapost/types';
 import type {
-	BatchItem, BatchPlan, ClaimedText, ItemClaim, RewardCall, SampleResult, SampleText,
+	BatchItem, BatchPlan, ClaimedText, GroupPlan, ItemClaim, RewardCall, SampleResult, SampleText,
 } from './batch.js';
+import {decodePrompt, encodePrompts, maxPlanBytesWithPrompts} from './group-prompt.js';
 import type {ResultReference} from './result-order.js';
 
 /** Table that all daemons follow, with plans, claims and end markers. Each batch is a part of the table. */
@@ -21,6 +22,8 @@
 export const planKey = 'plan';
 export const endKey = 'end';
 const claimPrefix = 'claim/';
+/** Number of fields of a plan without reward calls, team and prompts. */
+const commonPlanFields = 8;
 
 /** Thrown for a row that does not have the shape that this version of cicadapost writes. */
 export class RowShapeError extends Error {
@@ -61,8 +64,21 @@
 	return String(number).padStart(6, '0');
 }
 
+/** Encodes a plan. Prompts are left out if the row would be too large with them. */
 export function encodePlan(plan: BatchPlan): Uint8Array {
-	return encodeList([
+	const fields = planFields(plan);
+	if (plan.groups.every(({prompt}) => prompt === undefined)) {
+		return encodeList(fields);
+	}
+
+	// Earlier builds read the fields of the model and the team only if they are strings, and no further ones.
+	const [model = null, team = null] = fields.slice(commonPlanFields);
+	const encoded = encodeList([...fields.slice(0, commonPlanFields), model, team, encodePrompts(plan.groups)]);
+	return encoded.length > maxPlanBytesWithPrompts ? encodeList(fields) : encoded;
+}
+
+function planFields(plan: BatchPlan): unknown[] {
+	return [
 		plan.host,
 		plan.path,
 		plan.step,
@@ -75,11 +91,11 @@
 		// Earlier builds read this field only if it is a string.
 		...(plan.hasRewards === true ? [plan.model] : (plan.team === undefined ? [] : [null])),
 		...(plan.team === undefined ? [] : [plan.team]),
-	]);
+	];
 }
 
 export function decodePlan(value: Uint8Array): BatchPlan {
-	return decodeRow(value, 'the plan of a batch', ([host, path, step, model, minVersion, targetGroups, submittedAt, groups, modelWithRewards, team]) => {
+	return decodeRow(value, 'the plan of a batch', ([host, path, step, model, minVersion, targetGroups, submittedAt, groups, modelWithRewards, team, prompts]) => {
 		if (typeof host !== 'string' || typeof path !== 'string' || typeof model !== 'string' || typeof submittedAt !== 'number') {
 			return undefined;
 		}
@@ -92,9 +108,10 @@
 			minVersion: Number(minVersion),
 			targetGroups: Number(targetGroups),
 			submittedAt,
-			groups: (groups as Array<Array<[string, number]>>).map(items => ({
-				items: items.map(([id, expectedTokens]) => ({id: id as ItemId, expectedTokens})),
-			})),
+			groups: (groups as Array<Array<[string, number]>>).map((items, group): GroupPlan => {
+				const prompt = Array.isArray(prompts) ? decodePrompt(prompts[group], items.length) : undefined;
+				return {items: items.map(([id, expectedTokens]) => ({id: id as ItemId, expectedTokens})), ...(prompt === undefined ? {} : {prompt})};
+			}),
 			...(typeof modelWithRewards === 'string' ? {hasRewards: true} : {}),
 			...(typeof team === 'string' ? {team: team as TeamId} : {}),
 		};
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -9,6 +9,7 @@
 export * from './encode-rows.js';
 export * from './engine-client.js';
 export * from './feed-pause.js';
+export * from './group-prompt.js';
 export * from './liveness-monitor.js';
 export * from './plan-claim-releases.js';
 export * from './plan-claims.js';
