--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -33,6 +33,8 @@
 const cooldownFactor = 9;
 /** Upper limit of the cooldown, so that free slots are filled soon. */
 const maxCooldownMs = 100;
+/** A long poll of the store is answered within this time. */
+const maxStoreSilenceMs = 1000;
 /**
 The runs of all engines are counted and their paces compared anew after this time. They change with each claim and result in the
 fleet, and a slow engine matters only if it stays slow for longer.
@@ -260,7 +262,13 @@
 
 	/** Returns how many times as long an engine takes for an event as faster ones that have room and the weights for the batch. */
 	slowerBy(engineId: UpstreamId, {plan: {model, minVersion}}: BatchView): number {
-		const now = this.options.clock.now();
+		const {clock, follower} = this.options;
+		const now = clock.now();
+		// While the store is away no other engine can go on with a sample.
+		if (follower.connectedFor(now) === 0 || follower.silentFor(now) > maxStoreSilenceMs) {
+			return 1;
+		}
+
 		if (now - this.comparedAt > runCountMs) {
 			this.comparedAt = now;
 			this.comparisons.clear();
--- a/packages/entry/src/member-rows.ts
+++ b/packages/entry/src/member-rows.ts
@@ -36,7 +36,10 @@
 }
 
 export function encodeMember(member: MemberRecord): Uint8Array {
-	return encodeList([member.daemon, member.incarnation, member.dataCentre, member.region, member.state, member.heartbeatCount, member.role, member.cores, member.heartbeatMs ?? null, [...member.paces ?? []].map(([engine, ms]) => [engine, Math.round(ms * 10) / 10])]);
+	const paces = [...member.paces ?? []].map(([engine, ms]) => [engine, Math.round(ms * 10) / 10]);
+	return encodeList([
+		member.daemon, member.incarnation, member.dataCentre, member.region, member.state, member.heartbeatCount, member.role, member.cores, member.heartbeatMs ?? null, paces,
+	]);
 }
 
 /** Returns undefined if the value is not an encoded member. */
