Log samples that an engine leaves to other engines

Each engine now logs, at most once a second, an item that it leaves to others (`item-left`), with the reason and with what the daemon believes about the engines of the service.

--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -13,9 +13,11 @@
 	batchTable, claimKey, encodeClaims, endKey, planKey,
 } from './encode-rows.js';
 import {
-	countRemoteRuns, applyClaim, type ClaimTarget, type EngineCapacity, type IsClaimLive,
+	countRemoteRuns, applyClaim, type ClaimTarget, type EngineCapacity, type IsClaimLive, type ItemReference,
 } from './plan-claims.js';
-import {countRunsByEngine, planContendedClaims, type ContendedBatch} from './plan-contended-claims.js';
+import {
+	countRunsByEngine, planContendedClaims, type ContendedBatch, type LeaveReason,
+} from './plan-contended-claims.js';
 import {PromptMemory} from './prompt-memory.js';
 import type {SampleRunner} from './run-samples.js';
 import {itemKeyOf} from './sample-run.js';
@@ -42,6 +44,8 @@
 const runCountMs = 150;
 /** Delay after the store has refused a transaction or did not respond. */
 const retryMs = 150;
+/** Each engine reports an item that it leaves to others once in this time. */
+const leftReportMs = 1000;
 
 export type ClaimWorkerOptions = Readonly<{
 	clock: Clock;
@@ -70,10 +74,21 @@
 	/** Called after claims have been planned. */
 	onPlanned: (tookMs: Millis) => void;
 	onClaimed: (engine: UpstreamId, target: ClaimTarget, copyAgeMs: Millis) => void;
+	/** Called when an engine with a free slot leaves an item to other engines, once a second for each engine. */
+	onLeft?: (report: LeftItemReport) => void;
 	/** Called when the store did not respond to a claim, which it may have applied or may yet apply. */
 	onUnanswered: (engine: UpstreamId, targets: readonly ClaimTarget[]) => void;
 }>;
 
+/** Why an item was left to other engines, with what this daemon knows about the engines of the service. */
+export type LeftItemReport = Readonly<{
+	item: ItemReference;
+	engine: UpstreamId;
+	reason: LeaveReason;
+	/** Measured time between two events of a run, and free slots. */
+	engines: readonly EngineRoom[];
+}>;
+
 /** A background task that claims samples for free slots on the engines that this daemon owns. */
 export class ClaimWorker {
 	private readonly busy = new Set<UpstreamId>();
@@ -82,6 +97,7 @@
 	private readonly timer: NodeJS.Timeout;
 	private readonly textHolds = new TextHolds();
 	private readonly prompts = new PromptMemory();
+	private readonly leftReportedAt = new Map<UpstreamId, Millis>();
 	private isStopped = false;
 	/** Results of `slowerBy` since `comparedAt`, by engine, model and version. */
 	private readonly comparisons = new Map<string, number>();
@@ -251,6 +267,10 @@
 				return version !== undefined && this.prompts.has({batch, group}, engine.id, version);
 			},
 			slowerBy: batch => this.slowerBy(engine.id, batch),
+			mayLeave: (item, reason) => {
+				this.reportLeft(engine, item, reason);
+				return true;
+			},
 			slots: peers.reduce((sum, peer) => sum + peer.slots, 0),
 			free: {index: Math.max(0, free.findIndex(peer => peer.id === engine.id)), count: Math.max(1, free.length)},
 			isClaimLive,
@@ -288,11 +308,24 @@
 			return 1;
 		}
 
+		const others = directory.ready(engine.service).filter(peer => peer.softwareVersion === engine.softwareVersion && (versionsOf(peer).get(model) ?? -1) >= minVersion);
+		return slowerThanFreeEngines(self, this.roomOf(others));
+	}
+
+	private roomOf(engines: readonly UpstreamRecord[]): EngineRoom[] {
 		const runs = this.runsByEngine();
-		const others = directory.ready(engine.service)
-			.filter(peer => peer.softwareVersion === engine.softwareVersion && (versionsOf(peer).get(model) ?? -1) >= minVersion)
-			.map((peer): EngineRoom => ({engine: peer.id, eventMs: this.eventMs(peer.id), freeSlots: peer.slots - (runs.get(peer.id) ?? 0)}));
-		return slowerThanFreeEngines(self, others);
+		return engines.map(({id, slots}) => ({engine: id, eventMs: this.eventMs(id), freeSlots: slots - (runs.get(id) ?? 0)}));
+	}
+
+	private reportLeft(engine: UpstreamRecord, item: ItemReference, reason: LeaveReason): void {
+		const {clock, directory, onLeft} = this.options;
+		const now = clock.now();
+		if (onLeft !== undefined && now - (this.leftReportedAt.get(engine.id) ?? Number.NEGATIVE_INFINITY) >= leftReportMs) {
+			this.leftReportedAt.set(engine.id, now);
+			onLeft({
+				item, engine: engine.id, reason, engines: this.roomOf(directory.ready(engine.service)),
+			});
+		}
 	}
 
 	private eventMs(engine: UpstreamId): Millis | undefined {
--- a/packages/batches/src/plan-contended-claims.ts
+++ b/packages/batches/src/plan-contended-claims.ts
@@ -4,7 +4,7 @@
 import type {BatchId, Millis, UpstreamId} from '@cicadapost/types';
 import type {BatchView} from './batch-cache.js';
 import {
-	expectedTokens, hasForeignText, isLong, urgentSlackMs, type ClaimTarget, type EligibleBatch, type IsClaimLive, type PlanClaimsOptions,
+	expectedTokens, hasForeignText, isLong, urgentSlackMs, type ClaimTarget, type EligibleBatch, type IsClaimLive, type ItemReference, type PlanClaimsOptions,
 } from './plan-claims.js';
 
 /** A batch with what its route says about its share and its value. */
@@ -23,10 +23,15 @@
 	hasPrompt?: (batch: BatchId, group: number) => boolean;
 	/** Returns how many times as long the engine takes for an event as faster ones that could take a sample of the batch now. Defaults to 1. */
 	slowerBy?: (batch: BatchView) => number;
+	/** Whether an item may be left to other engines, which should run it sooner. Defaults to always. */
+	mayLeave?: (item: ItemReference, reason: LeaveReason) => boolean;
 	/** Position of this engine among the engines with free slots, and their number. */
 	free: Readonly<{index: number; count: number}>;
 }>;
 
+/** Why an engine with a free slot leaves an item to others: it is slow at the moment, or a faster one is free. */
+export type LeaveReason = 'slow-engine' | 'faster-engine';
+
 /**
 Chooses the samples that an engine runs next by the rank of their groups (see `rankGroups`), the longest of a group first.
 - Engines with free slots begin with different groups of the same class, so that their claims rarely conflict.
@@ -109,7 +114,7 @@
 
 /** Items of a group that the engine may claim, the longest first. */
 function claimableItems({view, dueAt}: ContendedBatch, {group}: RankedGroup, options: PlanContendedClaimsOptions): Omit<ClaimableGroup, 'group'> {
-	const {engine, isClaimLive, isHeld, hasOutcome = () => false, slowerBy = () => 1, msPerToken = 0, now} = options;
+	const {engine, isClaimLive, isHeld, hasOutcome = () => false, slowerBy = () => 1, mayLeave = () => true, msPerToken = 0, now} = options;
 	const items: number[] = [];
 	const foreign: number[] = [];
 	if ((engine.versions.get(view.plan.model) ?? -1) < view.plan.minVersion) {
@@ -121,12 +126,16 @@
 	for (const [item, claim] of claims.items.entries()) {
 		const reference = {batch: view.id, group, item};
 		const isOpen = claim.kind === 'open' || (claim.kind === 'running' && !isClaimLive(claim, reference, claims.version));
-		if (!isOpen || hasOutcome(reference) || (engine.isSlow && isLong(view, group, item))) {
+		if (!isOpen || hasOutcome(reference)) {
+			continue;
+		}
+
+		if (engine.isSlow && isLong(view, group, item) && mayLeave(reference, 'slow-engine')) {
 			continue;
 		}
 
 		// A faster engine that is free takes the sample within some milliseconds.
-		if (shouldLeaveToFaster({expectedMs: expectedTokens(view, group, item) * msPerToken, slowerBy: slower})) {
+		if (shouldLeaveToFaster({expectedMs: expectedTokens(view, group, item) * msPerToken, slowerBy: slower}) && mayLeave(reference, 'faster-engine')) {
 			continue;
 		}
 
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -184,6 +184,9 @@
 					event: 'claim', batch: target.batch, engine, group: target.group, items: target.items, copyAgeMs: Math.round(copyAgeMs),
 				}, 'claimed samples');
 			},
+			onLeft({item, ...report}) {
+				logger.info({event: 'item-left', ...item, ...report}, 'left a sample to other engines');
+			},
 			onUnanswered(engine, targets) {
 				logger.warn({event: 'claim-unanswered', engine, targets}, 'the store did not respond to a claim');
 			},
