Leave samples to other engines for a limited time only

Cause: an engine left an item to a faster one that was free without any limit of time, and the daemons need not agree on which one is faster.

Change: LeftItems limits how long a daemon leaves an open item to others, in one go and in total, also for long items on slow engines and for runs that move. Measurements of an engine are forgotten when it goes to another daemon, leaves or starts again. Heartbeats name no pace of an engine that its owner can't reach, and paces of dead or leaving daemons don't count.

--- a/packages/batches/src/batch-daemon.test-helper.ts
+++ b/packages/batches/src/batch-daemon.test-helper.ts
@@ -24,6 +24,8 @@
 	maxAttempts?: number;
 	/** Defaults to all engines of the directory. */
 	ownedEngines?: () => UpstreamRecord[];
+	/** The pace of an engine that another daemon announces. Defaults to unknown. */
+	remoteEventMs?: (engine: UpstreamId) => number | undefined;
 	/** Whether claims that took effect without a response are released. */
 	releasesClaims?: boolean;
 }>;
@@ -50,6 +52,7 @@
 	constructor(options: BatchDaemonOptions) {
 		const {
 			store, client, directory, incarnation = 'd1#1' as DaemonIncarnation, maxAttempts = 3, ownedEngines = () => [...directory.all()], releasesClaims = true,
+			remoteEventMs = () => undefined,
 		} = options;
 		const {clock, batchCache} = this;
 		const follower = new TableFollower({
@@ -74,6 +77,7 @@
 			clock, store, follower, batchCache, directory, runner: this.runner, limits: new UnlimitedRequests(), commits, incarnation, ownedEngines,
 			isAlive: () => true,
 			versionsOf: engine => engine.models,
+			remoteEventMs,
 			dueAt: view => view.plan.submittedAt + 7500,
 			storeTime: () => follower.storeTime(clock.now()),
 			onPlanned: ignore,
--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -6,7 +6,7 @@
 import type {
 	Clock, DaemonIncarnation, Millis, ModelId, UpstreamId,
 } from '@cicadapost/types';
-import {type BatchCache, type BatchView} from './batch-cache.js';
+import {isOpen, type BatchCache, type BatchView} from './batch-cache.js';
 import {claimableSlots} from './claimable-slots.js';
 import {writtenRows, type CommitQueue} from './commit-queue.js';
 import {
@@ -18,6 +18,7 @@
 import {
 	countRunsByEngine, planContendedClaims, type ContendedBatch, type LeaveReason,
 } from './plan-contended-claims.js';
+import {LeftItems, type ItemProgress} from './left-items.js';
 import {PromptMemory} from './prompt-memory.js';
 import type {SampleRunner} from './run-samples.js';
 import {itemKeyOf} from './sample-run.js';
@@ -97,6 +98,7 @@
 	private readonly timer: NodeJS.Timeout;
 	private readonly textHolds = new TextHolds();
 	private readonly prompts = new PromptMemory();
+	private readonly leftItems = new LeftItems();
 	private readonly leftReportedAt = new Map<UpstreamId, Millis>();
 	private isStopped = false;
 	/** Results of `slowerBy` since `comparedAt`, by engine, model and version. */
@@ -128,9 +130,11 @@
 			return;
 		}
 
-		const {ownedEngines, runner} = this.options;
-		for (const engine of ownedEngines()) {
-			if (!this.busy.has(engine.id) && !runner.isSuspended(engine.id)) {
+		const {ownedEngines, runner, clock} = this.options;
+		const owned = ownedEngines();
+		runner.retainMeasurements(owned);
+		for (const engine of owned) {
+			if (!this.busy.has(engine.id) && !runner.watch.isSuspended(engine.id, clock.now())) {
 				void this.fillSlots(engine);
 			}
 		}
@@ -147,11 +151,16 @@
 		return this.pendingClaims.has(itemKey);
 	}
 
+	/** Whether a run of an item may end here so that another engine goes on with it. */
+	mayMove(item: ItemReference): boolean {
+		return this.leftItems.mayMove(item, this.options.clock.now());
+	}
+
 	private async fillSlots(engine: UpstreamRecord): Promise<void> {
 		this.busy.add(engine.id);
 		try {
 			let mayHaveMore = true;
-			while (mayHaveMore && !this.isStopped && !this.options.runner.isSuspended(engine.id)) {
+			while (mayHaveMore && !this.isStopped && !this.options.runner.watch.isSuspended(engine.id, this.options.clock.now())) {
 				mayHaveMore = await this.claimOnce(engine);
 			}
 		} finally {
@@ -246,7 +255,7 @@
 			runningLong: runner.countLongAt(engine.id) + remoteRuns.long,
 			softwareVersion: engine.softwareVersion,
 			readyVersions: new Set(peers.map(peer => peer.softwareVersion)),
-			isSlow: runner.isSlow(engine.id),
+			isSlow: runner.watch.isSlow(engine.id, clock.now()),
 			versions: versionsOf(engine),
 			rank: Math.max(0, peers.findIndex(peer => peer.id === engine.id)),
 			engines: peers.length,
@@ -256,20 +265,25 @@
 			return due === undefined ? [] : [{view, dueAt: due, share: shareOf(view)}];
 		});
 		this.prompts.retain(new Set(open.map(({id}) => id)));
+		this.leftItems.update(item => this.progressOf(item), clock.now());
 		const runs = this.runsByEngine();
 		const free = peers.filter(peer => peer.id === engine.id || (runs.get(peer.id) ?? 0) < peer.slots);
 		return planContendedClaims({
 			engine: capacity,
 			batches,
-			msPerToken: runner.msPerToken(engine.id),
+			msPerToken: runner.watch.msPerToken(engine.id),
 			hasPrompt: (batch, group) => {
 				const version = capacity.versions.get(batchCache.get(batch)?.plan.model ?? '' as ModelId);
 				return version !== undefined && this.prompts.has({batch, group}, engine.id, version);
 			},
 			slowerBy: batch => this.slowerBy(engine.id, batch),
 			mayLeave: (item, reason) => {
-				this.reportLeft(engine, item, reason);
-				return true;
+				const mayLeave = this.leftItems.mayLeave(item, reason, clock.now());
+				if (mayLeave) {
+					this.reportLeft(engine, item, reason);
+				}
+
+				return mayLeave;
 			},
 			slots: peers.reduce((sum, peer) => sum + peer.slots, 0),
 			free: {index: Math.max(0, free.findIndex(peer => peer.id === engine.id)), count: Math.max(1, free.length)},
@@ -329,7 +343,8 @@
 	}
 
 	private eventMs(engine: UpstreamId): Millis | undefined {
-		return this.options.runner.eventMs(engine) ?? this.options.remoteEventMs?.(engine);
+		const {runner, clock, remoteEventMs} = this.options;
+		return runner.watch.eventMs(engine, clock.now()) ?? remoteEventMs?.(engine);
 	}
 
 	/** Numbers of runs by engine, counted anew only some times a second. */
@@ -343,6 +358,21 @@
 		return this.countedRuns.runs;
 	}
 
+	private progressOf(item: ItemReference): ItemProgress {
+		const view = this.options.batchCache.get(item.batch);
+		const claims = view?.claims[item.group];
+		const claim = claims?.items[item.item];
+		if (view === undefined || claims === undefined || claim === undefined || !isOpen(view)) {
+			return 'over';
+		}
+
+		if (claim.kind === 'running') {
+			return this.isClaimLive(claim.incarnation, itemKeyOf(item), claims.version) ? 'taken' : 'open';
+		}
+
+		return claim.kind === 'open' ? 'open' : 'over';
+	}
+
 	private isClaimLive(incarnation: string, itemKey: string, rowVersion: number): boolean {
 		const {runner, commits} = this.options;
 		return incarnation === this.options.incarnation
--- a/packages/batches/src/engine-watch.ts
+++ b/packages/batches/src/engine-watch.ts
@@ -1,3 +1,4 @@
+import {PaceMeter} from '@cicadapost/sample-order';
 import type {Millis, UpstreamId} from '@cicadapost/types';
 import {LivenessMonitor} from './liveness-monitor.js';
 import {SlowdownDetector} from './slowdown-detector.js';
@@ -7,6 +8,9 @@
 export class EngineWatch {
 	private readonly liveness = new LivenessMonitor();
 	private readonly slowdowns = new SlowdownDetector();
+	private readonly pace = new PaceMeter();
+	/** Starts of the engines that have measurements. */
+	private bornAt: ReadonlyMap<UpstreamId, number> = new Map();
 
 	constructor(private readonly isLoading: (engine: UpstreamId) => boolean) {}
 
@@ -30,6 +34,27 @@
 		this.slowdowns.reset(engine);
 	}
 
+	/** Records a completed run that generated its whole text. `expectedTokens` is the trainer's estimate of its output. */
+	recordRun(engine: UpstreamId, run: Readonly<{tookMs: Millis; expectedTokens: number}>): void {
+		this.pace.record(engine, run);
+	}
+
+	/**
+	Forgets what was measured at all other engines, and at earlier starts of these. Only the owner of an engine sees how it changes,
+	so an earlier owner must not judge it by what it has measured.
+	*/
+	retain(engines: ReadonlyArray<Readonly<{id: UpstreamId; bornAt: number}>>): void {
+		const bornAt = new Map(engines.map(engine => [engine.id, engine.bornAt]));
+		for (const [id, start] of this.bornAt) {
+			if (bornAt.get(id) !== start) {
+				this.slowdowns.forget(id);
+				this.pace.forget(id);
+			}
+		}
+
+		this.bornAt = bornAt;
+	}
+
 	/** Whether an engine has recently failed and should not get new samples. */
 	isSuspended(engine: UpstreamId, now: Millis): boolean {
 		return this.liveness.isSuspended(engine, now);
@@ -40,6 +65,11 @@
 		return this.slowdowns.isSlow(engine, now);
 	}
 
+	/** Measured time for one expected token in a run at an engine, in ms. Undefined if no run has ended there yet. */
+	msPerToken(engine: UpstreamId): number | undefined {
+		return this.pace.msPerToken(engine);
+	}
+
 	/** Measured time between two events of a run on an engine. Undefined if too few have been seen. */
 	eventMs(engine: UpstreamId, now: Millis): Millis | undefined {
 		return this.slowdowns.eventMs(engine, now);
--- a/packages/batches/src/run-samples.test.ts
+++ b/packages/batches/src/run-samples.test.ts
@@ -173,7 +173,7 @@
 			refuse(client.runs[2]!);
 			await vi.advanceTimersByTimeAsync(1500);
 			expect(client.runs).toHaveLength(3);
-			expect(runner.isSuspended(engine.id)).toBe(false);
+			expect(runner.watch.isSuspended(engine.id, Date.now())).toBe(false);
 			await vi.advanceTimersByTimeAsync(500);
 			expect(client.runs).toHaveLength(4);
 		});
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -1,6 +1,5 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
-import {PaceMeter} from '@cicadapost/sample-order';
 import type {RowStore} from '@cicadapost/store';
 import type {
 	BatchId, Clock, ItemId, Millis, UpstreamId,
@@ -40,6 +39,8 @@
 	onVersion: (engine: UpstreamId, batch: BatchView, version: number) => void;
 	/** Returns how many times as long an engine takes for an event as faster ones that could take a sample of the batch now. Defaults to 1. */
 	slowerBy?: (engine: UpstreamId, batch: BatchView) => number;
+	/** Whether a run of an item may end so that another engine goes on with it. Defaults to always. */
+	mayMove?: (item: ItemReference) => boolean;
 	/** Called when the complete text of a sample with a reward call is about to be stored. */
 	onTextComplete: (completed: CompletedText) => void;
 	/** Called when a slot of an engine has become free. */
@@ -60,8 +61,8 @@
 	private readonly running = new Map<string, ActiveRun>();
 	/** Items whose request bodies are being read, with their engines. */
 	private readonly starting = new Map<string, UpstreamId>();
-	private readonly watch: EngineWatch;
-	private readonly pace = new PaceMeter();
+	/** What the runs show about the engines of this daemon. */
+	readonly watch: EngineWatch;
 	/** Set while there are runs to check. */
 	private timer: NodeJS.Timeout | undefined;
 
@@ -88,24 +89,11 @@
 		return this.running.has(itemKey) || this.starting.has(itemKey);
 	}
 
-	/** Whether an engine has recently failed and should not get new samples. */
-	isSuspended(engine: UpstreamId): boolean {
-		return this.watch.isSuspended(engine, this.options.clock.now());
-	}
-
-	/** Whether an engine currently generates events much more slowly than usual. */
-	isSlow(engine: UpstreamId): boolean {
-		return this.watch.isSlow(engine, this.options.clock.now());
-	}
-
-	/** Measured time for one expected token in a run at an engine, in ms, or undefined if no run has ended there yet. */
-	msPerToken(engine: UpstreamId): number | undefined {
-		return this.pace.msPerToken(engine);
-	}
-
-	/** Measured time between two events of a run on an engine, in ms, or undefined if too few have been seen. */
-	eventMs(engine: UpstreamId): Millis | undefined {
-		return this.watch.eventMs(engine, this.options.clock.now());
+	/** Forgets what was measured at engines that this daemon neither owns nor uses any more. */
+	retainMeasurements(owned: readonly UpstreamRecord[]): void {
+		const {directory} = this.options;
+		const used = [...this.running.values()].map(({engine}) => directory.get(engine)).filter(record => record !== undefined);
+		this.watch.retain([...owned, ...used]);
 	}
 
 	/** Number of long samples that this daemon has on an engine. */
@@ -364,7 +352,7 @@
 		const {batch, group, item, failures, body: {id, reward}} = run;
 		const text = snapshotText(run.text);
 		if (state === 'completed' && run.resumedEvents === 0) {
-			this.pace.record(run.engine, {tookMs: this.options.clock.now() - run.startedAt, expectedTokens: run.expectedTokens});
+			this.watch.recordRun(run.engine, {tookMs: this.options.clock.now() - run.startedAt, expectedTokens: run.expectedTokens});
 		}
 
 		if (state === 'completed' && reward !== undefined) {
@@ -441,10 +429,14 @@
 		}
 	}
 
+	private mayMove(run: ActiveRun): boolean {
+		return this.options.mayMove?.(run) ?? true;
+	}
+
 	/** Moves long samples away from slow engines. Short samples finish faster than they could be moved. */
 	private releaseFromSlowEngines(now: Millis): void {
 		for (const run of this.running.values()) {
-			if (run.isLong && run.eventsSinceSent > 0 && this.watch.isSlow(run.engine, now)) {
+			if (run.isLong && run.eventsSinceSent > 0 && this.watch.isSlow(run.engine, now) && this.mayMove(run)) {
 				this.release(run, run.failures, 'the engine is slow');
 			}
 		}
@@ -457,8 +449,8 @@
 			const view = batchCache.get(run.batch);
 			// The text of a route that wants a single version is of no use to an engine with another one.
 			const canContinue = view !== undefined && rulesOf(view)?.isSingleVersion === false;
-			if (canContinue && isWorthMoving(run, {
-				msPerToken: this.pace.msPerToken(run.engine), eventMs: this.watch.eventMs(run.engine, now), slowerBy: slowerBy(run.engine, view), now,
+			if (canContinue && this.mayMove(run) && isWorthMoving(run, {
+				msPerToken: this.watch.msPerToken(run.engine), eventMs: this.watch.eventMs(run.engine, now), slowerBy: slowerBy(run.engine, view), now,
 			})) {
 				this.release(run, run.failures, 'a faster engine is free');
 			}
--- a/packages/batches/src/slowdown-detector.ts
+++ b/packages/batches/src/slowdown-detector.ts
@@ -79,4 +79,9 @@
 			timing.recentMs = timing.baselineMs;
 		}
 	}
+
+	/** Discards all that is known of an engine. */
+	forget(engine: UpstreamId): void {
+		this.timings.delete(engine);
+	}
 }
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -70,10 +70,12 @@
 		return this.sampleRunner.count;
 	}
 
-	/** Measured time between two events of a run, for each engine of this daemon where it is known. */
+	/** Measured time between two events of a run, for each engine of this daemon that it reaches and where the time is known. */
 	get paces(): ReadonlyMap<UpstreamId, Millis> {
+		const {watch} = this.sampleRunner;
+		const now = this.options.clock.now();
 		return new Map(this.options.fleetView.ownedEngines().flatMap(({id}): Array<[UpstreamId, Millis]> => {
-			const eventMs = this.sampleRunner.eventMs(id);
+			const eventMs = watch.isSuspended(id, now) ? undefined : watch.eventMs(id, now);
 			return eventMs === undefined ? [] : [[id, eventMs]];
 		}));
 	}
@@ -150,6 +152,7 @@
 				}
 			},
 			slowerBy: (engine, batch) => this.claimWorker.slowerBy(engine, batch),
+			mayMove: item => this.claimWorker.mayMove(item),
 			onTextComplete: completed => {
 				this.rewards.add(completed);
 			},
@@ -174,7 +177,7 @@
 			versionsOf: engine => versions.usableVersions(engine, clock.now()),
 			dueAt: (batch, engine) => this.batchRoutes.dueAt(batch, engine),
 			shareOf: batch => this.batchRoutes.routeOf(batch)?.name ?? '',
-			remoteEventMs: engine => this.options.membership.eventMs(engine),
+			remoteEventMs: engine => this.options.membership.eventMs(engine, clock.now()),
 			storeTime: () => this.storeTime(),
 			onPlanned(tookMs) {
 				loadReporter.recordClaimPlan(tookMs);
--- a/packages/entry/src/membership-task.test.ts
+++ b/packages/entry/src/membership-task.test.ts
@@ -1,7 +1,7 @@
 import {decodeList, encodeList, TableFollower} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import {
-	SystemClock, type DaemonId, type DaemonIncarnation, type DataCentreId, type RegionId,
+	SystemClock, type DaemonId, type DaemonIncarnation, type DataCentreId, type RegionId, type UpstreamId,
 } from '@cicadapost/types';
 import {
 	afterEach, describe, expect, it, vi,
@@ -52,6 +52,32 @@
 		expect(task.isAlive('d3#1', 1, clock.now())).toBe(false);
 	});
 
+	it('takes the pace of an engine from a daemon only while that is alive and accepts work', async () => {
+		const store = new MemoryRowStore();
+		const clock = new SystemClock();
+		const engine = 'e1' as UpstreamId;
+		const heartbeat = (state: 'live' | 'leaving') => ({
+			part: memberPart('d2' as DaemonId), writes: [{
+				table: fleetTable, key: memberKey('d2' as DaemonId), value: encodeMember({
+					...member('d2#1'), state, heartbeatCount: 1, role: 'candidate', heartbeatMs: 700, paces: new Map([[engine, 40]]),
+				}),
+			}],
+		});
+		await store.transact(heartbeat('live'));
+		const follower = new TableFollower({
+			store, clock, table: fleetTable, waitMs: 20,
+		});
+		followers.push(follower);
+		const task = new MembershipTask({
+			clock, store, follower, self: member('d1#1'), isCandidate: () => true, onRoleChanged: vi.fn(),
+		});
+		follower.start();
+		await expect.poll(() => task.eventMs(engine, clock.now())).toBe(40);
+		expect(task.eventMs(engine, clock.now() + 60_000)).toBe(undefined);
+		await store.transact(heartbeat('leaving'));
+		await expect.poll(() => task.eventMs(engine, clock.now())).toBe(undefined);
+	});
+
 	describe('a standby', () => {
 		it('announces itself as a candidate at once when it should be one, and as a standby only with its next heartbeat', async () => {
 			const store = new MemoryRowStore();
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -25,6 +25,9 @@
 /** A heartbeat write that takes longer than the heartbeat interval is abandoned in favour of the next one. */
 const heartbeatTimeoutMs = 2000;
 
+/** Time between two events of a run on an engine, and the heartbeat that has announced it. */
+type AnnouncedPace = Readonly<{eventMs: Millis; observation: MemberObservation}>;
+
 /** Announces this daemon through heartbeats in the store, and tracks which other daemons are alive. */
 export class MembershipTask {
 	private state: MemberRecord['state'] = 'live';
@@ -37,7 +40,7 @@
 	/** The newest observation of each daemon by incarnation, cached until a row changes. */
 	private cachedObservations: ReadonlyMap<DaemonIncarnation, MemberObservation> | undefined;
 	/** Announced paces of engines, cached until a row changes. */
-	private cachedPaces: ReadonlyMap<UpstreamId, Millis> | undefined;
+	private cachedPaces: ReadonlyMap<UpstreamId, AnnouncedPace> | undefined;
 
 	constructor(private readonly options: MembershipOptions) {
 		options.follower.on('changed', changes => {
@@ -103,12 +106,13 @@
 		return mayBeRunning(observation, this.livenessContext(now));
 	}
 
-	/** Returns the time between two events of a run on an engine, as the daemon that has measured it last has announced it. */
-	eventMs(engine: UpstreamId): Millis | undefined {
+	/** Returns the time between two events of a run on an engine, as the daemon that has measured it last has announced it. Undefined once that daemon is dead or leaves. */
+	eventMs(engine: UpstreamId, now: Millis): Millis | undefined {
 		this.cachedPaces ??= new Map([...this.observations().values()]
 			.sort((a, b) => a.seenAt - b.seenAt)
-			.flatMap(({record}) => [...record.paces ?? []]));
-		return this.cachedPaces.get(engine);
+			.flatMap(observation => [...observation.record.paces ?? []].map(([id, eventMs]): [UpstreamId, AnnouncedPace] => [id, {eventMs, observation}])));
+		const pace = this.cachedPaces.get(engine);
+		return pace !== undefined && liveMembers([pace.observation], this.livenessContext(now)).length > 0 ? pace.eventMs : undefined;
 	}
 
 	private livenessContext(now: Millis): LivenessContext {
--- a/packages/sample-order/src/pace-meter.ts
+++ b/packages/sample-order/src/pace-meter.ts
@@ -26,4 +26,9 @@
 		const totals = this.engines.get(engine);
 		return totals === undefined ? undefined : totals.tookMs / totals.tokens;
 	}
+
+	/** Discards all that is known of an engine. */
+	forget(engine: UpstreamId): void {
+		this.engines.delete(engine);
+	}
 }
