--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	readAll, readAppendOnly, type RowStore, type TableFollower, type Transaction,
+	addEntries, chunksOf, emptyTransactionSize, exceededLimit, fitsTransaction, readAll, readAppendOnly, type RowStore, type TableFollower, type Transaction,
 } from '@cicadapost/store';
 import type {
 	BatchId, Clock, ItemId, Millis,
@@ -23,6 +23,8 @@
 	| Readonly<{kind: 'refused'; retryAfterMs: Millis}>
 	/** Another team has a batch with this id. No part of the batch will run. */
 	| Readonly<{kind: 'taken'}>
+	/** The store can't hold the batch, however often it is submitted. No part of the batch will run. */
+	| Readonly<{kind: 'too-large'; reason: string}>
 	/** The batch may have been stored. The caller must submit the same batch again. */
 	| Readonly<{kind: 'unknown'}>;
 
@@ -54,9 +56,8 @@
 /** Time limit for all attempts at a write before the caller gets a response. */
 const writeTimeoutMs = 2500;
 const retryMs = 60;
-/** The store accepts 100 entries and 1 MB per transaction, in which encoded values grow by a third. */
-const maxEntries = 90;
-const maxTransactionBytes = 600 * 1024;
+/** Larger groups are stored as several, so that the claims of each fit into a row. */
+const maxGroupItems = 256;
 /** Maximum size of the results in one response, which is limited to 1 MB. */
 const maxPageBytes = 800 * 1024;
 /** Maximum number of results in one response. */
@@ -87,7 +88,13 @@
 
 		const giveUpAt = clock.now() + writeTimeoutMs;
 		const groups = groupItems(submission.items);
-		for (const {transaction, hasPlan} of planTransactions(submission.id, createPlan(submission, groups, this.options.storeTime()), groups)) {
+		const plan = encodePlan(createPlan(submission, groups, this.options.storeTime()));
+		const reason = reasonOfTooLarge(submission.id, plan);
+		if (reason !== undefined) {
+			return {kind: 'too-large', reason};
+		}
+
+		for (const {transaction, hasPlan} of planTransactions(submission.id, plan, groups)) {
 			if (hasPlan) {
 				return this.writePlan(submission, transaction, giveUpAt);
 			}
@@ -97,6 +104,10 @@
 				return this.outcomeOfStored(submission);
 			}
 
+			if (outcome === 'rejected') {
+				return {kind: 'too-large', reason: 'the store never accepts the bodies'};
+			}
+
 			if (outcome !== 'committed') {
 				// A batch does not exist without its plan, even if some bodies were stored.
 				return {kind: 'refused', retryAfterMs: disconnectedRetryMs};
@@ -120,6 +131,10 @@
 				return {kind: 'refused', retryAfterMs: disconnectedRetryMs};
 			}
 
+			case 'rejected': {
+				return {kind: 'too-large', reason: 'the store never accepts the plan'};
+			}
+
 			case 'unknown': {
 				return {kind: 'unknown'};
 			}
@@ -246,7 +261,7 @@
 	}
 
 	/** Retries a write until the store has given a definite response or the time limit is reached. */
-	private async write(transaction: Transaction, giveUpAt: Millis): Promise<'committed' | 'conflict' | 'refused' | 'unknown'> {
+	private async write(transaction: Transaction, giveUpAt: Millis): Promise<'committed' | 'conflict' | 'refused' | 'rejected' | 'unknown'> {
 		const {store, follower, clock} = this.options;
 		let mayBeCommitted = false;
 		for (;;) {
@@ -262,6 +277,10 @@
 					return 'conflict';
 				}
 
+				case 'rejected': {
+					return mayBeCommitted ? 'unknown' : 'rejected';
+				}
+
 				case 'unknown': {
 					mayBeCommitted = true;
 					break;
@@ -294,7 +313,12 @@
 		groups.set(item.group, group);
 	}
 
-	return [...groups.values()];
+	return [...groups.values()].flatMap(group => chunksOf(group, maxGroupItems));
+}
+
+/** Returns why the store can't hold a batch, or undefined if it can. */
+function reasonOfTooLarge(id: BatchId, plan: Uint8Array): string | undefined {
+	return exceededLimit({part: id, writes: [{table: batchTable, key: planKey, value: plan}]});
 }
 
 function createPlan(submission: BatchSubmission, groups: readonly BatchItem[][], submittedAt: Millis): BatchPlan {
@@ -321,27 +345,28 @@
 bodies, the others come first, and the last one includes the plan. Each expects that there is no plan, so that a submission with
 the id of a stored batch, perhaps of another team, does not replace its bodies.
 */
-function * planTransactions(id: BatchId, plan: BatchPlan, groups: readonly BatchItem[][]): Generator<Readonly<{transaction: Transaction; hasPlan: boolean}>> {
+function * planTransactions(id: BatchId, plan: Uint8Array, groups: readonly BatchItem[][]): Generator<Readonly<{transaction: Transaction; hasPlan: boolean}>> {
 	const expected = [{table: batchTable, key: planKey, version: 0}];
+	const planRow = {table: batchTable, key: planKey, value: plan};
+	// Each transaction leaves room for the plan, since any of them may turn out to be the last.
+	const emptySize = addEntries(emptyTransactionSize, id, [...expected, planRow]);
 	let writes: Array<{table: string; key: string; value: Uint8Array}> = [];
-	let bytes = 0;
+	let size = emptySize;
 	for (const [group, items] of groups.entries()) {
-		for (const {key, value} of encodeGroupBodies(items, group)) {
-			if (writes.length >= maxEntries || bytes + value.length > maxTransactionBytes) {
+		for (const chunk of encodeGroupBodies(items, group)) {
+			const row = {...chunk, table: bodyTable};
+			if (!fitsTransaction(addEntries(size, id, [row]))) {
 				yield {transaction: {part: id, expected, writes}, hasPlan: false};
 				writes = [];
-				bytes = 0;
+				size = emptySize;
 			}
 
-			writes.push({table: bodyTable, key, value});
-			bytes += value.length;
+			writes.push(row);
+			size = addEntries(size, id, [row]);
 		}
 	}
 
-	yield {
-		transaction: {part: id, expected, writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(plan)}]},
-		hasPlan: true,
-	};
+	yield {transaction: {part: id, expected, writes: [...writes, planRow]}, hasPlan: true};
 }
 
 function limitBytes(results: readonly SampleResult[], maxBytes: number): SampleResult[] {
--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -1,6 +1,6 @@
 import {MemoryRowStore, type StoreFault} from '@cicadapost/store/testing';
 import {
-	decodeList, encodeList, type StoredRow, type Transaction,
+	chunksOf, decodeList, encodeList, type StoredRow, type Transaction,
 } from '@cicadapost/store';
 import type {
 	BatchId, DaemonIncarnation, ItemId, ModelId, RequestId, SoftwareVersion, TeamId, UpstreamId,
@@ -67,7 +67,7 @@
 		const text = {
 			events: ['a', 'b'], lastEventId: 1, versions: [3, 4], softwareVersion,
 		};
-		expect(decodePartial(encodePartial(0, 1, text))).toEqual(text);
+		expect(decodePartial(encodePartial(0, 1, text).map(row => ({...row, version: 1})))).toEqual(text);
 	});
 
 	describe('a batch of a team', () => {
@@ -418,7 +418,10 @@
 	it('leaves no rows behind, even if the store fails during a sweep', async () => {
 		const store = new MemoryRowStore();
 		const writes = [batchTable, listingTable, resultTable].flatMap(table => Array.from({length: 120}, (_, index) => ({table, key: `k${index}`, value: new Uint8Array([1])})));
-		await store.transact({part: batch, writes: [...writes, {table: batchTable, key: planKey, value: encodePlan(planWith(1, 2))}]});
+		for (const chunk of chunksOf([...writes, {table: batchTable, key: planKey, value: encodePlan(planWith(1, 2))}])) {
+			expect(await store.transact({part: batch, writes: chunk})).toMatchObject({kind: 'committed'});
+		}
+
 		const batchCache = new BatchCache();
 		batchCache.apply(store.all().filter(row => row.key === planKey).map(row => ({kind: 'written', row})));
 		const deleted: string[] = [];
--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -2,18 +2,16 @@
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
 import {slowerThanFreeEngines, type EngineRoom} from '@cicadapost/sample-order';
-import type {RowStore, TableFollower, Transaction} from '@cicadapost/store';
+import type {RowStore, TableFollower} from '@cicadapost/store';
 import type {
-	Clock, DaemonIncarnation, Millis, ModelId, UpstreamId,
+	BatchId, Clock, DaemonIncarnation, Millis, ModelId, UpstreamId,
 } from '@cicadapost/types';
 import {isOpen, type BatchCache, type BatchView} from './batch-cache.js';
+import {planClaimTransaction} from './claim-transaction.js';
 import {claimableSlots} from './claimable-slots.js';
 import {writtenRows, type CommitQueue} from './commit-queue.js';
 import {
-	batchTable, claimKey, encodeClaims, endKey, planKey,
-} from './encode-rows.js';
-import {
-	countRemoteRuns, applyClaim, type ClaimTarget, type EngineCapacity, type IsClaimLive, type ItemReference,
+	countRemoteRuns, type ClaimTarget, type EngineCapacity, type IsClaimLive, type ItemReference,
 } from './plan-claims.js';
 import {
 	countRunsByEngine, planContendedClaims, type ContendedBatch, type LeaveReason,
@@ -70,6 +68,8 @@
 	shareOf?: (batch: BatchView) => string;
 	/** Returns the measured time between two events of a run on an engine of another daemon. Defaults to unknown. */
 	remoteEventMs?: (engine: UpstreamId) => Millis | undefined;
+	/** Whether this daemon holds the complete text of an item. Defaults to none. */
+	holdsText?: (itemKey: string) => boolean;
 	/** Returns the current time on the store's clock. */
 	storeTime: () => Millis;
 	/** Called after claims have been planned. */
@@ -77,6 +77,8 @@
 	onClaimed: (engine: UpstreamId, target: ClaimTarget, copyAgeMs: Millis) => void;
 	/** Called when an engine with a free slot leaves an item to other engines, once a second for each engine. */
 	onLeft?: (report: LeftItemReport) => void;
+	/** Called when the store has rejected a claim for good, which is not repeated unchanged. */
+	onRejected?: (engine: UpstreamId, targets: readonly ClaimTarget[], reason: string) => void;
 	/** Called when the store did not respond to a claim, which it may have applied or may yet apply. */
 	onUnanswered: (engine: UpstreamId, targets: readonly ClaimTarget[]) => void;
 }>;
@@ -99,6 +101,10 @@
 	private readonly textHolds = new TextHolds();
 	private readonly prompts = new PromptMemory();
 	private readonly leftItems = new LeftItems();
+	/** Items whose claim the store has rejected for good, until their batch is over. */
+	private readonly unclaimable = new Set<string>();
+	/** Number of targets that the next transaction may have. */
+	private maxTargets = Number.POSITIVE_INFINITY;
 	private readonly leftReportedAt = new Map<UpstreamId, Millis>();
 	private isStopped = false;
 	/** Results of `slowerBy` since `comparedAt`, by engine, model and version. */
@@ -191,8 +197,15 @@
 			return false;
 		}
 
-		const ofBatch = targets.filter(target => target.batch === first.batch);
-		const transaction = buildClaimTransaction(view, ofBatch, {incarnation, engine: engine.id});
+		const {transaction, targets: ofBatch} = planClaimTransaction(
+			view,
+			targets.filter(target => target.batch === first.batch).slice(0, this.maxTargets),
+			{incarnation, engine: engine.id},
+		);
+		if (ofBatch.length === 0) {
+			return this.onRejected(engine.id, [first], 'the claims of the group do not fit into a row');
+		}
+
 		const itemKeys = ofBatch.flatMap(({batch, group, items}) => items.map(item => itemKeyOf({batch, group, item})));
 		for (const itemKey of itemKeys) {
 			this.pendingClaims.add(itemKey);
@@ -215,6 +228,7 @@
 
 		switch (outcome.kind) {
 			case 'committed': {
+				this.maxTargets = Number.POSITIVE_INFINITY;
 				follower.mergeRows(writtenRows(transaction, outcome.version));
 				return true;
 			}
@@ -229,6 +243,10 @@
 				return false;
 			}
 
+			case 'rejected': {
+				return this.onRejected(engine.id, ofBatch, outcome.reason);
+			}
+
 			case 'unknown': {
 				// If the claim is applied, its row names this incarnation, which does not run the items: `ClaimReleaser` finds it.
 				this.options.onUnanswered(engine.id, ofBatch);
@@ -238,6 +256,20 @@
 		}
 	}
 
+	/** Claims less in the next transaction after one that the store never accepts, and no more the items that it never accepts alone. */
+	private onRejected(engine: UpstreamId, targets: readonly ClaimTarget[], reason: string): true {
+		const [first] = targets;
+		if (targets.length === 1 && first !== undefined) {
+			for (const item of first.items) {
+				this.unclaimable.add(itemKeyOf({...first, item}));
+			}
+		}
+
+		this.maxTargets = Math.max(1, Math.floor(targets.length / 2));
+		this.options.onRejected?.(engine, targets, reason);
+		return true;
+	}
+
 	private plan(engine: UpstreamRecord): ClaimTarget[] {
 		const {clock, batchCache, runner, limits, directory, commits, incarnation, versionsOf, dueAt, shareOf = () => '', storeTime} = this.options;
 		const isClaimLive: IsClaimLive = (claim, item, rowVersion) => this.isClaimLive(claim.incarnation, itemKeyOf(item), rowVersion);
@@ -264,7 +296,7 @@
 			const due = dueAt(view, engine);
 			return due === undefined ? [] : [{view, dueAt: due, share: shareOf(view)}];
 		});
-		this.prompts.retain(new Set(open.map(({id}) => id)));
+		this.retainBatches(new Set(open.map(({id}) => id)));
 		this.leftItems.update(item => this.progressOf(item), clock.now());
 		const runs = this.runsByEngine();
 		const free = peers.filter(peer => peer.id === engine.id || (runs.get(peer.id) ?? 0) < peer.slots);
@@ -289,7 +321,7 @@
 			free: {index: Math.max(0, free.findIndex(peer => peer.id === engine.id)), count: Math.max(1, free.length)},
 			isClaimLive,
 			isHeld: item => this.textHolds.isHeld(itemKeyOf(item), clock.now()),
-			hasOutcome: item => unrecorded.size > 0 && unrecorded.has(itemKeyOf(item)),
+			hasOutcome: item => (unrecorded.size > 0 && unrecorded.has(itemKeyOf(item))) || (this.unclaimable.size > 0 && this.unclaimable.has(itemKeyOf(item))),
 			now: storeTime(),
 		});
 	}
@@ -358,6 +390,15 @@
 		return this.countedRuns.runs;
 	}
 
+	private retainBatches(open: ReadonlySet<BatchId>): void {
+		this.prompts.retain(open);
+		for (const itemKey of this.unclaimable) {
+			if (!open.has(itemKey.slice(0, itemKey.indexOf('/')) as BatchId)) {
+				this.unclaimable.delete(itemKey);
+			}
+		}
+	}
+
 	private progressOf(item: ItemReference): ItemProgress {
 		const view = this.options.batchCache.get(item.batch);
 		const claims = view?.claims[item.group];
@@ -376,23 +417,7 @@
 	private isClaimLive(incarnation: string, itemKey: string, rowVersion: number): boolean {
 		const {runner, commits} = this.options;
 		return incarnation === this.options.incarnation
-			? this.pendingClaims.has(itemKey) || runner.hasItem(itemKey) || commits.hasFinalOutcome(itemKey)
+			? this.pendingClaims.has(itemKey) || runner.hasItem(itemKey) || commits.hasFinalOutcome(itemKey) || this.options.holdsText?.(itemKey) === true
 			: this.options.isAlive(incarnation, rowVersion);
 	}
 }
-
-function buildClaimTransaction(view: BatchView, targets: readonly ClaimTarget[], by: Readonly<{incarnation: DaemonIncarnation; engine: UpstreamId}>): Transaction {
-	return {
-		part: view.id,
-		expected: [
-			{table: batchTable, key: planKey, version: view.planVersion},
-			{table: batchTable, key: endKey, version: 0},
-			...targets.map(({group}) => ({table: batchTable, key: claimKey(group), version: view.claims[group]?.version ?? 0})),
-		],
-		writes: targets.map(({group, items}) => ({
-			table: batchTable,
-			key: claimKey(group),
-			value: encodeClaims(applyClaim(view.claims[group]?.items ?? [], items, by)),
-		})),
-	};
-}
--- a/packages/batches/src/commit-queue.ts
+++ b/packages/batches/src/commit-queue.ts
@@ -1,9 +1,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {RowStore, StoredRow, TableFollower} from '@cicadapost/store';
+import type {
+	RowStore, StoredRow, TableFollower, TransactionOutcome,
+} from '@cicadapost/store';
 import type {BatchId, Clock, DaemonIncarnation} from '@cicadapost/types';
 import type {BatchCache} from './batch-cache.js';
 import {batchTable, listingKey} from './encode-rows.js';
-import {planCommit, type ItemOutcome} from './plan-commit.js';
+import {
+	planCommit, withoutText, type CommitPlan, type ItemOutcome,
+} from './plan-commit.js';
 import {itemKeyOf} from './sample-run.js';
 
 /** Delay for collecting outcomes into one transaction. */
@@ -26,6 +30,8 @@
 	private readonly busy = new Set<BatchId>();
 	/** Number of transactions planned so far. */
 	private sequence = 0;
+	/** Number of outcomes that the next transaction of a batch may have, after the store has rejected one. */
+	private readonly maxOutcomes = new Map<BatchId, number>();
 
 	constructor(private readonly options: CommitQueueOptions) {}
 
@@ -63,13 +69,14 @@
 			}
 		} finally {
 			this.waiting.delete(batch);
+			this.maxOutcomes.delete(batch);
 			this.busy.delete(batch);
 		}
 	}
 
 	private async commitOnce(batch: BatchId): Promise<void> {
-		const {clock, store, follower, batchCache, incarnation, onCommitFailure} = this.options;
-		const outcomes = this.waiting.get(batch) ?? [];
+		const {clock, follower, batchCache, incarnation, onCommitFailure} = this.options;
+		const outcomes = (this.waiting.get(batch) ?? []).slice(0, this.maxOutcomes.get(batch));
 		const view = batchCache.get(batch);
 		if (view === undefined) {
 			onCommitFailure(batch, 'dropped the outcomes of an unknown batch');
@@ -86,9 +93,10 @@
 			return;
 		}
 
-		const outcome = await store.transact(plan.transaction);
+		const outcome = await this.commit(plan);
 		switch (outcome.kind) {
 			case 'committed': {
+				this.maxOutcomes.delete(batch);
 				follower.mergeRows(writtenRows(plan.transaction, outcome.version));
 				this.remove(batch, [...plan.included, ...plan.obsolete]);
 				break;
@@ -104,6 +112,12 @@
 				break;
 			}
 
+			case 'rejected': {
+				onCommitFailure(batch, `the store never accepts a transaction with ${plan.included.length} outcomes: ${outcome.reason}`);
+				this.shrink(batch, plan.included);
+				break;
+			}
+
 			case 'refused':
 			case 'unknown': {
 				onCommitFailure(batch, `the store ${outcome.kind === 'refused' ? 'refused' : 'did not respond to'} a transaction with ${plan.included.length} outcomes`);
@@ -113,6 +127,31 @@
 		}
 	}
 
+	/** Commits the transactions of a plan. Returns the outcome of the first one that was not committed, or of the last. */
+	private async commit({preceding, transaction}: CommitPlan): Promise<TransactionOutcome> {
+		for (const earlier of preceding) {
+			const outcome = await this.options.store.transact(earlier);
+			if (outcome.kind !== 'committed') {
+				return outcome;
+			}
+		}
+
+		return this.options.store.transact(transaction);
+	}
+
+	/** Commits less in the next transaction after one that the store never accepts, and leaves out the text of an outcome that it never accepts alone. */
+	private shrink(batch: BatchId, rejected: readonly ItemOutcome[]): void {
+		this.maxOutcomes.set(batch, Math.max(1, Math.floor(rejected.length / 2)));
+		const [outcome, ...others] = rejected;
+		if (outcome === undefined || others.length > 0) {
+			return;
+		}
+
+		const view = this.options.batchCache.get(batch);
+		const smaller = view === undefined ? undefined : withoutText(outcome, view);
+		this.waiting.set(batch, (this.waiting.get(batch) ?? []).flatMap(waiting => (waiting === outcome ? (smaller ?? []) : waiting)));
+	}
+
 	private remove(batch: BatchId, done: readonly ItemOutcome[]): void {
 		this.waiting.set(batch, (this.waiting.get(batch) ?? []).filter(outcome => !done.includes(outcome)));
 	}
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -1,4 +1,6 @@
-import {decodeList, encodeList} from '@cicadapost/store';
+import {
+	decodeList, encodeList, joinChunks, splitValue, type ValueChunk,
+} from '@cicadapost/store';
 import type {
 	BatchId, DaemonIncarnation, ItemId, Millis, ModelId, RequestId, SoftwareVersion, TeamId,
 } from '@cicadapost/types';
@@ -213,35 +215,6 @@
 	});
 }
 
-export type ValueChunk = Readonly<{key: string; value: Uint8Array}>;
-
-/** Maximum size of a chunk. The store accepts 64 KiB per row. */
-const maxChunkBytes = 60 * 1024;
-
-/** Splits a value into chunks that fit into a row. The keys sort in the order of the chunks. */
-function splitValue(name: string, value: Uint8Array): ValueChunk[] {
-	const count = Math.max(1, Math.ceil(value.length / maxChunkBytes));
-	return Array.from({length: count}, (_, index) => ({
-		key: `${name}/${padNumber(index)}-${padNumber(count)}`,
-		value: value.subarray(index * maxChunkBytes, (index + 1) * maxChunkBytes),
-	}));
-}
-
-/** Reassembles values from their chunks. Values with missing chunks are skipped. */
-function joinChunks(rows: readonly ValueChunk[]): Array<Readonly<{name: string; value: Uint8Array}>> {
-	const byName = new Map<string, ValueChunk[]>();
-	for (const row of rows) {
-		const name = row.key.slice(0, row.key.lastIndexOf('/'));
-		const parts = byName.get(name) ?? [];
-		parts.push(row);
-		byName.set(name, parts);
-	}
-
-	return [...byName.entries()]
-		.filter(([, parts]) => parts.length === Number(parts[0]?.key.split('-').at(-1)))
-		.map(([name, parts]) => ({name, value: Buffer.concat(parts.map(part => part.value))}));
-}
-
 /** Encodes the request bodies of a batch. The items of a group are stored together, so that a daemon only reads the groups that it runs. */
 export function encodeBodies(groups: ReadonlyArray<readonly BatchItem[]>): ValueChunk[] {
 	return groups.flatMap((items, group) => encodeGroupBodies(items, group));
@@ -340,8 +313,10 @@
 	return splitValue(partialKeyPrefix(group, item), encodeText(text));
 }
 
-export function decodePartial(rows: readonly ValueChunk[]): SampleText | undefined {
-	const [joined] = joinChunks(rows);
+/** Decodes the text that was stored last. Rows of an earlier one are left over if that had another number of chunks. */
+export function decodePartial(rows: ReadonlyArray<ValueChunk & Readonly<{version: number}>>): SampleText | undefined {
+	const newest = Math.max(...rows.map(({version}) => version));
+	const [joined] = joinChunks(rows.filter(({version}) => version === newest));
 	return joined === undefined ? undefined : decodeText(joined.value);
 }
 
--- a/packages/batches/src/malformed-rows.test.ts
+++ b/packages/batches/src/malformed-rows.test.ts
@@ -28,7 +28,7 @@
 			decodeClaims,
 			decodeListing,
 			(value: Uint8Array) => decodeBodies([{key: 'g/000000-000001', value}]),
-			(value: Uint8Array) => decodePartial([{key: 'p/000000-000001', value}]),
+			(value: Uint8Array) => decodePartial([{key: 'p/000000-000001', value, version: 1}]),
 			(value: Uint8Array) => decodeResults([{key: 'l/000000/000000-000001', value}], [{listing: 'l', index: 0}]),
 		];
 		fc.assert(fc.property(anyValue, fc.nat(decoders.length - 1), (value, index) => {
--- a/packages/batches/src/plan-commit.ts
+++ b/packages/batches/src/plan-commit.ts
@@ -1,7 +1,10 @@
-import type {Transaction} from '@cicadapost/store';
+import {
+	addEntries, emptyTransactionSize, fitsTransaction, type Transaction, type TransactionEntry, type TransactionSize,
+} from '@cicadapost/store';
 import type {DaemonIncarnation} from '@cicadapost/types';
 import type {BatchView} from './batch-cache.js';
 import type {ItemClaim, SampleResult, SampleText} from './batch.js';
+import type {ItemReference} from './plan-claims.js';
 import {
 	batchTable, claimKey, encodeClaims, encodeListing, encodePartial, encodeResult, listingTable, partialTable, planKey, resultTable,
 } from './encode-rows.js';
@@ -21,6 +24,8 @@
 );
 
 export type CommitPlan = Readonly<{
+	/** Transactions to commit before, in this order, with rows that count only once `transaction` is committed. Only for a result that does not fit into one. */
+	preceding: readonly Transaction[];
 	transaction: Transaction;
 	/** Outcomes that the transaction records. The others wait for the next transaction. */
 	included: readonly ItemOutcome[];
@@ -28,17 +33,21 @@
 	obsolete: readonly ItemOutcome[];
 }>;
 
-/** The store accepts 100 entries and 1 MB per transaction, in which encoded values grow by a third. */
-const maxEntries = 90;
-const maxBytes = 600 * 1024;
+/** Room for a claim that grows by the names of its daemon, engine and software version. */
+const claimGrowthBytes = 1000;
+
+type RowWrite = Readonly<{table: string; key: string; value: Uint8Array}>;
 
-type TransactionDraft = {
-	claims: Map<number, ItemClaim[]>;
-	writes: Array<{table: string; key: string; value: Uint8Array}>;
-	bytes: number;
+type TransactionDraft = Readonly<{
+	claims: ReadonlyMap<number, readonly ItemClaim[]>;
+	writes: readonly RowWrite[];
 	/** Number of results that the transaction lists. */
 	results: number;
-};
+	size: TransactionSize;
+}>;
+
+/** What an outcome changes. */
+type Addition = Readonly<{claim: ItemClaim; rows: readonly RowWrite[]; isResult: boolean}>;
 
 export type PlanCommitOptions = Readonly<{
 	incarnation: DaemonIncarnation;
@@ -47,121 +56,196 @@
 }>;
 
 /**
-Builds the transaction that records outcomes. It only succeeds if the claims of its groups still match `view`, so an item is
-never listed twice. Daemons that run different groups of a batch do not contend, since listings are ordered by the store.
+Builds the transaction that records outcomes, as many as the store accepts in one call. It only succeeds if the claims of its
+groups still match `view`, so an item is never listed twice. Daemons that run different groups of a batch do not contend, since
+listings are ordered by the store. An outcome that exceeds the limits of the store alone is split if it is a result. Of all
+others the text is left out, so that an engine starts the item again.
 */
 export function planCommit(view: BatchView, outcomes: readonly ItemOutcome[], options: PlanCommitOptions): CommitPlan {
-	const draft: TransactionDraft = {
-		claims: new Map(), writes: [], bytes: 0, results: 0,
-	};
+	let draft = emptyDraft(view, options);
 	const included: ItemOutcome[] = [];
 	const obsolete: ItemOutcome[] = [];
 	for (const outcome of outcomes) {
-		// Each group adds an expected and a written row, and the listing another two.
-		if (draft.writes.length + (2 * draft.claims.size) + 8 > maxEntries || draft.bytes > maxBytes) {
-			break;
+		const addition = additionOf(draft, view, outcome, options);
+		if (addition === undefined) {
+			obsolete.push(outcome);
+			continue;
 		}
 
-		if (addOutcome(draft, view, outcome, options)) {
+		const next = withAddition(draft, view, outcome, addition);
+		if (fitsTransaction(next.size)) {
+			draft = next;
 			included.push(outcome);
-		} else {
+			continue;
+		}
+
+		if (included.length > 0) {
+			break;
+		}
+
+		if (addition.isResult) {
+			return {...splitResult(draft, view, {outcome, addition, options}), included: [outcome], obsolete};
+		}
+
+		const reduced = withoutText(outcome, view);
+		const smaller = reduced === undefined ? undefined : additionOf(draft, view, reduced, options);
+		if (smaller === undefined) {
 			obsolete.push(outcome);
+		} else {
+			draft = withAddition(draft, view, outcome, smaller);
+			included.push(outcome);
 		}
 	}
 
-	const hasResults = draft.results > 0;
 	return {
-		transaction: {
-			part: view.id,
-			expected: [
-				{table: batchTable, key: planKey, version: view.planVersion},
-				...(hasResults ? [{table: listingTable, key: options.listing, version: 0}] : []),
-				...[...draft.claims.keys()].map(group => ({table: batchTable, key: claimKey(group), version: view.claims[group]?.version ?? 0})),
-			],
-			writes: [
-				...(hasResults ? [{table: listingTable, key: options.listing, value: encodeListing(draft.results)}] : []),
-				...[...draft.claims.entries()].map(([group, claims]) => ({table: batchTable, key: claimKey(group), value: encodeClaims(claims)})),
-				...draft.writes,
-			],
-		},
-		included,
-		obsolete,
+		preceding: [], transaction: buildTransaction(draft, view, options), included, obsolete,
 	};
 }
 
-/** Adds an outcome to the draft. Returns false if the outcome is obsolete. */
-function addOutcome(draft: TransactionDraft, view: BatchView, outcome: ItemOutcome, {incarnation, listing}: PlanCommitOptions): boolean {
-	const claims = draft.claims.get(outcome.group) ?? [...view.claims[outcome.group]?.items ?? []];
-	const claim = claims[outcome.item];
+/** Whether the text of an item can be stored, which takes a single transaction. */
+export function canStoreText(view: BatchView, {group, item, text}: Omit<ItemReference, 'batch'> & Readonly<{text: SampleText}>): boolean {
+	const rows = encodePartial(group, item, text).map(row => ({...row, table: partialTable}));
+	return fitsTransaction(addEntries(emptyDraft(view, {incarnation: '' as DaemonIncarnation, listing: ''}).size, view.id, [...rows, ...claimEntries(view, group)]));
+}
+
+/** Returns the outcome to record in place of one that the store never accepts, so that an engine runs the item again. Undefined if there is none. */
+export function withoutText(outcome: ItemOutcome, view: BatchView): ItemOutcome | undefined {
+	const {group, item} = outcome;
+	const claim = view.claims[group]?.items[item];
+	const failures = claim === undefined || claim.kind === 'listed' ? 0 : claim.failures;
+	const isWithoutText = outcome.kind === 'progress' || outcome.kind === 'reward-released' || (outcome.kind === 'released' && outcome.text === undefined);
+	return isWithoutText
+		? undefined
+		: {
+			group, item, kind: 'released', failures: outcome.kind === 'result' ? failures + 1 : outcome.failures, text: undefined,
+		};
+}
+
+function emptyDraft(view: BatchView, {listing}: PlanCommitOptions): TransactionDraft {
+	const planRow = {table: batchTable, key: planKey};
+	// The listing is counted even if there is no result.
+	const listingRow = {table: listingTable, key: listing};
+	return {
+		claims: new Map(), writes: [], results: 0, size: addEntries(emptyTransactionSize, view.id, [planRow, listingRow, {...listingRow, value: encodeListing(0)}]),
+	};
+}
+
+function withAddition(draft: TransactionDraft, view: BatchView, {group, item}: ItemOutcome, {claim, rows, isResult}: Addition): TransactionDraft {
+	const claims = [...draft.claims.get(group) ?? view.claims[group]?.items ?? []];
+	claims[item] = claim;
+	const size = addEntries(draft.size, view.id, [...rows, ...draft.claims.has(group) ? [] : claimEntries(view, group)]);
+	return {
+		claims: new Map([...draft.claims, [group, claims]]),
+		writes: [...draft.writes, ...rows],
+		results: draft.results + (isResult ? 1 : 0),
+		size: {...size, bytes: size.bytes + claimGrowthBytes},
+	};
+}
+
+/** The precondition and the write of a group's claims. */
+function claimEntries(view: BatchView, group: number): TransactionEntry[] {
+	const entry = {table: batchTable, key: claimKey(group)};
+	return [entry, {...entry, value: encodeClaims(view.claims[group]?.items ?? [])}];
+}
+
+function buildTransaction({claims, writes, results}: TransactionDraft, view: BatchView, {listing}: PlanCommitOptions): Transaction {
+	const hasResults = results > 0;
+	return {
+		part: view.id,
+		expected: [
+			{table: batchTable, key: planKey, version: view.planVersion},
+			...(hasResults ? [{table: listingTable, key: listing, version: 0}] : []),
+			...[...claims.keys()].map(group => ({table: batchTable, key: claimKey(group), version: view.claims[group]?.version ?? 0})),
+		],
+		writes: [
+			...(hasResults ? [{table: listingTable, key: listing, value: encodeListing(results)}] : []),
+			...[...claims.entries()].map(([group, items]) => ({table: batchTable, key: claimKey(group), value: encodeClaims(items)})),
+			...writes,
+		],
+	};
+}
+
+/** Splits a result that does not fit into one transaction. Its rows can't be found before the last one, which lists it. */
+function splitResult(
+	draft: TransactionDraft,
+	view: BatchView,
+	{outcome, addition, options}: Readonly<{outcome: ItemOutcome; addition: Addition; options: PlanCommitOptions}>,
+): Pick<CommitPlan, 'preceding' | 'transaction'> {
+	const expected = [{table: batchTable, key: planKey, version: view.planVersion}];
+	const preceding: Transaction[] = [];
+	let writes: RowWrite[] = [];
+	for (const row of addition.rows) {
+		if (!fitsTransaction(addEntries(emptyTransactionSize, view.id, [...expected, ...writes, row]))) {
+			preceding.push({part: view.id, expected, writes});
+			writes = [];
+		}
+
+		writes.push(row);
+	}
+
+	return {
+		preceding: [...preceding, {part: view.id, expected, writes}],
+		transaction: buildTransaction(withAddition(draft, view, outcome, {...addition, rows: []}), view, options),
+	};
+}
+
+/** Returns undefined if the outcome is obsolete. */
+function additionOf(draft: TransactionDraft, view: BatchView, outcome: ItemOutcome, {incarnation, listing}: PlanCommitOptions): Addition | undefined {
+	const claim = (draft.claims.get(outcome.group) ?? view.claims[outcome.group]?.items ?? [])[outcome.item];
 	if (claim === undefined || claim.kind === 'listed') {
-		return false;
+		return undefined;
 	}
 
 	switch (outcome.kind) {
 		case 'result': {
-			claims[outcome.item] = {kind: 'listed'};
-			addRows(draft, resultTable, encodeResult({listing, index: draft.results}, outcome.result));
-			draft.results += 1;
-			break;
+			return {claim: {kind: 'listed'}, rows: rowsOf(resultTable, encodeResult({listing, index: draft.results}, outcome.result)), isResult: true};
 		}
 
 		case 'text-complete': {
-			if (claim.kind === 'rewarding') {
-				return false;
-			}
-
-			claims[outcome.item] = {
-				kind: 'rewarding', incarnation, rewardFailures: 0, failures: outcome.failures, hasPartialText: true, textVersion: outcome.text.softwareVersion,
-			};
-			addRows(draft, partialTable, encodePartial(outcome.group, outcome.item, outcome.text));
-			break;
+			return claim.kind === 'rewarding'
+				? undefined
+				: {
+					claim: {
+						kind: 'rewarding', incarnation, rewardFailures: 0, failures: outcome.failures, hasPartialText: true, textVersion: outcome.text.softwareVersion,
+					},
+					rows: textRows(outcome),
+					isResult: false,
+				};
 		}
 
 		case 'reward-released': {
-			if (claim.kind !== 'rewarding' || claim.incarnation !== incarnation) {
-				return false;
-			}
-
-			claims[outcome.item] = {...claim, incarnation: undefined, rewardFailures: outcome.rewardFailures};
-			break;
+			return claim.kind !== 'rewarding' || claim.incarnation !== incarnation
+				? undefined
+				: {claim: {...claim, incarnation: undefined, rewardFailures: outcome.rewardFailures}, rows: [], isResult: false};
 		}
 
 		case 'released': {
-			if (claim.kind === 'open' || claim.incarnation !== incarnation) {
-				return false;
-			}
-
-			claims[outcome.item] = {
-				kind: 'open',
-				failures: outcome.failures,
-				hasPartialText: claim.hasPartialText || outcome.text !== undefined,
-				textVersion: outcome.text === undefined ? claim.textVersion : outcome.text.softwareVersion,
-			};
-			if (outcome.text !== undefined) {
-				addRows(draft, partialTable, encodePartial(outcome.group, outcome.item, outcome.text));
-			}
-
-			break;
+			return claim.kind === 'open' || claim.incarnation !== incarnation
+				? undefined
+				: {
+					claim: {
+						kind: 'open',
+						failures: outcome.failures,
+						hasPartialText: claim.hasPartialText || outcome.text !== undefined,
+						textVersion: outcome.text === undefined ? claim.textVersion : outcome.text.softwareVersion,
+					},
+					rows: textRows(outcome),
+					isResult: false,
+				};
 		}
 
 		case 'progress': {
-			if (claim.kind !== 'running' || claim.incarnation !== incarnation) {
-				return false;
-			}
-
-			claims[outcome.item] = {...claim, hasPartialText: true, textVersion: outcome.text.softwareVersion};
-			addRows(draft, partialTable, encodePartial(outcome.group, outcome.item, outcome.text));
-			break;
+			return claim.kind !== 'running' || claim.incarnation !== incarnation
+				? undefined
+				: {claim: {...claim, hasPartialText: true, textVersion: outcome.text.softwareVersion}, rows: textRows(outcome), isResult: false};
 		}
 	}
+}
 
-	draft.claims.set(outcome.group, claims);
-	return true;
+function textRows({group, item, text}: Readonly<{group: number; item: number; text: SampleText | undefined}>): RowWrite[] {
+	return text === undefined ? [] : rowsOf(partialTable, encodePartial(group, item, text));
 }
 
-function addRows(draft: TransactionDraft, table: string, rows: ReadonlyArray<Readonly<{key: string; value: Uint8Array}>>): void {
-	for (const {key, value} of rows) {
-		draft.writes.push({table, key, value});
-		draft.bytes += value.length;
-	}
+function rowsOf(table: string, rows: ReadonlyArray<Readonly<{key: string; value: Uint8Array}>>): RowWrite[] {
+	return rows.map(row => ({...row, table}));
 }
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -17,6 +17,7 @@
 } from './engine-client.js';
 import {EngineWatch} from './engine-watch.js';
 import {isLong, type ClaimTarget, type ItemReference} from './plan-claims.js';
+import {canStoreText} from './plan-commit.js';
 import {readBodies, readText} from './read-items.js';
 import {
 	snapshotText, toResult, createRun, describeEnd, emptyText, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
@@ -356,11 +357,16 @@
 		}
 
 		if (state === 'completed' && reward !== undefined) {
-			this.options.commits.push(batch, {
-				group, item, kind: 'text-complete', failures, text,
-			});
+			const view = this.options.batchCache.get(batch);
+			const isStored = view === undefined || canStoreText(view, {...run, text});
+			if (isStored) {
+				this.options.commits.push(batch, {
+					group, item, kind: 'text-complete', failures, text,
+				});
+			}
+
 			this.options.onTextComplete({
-				batch, group, item, id, text, reward,
+				batch, group, item, id, text, reward, isStored,
 			});
 			this.end(run, 'text complete');
 			return;
--- a/packages/batches/src/sample-run.ts
+++ b/packages/batches/src/sample-run.ts
@@ -18,7 +18,13 @@
 }>;
 
 /** A sample whose text is complete, and the reward call that its result still needs. */
-export type CompletedText = ItemReference & Readonly<{id: ItemId; text: SampleText; reward: RewardCall}>;
+export type CompletedText = ItemReference & Readonly<{
+	id: ItemId;
+	text: SampleText;
+	reward: RewardCall;
+	/** False for a text that is too large for the store, which is lost with this daemon. */
+	isStored: boolean;
+}>;
 
 /** The outcome of a run, for logs and metrics. */
 export type RunReport = Readonly<{
--- a/packages/entry/src/batch-calls.ts
+++ b/packages/entry/src/batch-calls.ts
@@ -55,6 +55,11 @@
 						break;
 					}
 
+					case 'too-large': {
+						writer.fail(res, 413, `the store can't hold the batch (${outcome.reason}); submit it as several smaller ones`);
+						break;
+					}
+
 					case 'unknown': {
 						writer.fail(res, 504, 'the store did not answer; submit the same batch again');
 						break;
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -178,6 +178,7 @@
 			dueAt: (batch, engine) => this.batchRoutes.dueAt(batch, engine),
 			shareOf: batch => this.batchRoutes.routeOf(batch)?.name ?? '',
 			remoteEventMs: engine => this.options.membership.eventMs(engine, clock.now()),
+			holdsText: itemKey => this.rewards.hasItem(itemKey),
 			storeTime: () => this.storeTime(),
 			onPlanned(tookMs) {
 				loadReporter.recordClaimPlan(tookMs);
@@ -190,6 +191,11 @@
 			onLeft({item, ...report}) {
 				logger.info({event: 'item-left', ...item, ...report}, 'left a sample to other engines');
 			},
+			onRejected(engine, targets, reason) {
+				logger.error({
+					event: 'claim-rejected', engine, targets, reason,
+				}, 'the store never accepts this claim; it is not repeated unchanged');
+			},
 			onUnanswered(engine, targets) {
 				logger.warn({event: 'claim-unanswered', engine, targets}, 'the store did not respond to a claim');
 			},
--- a/packages/entry/src/crash-reports.ts
+++ b/packages/entry/src/crash-reports.ts
@@ -3,8 +3,8 @@
 import {
 	CrashRegistry, CrashGuard, crashRetentionMs, fingerprintOf, incarnationKey, isExplained, type CrashRecord, type RequestContent, type UpstreamIncarnation,
 } from '@cicadapost/forwarding';
-import type {
-	RowChange, RowStore, StoredRow, TableFollower,
+import {
+	chunksOf, type RowChange, type RowStore, type StoredRow, type TableFollower,
 } from '@cicadapost/store';
 import type {
 	Clock, Fingerprint, Millis, UpstreamId,
@@ -152,7 +152,9 @@
 			const respondedAt = response === undefined ? undefined : decodeCrashRow(response.value).at;
 			const expired = rows.filter(row => hasExpired(row, respondedAt, now));
 			if (expired.length > 0 && isOwner(part)) {
-				await store.transact({part, writes: [], deletes: expired.map(({key}) => ({table: fleetTable, key}))});
+				for (const deleted of chunksOf(expired)) {
+					await store.transact({part, writes: [], deletes: deleted.map(({key}) => ({table: fleetTable, key}))});
+				}
 			}
 		}
 	}
@@ -272,6 +274,7 @@
 			}
 
 			case 'refused':
+			case 'rejected':
 			case 'unknown': {
 				return false;
 			}
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -1,7 +1,9 @@
 import {
 	mayBeRunning, liveMembers, heartbeatIntervalMs, type LivenessContext, type MemberRecord, type MemberObservation,
 } from '@cicadapost/fleet';
-import type {RowChange, RowStore, TableFollower} from '@cicadapost/store';
+import {
+	maxRowBytes, type RowChange, type RowStore, type TableFollower,
+} from '@cicadapost/store';
 import type {
 	Clock, DaemonId, DaemonIncarnation, DataCentreId, Millis, RegionId, UpstreamId,
 } from '@cicadapost/types';
@@ -182,9 +184,12 @@
 		this.isSendingHeartbeat = true;
 		this.heartbeatCount += 1;
 		const {store, follower, self, paces} = this.options;
-		const value = encodeMember({
-			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(), ...(paces === undefined ? {} : {paces: paces()}),
-		});
+		const record: MemberRecord = {
+			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(),
+		};
+		const withPaces = paces === undefined ? record : {...record, paces: paces()};
+		const encoded = encodeMember(withPaces);
+		const value = encoded.length > maxRowBytes ? encodeMember(record) : encoded;
 		const rows = [{part: memberPart(self.daemon), key: memberKey(self.daemon)}];
 		if (this.hasEarlierBuilds()) {
 			rows.push({part: self.daemon, key: earlierMemberKey});
--- a/packages/entry/src/relay-directory.ts
+++ b/packages/entry/src/relay-directory.ts
@@ -135,6 +135,9 @@
 		if (outcome.kind === 'committed') {
 			this.written = isPartitioned;
 			void this.write();
+		} else if (outcome.kind === 'rejected') {
+			// The store never accepts this row. Only another one is worth a call.
+			this.written = isPartitioned;
 		} else {
 			this.written = undefined;
 			this.retryTimer = setTimeout(() => {
--- a/packages/entry/src/stream-records.ts
+++ b/packages/entry/src/stream-records.ts
@@ -55,6 +55,8 @@
 	private pending = new Map<RequestId, StreamOrigin>();
 	private flushTimer: NodeJS.Timeout | undefined;
 	private isFlushing = false;
+	/** Number of records of the next transaction, which is lower after the store has rejected one for good. */
+	private maxRecords = maxRows;
 	private readonly sweepTimer: NodeJS.Timeout;
 
 	constructor(private readonly options: StreamRecordsOptions) {
@@ -126,18 +128,28 @@
 
 		this.isFlushing = true;
 		const {store, storeTime, dataCentre} = this.options;
-		const batch = [...this.pending].slice(0, maxRows);
+		const batch = [...this.pending].slice(0, this.maxRecords);
 		const outcome = await store.transact({
 			part: dataCentre,
 			writes: batch.map(([stream, {service, softwareVersion}]) => ({table: streamTable, key: stream, value: encodeList([service, softwareVersion, storeTime()])})),
 		});
 		this.isFlushing = false;
 		if (outcome.kind === 'committed') {
+			this.maxRecords = maxRows;
+		} else if (outcome.kind === 'rejected') {
+			this.maxRecords = Math.max(1, Math.floor(batch.length / 2));
+		}
+
+		if (outcome.kind === 'committed' || (outcome.kind === 'rejected' && batch.length === 1)) {
 			for (const [stream] of batch) {
 				this.pending.delete(stream);
 			}
 		}
 
+		if (outcome.kind === 'rejected' && batch.length === 1) {
+			this.options.onDropped(1);
+		}
+
 		if (this.pending.size > 0) {
 			this.scheduleFlush(outcome.kind === 'committed' ? 0 : retryMs);
 		}
--- a/packages/permits/src/request-permit.ts
+++ b/packages/permits/src/request-permit.ts
@@ -74,7 +74,8 @@
 			return {kind: 'conflict'};
 		}
 
-		case 'refused': {
+		case 'refused':
+		case 'rejected': {
 			return {kind: 'refused', permit};
 		}
 
--- a/packages/rate-limits/src/turn-queue.ts
+++ b/packages/rate-limits/src/turn-queue.ts
@@ -159,6 +159,7 @@
 			}
 
 			case 'refused':
+			case 'rejected':
 			case 'unknown': {
 				this.storePausedUntil = clock.now() + storePauseMs;
 				break;
--- a/packages/rewards/src/reward-task.test.ts
+++ b/packages/rewards/src/reward-task.test.ts
@@ -108,7 +108,7 @@
 			group: 0, item, kind: 'text-complete', failures: 0, text,
 		});
 		this.task.add({
-			batch, group: 0, item, id: ids[item]!, text, reward: rewardOf(ids[item]!),
+			batch, group: 0, item, id: ids[item]!, text, reward: rewardOf(ids[item]!), isStored: true,
 		});
 	}
 
--- a/packages/rewards/src/reward-task.ts
+++ b/packages/rewards/src/reward-task.ts
@@ -1,6 +1,6 @@
 import {
 	applyRewardClaim, batchTable, claimKey, encodeClaims, endKey, isOpen, itemKeyOf, planKey, readBodies, readText, toResult, writtenRows,
-	type BatchCache, type BatchView, type ClaimTarget, type CommitQueue, type CompletedText, type RowShapeError,
+	type BatchCache, type BatchView, type ClaimTarget, type CommitQueue, type CompletedText, type ItemOutcome, type RowShapeError,
 } from '@cicadapost/batches';
 import type {Route} from '@cicadapost/forwarding';
 import type {RowStore, TableFollower, Transaction} from '@cicadapost/store';
@@ -110,7 +110,7 @@
 
 	/** Accepts a text that is about to be stored. */
 	add(completed: CompletedText): void {
-		this.hold(completed, {state: 'saving', history: {failures: 0, retries: 0}});
+		this.hold(completed, {state: completed.isStored ? 'saving' : 'waiting', history: {failures: 0, retries: 0}});
 	}
 
 	/** Sends the calls that are due. Call this when batches, upstreams or the configuration have changed. */
@@ -136,13 +136,25 @@
 		for (const [itemKey, text] of this.held) {
 			if (text.state !== 'saving') {
 				this.drop(itemKey);
-				this.options.commits.push(text.batch, {
-					group: text.group, item: text.item, kind: 'reward-released', rewardFailures: text.history.failures,
-				});
+				this.options.commits.push(text.batch, this.releaseOf(text));
 			}
 		}
 	}
 
+	/** Another daemon gets the reward of a stored text. One that is not stored has to be generated again. */
+	private releaseOf({batch, group, item, isStored, history}: HeldText): ItemOutcome {
+		if (isStored) {
+			return {
+				group, item, kind: 'reward-released', rewardFailures: history.failures,
+			};
+		}
+
+		const claim = this.options.batchCache.get(batch)?.claims[group]?.items[item];
+		return {
+			group, item, kind: 'released', failures: claim?.kind === 'running' ? claim.failures : 0, text: undefined,
+		};
+	}
+
 	stop(): void {
 		this.isStopped = true;
 		clearInterval(this.timer);
@@ -172,7 +184,7 @@
 		for (const [itemKey, text] of this.held) {
 			const view = batchCache.get(text.batch);
 			const claim = view?.claims[text.group]?.items[text.item];
-			const isHeldHere = claim?.kind === 'rewarding' && claim.incarnation === incarnation;
+			const isHeldHere = claim?.kind === (text.isStored ? 'rewarding' : 'running') && claim.incarnation === incarnation;
 			const isBeingSaved = text.state === 'saving' && commits.hasFinalOutcome(itemKey);
 			if (view === undefined || !isOpen(view) || (!isHeldHere && !isBeingSaved)) {
 				this.drop(itemKey);
@@ -360,7 +372,7 @@
 			// Texts that could not be read are found again by the next search.
 			if (claim?.kind === 'rewarding' && id !== undefined && reward !== undefined && text !== undefined && !this.isStopped && !commits.hasFinalOutcome(itemKeyOf({...target, item}))) {
 				this.hold({
-					batch: target.batch, group: target.group, item, id, text, reward,
+					batch: target.batch, group: target.group, item, id, text, reward, isStored: true,
 				}, {state: 'waiting', history: {failures: claim.rewardFailures, retries: 0}});
 			}
 		}
--- a/packages/store/src/memory-row-store.ts
+++ b/packages/store/src/memory-row-store.ts
@@ -3,6 +3,7 @@
 import {
 	RowStore, type ChangesOutcome, type ReadOutcome, type RowChange, type RowRange, type StoredRow, type Transaction, type TransactionOutcome,
 } from './row-store.js';
+import {exceededLimit} from './transaction-limits.js';
 
 /** Fault injected into subsequent calls. */
 export type StoreFault =
@@ -38,6 +39,11 @@
 			return {kind: 'refused'};
 		}
 
+		const limit = exceededLimit(transaction);
+		if (limit !== undefined) {
+			return {kind: 'rejected', reason: limit};
+		}
+
 		const outcome = this.apply(transaction);
 		return this.fault === 'answers-lost' ? {kind: 'unknown'} : outcome;
 	}
--- a/packages/store/src/row-store.ts
+++ b/packages/store/src/row-store.ts
@@ -27,8 +27,10 @@
 	| Readonly<{kind: 'committed'; version: number}>
 	/** A precondition failed and nothing was applied. `rows` are the existing rows among `expected`. */
 	| Readonly<{kind: 'conflict'; rows: readonly StoredRow[]}>
-	/** Nothing was applied: the store rejected the transaction or did not receive it. */
+	/** Nothing was applied: the store can't take the transaction now or did not receive it. */
 	| Readonly<{kind: 'refused'}>
+	/** Nothing was applied, and the store will never accept this transaction. It must not be repeated unchanged. */
+	| Readonly<{kind: 'rejected'; reason: string}>
 	/** No response arrived. The transaction may have been applied, or may still be applied while its preconditions hold. */
 	| Readonly<{kind: 'unknown'}>;
 
--- a/packages/usage/src/count-writer.ts
+++ b/packages/usage/src/count-writer.ts
@@ -1,4 +1,4 @@
-import type {RowStore} from '@cicadapost/store';
+import {chunksOf, type RowStore} from '@cicadapost/store';
 import type {Clock, Millis, TeamId} from '@cicadapost/types';
 import {BeginEstimator, type RequestTimes} from './estimate-begin.js';
 import type {FleetClock} from './fleet-clock.js';
@@ -10,6 +10,8 @@
 const minIntervalMs = 250;
 /** A window's last counts must reach the store well before it is summed. */
 const maxIntervalMs = 1500;
+/** Full rows take up most of what the store accepts in a transaction. */
+const rowsPerTransaction = 10;
 
 /** Returns the time between two writes of counts: the shorter, the less a killed VM loses. */
 export function countIntervalMs(daemons: number): Millis {
@@ -31,8 +33,8 @@
 export class CountWriter {
 	private readonly counts: WindowCounts;
 	private readonly estimator = new BeginEstimator();
-	/** Versions of the rows by window. */
-	private readonly versions = new Map<number, number>();
+	/** Versions of the first row of each transaction, by window and key. */
+	private readonly versions = new Map<number, Map<string, number>>();
 	private timer: NodeJS.Timeout | undefined;
 	private isWriting = false;
 	private isStopped = false;
@@ -79,23 +81,36 @@
 
 	/** Writes on condition, so that an earlier write that takes effect late does not undo a later one. Returns whether the counts are in the store. */
 	private async write(window: number): Promise<boolean> {
+		const {incarnation} = this.options;
+		const rows = encodeCounts(incarnation, this.counts.countsOf(window));
+		let isWritten = true;
+		for (const part of chunksOf(rows, rowsPerTransaction)) {
+			isWritten = await this.writeRows(window, part) && isWritten;
+		}
+
+		if (isWritten) {
+			this.forgetVersions(window);
+		}
+
+		return isWritten;
+	}
+
+	private async writeRows(window: number, rows: ReadonlyArray<Readonly<{key: string; value: Uint8Array}>>): Promise<boolean> {
 		const {store, incarnation} = this.options;
-		const rows = encodeCounts(incarnation, this.counts.countsOf(window)).map(row => ({...row, table: usageTable}));
+		const versions = this.versions.get(window) ?? new Map<string, number>();
+		this.versions.set(window, versions);
 		const key = rows[0]?.key ?? '';
 		const outcome = await store.transact({
-			part: countPart(window, incarnation), expected: [{table: usageTable, key, version: this.versions.get(window) ?? 0}], writes: rows,
+			part: countPart(window, incarnation), expected: [{table: usageTable, key, version: versions.get(key) ?? 0}], writes: rows.map(row => ({...row, table: usageTable})),
 		});
 		if (outcome.kind === 'committed') {
-			this.versions.set(window, outcome.version);
-			this.forgetVersions(window);
-			return true;
-		}
-
-		if (outcome.kind === 'conflict') {
-			this.versions.set(window, outcome.rows.find(row => row.key === key)?.version ?? 0);
+			versions.set(key, outcome.version);
+		} else if (outcome.kind === 'conflict') {
+			versions.set(key, outcome.rows.find(row => row.key === key)?.version ?? 0);
 		}
 
-		return false;
+		// Counts that the store never accepts are not written again before they change.
+		return outcome.kind === 'committed' || outcome.kind === 'rejected';
 	}
 
 	private forgetVersions(window: number): void {
--- a/packages/usage/src/sweep-usage.ts
+++ b/packages/usage/src/sweep-usage.ts
@@ -2,7 +2,7 @@
 import type {DaemonId} from '@cicadapost/types';
 import {isDisposable} from './plan-reports.js';
 import {
-	clockPart, reportPart, usageTable, windowOfPart,
+	clockPart, reportPart, usageTable, windowOfPart, windowOfReport,
 } from './usage-rows.js';
 
 /** Entries of one transaction of the store. */
@@ -18,7 +18,7 @@
 		}
 	}
 
-	await deleteKeys(store, reportPart, key => isDisposable(Number(key), next));
+	await deleteKeys(store, reportPart, key => isDisposable(windowOfReport(key), next));
 	await deleteKeys(store, clockPart, key => !members.includes(key as DaemonId));
 }
 
--- a/packages/usage/src/usage-rows.ts
+++ b/packages/usage/src/usage-rows.ts
@@ -1,5 +1,7 @@
 import {createHash} from 'node:crypto';
-import {decodeList, encodeList} from '@cicadapost/store';
+import {
+	decodeList, encodeList, joinChunks, maxRowBytes, splitValue, type ValueChunk,
+} from '@cicadapost/store';
 import type {DaemonId, Millis, TeamId} from '@cicadapost/types';
 
 /** Table of counts, clocks and reports. No daemon follows it. */
@@ -15,8 +17,10 @@
 const countPrefix = 'counts/';
 /** Digits of a window in a key, so that keys sort as windows do. */
 const windowDigits = 12;
-/** Teams in one row of counts. A row takes 65,536 bytes. */
+/** Teams in one row of counts. */
 const teamsPerRow = 500;
+/** Maximum encoded size of a count and of the header of a team's name. */
+const countBytes = 14;
 
 export function windowKey(window: number): string {
 	return String(window).padStart(windowDigits, '0');
@@ -45,15 +49,39 @@
 
 type CountRow = Readonly<{key: string; value: Uint8Array}>;
 
-/** Encodes the counts of a daemon in one window. Teams keep their row while counts grow, since a map keeps its order. */
+/** Encodes the counts of a daemon in one window. Teams keep their row while counts grow, since a map keeps its order and each count is taken for as long as the longest. */
 export function encodeCounts(incarnation: string, counts: ReadonlyMap<TeamId, number>): CountRow[] {
-	const entries = [...counts];
-	const rows: CountRow[] = [];
-	for (let index = 0; index < Math.max(1, entries.length); index += teamsPerRow) {
-		rows.push({key: `${incarnation}/${index / teamsPerRow}`, value: encodeList(entries.slice(index, index + teamsPerRow).flat())});
+	const rows: Array<Array<[TeamId, number]>> = [[]];
+	let bytes = 0;
+	for (const entry of counts) {
+		const size = Buffer.byteLength(entry[0]) + countBytes;
+		if (rows.at(-1)!.length >= teamsPerRow || bytes + size > maxRowBytes - countBytes) {
+			rows.push([]);
+			bytes = 0;
+		}
+
+		rows.at(-1)!.push(entry);
+		bytes += size;
 	}
 
-	return rows;
+	return rows.map((entries, index) => ({key: `${incarnation}/${index}`, value: encodeList(entries.flat())}));
+}
+
+/** Returns the rows of a window's report: one row, or several if it does not fit. */
+export function reportRows(window: number, report: Uint8Array): ValueChunk[] {
+	const key = windowKey(window);
+	return report.length <= maxRowBytes ? [{key, value: report}] : splitValue(key, report);
+}
+
+/** Returns the report of a window from rows of reports, or undefined if it is not among them. */
+export function reportOf(rows: readonly ValueChunk[], window: number): Uint8Array | undefined {
+	const key = windowKey(window);
+	const [joined] = joinChunks(rows.filter(row => row.key.startsWith(`${key}/`)));
+	return rows.find(row => row.key === key)?.value ?? joined?.value;
+}
+
+export function windowOfReport(key: string): number {
+	return Number(key.slice(0, windowDigits));
 }
 
 /** Adds the counts of a row to `sum`. Returns false if the row can't be read. */
--- a/packages/usage/src/usage-work.ts
+++ b/packages/usage/src/usage-work.ts
@@ -9,7 +9,7 @@
 	lastSummable, nextWindow, summableAt, type ReportTimes,
 } from './plan-reports.js';
 import {
-	addCounts, countParts, reportPart, usageTable, windowKey, windowOfPart,
+	addCounts, countParts, reportOf, reportPart, reportRows, usageTable, windowKey, windowOfPart,
 } from './usage-rows.js';
 
 /** Reports that are frozen before one call, so that the rows of counts do not pile up while the receiver is unavailable. */
@@ -46,6 +46,8 @@
 */
 export class UsageWork implements DutyWork {
 	private rejections = 0;
+	/** Window whose report the store never accepts. */
+	private rejectedWindow: number | undefined;
 
 	constructor(private readonly options: UsageWorkOptions) {}
 
@@ -81,6 +83,13 @@
 		}
 
 		const body = await this.freeze(window, newest);
+		if (body === undefined && this.rejectedWindow === window) {
+			this.options.onWindowReport({
+				window, outcome: 'given up', lateMs: this.lateMs(window), reason: 'the store never accepts the report',
+			});
+			return noteOnly(window + 1);
+		}
+
 		return body === undefined
 			? undefined
 			: {body, note: window, noteAfter: outcome => this.noteAfter(window, outcome)};
@@ -104,7 +113,7 @@
 
 		let first: Uint8Array | undefined;
 		for (let at = window; at <= last; at += 1) {
-			const body = frozen.find(({key}) => key === windowKey(at))?.value ?? await this.writeReport(at);
+			const body = reportOf(frozen, at) ?? await this.writeReport(at);
 			first ??= body;
 			if (body === undefined) {
 				break;
@@ -123,10 +132,9 @@
 		}
 
 		const value = client.encodeUsage({window, counts});
+		const rows = reportRows(window, value).map(row => ({...row, table: usageTable}));
 		const outcome = await store.transact({
-			part: reportPart,
-			expected: [{table: usageTable, key: windowKey(window), version: 0}],
-			writes: [{table: usageTable, key: windowKey(window), value}],
+			part: reportPart, expected: rows.map(({table, key}) => ({table, key, version: 0})), writes: rows,
 		});
 		switch (outcome.kind) {
 			case 'committed': {
@@ -134,7 +142,12 @@
 			}
 
 			case 'conflict': {
-				return outcome.rows[0]?.value;
+				return reportOf(outcome.rows, window);
+			}
+
+			case 'rejected': {
+				this.rejectedWindow = window;
+				return undefined;
 			}
 
 			case 'refused':
