Refuse requests that may not end before the daemon does

Cause: a daemon that shuts down took every request, and closed all connections 0.5 s before the end of the grace period.

Change: shouldServeLate compares the deadline of a request, and the time that requests of its route usually take, with the time that is left. Others get 503 at once. Shortly before the end all that is left is answered, and only streams that have begun are cut. Idle connections are closed once the load balancer has noticed. Only the last of several requests on a connection closes it, and none is sent to an upstream that can't be answered there any more. The second of two pipelined requests is cancelled when its caller disconnects.

--- a/packages/entry/src/batch-calls.ts
+++ b/packages/entry/src/batch-calls.ts
@@ -92,10 +92,10 @@
 
 			case 'item-body': {
 				const outcome = await batches.body(call.batch, call.item, reader);
-				if (outcome.kind === 'body') {
+				if (outcome.kind === 'body' && !res.headersSent) {
 					res.writeHead(200, {'Content-Type': 'application/octet-stream', 'Content-Length': outcome.body.length});
 					res.end(outcome.body);
-				} else {
+				} else if (outcome.kind !== 'body') {
 					this.fail(res, call.batch, outcome.kind);
 				}
 
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	batchFeedPause, BatchCache, BatchService, type EngineClient,
 } from '@cicadapost/batches';
@@ -34,6 +33,8 @@
 import {OperatorState} from './operator-state.js';
 import type {PlatformTables} from './platform-tables.js';
 import {RelayTask} from './relay-task.js';
+import {answersEndAt, drain, flush} from './shutdown/drain.js';
+import {ServiceTimes} from './shutdown/service-times.js';
 import {createFollowers, type TableFollowers} from './table-followers.js';
 import {UpstreamList} from './upstream-list.js';
 
@@ -61,13 +62,6 @@
 
 /** A daemon to which the store owes a response for this long reports itself as not ready. Allows for a long poll of one second and a slow response. */
 export const maxStoreSilenceMs = 2500;
-/** The load balancer stops sending new connections after two failed probes, one second apart. */
-const loadBalancerDrainMs = 3200;
-/** Runs still active this long before the end of the grace period are released together with their partial text. */
-const releaseMarginMs = 2500;
-/** The process exits this long before the platform would kill it. */
-const exitMarginMs = 500;
-const shutdownPollMs = 50;
 const loadReportIntervalMs = 10_000;
 
 /** The entry daemon: creates its components, connects their events, and starts and stops them. */
@@ -86,6 +80,9 @@
 	private readonly batchTasks: BatchTasks;
 	private readonly weightLoader: WeightLoader;
 	private readonly accessMonitor: AccessMonitor;
+	private readonly callerForwarder: Forwarder;
+	private readonly relayForwarder: Forwarder;
+	private readonly serviceTimes = new ServiceTimes();
 	private readonly frontServer: FrontServer;
 	private readonly healthServer: HealthServer;
 	private readonly operatorState: OperatorState;
@@ -186,6 +183,12 @@
 			dataCentre: settings.dataCentre as DataCentreId,
 			random: options.random ?? Math.random,
 		};
+		this.relayForwarder = new Forwarder({
+			...forwarding,
+			onRequestReport: report => {
+				this.recordRequest({...report, inputs: {...report.inputs, ofOtherDaemon: true}});
+			},
+		});
 		this.relays = new RelayTask({
 			...forwarding,
 			clients,
@@ -197,12 +200,7 @@
 			protocol: platform.callers,
 			upstreamPool: this.pool,
 			daemonPool: new ConnectionPool(),
-			forwarder: new Forwarder({
-				...forwarding,
-				onRequestReport: report => {
-					this.recordRequest({...report, inputs: {...report.inputs, ofOtherDaemon: true}});
-				},
-			}),
+			forwarder: this.relayForwarder,
 			upstreams: () => this.directory.all(),
 			members: now => this.fleet.membership.members(now),
 			configuration: () => this.operatorState.configuration,
@@ -247,20 +245,27 @@
 			configuration: () => this.operatorState.configuration,
 			revocationMs,
 		});
+		this.callerForwarder = new Forwarder({
+			...forwarding,
+			relays: this.relays.path,
+			onRequestReport: report => {
+				this.recordRequest(report);
+			},
+			onRequestEnd: ({route, outcome, tookMs}) => {
+				if (outcome === 'answered' || outcome === 'streamed') {
+					this.serviceTimes.record(route, tookMs);
+				}
+			},
+			onRequestRun: run => {
+				this.duties?.recordRun(run);
+			},
+		});
 		this.frontServer = new FrontServer({
 			clock,
 			clients,
+			serviceTimes: this.serviceTimes,
 			protocol: platform.callers,
-			forwarder: new Forwarder({
-				...forwarding,
-				relays: this.relays.path,
-				onRequestReport: report => {
-					this.recordRequest(report);
-				},
-				onRequestRun: run => {
-					this.duties?.recordRun(run);
-				},
-			}),
+			forwarder: this.callerForwarder,
 			batches: this.batchService,
 			configuration: () => this.operatorState.configuration,
 			freshness: () => this.accessMonitor.freshness(),
@@ -277,6 +282,7 @@
 			follower: this.followers.operator,
 			onConfiguration: configuration => {
 				this.frontServer.applyLimits(configuration.limits);
+				this.serviceTimes.retain(new Set(configuration.routes.map(({name}) => name)));
 			},
 			onChanged: () => {
 				this.weightLoader.wake();
@@ -390,29 +396,37 @@
 		this.fleet.membership.leave();
 		this.batchTasks.startDraining();
 		this.weightLoader.stop();
-		this.frontServer.startDraining();
+		this.frontServer.startDraining({startedAt, answersEndAt: answersEndAt(startedAt, graceMs)});
 		this.relays.startDraining();
-		let hasReleasedRuns = false;
-		for (;;) {
-			const elapsed = clock.now() - startedAt;
-			if (!hasReleasedRuns && elapsed > graceMs - releaseMarginMs) {
-				hasReleasedRuns = true;
+		await drain({
+			clock,
+			graceMs,
+			isIdle: () => this.frontServer.isIdle && this.relays.isIdle && this.batchTasks.isIdle,
+			closeIdleConnections: () => {
+				this.frontServer.closeIdleConnections();
+			},
+			releaseWork: () => {
 				this.batchTasks.releaseAll('shutdown');
-			}
-
-			const isIdle = this.frontServer.isIdle && this.relays.isIdle && this.batchTasks.isIdle;
-			if ((isIdle && elapsed > Math.min(loadBalancerDrainMs, graceMs)) || elapsed > graceMs - exitMarginMs) {
-				break;
-			}
-
-			await sleep(shutdownPollMs);
-		}
-
+			},
+			answerPending: () => {
+				this.answerPending();
+			},
+		});
+		// Nothing more is taken while the duties are handed over.
+		this.frontServer.startDraining({startedAt, answersEndAt: clock.now()});
 		await this.duties?.finish();
+		this.answerPending();
+		await flush({clock, isIdle: () => this.frontServer.isIdle && this.relays.isIdle});
 		this.close();
 		logger.info({event: 'stopped', tookMs: Math.round(clock.now() - startedAt)}, 'daemon stopped');
 	}
 
+	private answerPending(): void {
+		this.callerForwarder.giveUpAll('the daemon shuts down');
+		this.relayForwarder.giveUpAll('the daemon shuts down');
+		this.frontServer.answerPending();
+	}
+
 	private close(): void {
 		this.upstreamList.stop();
 		this.weightLoader.stop();
--- a/packages/entry/src/front-server.test.ts
+++ b/packages/entry/src/front-server.test.ts
@@ -248,11 +248,105 @@
 
 describe('a draining server', () => {
 	it('closes each connection after its response, so that callers reconnect to another daemon', async () => {
-		front.startDraining();
+		front.startDraining({startedAt: performance.now(), answersEndAt: performance.now() + 5000});
 		const {text, isClosed} = await sendRaw([post('/a', 'Content-Length: 0\r\n')]);
 		expect(text).toMatch(/connection: close/iv);
 		expect(isClosed).toBe(true);
 	});
+
+	const respond = ({request, receiver}: Forwarded) => {
+		receiver.head(200, ['Content-Length', String(request.path.length)]);
+		receiver.data(Buffer.from(request.path));
+		receiver.end();
+	};
+
+	it('refuses at once a request that may not end before the daemon does, and sends it to no upstream', async () => {
+		const now = performance.now();
+		front.startDraining({startedAt: now - 6000, answersEndAt: now + 1000});
+		const {text, isClosed} = await sendRaw([post('/a', 'Content-Length: 10\r\n')]);
+		expect(statuses(text)).toEqual([503]);
+		expect(text).toMatch(/Retry-After: 0\.\d+/v);
+		expect(isClosed).toBe(true);
+		expect(forwarded).toEqual([]);
+	});
+
+	it('refuses a request whose body arrives too late to be served', async () => {
+		const now = performance.now();
+		front.startDraining({startedAt: now - 2400, answersEndAt: now + 1800});
+		const {text} = await sendRaw([post('/a', 'Content-Length: 2\r\n', 'x'), 300, 'y']);
+		expect(statuses(text)).toEqual([503]);
+		expect(forwarded).toEqual([]);
+	});
+
+	it('answers both of two requests that came together on a connection, and closes it only then', async () => {
+		respondsImmediately = false;
+		front.startDraining({startedAt: performance.now(), answersEndAt: performance.now() + 5000});
+		const answered = sendRaw([post('/a', 'Content-Length: 0\r\n') + post('/b', 'Content-Length: 0\r\n')]);
+		await expect.poll(() => forwarded.length).toBe(2);
+		respond(forwarded[0]!);
+		await sleep(30);
+		respond(forwarded[1]!);
+		const {text, isClosed} = await answered;
+		expect(statuses(text)).toEqual([200, 200]);
+		expect(text.match(/connection: close/giv)).toHaveLength(1);
+		expect(isClosed).toBe(true);
+	});
+
+	it('sends no request to an upstream that came after the response which closes its connection', async () => {
+		respondsImmediately = false;
+		front.startDraining({startedAt: performance.now(), answersEndAt: performance.now() + 5000});
+		const answered = sendRaw([post('/a', 'Content-Length: 0\r\n'), 100, post('/b', 'Content-Length: 0\r\n')]);
+		await expect.poll(() => forwarded.length).toBe(1);
+		const {receiver} = forwarded[0]!;
+		receiver.head(200, ['Content-Length', '2']);
+		receiver.data(Buffer.from('o'));
+		await sleep(200);
+		receiver.data(Buffer.from('k'));
+		receiver.end();
+		const {text, isClosed} = await answered;
+		expect(statuses(text)).toEqual([200]);
+		expect(isClosed).toBe(true);
+		expect(forwarded.map(({request}) => request.path)).toEqual(['/a']);
+	});
+
+	it('answers at the end whatever is left: a request that is still arriving has not run', async () => {
+		const answered = sendRaw([post('/a', 'Content-Length: 10\r\n', 'x')], 600);
+		await expect.poll(() => front.isIdle).toBe(false);
+		await sleep(50);
+		front.startDraining({startedAt: performance.now(), answersEndAt: performance.now()});
+		front.answerPending();
+		const {text} = await answered;
+		expect(statuses(text)).toEqual([503]);
+		expect(forwarded).toEqual([]);
+	});
+
+	it('closes idle connections when it is told to, and no others', async () => {
+		respondsImmediately = false;
+		const busy = sendRaw([post('/a', 'Content-Length: 0\r\n')]);
+		await expect.poll(() => forwarded.length).toBe(1);
+		respondsImmediately = true;
+		const idle = sendRaw([post('/b', 'Content-Length: 0\r\n')], 300);
+		await expect.poll(() => forwarded.length).toBe(2);
+		await sleep(50);
+		front.closeIdleConnections();
+		expect(await idle).toMatchObject({isClosed: true});
+		respond(forwarded[0]!);
+		const {text} = await busy;
+		expect(statuses(text)).toEqual([200]);
+	});
+});
+
+describe('a caller that disconnects with two requests in progress', () => {
+	it('has both cancelled', async () => {
+		respondsImmediately = false;
+		const socket = connect(port, '127.0.0.1');
+		sockets.push(socket);
+		socket.write(post('/a', 'Content-Length: 0\r\n') + post('/b', 'Content-Length: 0\r\n'));
+		await expect.poll(() => forwarded.length).toBe(2);
+		socket.destroy();
+		await expect.poll(() => forwarded.map(({isCancelled}) => isCancelled)).toEqual([true, true]);
+		await expect.poll(() => front.isIdle).toBe(true);
+	});
 });
 
 describe('a request with a key', () => {
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -1,7 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {BatchService} from '@cicadapost/batches';
 import type {
 	CallerLimits, ForwardFailure, Forwarder, Route, RoutingConfiguration,
@@ -18,6 +18,8 @@
 import {limitUnreadBody} from './limit-unread-body.js';
 import {readWholeBody, type BodyOutcome} from './read-whole-body.js';
 import {ResponseWriter} from './response-writer.js';
+import {shouldServeLate} from './shutdown/decide-late-request.js';
+import type {ServiceTimes} from './shutdown/service-times.js';
 
 type ReceivedBody = Extract<BodyOutcome, {kind: 'body'}>;
 type RoutedDecision = Extract<ArrivalDecision, {kind: 'routed'}>;
@@ -37,6 +39,8 @@
 	onCallReport: (report: CallReport) => void;
 	/** Limits for clients that are not under control. Everything is unlimited by default. */
 	clients?: ClientLimits;
+	/** How long the requests of each route take, for requests that arrive during a shutdown. Unknown by default. */
+	serviceTimes?: Pick<ServiceTimes, 'expectedMs'>;
 }>;
 
 /** Node.js accepts this limit only on creation of the server, before a configuration is loaded, so it exceeds any configured limit. */
@@ -50,11 +54,20 @@
 	headerBytes: 16_384, bodyBytes: 33_554_432, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
 };
 
+/** Retry-After during a shutdown. The next attempt probably reaches another daemon. */
+const shutdownRetryMs = 50;
+const shuttingDown = 'the daemon shuts down';
+
 /** The HTTP server for callers and trainers. */
 export class FrontServer {
 	private readonly server: Server;
 	private inFlight = 0;
-	private isDraining = false;
+	/** Set while the daemon shuts down: when it has begun, and when it answers whatever is left. */
+	private shutdown: Readonly<{startedAt: Millis; answersEndAt: Millis}> | undefined;
+	/** Answers the calls that nothing else answers at the end of a shutdown. */
+	private readonly unanswered = new Map<ServerResponse, () => void>();
+	/** The response to the last request of each connection. */
+	private readonly latest = new WeakMap<Socket, ServerResponse>();
 	private readonly writer: ResponseWriter;
 	private readonly batchCalls: BatchCalls;
 	private readonly clients: ClientLimits;
@@ -97,9 +110,21 @@
 		this.server.keepAliveTimeout = limits.idleTimeoutMs * idleTimeoutFactor;
 	}
 
-	/** Makes each subsequent response close its connection. */
-	startDraining(): void {
-		this.isDraining = true;
+	/** Makes responses close their connections, and refuses requests that may not end before `answersEndAt`. */
+	startDraining(shutdown: Readonly<{startedAt: Millis; answersEndAt: Millis}>): void {
+		this.shutdown = shutdown;
+	}
+
+	/** Closes the connections on which no request is in progress. */
+	closeIdleConnections(): void {
+		this.server.closeIdleConnections();
+	}
+
+	/** Answers the calls that are still open, except for requests at upstreams, which the forwarder ends. */
+	answerPending(): void {
+		for (const answer of this.unanswered.values()) {
+			answer();
+		}
 	}
 
 	get isIdle(): boolean {
@@ -114,14 +139,38 @@
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {protocol, clock} = this.options;
 		const arrivedAt = clock.now();
+		const earlier = this.latest.get(req.socket);
+		if (earlier !== undefined && closesConnection(earlier)) {
+			// This request can't be answered any more, so it must not reach an upstream.
+			return;
+		}
+
+		this.latest.set(req.socket, res);
 		this.inFlight += 1;
+		// Node.js emits this event only for the first response of a connection that closes, and further requests may be in progress there.
+		const onDisconnect = () => {
+			res.emit('close');
+		};
+
+		req.socket.once('close', onDisconnect);
 		res.once('close', () => {
+			req.socket.off('close', onDisconnect);
 			this.inFlight -= 1;
+			this.unanswered.delete(res);
 		});
-		if (this.isDraining) {
+
+		if (this.shutdown !== undefined) {
 			res.setHeader('Connection', 'close');
+			if (earlier?.headersSent === false) {
+				// The connection closes after the first response with this header, and this request came without waiting for that.
+				earlier.removeHeader('Connection');
+			}
 		}
 
+		this.unanswered.set(res, () => {
+			this.writer.refuse(res, shutdownRetryMs, shuttingDown);
+		});
+
 		limitUnreadBody(req, res, {
 			limits: () => this.options.configuration()?.limits ?? initialLimits,
 			onClosed: () => {
@@ -139,7 +188,7 @@
 	}
 
 	private async respond(req: IncomingMessage, res: ServerResponse, call: CallerCall, arrivedAt: Millis): Promise<void> {
-		const decision = this.decide(req, call);
+		const decision = this.decide(req, call, arrivedAt);
 		switch (decision.kind) {
 			case 'refused':
 			case 'rejected': {
@@ -151,7 +200,7 @@
 				const body = await this.readBody(req, res, decision.configuration.limits);
 				if (body !== undefined) {
 					await this.serveRouted(req, res, {
-						call: decision.call, decision: this.decideAgain(req, decision), body, arrivedAt,
+						call: decision.call, decision: this.decideAgain(req, decision, arrivedAt), body, arrivedAt,
 					});
 				}
 
@@ -160,26 +209,63 @@
 
 			case 'batch-call': {
 				req.resume();
+				if (decision.call.kind === 'end-batch') {
+					this.failAtShutdown(res);
+				}
+
 				await this.batchCalls.respond(res, decision.call, decision.access);
 				break;
 			}
 		}
 	}
 
-	private decide(req: IncomingMessage, call: CallerCall): ArrivalDecision {
+	private decide(req: IncomingMessage, call: CallerCall, arrivedAt: Millis): ArrivalDecision {
 		const {configuration, freshness, random} = this.options;
-		return decideArrival({
+		return this.decideInShutdown(decideArrival({
 			call,
 			headBytes: headBytes(req),
 			configuration: configuration(),
 			freshness: freshness?.() ?? {allowsKeys: true, allowsRejection: true},
 			random: (random ?? Math.random)(),
+		}), arrivedAt);
+	}
+
+	/**
+	Decides again on a call whose body has been read, since its key may have been revoked, the copy of the configuration have become
+	too old or the daemon have begun to shut down meanwhile.
+	*/
+	private decideAgain(req: IncomingMessage, decision: RoutedDecision, arrivedAt: Millis): ArrivalDecision {
+		return this.options.configuration()?.teams === undefined ? this.decideInShutdown(decision, arrivedAt) : this.decide(req, decision.call, arrivedAt);
+	}
+
+	/** Refuses a request that may not end before the daemon does. */
+	private decideInShutdown(decision: ArrivalDecision, arrivedAt: Millis): ArrivalDecision {
+		const {clock, serviceTimes} = this.options;
+		if (this.shutdown === undefined || decision.kind !== 'routed') {
+			return decision;
+		}
+
+		const now = clock.now();
+		const {call, route} = decision;
+		const isServed = shouldServeLate({
+			kind: route.kind,
+			sinceStopMs: now - this.shutdown.startedAt,
+			leftMs: this.shutdown.answersEndAt - now,
+			deadlineMs: deadlineOf(call, route, arrivedAt) - now,
+			expectedMs: serviceTimes?.expectedMs(route.name),
 		});
+		return isServed
+			? decision
+			: {
+				kind: 'refused', retryAfterMs: shutdownRetryMs, detail: shuttingDown, report: {outcome: 'refused', inputs: {reason: shuttingDown, route: route.name}},
+			};
 	}
 
-	/** Decides again on a call whose body has been read, since its key may have been revoked or the copy of the configuration have become too old meanwhile. */
-	private decideAgain(req: IncomingMessage, decision: RoutedDecision): ArrivalDecision {
-		return this.options.configuration()?.teams === undefined ? decision : this.decide(req, decision.call);
+	/** Answers with an error at the end of a shutdown, since the call may have an effect by then. */
+	private failAtShutdown(res: ServerResponse): void {
+		this.unanswered.set(res, () => {
+			this.writer.fail(res, 504, `${shuttingDown}; send the call again`);
+		});
 	}
 
 	private async serveRouted(req: IncomingMessage, res: ServerResponse, options: RoutedCallWithBody): Promise<void> {
@@ -197,6 +283,7 @@
 			case 'routed': {
 				const {route, access} = decision;
 				if (route.kind === 'batch') {
+					this.failAtShutdown(res);
 					try {
 						await this.batchCalls.submit(res, {
 							call, method: req.method, body: body.body, access,
@@ -205,6 +292,7 @@
 						body.release();
 					}
 				} else {
+					this.unanswered.delete(res);
 					this.forward(req, res, {
 						call, route, access, body, arrivedAt,
 					});
@@ -294,7 +382,7 @@
 			route,
 			...(team === undefined ? {} : {team}),
 			...(call.continues === undefined ? {} : {continues: call.continues}),
-			deadlineAt: arrivedAt + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
+			deadlineAt: deadlineOf(call, route, arrivedAt),
 		}, new CallerResponseReceiver(res, failure => {
 			this.respondToFailure(res, failure);
 		}, this.clients.unread));
@@ -342,6 +430,15 @@
 	}
 }
 
+function deadlineOf({deadlineMs}: RoutedCall, {timeoutMs}: Route, arrivedAt: Millis): Millis {
+	return arrivedAt + Math.min(deadlineMs ?? timeoutMs, timeoutMs);
+}
+
+/** Whether the head of a response has announced that its connection closes. */
+function closesConnection(res: ServerResponse): boolean {
+	return res.headersSent && res.getHeader('connection') === 'close';
+}
+
 /** Length of the request head in HTTP/1.1 encoding, in bytes. */
 function headBytes({method, url, rawHeaders}: IncomingMessage): number {
 	const lineEnd = 2;
--- a/packages/entry/src/response-writer.ts
+++ b/packages/entry/src/response-writer.ts
@@ -17,6 +17,10 @@
 	}
 
 	fail(res: ServerResponse, status: number, detail: string): void {
+		if (res.writableEnded) {
+			return;
+		}
+
 		if (res.headersSent) {
 			breakOff(res);
 			return;
@@ -26,6 +30,11 @@
 	}
 
 	send(res: ServerResponse, status: number, body: string): void {
+		// At the end of the grace period a call is answered before its outcome is known.
+		if (res.headersSent) {
+			return;
+		}
+
 		const bytes = Buffer.from(body);
 		res.writeHead(status, {'Content-Type': 'application/json', 'Content-Length': bytes.length});
 		res.end(bytes);
--- a/packages/forwarding/src/forward-request.ts
+++ b/packages/forwarding/src/forward-request.ts
@@ -1,10 +1,7 @@
-import type {ByteMeter} from '@cicadapost/byte-budget';
 import type {UpstreamRecord} from '@cicadapost/fleet';
 import type {SendReason, Turn} from '@cicadapost/rate-limits';
-import type {DaemonId, Millis} from '@cicadapost/types';
-import {
-	RelayTarget, UpstreamTarget, type AttemptEnd, type AttemptTarget, type UpstreamTargetOptions,
-} from './attempt-target.js';
+import type {Millis} from '@cicadapost/types';
+import {UpstreamTarget, type AttemptEnd, type AttemptTarget} from './attempt-target.js';
 import {Attempt} from './attempt.js';
 import {endedWithinEvent} from './crash-registry.js';
 import type {ResponseHead} from './connection-pool.js';
@@ -13,17 +10,11 @@
 } from './decide-attempt.js';
 import {OneShotTimer} from './one-shot-timer.js';
 import type {PlainRequest, ResponseReceiver} from './plain-request.js';
-import {NoRelayPath, type RelayPath} from './relay-path.js';
-import {RequestReporter, type RequestProgress, type RequestReporterOptions} from './request-reporter.js';
+import {RelayAttempts} from './relay-attempts.js';
+import type {ForwarderOptions} from './forwarder.js';
+import {RequestReporter, type RequestProgress} from './request-reporter.js';
 import {resolveOrigin, type StreamContinuation} from './stream-origins.js';
-import {UpstreamSelection, type UpstreamSelectionOptions} from './upstream-selection.js';
-
-export type ForwarderOptions = UpstreamSelectionOptions & UpstreamTargetOptions & RequestReporterOptions & Readonly<{
-	/** Defaults to none. */
-	relays?: RelayPath;
-	/** Counts buffered responses of all requests. They are not counted by default. */
-	responseBytes?: ByteMeter;
-}>;
+import {UpstreamSelection} from './upstream-selection.js';
 
 /** `Retry-After` for a request that no upstream accepts. It is short, so that callers with short deadlines can still retry. */
 const refusalRetryMs = 80;
@@ -31,21 +22,16 @@
 const streamRetryMs = 500;
 /** A timeout counts as a failure of the upstream only if it had the request for this long, since a route's timeout may be shorter than the work takes. */
 const timeoutFailureThresholdMs = 700;
-/** Maximum number of daemons that one request is passed on to. */
-const maxRelays = 3;
 
-/** Sends plain requests to upstreams and returns one complete response for each. */
-export class Forwarder {
-	constructor(private readonly options: ForwarderOptions) {}
-
-	/** Starts a request. Call the returned function when the caller disconnects. */
-	forward(req: PlainRequest, receiver: ResponseReceiver): () => void {
-		return new ForwardedRequest(this.options, req, receiver).start();
-	}
-}
+export type ForwardedRequestOptions = Readonly<{
+	req: PlainRequest;
+	receiver: ResponseReceiver;
+	/** Called once when the request has ended. */
+	onOver: () => void;
+}>;
 
 /** Manages the attempts of one request until it has a response. */
-class ForwardedRequest {
+export class ForwardedRequest {
 	private readonly attempts = new Set<Attempt>();
 	private readonly selection: UpstreamSelection;
 	/** Withdraws the request for a turn at an upstream that limits its rate. */
@@ -54,24 +40,23 @@
 	private sent = 0;
 	/** Number of attempts that certainly never left this daemon. */
 	private notSent = 0;
-	private readonly relayPath: RelayPath;
-	/** Daemons that the request was passed on to. */
-	private readonly triedRelays = new Set<DaemonId>();
-	/** Retry-After of another daemon's refusal. */
-	private relayRetryMs = 0;
+	private readonly relays: RelayAttempts;
 	private mayHaveRun = false;
 	private isOver = false;
 	private readonly reporter: RequestReporter;
 	private readonly hedge = new OneShotTimer();
 	private readonly deadline = new OneShotTimer();
 
-	constructor(
-		private readonly options: ForwarderOptions,
-		private readonly req: PlainRequest,
-		private readonly receiver: ResponseReceiver,
-	) {
+	private readonly req: PlainRequest;
+	private readonly receiver: ResponseReceiver;
+	private readonly onOver: () => void;
+
+	constructor(private readonly options: ForwarderOptions, {req, receiver, onOver}: ForwardedRequestOptions) {
+		this.req = req;
+		this.receiver = receiver;
+		this.onOver = onOver;
 		this.reporter = new RequestReporter(options, req);
-		this.relayPath = options.relays ?? new NoRelayPath();
+		this.relays = new RelayAttempts(req, options.relays);
 		this.selection = new UpstreamSelection(options, req);
 	}
 
@@ -92,6 +77,26 @@
 		};
 	}
 
+	/** Ends the request before its deadline. */
+	giveUp(reason: string): void {
+		if (this.isOver) {
+			return;
+		}
+
+		if (this.attempts.size === 0 && !this.mayHaveRun && !this.options.crashes.isBlocked(this.req)) {
+			this.refuse(reason);
+			return;
+		}
+
+		const isStreaming = [...this.attempts].some(attempt => attempt.isStreaming);
+		this.finish('given up', undefined, {reason});
+		if (isStreaming) {
+			this.receiver.truncate(reason);
+		} else {
+			this.receiver.fail({kind: 'failed', reason});
+		}
+	}
+
 	/** Sends a blocked request to one upstream if it may be probed now. Otherwise rejects it immediately. */
 	private async probeOrReject(): Promise<void> {
 		const {req} = this;
@@ -142,10 +147,10 @@
 
 	private choosePath(reason: SendReason): 'upstream' | 'relay' | undefined {
 		return choosePath({
-			isPartitioned: this.relayPath.isPartitioned,
+			isPartitioned: this.relays.isPartitioned,
 			unreached: this.notSent + this.countSilentAttempts(),
 			hasUpstream: this.selection.candidates(reason).length > 0,
-			hasRelay: () => this.triedRelays.size < maxRelays && this.relayPath.choose(this.triedRelays) !== undefined,
+			hasRelay: () => this.relays.hasNext,
 		});
 	}
 
@@ -179,17 +184,12 @@
 
 	/** Passes the request on to another daemon. Returns false if there is none. */
 	private relay(): boolean {
-		const {req, relayPath} = this;
-		const relay = relayPath.choose(this.triedRelays);
-		if (relay === undefined) {
+		const target = this.relays.next(relayedAttempts({sent: this.sent, maxAttempts: this.req.route.maxAttempts}));
+		if (target === undefined) {
 			return false;
 		}
 
-		this.triedRelays.add(relay);
-		const maxAttempts = relayedAttempts({sent: this.sent, maxAttempts: req.route.maxAttempts});
-		this.startAttempt(new RelayTarget({
-			relayPath, relay, req, maxAttempts,
-		}));
+		this.startAttempt(target);
 		return true;
 	}
 
@@ -265,7 +265,7 @@
 			}
 
 			case 'refused': {
-				this.relayRetryMs = end.retryAfterMs;
+				this.relays.retryMs = end.retryAfterMs;
 				this.proceedAfter(attempt, end);
 				break;
 			}
@@ -429,7 +429,7 @@
 	}
 
 	private refuse(reason: string, minRetryMs = refusalRetryMs): void {
-		const retryAfterMs = Math.max(minRetryMs, this.relayRetryMs, this.selection.waitForTurnMs());
+		const retryAfterMs = Math.max(minRetryMs, this.relays.retryMs, this.selection.waitForTurnMs());
 		this.finish('refused', undefined, {reason, retryAfterMs: Math.round(retryAfterMs)});
 		this.receiver.fail({kind: 'refused', retryAfterMs, reason});
 	}
@@ -477,6 +477,7 @@
 		}
 
 		this.isOver = true;
+		this.onOver();
 		this.hedge.cancel();
 		this.deadline.cancel();
 		this.withdrawTurn?.();
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -14,7 +14,7 @@
 	CrashRegistry, CrashGuard, fingerprintOf, mayHaveCrashed, type RequestContent,
 } from './crash-registry.js';
 import {decideNextStep, hedgeDelay, type AttemptState} from './decide-attempt.js';
-import {Forwarder} from './forward-request.js';
+import {Forwarder} from './forwarder.js';
 import {NoStreamOrigins} from './no-stream-origins.js';
 import {ResponseReceiver, type ForwardFailure} from './plain-request.js';
 import {
@@ -393,6 +393,33 @@
 		await expect.poll(() => isClosed, {timeout: 500}).toBe(true);
 	});
 
+	describe('given up before its deadline', () => {
+		it('fails if an upstream may have run it, and closes its connection', async () => {
+			let isClosed = false;
+			const {record, seen} = await startUpstream('u1', socket => {
+				socket.on('close', () => {
+					isClosed = true;
+				});
+			});
+			const forwarder = createForwarder([record]);
+			const response = send(forwarder, 'one', 'once');
+			await expect.poll(() => seen.length).toBe(1);
+			forwarder.giveUpAll('the daemon shuts down');
+			expect(await response).toEqual({failure: {kind: 'failed', reason: 'the daemon shuts down'}});
+			await expect.poll(() => isClosed, {timeout: 500}).toBe(true);
+		});
+
+		it('leaves a request alone that has its response', async () => {
+			const {record} = await startUpstream('u1', (socket, id) => {
+				socket.write(sealed(id, 'answer'));
+			});
+			const forwarder = createForwarder([record]);
+			expect(await send(forwarder, 'one', 'once')).toEqual({status: 200, body: 'answer'});
+			forwarder.giveUpAll('the daemon shuts down');
+			expect(await send(forwarder, 'two', 'once')).toEqual({status: 200, body: 'answer'});
+		});
+	});
+
 	it('counts a timeout as a failure of the upstream only if it had the request for long, since a route timeout may be shorter than the work takes', async () => {
 		const {record} = await startUpstream('u1', () => undefined);
 		const health = new UpstreamHealthTracker();
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,7 +5,7 @@
 export * from './crash-registry.js';
 export * from './decide-attempt.js';
 export * from './decide-block.js';
-export * from './forward-request.js';
+export * from './forwarder.js';
 export * from './plain-request.js';
 export * from './relay-path.js';
 export * from './request-reporter.js';
--- a/packages/forwarding/src/limited-upstreams.test.ts
+++ b/packages/forwarding/src/limited-upstreams.test.ts
@@ -16,7 +16,7 @@
 	ConnectionPool, Exchange, ExchangeHandlers, ResponseHead,
 } from './connection-pool.js';
 import {CrashGuard} from './crash-registry.js';
-import {Forwarder} from './forward-request.js';
+import {Forwarder} from './forwarder.js';
 import {NoStreamOrigins} from './no-stream-origins.js';
 import {ResponseReceiver, type ForwardFailure} from './plain-request.js';
 import type {Route} from './route.js';
--- a/packages/forwarding/src/relayed-requests.test.ts
+++ b/packages/forwarding/src/relayed-requests.test.ts
@@ -12,7 +12,7 @@
 	ConnectionPool, Exchange, ExchangeHandlers, ExchangeRequest,
 } from './connection-pool.js';
 import {CrashGuard} from './crash-registry.js';
-import {Forwarder} from './forward-request.js';
+import {Forwarder} from './forwarder.js';
 import {NoStreamOrigins} from './no-stream-origins.js';
 import {ResponseReceiver, type ForwardFailure, type PlainRequest} from './plain-request.js';
 import {RelayPath, type RelayOptions} from './relay-path.js';
--- a/packages/forwarding/src/stream-origins.test.ts
+++ b/packages/forwarding/src/stream-origins.test.ts
@@ -8,7 +8,7 @@
 } from 'vitest';
 import type {ConnectionPool, ExchangeHandlers} from './connection-pool.js';
 import {CrashGuard} from './crash-registry.js';
-import {Forwarder} from './forward-request.js';
+import {Forwarder} from './forwarder.js';
 import {ResponseReceiver, type ForwardFailure} from './plain-request.js';
 import type {Route} from './route.js';
 import {
