Take no response whose status line is not valid

Callers may get an answer with a status that is none: 600 to 999, or 200 of another protocol (HTTP/2.0, RTSP/1.0) or with control characters.

Cause: the parser of Node.js is lenient, and nothing after it checked the status line; a relayed response was not checked at all.

Change: StatusLineChecker sees the bytes of each connection of the pool before the parser does. The status of a relayed response and that of a response to cicadapost serve are checked too.

--- a/packages/engines/src/attempt-failure.ts
+++ b/packages/engines/src/attempt-failure.ts
@@ -48,6 +48,12 @@
 		};
 	}
 
+	if (status < 200 || status > 599) {
+		return {
+			kind: 'failed', failure: 'server-error', sent: true, detail,
+		};
+	}
+
 	// A call that must not be repeated can get no other response, so its caller receives the server error.
 	const isPassedToCaller = isService && (status < 500 || !answer.idempotent);
 	if (status < 400 || isPassedToCaller) {
--- a/packages/engines/src/completion-stream.test.ts
+++ b/packages/engines/src/completion-stream.test.ts
@@ -278,6 +278,13 @@
 			expect(await lastReport(url, {kind: 'service'})).toMatchObject({kind: 'finished', status: 422});
 		});
 
+		it.each([600, 999])('does not pass on status %i, which is not that of a response, also if the request must not be repeated', async status => {
+			const url = await upstream(res => {
+				res.writeHead(status).end('no response');
+			});
+			expect(await lastReport(url, {kind: 'service', idempotent: false})).toMatchObject({kind: 'failed', failure: 'server-error', sent: true});
+		});
+
 		it.each([[true, {kind: 'failed', failure: 'server-error'}], [false, {kind: 'finished', status: 500}]])('with idempotent %s, a server error is %o', async (idempotent, expected) => {
 			const url = await upstream(res => {
 				res.writeHead(500).end('broken');
--- a/packages/forwarding/src/connection-pool.ts
+++ b/packages/forwarding/src/connection-pool.ts
@@ -7,6 +7,7 @@
 import {
 	buildConnector, Client, errors, type Dispatcher,
 } from 'undici';
+import {StatusLineChecker} from './check-status-lines.js';
 
 /** Time limit for establishing a connection. A round trip between two data centres takes at most 30 ms. */
 const connectTimeoutMs = 300;
@@ -60,6 +61,8 @@
 
 /** Cause of a `broken` exchange whose upstream sent more bytes than a valid response has. */
 export const responseTooLong = 'the response is too long';
+/** Cause of a `broken` exchange whose upstream sent bytes that are no response. */
+export const malformedResponse = 'the response is malformed';
 /**
 Maximum number of bytes that an upstream may send between two pieces of a response. Undici limits the size of headers, but
 not that of a status line or of the extension of a chunk.
@@ -109,6 +112,7 @@
 	hasEnded = false;
 	/** Ids of the requests that it has carried. A second copy of their responses may still arrive. */
 	readonly requestIds = new Set<string>();
+	private readonly statusLines = new StatusLineChecker();
 	private socket: Socket | undefined;
 	/** Number of bytes that the socket had received when the last piece of a response was parsed. */
 	private parsedBytes = 0;
@@ -144,7 +148,13 @@
 		return (this.socket?.writableLength ?? 0) > 0;
 	}
 
-	/** Records that a piece of a response has been parsed, or that a request is about to be sent. */
+	/** Prepares for the response to the next request. */
+	expectResponse(): void {
+		this.statusLines.expectResponse();
+		this.recordProgress();
+	}
+
+	/** Records that a piece of a response has been parsed. */
 	recordProgress(): void {
 		this.parsedBytes = this.socket?.bytesRead ?? 0;
 	}
@@ -161,6 +171,7 @@
 
 	private watch(socket: Socket): void {
 		this.socket = socket;
+		this.checkWhenRead(socket);
 		// These listeners are registered before those of undici, which take any end of the connection for that of a response without a length.
 		socket.on('error', err => {
 			this.hasEnded = true;
@@ -184,6 +195,21 @@
 			}
 		});
 	}
+
+	/** Checks bytes when the parser takes them, and closes the connection before it sees a malformed status line. */
+	private checkWhenRead(socket: Socket): void {
+		const read = socket.read.bind(socket);
+		socket.read = (size?: number) => {
+			const chunk = read(size) as unknown;
+			if (chunk instanceof Uint8Array && !this.statusLines.feed(chunk)) {
+				this.failure ??= malformedResponse;
+				socket.destroy(new Error(malformedResponse));
+				return null;
+			}
+
+			return chunk;
+		};
+	}
 }
 
 /** One run of an upstream's process, as the list shows it. */
@@ -305,6 +331,11 @@
 			},
 			onResponseStart(controller, status, headers) {
 				recordProgress();
+				if (connection.failure !== undefined) {
+					fail({kind: 'broken', cause: connection.failure});
+					return;
+				}
+
 				if (isOver || status < 200) {
 					return;
 				}
@@ -337,7 +368,7 @@
 				fail({kind: isSent ? 'broken' : 'not-sent', cause: errorCodeOrMessage(err)});
 			},
 		};
-		connection.recordProgress();
+		connection.expectResponse();
 		try {
 			connection.client.dispatch({
 				path: req.path,
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -453,6 +453,8 @@
 			'a chunk of a body': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n',
 			'the extension of a chunk': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\nTransfer-Encoding: chunked\r\n\r\n1;',
 			'bytes that are no response': 'a',
+			'a header of an interim response': 'HTTP/1.1 103 Early Hints\r\nLong: ',
+			'a trailer': 'HTTP/1.1 200 OK\r\nId: ID\r\nSealed: yes\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nLong: ',
 		};
 
 		describe.each(Object.entries(starts))('in %s', (_, start) => {
@@ -491,6 +493,40 @@
 		});
 	});
 
+	describe('with an upstream whose status line is not valid', () => {
+		const lines = ['HTTP/1.1 000 X', 'HTTP/1.1 099 X', 'HTTP/1.1 199 X', 'HTTP/1.1 600 X', 'HTTP/1.1 999 X', 'HTTP/2.0 200 OK', 'RTSP/1.0 200 OK', 'HTTP/1.1 2OO OK', 'HTTP/1.1 200 O\0K'];
+		const startFaulty = async (line: string) => startUpstream('u1', (socket, id) => {
+			socket.write(`${line}\r\nId: ${id}\r\nSealed: yes\r\nContent-Length: 2\r\n\r\nok`);
+		});
+
+		it.each(lines)('%j: does not pass on the response as an answer to a request of any kind', async line => {
+			const {record} = await startFaulty(line);
+			for (const kind of ['idempotent', 'once', 'stream'] as const) {
+				expect(await send(createForwarder([record]), `${kind}-1`, kind)).toMatchObject({failure: {kind: 'failed'}});
+			}
+		});
+
+		it.each(lines)('%j: serves an idempotent request at another upstream', async line => {
+			const {record} = await startFaulty(line);
+			const whole = await startUpstream('u2', (socket, id) => {
+				socket.write(sealed(id, 'whole'));
+			});
+			expect(await send(createForwarder([record, whole.record]), 'one', 'idempotent', {targetLatencyMs: 60_000})).toEqual({status: 200, body: 'whole'});
+		});
+
+		it('closes the connection after interim responses without end', async () => {
+			let timer: NodeJS.Timeout | undefined;
+			const {record} = await startUpstream('u1', socket => {
+				timer = setInterval(() => {
+					socket.write('HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(100));
+				}, 2);
+			});
+			const response = await send(createForwarder([record]), 'one', 'once', {}, 5000);
+			clearInterval(timer);
+			expect(response).toMatchObject({failure: {kind: 'failed'}});
+		});
+	});
+
 	describe('a request that crashes each upstream', () => {
 		const startCrashing = async () => Promise.all(['u1', 'u2', 'u3', 'u4', 'u5', 'u6'].map(async name => startUpstream(name, socket => {
 			socket.destroy();
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,7 @@
 /** Forwards plain HTTP requests: routes, upstream selection, attempts and responses. */
 
 export * from './attempt-target.js';
+export * from './check-status-lines.js';
 export * from './connection-pool.js';
 export * from './crash-registry.js';
 export * from './decide-attempt.js';
--- a/packages/relays/src/relay-client.ts
+++ b/packages/relays/src/relay-client.ts
@@ -1,5 +1,5 @@
 import {
-	RelayPath, type AttemptEnd, type AttemptHandlers, type ConnectionPool, type Exchange, type PlainRequest, type RelayOptions, type ResponseHead,
+	isFinalStatus, RelayPath, type AttemptEnd, type AttemptHandlers, type ConnectionPool, type Exchange, type PlainRequest, type RelayOptions, type ResponseHead,
 } from '@cicadapost/forwarding';
 import type {UpstreamStart} from '@cicadapost/fleet';
 import type {
@@ -186,6 +186,11 @@
 		if (!this.hasHead) {
 			this.hasHead = true;
 			const head = {status: reply.status, headers: toRecord(reply.headers)};
+			// A daemon of an earlier build passes on any status that it gets.
+			if (!isFinalStatus(head.status)) {
+				return false;
+			}
+
 			if (!this.handlers.onHead(head)) {
 				return false;
 			}
--- a/packages/relays/src/relay.test.ts
+++ b/packages/relays/src/relay.test.ts
@@ -129,6 +129,17 @@
 		expect(responses).toEqual([{upstream: {id: 'u1', bornAt: 7}, status: 207}]);
 	});
 
+	it.each([0, 99, 199, 600])('fail if the other daemon passes on the status %d, which is not that of a response', async status => {
+		const {forwarded, responses, clientFor} = await start();
+		const sent = send(clientFor());
+		const {receiver} = await taken(forwarded);
+		receiver.head(status, ['X-Seal', 'yes'], {id: 'u1' as UpstreamId, bornAt: 7});
+		receiver.data(Buffer.from('body'));
+		receiver.end();
+		expect(await ended(sent)).toMatchObject({kind: 'broken'});
+		expect([sent.received.status, responses]).toEqual([undefined, []]);
+	});
+
 	it('never look complete if the other daemon breaks off', async () => {
 		const {forwarded, clientFor} = await start();
 		const sent = send(clientFor());
