Limit what engines and the store make a daemon keep

Operators of a similar system saw a faulty upstream fill the memory of the daemon that had called it. Here an engine that sends valid events without end ended the daemon (heap out of memory), and responses of the store were kept without a limit.

Cause: limits were set for each response, and in total only for responses that are buffered for callers. Texts of samples and responses of the store were not counted, and nothing was limited in total where the settings name no memory.

Change: TextMemory counts the texts of all running samples; the longest makes room. Without a setting the memory of the machine counts, up to 1 GB.

--- a/packages/batches/src/engine-client.ts
+++ b/packages/batches/src/engine-client.ts
@@ -45,6 +45,8 @@
 	/** The run has started, with this version of the weights. */
 	onStart: (version: number | undefined) => void;
 	onEvent: (event: SampleEvent) => void;
+	/** Called for each piece of the response with the number of bytes since the last event, which the client keeps. */
+	onPending?: (bytes: number) => void;
 	onEnd: (end: RunEnd) => void;
 }>;
 
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -20,5 +20,6 @@
 export * from './release-claims.js';
 export * from './run-samples.js';
 export * from './sample-run.js';
+export type * from './sample-runner-options.js';
 export * from './slowdown-detector.js';
 export * from './sweep-batches.js';
--- a/packages/batches/src/run-samples.ts
+++ b/packages/batches/src/run-samples.ts
@@ -1,3 +1,4 @@
+import type {ByteMeter} from '@cicadapost/byte-budget';
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import type {RequestLimits} from '@cicadapost/rate-limits';
 import type {RowStore} from '@cicadapost/store';
@@ -11,44 +12,20 @@
 	decideFollowUp, isStalled, type FollowUp,
 } from './decide-run.js';
 import type {RowShapeError} from './encode-rows.js';
-import {isWorthMoving} from './is-worth-moving.js';
 import type {
 	EngineClient, RunEnd, SampleEvent, SampleRun,
 } from './engine-client.js';
 import {EngineWatch} from './engine-watch.js';
 import {isLong, type ClaimTarget, type ItemReference} from './plan-claims.js';
 import {canStoreText} from './plan-commit.js';
+import {planMoves} from './plan-moves.js';
 import {readBodies, readText} from './read-items.js';
 import {
 	snapshotText, toResult, createRun, describeEnd, emptyText, itemKeyOf, type RunOptions, type RunReport, type ActiveRun,
 	usableText, type BatchRules, type CompletedText,
 } from './sample-run.js';
-
-export type SampleRunnerOptions = Readonly<{
-	clock: Clock;
-	store: RowStore;
-	batchCache: BatchCache;
-	directory: UpstreamDirectory;
-	client: EngineClient;
-	limits: RequestLimits;
-	commits: Pick<CommitQueue, 'push'>;
-	/** Returns the rules of a batch, or undefined if no route serves it any more. */
-	rulesOf: (batch: BatchView) => BatchRules | undefined;
-	/** Whether an engine is currently loading weights. */
-	isLoading: (engine: UpstreamId) => boolean;
-	/** Called when an engine has reported its weight version. */
-	onVersion: (engine: UpstreamId, batch: BatchView, version: number) => void;
-	/** Returns how many times as long an engine takes for an event as faster ones that could take a sample of the batch now. Defaults to 1. */
-	slowerBy?: (engine: UpstreamId, batch: BatchView) => number;
-	/** Whether a run of an item may end so that another engine goes on with it. Defaults to always. */
-	mayMove?: (item: ItemReference) => boolean;
-	/** Called when the complete text of a sample with a reward call is about to be stored. */
-	onTextComplete: (completed: CompletedText) => void;
-	/** Called when a slot of an engine has become free. */
-	onSlotFreed: () => void;
-	onRunReport: (report: RunReport) => void;
-	onUnreadableRow: (err: RowShapeError) => void;
-}>;
+import type {SampleRunnerOptions} from './sample-runner-options.js';
+import {TextMemory} from './text-memory.js';
 
 /** Interval for checking runs for stalls, the end of their batch and unsaved text. */
 const checkIntervalMs = 200;
@@ -62,6 +39,7 @@
 	private readonly running = new Map<string, ActiveRun>();
 	/** Items whose request bodies are being read, with their engines. */
 	private readonly starting = new Map<string, UpstreamId>();
+	private readonly texts: TextMemory;
 	/** What the runs show about the engines of this daemon. */
 	readonly watch: EngineWatch;
 	/** Set while there are runs to check. */
@@ -69,6 +47,14 @@
 
 	constructor(private readonly options: SampleRunnerOptions) {
 		this.watch = new EngineWatch(options.isLoading);
+		this.texts = new TextMemory({
+			...(options.textBytes === undefined ? {} : {meter: options.textBytes}),
+			onFull: run => {
+				this.watch.recordFailure(run.engine, options.clock.now());
+				run.text = emptyText();
+				this.release(run, run.failures, 'the text is longer than any valid one, or there is no memory for it');
+			},
+		});
 	}
 
 	/** Number of samples that this daemon has on an engine, including those whose request bodies are still being read. */
@@ -159,6 +145,7 @@
 	private startRun(options: RunOptions): void {
 		const run = createRun(options, this.options.clock.now());
 		this.running.set(itemKeyOf(run), run);
+		this.texts.start(run);
 		this.timer ??= setInterval(() => {
 			this.check();
 		}, checkIntervalMs);
@@ -204,6 +191,7 @@
 		run.softwareVersion = engine.softwareVersion;
 		if (run.text.softwareVersion !== engine.softwareVersion) {
 			run.text = emptyText();
+			this.texts.release(run);
 		}
 
 		run.lastActivityAt = run.sentAt;
@@ -230,6 +218,9 @@
 			onEvent: event => {
 				this.onEvent(run, event);
 			},
+			onPending: bytes => {
+				this.texts.setPending(run, bytes);
+			},
 			onEnd: end => {
 				if (!run.isOver && end.kind !== 'aborted') {
 					this.onEnd(run, end);
@@ -282,6 +273,11 @@
 			return;
 		}
 
+		this.texts.addEvent(run, event.data);
+		if (run.isOver) {
+			return;
+		}
+
 		run.text.softwareVersion ??= run.softwareVersion;
 		run.text.events.push(event.data);
 		run.text.lastEventId = event.id;
@@ -399,6 +395,7 @@
 		}
 
 		run.isOver = true;
+		this.texts.release(run);
 		clearTimeout(run.resendTimer);
 		run.withdrawTurn?.();
 		run.engineRun?.abort();
@@ -435,31 +432,24 @@
 		}
 	}
 
-	private mayMove(run: ActiveRun): boolean {
-		return this.options.mayMove?.(run) ?? true;
-	}
-
-	/** Moves long samples away from slow engines. Short samples finish faster than they could be moved. */
-	private releaseFromSlowEngines(now: Millis): void {
-		for (const run of this.running.values()) {
-			if (run.isLong && run.eventsSinceSent > 0 && this.watch.isSlow(run.engine, now) && this.mayMove(run)) {
-				this.release(run, run.failures, 'the engine is slow');
-			}
-		}
-	}
-
-	/** Moves samples that end earlier at a faster engine, although another daemon has to go on with them. */
-	private releaseToFasterEngines(now: Millis): void {
-		const {batchCache, slowerBy = () => 1, rulesOf} = this.options;
-		for (const run of this.running.values()) {
-			const view = batchCache.get(run.batch);
-			// The text of a route that wants a single version is of no use to an engine with another one.
-			const canContinue = view !== undefined && rulesOf(view)?.isSingleVersion === false;
-			if (canContinue && this.mayMove(run) && isWorthMoving(run, {
-				msPerToken: this.watch.msPerToken(run.engine), eventMs: this.watch.eventMs(run.engine, now), slowerBy: slowerBy(run.engine, view), now,
-			})) {
-				this.release(run, run.failures, 'a faster engine is free');
-			}
+	private releaseToOtherEngines(now: Millis): void {
+		const {batchCache, slowerBy = () => 1, mayMove = () => true, rulesOf} = this.options;
+		const moves = planMoves(this.running.values(), {
+			watch: this.watch,
+			mayMove,
+			canContinue(run) {
+				const view = batchCache.get(run.batch);
+				// The text of a route that wants a single version is of no use to an engine with another one.
+				return view !== undefined && rulesOf(view)?.isSingleVersion === false;
+			},
+			slowerBy(run) {
+				const view = batchCache.get(run.batch);
+				return view === undefined ? 1 : slowerBy(run.engine, view);
+			},
+			now,
+		});
+		for (const {run, reason} of moves) {
+			this.release(run, run.failures, reason);
 		}
 	}
 
@@ -472,8 +462,7 @@
 
 		const now = this.options.clock.now();
 		this.releaseFromSilentEngines(now);
-		this.releaseFromSlowEngines(now);
-		this.releaseToFasterEngines(now);
+		this.releaseToOtherEngines(now);
 		for (const run of this.running.values()) {
 			const view = this.options.batchCache.get(run.batch);
 			const claim = view?.claims[run.group]?.items[run.item];
--- a/packages/byte-budget/src/share-memory.ts
+++ b/packages/byte-budget/src/share-memory.ts
@@ -10,6 +10,8 @@
 	responses: number;
 	/** Responses that callers have not read yet. */
 	unread: number;
+	/** Texts of running samples. */
+	texts: number;
 }>;
 
 /** Bodies up to this size have a share of their own. */
@@ -24,13 +26,14 @@
 const smallShare = 0.04;
 const responseShare = 0.07;
 const unreadShare = 0.07;
+const textShare = 0.12;
 
 /** Shares out the memory of a VM, in megabytes. Everything is unlimited if it is not known. */
 export function shareMemory(memoryMb: number | undefined): MemoryShares {
 	if (memoryMb === undefined) {
 		const unlimited = Number.POSITIVE_INFINITY;
 		return {
-			region: unlimited, smallBodies: unlimited, responses: unlimited, unread: unlimited,
+			region: unlimited, smallBodies: unlimited, responses: unlimited, unread: unlimited, texts: unlimited,
 		};
 	}
 
@@ -40,5 +43,6 @@
 		smallBodies: Math.floor(bytes * smallShare),
 		responses: Math.floor(bytes * responseShare),
 		unread: Math.floor(bytes * unreadShare),
+		texts: Math.floor(bytes * textShare),
 	};
 }
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -2,6 +2,7 @@
 	ClaimReleaser, ClaimWorker, CommitQueue, BatchSweeper, isExpired, queueDeadlineOf, SampleRunner,
 	type BatchCache, type EngineClient,
 } from '@cicadapost/batches';
+import type {ByteMeter} from '@cicadapost/byte-budget';
 import type {UpstreamDirectory, UpstreamRecord} from '@cicadapost/fleet';
 import {
 	Forwarder, matchRoute, type ForwarderOptions, type RequestReport, type Route, type RoutingConfiguration,
@@ -37,6 +38,8 @@
 	/** How reward calls are sent to the upstreams of plain services. */
 	forwarding: Omit<ForwarderOptions, 'onRequestReport'>;
 	configuration: () => RoutingConfiguration | undefined;
+	/** Counts the texts of running samples. */
+	textBytes: ByteMeter;
 	incarnation: DaemonIncarnation;
 	retentionMs: Millis;
 	/** Whether this daemon deletes the rows of the batch. */
--- a/packages/entry/src/client-limits.ts
+++ b/packages/entry/src/client-limits.ts
@@ -1,3 +1,4 @@
+import {totalmem} from 'node:os';
 import {getHeapStatistics} from 'node:v8';
 import {
 	BodyMemory, ByteMeter, shareMemory, unlimitedBodies, UnreadOutput,
@@ -8,7 +9,7 @@
 
 /** Something that was refused or closed because of a limit for clients. */
 export type ClientReport = Readonly<{
-	reason: 'too many connections' | 'no memory for a body' | 'a slow body was closed' | 'a body went on after the response' | 'a reader was too slow' | 'no memory for a response';
+	reason: 'too many connections' | 'no memory for a body' | 'a slow body was closed' | 'a body went on after the response' | 'a reader was too slow' | 'no memory for a response' | 'no memory for a text';
 	/** IP address. Undefined if it is not known any more. */
 	peer?: string | undefined;
 }>;
@@ -18,6 +19,8 @@
 	memory: BodyMemory;
 	/** Buffered responses of upstreams. */
 	responses: ByteMeter;
+	/** Texts of running samples. */
+	texts: ByteMeter;
 	unread: UnreadOutput;
 	/** Connections of callers. */
 	maxConnections: number;
@@ -35,6 +38,9 @@
 const maxHeapShare = 0.85;
 /** The state of the heap is read at most this often. */
 const heapCheckMs = 100;
+/** A process whose settings name no memory takes no more than this for what it may use, in megabytes. */
+const maxDefaultMemoryMb = 1024;
+const bytesPerMegabyte = 1024 * 1024;
 /** Time between two log lines with the same reason. */
 const logIntervalMs = 1000;
 
@@ -42,6 +48,7 @@
 	return {
 		memory: unlimitedBodies(clock),
 		responses: new ByteMeter(),
+		texts: new ByteMeter(),
 		unread: new UnreadOutput(),
 		maxConnections: Number.POSITIVE_INFINITY,
 		maxDaemonConnections: Number.POSITIVE_INFINITY,
@@ -62,7 +69,7 @@
 
 /** Derives the limits for clients from what the platform lets the process use. */
 export function createClientLimits({clock, logger, limits, random, onReport}: ClientLimitsOptions): ClientLimits {
-	const shares = shareMemory(limits.memoryMb);
+	const shares = shareMemory(limits.memoryMb ?? usableMemoryMb());
 	const logged = new Map<ClientReport['reason'], {at: Millis; suppressed: number}>();
 	const report = (event: ClientReport) => {
 		onReport(event);
@@ -84,6 +91,9 @@
 		responses: new ByteMeter(shares.responses, () => {
 			report({reason: 'no memory for a response'});
 		}),
+		texts: new ByteMeter(shares.texts, () => {
+			report({reason: 'no memory for a text'});
+		}),
 		unread: new UnreadOutput(shares.unread, peer => {
 			report({reason: 'a reader was too slow', peer});
 		}),
@@ -93,6 +103,14 @@
 	};
 }
 
+/** Returns the memory that a process without a limit in its settings takes for what it may use, in megabytes. */
+export function usableMemoryMb(): number {
+	// 0 if there is no limit; Node.js returns the size of the address space for some kinds of unlimited.
+	const constrained = process.constrainedMemory() ?? 0;
+	const available = constrained > 0 ? Math.min(constrained, totalmem()) : totalmem();
+	return Math.min(maxDefaultMemoryMb, Math.floor(available / bytesPerMegabyte));
+}
+
 /** Returns a number of connections, from the number of descriptors of the process. */
 function connectionLimit(maxDescriptors: number | undefined, share: number): number {
 	return maxDescriptors === undefined ? Number.POSITIVE_INFINITY : Math.max(1, Math.floor((maxDescriptors - reservedDescriptors) * share));
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -229,6 +229,7 @@
 			fleetView,
 			metrics: this.metrics,
 			loadReporter: this.loadReporter,
+			textBytes: clients.texts,
 			forwarding: {...forwarding, relays: this.relays.path},
 			configuration: () => this.operatorState.configuration,
 			incarnation: this.incarnation,
