Take over texts also if no daemon takes itself for responsible

Texts that wait for their reward are left to the daemon that all with the same view name.

Change: each daemon takes such texts over after 3 to 6 s, one after the other. Claims are conditional, so two that try at once do no harm.

--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -243,8 +243,7 @@
 			},
 			shareOf: route => callShare({slots: this.slotsOf(route), senders: fleetView.engineOwners().length}),
 			isAlive: (incarnation, claimedVersion) => this.isAlive(incarnation, claimedVersion),
-			canTakeOver: () => fleetView.isEngineOwner,
-			isResponsible: key => fleetView.isResponsibleFor(key),
+			isResponsible: (key, waitedMs) => fleetView.isResponsibleFor(key, waitedMs),
 			onReport(report) {
 				metrics.recordReward(report.outcome, report.tookMs);
 				logger.info({event: 'reward', ...report}, report.outcome);
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {
 	assignEngines, chooseCandidates, type MemberRecord, type UpstreamDirectory, type UpstreamRecord,
 } from '@cicadapost/fleet';
@@ -7,6 +8,17 @@
 } from '@cicadapost/types';
 import type {EngineService, NamedVersion} from '@cicadapost/weights';
 
+/** Work is left to the daemon that is responsible for it for this time. */
+const minPatienceMs = 3000;
+/** The others step in over this time, so that few of them try at once. */
+const patienceSpreadMs = 3000;
+
+/** Returns how long a daemon waits for the responsible one. */
+function patienceMs(daemon: DaemonId): Millis {
+	const share = createHash('sha1').update(daemon).digest().readUInt32BE(0) / (2 ** 32);
+	return minPatienceMs + (share * patienceSpreadMs);
+}
+
 export type FleetViewOptions = Readonly<{
 	clock: Clock;
 	self: DaemonId;
@@ -51,14 +63,13 @@
 		return owners.length > 0 ? owners : this.options.members(this.options.clock.now()).map(({daemon}) => daemon);
 	}
 
-	/** Whether this daemon is one of `engineOwners`. */
-	get isEngineOwner(): boolean {
-		return this.engineOwners().includes(this.options.self);
-	}
-
-	/** Whether this daemon does work that any daemon with an engine could do. All daemons with the same view name the same one. */
-	isResponsibleFor(key: string): boolean {
-		return ownerOf(key, this.engineOwners()) === this.options.self;
+	/**
+	Whether this daemon does work that any daemon with an engine could do. All daemons with the same view name the same one. After
+	some time each daemon does it, one after the other, since views may differ for long.
+	*/
+	isResponsibleFor(key: string, waitedMs: Millis = 0): boolean {
+		const {self} = this.options;
+		return ownerOf(key, this.engineOwners()) === self || waitedMs >= patienceMs(self);
 	}
 
 	/** Engines that accept new work, grouped by service, with the versions that trainers have named for their models. */
--- a/packages/rewards/src/reward-task.test.ts
+++ b/packages/rewards/src/reward-task.test.ts
@@ -91,8 +91,7 @@
 			routeOf: () => route,
 			shareOf: () => ({maxInFlight: 8, pauseFactor: 0}),
 			isAlive: other => alive.has(other),
-			canTakeOver: () => alive.has(name),
-			isResponsible: () => true,
+			isResponsible: (key, waitedMs) => alive.has(name) && isResponsible(key, waitedMs),
 			onReport: report => {
 				this.reports.push(report);
 			},
@@ -120,6 +119,7 @@
 
 let store: MemoryRowStore;
 let alive: Set<string>;
+let isResponsible: (key: string, waitedMs: number) => boolean;
 let daemon: TestDaemon;
 
 const running = (incarnation: string): ItemClaim => ({
@@ -138,6 +138,7 @@
 beforeEach(async () => {
 	vi.useFakeTimers();
 	store = new MemoryRowStore();
+	isResponsible = () => true;
 	alive = new Set(['d1', 'd2']);
 	const items = ids.map(id => ({
 		id, path: '/p/', headers: [], body: new Uint8Array([1]), tokens: 100, group: 'g', expectedTokens: 100, reward: rewardOf(id),
@@ -281,6 +282,17 @@
 			}]);
 		});
 
+		it('leaves its texts to another one also if no daemon takes itself for the responsible one', async () => {
+			isResponsible = (_, waitedMs) => waitedMs >= 3000;
+			daemon.completeText(0);
+			await settle();
+			kill();
+			await settle(2500);
+			expect(other.sender.calls).toEqual([]);
+			await settle(1500);
+			expect(other.sender.calls).toHaveLength(1);
+		});
+
 		it('after the response and before the commit leaves one result', async () => {
 			daemon.completeText(0);
 			await settle();
--- a/packages/rewards/src/reward-task.ts
+++ b/packages/rewards/src/reward-task.ts
@@ -53,10 +53,8 @@
 	shareOf: (route: Route) => CallShare;
 	/** Whether the daemon `incarnation`, which wrote a claim at `claimedVersion` of the store, is still running. */
 	isAlive: (incarnation: string, claimedVersion: number) => boolean;
-	/** Whether this daemon is one of those that take over texts. Others need not search for them. */
-	canTakeOver: () => boolean;
-	/** Whether this daemon takes over the texts of a dead one, by a key that identifies them. */
-	isResponsible: (key: string) => boolean;
+	/** Whether this daemon takes over texts that no daemon has held for some time, by a key that identifies them. */
+	isResponsible: (key: string, waitedMs: Millis) => boolean;
 	onReport: (report: RewardReport) => void;
 	onTakeover: (target: ClaimTarget) => void;
 	onUnreadableRow: (err: RowShapeError) => void;
@@ -84,6 +82,8 @@
 	private readonly held = new Map<string, HeldText>();
 	/** Texts that are being taken over from dead daemons. */
 	private readonly takingOver = new Set<string>();
+	/** When this daemon has first seen that nobody holds the texts of a group. */
+	private readonly orphanedAt = new Map<string, Millis>();
 	private readonly routes = new Map<string, RouteState>();
 	private readonly timer: NodeJS.Timeout;
 	private planTimer: NodeJS.Timeout | undefined;
@@ -313,11 +313,13 @@
 
 	/** Takes over texts of dead daemons that this one is responsible for. */
 	private async takeOver(): Promise<void> {
-		const {batchCache, clock, follower, incarnation, canTakeOver, isAlive, isResponsible, commits} = this.options;
-		if (this.isDraining || !canTakeOver() || this.takingOver.size > 0 || follower.age(clock.now()) > maxPlanAgeMs) {
+		const {batchCache, clock, follower, incarnation, isAlive, isResponsible, commits} = this.options;
+		if (this.isDraining || this.takingOver.size > 0 || follower.age(clock.now()) > maxPlanAgeMs) {
 			return;
 		}
 
+		const now = clock.now();
+		const orphaned = new Set<string>();
 		const targets = planTakeovers({
 			batches: batchCache.open(),
 			isHolderAlive: (claim, item, rowVersion) => {
@@ -326,8 +328,20 @@
 					? this.held.has(itemKey) || commits.hasFinalOutcome(itemKey)
 					: isAlive(claim.incarnation ?? '', rowVersion);
 			},
-			isResponsible: (view, group) => isResponsible(`${view.id}/${group}`),
+			isResponsible: (view, group) => {
+				const key = `${view.id}/${group}`;
+				const since = this.orphanedAt.get(key) ?? now;
+				this.orphanedAt.set(key, since);
+				orphaned.add(key);
+				return isResponsible(key, now - since);
+			},
 		});
+		for (const key of this.orphanedAt.keys()) {
+			if (!orphaned.has(key)) {
+				this.orphanedAt.delete(key);
+			}
+		}
+
 		for (const target of targets) {
 			this.takingOver.add(targetKey(target));
 		}
