Hand over engines that their owner can't reach

Change: after two failures in a row of samples, orders or reports a heartbeat names the engine as unreachable for 10 s. All daemons then assign it to a near one that reaches it; the assignment of all other engines stays. Daemons of earlier builds, whose rows have no such field, are not chosen, and they read the row as before.

--- a/packages/batches/src/batches.test.ts
+++ b/packages/batches/src/batches.test.ts
@@ -312,6 +312,16 @@
 		expect(monitor.isSilent(engineId, {oldestSentAt: 1000, isLoading: false, now: 1500})).toBe(false);
 	});
 
+	it('takes an engine for out of reach after two failures in a row, until it has not failed for some time', () => {
+		const monitor = new LivenessMonitor();
+		monitor.recordFailure(engineId, 1000);
+		expect(monitor.isUnreachable(engineId, 1000)).toBe(false);
+		monitor.recordFailure(engineId, 3000);
+		expect([3000, 12_999, 13_000].map(now => monitor.isUnreachable(engineId, now))).toEqual([true, true, false]);
+		monitor.recordActivity(engineId, 3500);
+		expect(monitor.isUnreachable(engineId, 3500)).toBe(false);
+	});
+
 	it('counts runs of an engine that fail at the same time as one failure', () => {
 		const monitor = new LivenessMonitor();
 		for (let index = 0; index < 16; index++) {
--- a/packages/batches/src/engine-watch.ts
+++ b/packages/batches/src/engine-watch.ts
@@ -60,6 +60,11 @@
 		return this.liveness.isSuspended(engine, now);
 	}
 
+	/** Whether this daemon can't reach an engine, so that another one should take it. */
+	isUnreachable(engine: UpstreamId, now: Millis): boolean {
+		return this.liveness.isUnreachable(engine, now);
+	}
+
 	/** Whether an engine currently generates events much more slowly than usual. */
 	isSlow(engine: UpstreamId, now: Millis): boolean {
 		return this.slowdowns.isSlow(engine, now);
--- a/packages/batches/src/liveness-monitor.ts
+++ b/packages/batches/src/liveness-monitor.ts
@@ -4,6 +4,7 @@
 	lastActivityAt: Millis;
 	failures: number;
 	suspendedUntil: Millis;
+	failedAt: Millis;
 };
 
 /** An engine that was unreachable or silent gets no samples for this time. The time doubles with each consecutive failure. */
@@ -17,6 +18,10 @@
 /** Silence timeout while the engine loads weights, which takes about a second. */
 const loadingSilenceMs = 2200;
 
+/** An engine that has failed so often in a row counts as out of reach, until it has not failed for some time. */
+const unreachableFailures = 2;
+const unreachableMs = 10_000;
+
 /** Distinguishes dead engines from slow ones, based on the combined activity of all runs on an engine. */
 export class LivenessMonitor {
 	private readonly activities = new Map<UpstreamId, EngineActivity>();
@@ -37,6 +42,7 @@
 		}
 
 		activity.failures += 1;
+		activity.failedAt = now;
 		activity.suspendedUntil = now + Math.min(maxSuspendMs, suspendMs * (2 ** (activity.failures - 1)));
 	}
 
@@ -44,6 +50,12 @@
 		return (this.activities.get(engine)?.suspendedUntil ?? 0) > now;
 	}
 
+	/** Whether this daemon can't reach the engine, so that another one should take it. */
+	isUnreachable(engine: UpstreamId, now: Millis): boolean {
+		const activity = this.activities.get(engine);
+		return activity !== undefined && activity.failures >= unreachableFailures && now - activity.failedAt < unreachableMs;
+	}
+
 	/** Whether the engine is silent. `oldestSentAt` is the time at which its oldest active run was sent. */
 	isSilent(engine: UpstreamId, options: Readonly<{oldestSentAt: Millis; isLoading: boolean; now: Millis}>): boolean {
 		const {oldestSentAt, isLoading, now} = options;
@@ -54,7 +66,9 @@
 	private activityOf(engine: UpstreamId): EngineActivity {
 		let activity = this.activities.get(engine);
 		if (activity === undefined) {
-			activity = {lastActivityAt: 0, failures: 0, suspendedUntil: 0};
+			activity = {
+				lastActivityAt: 0, failures: 0, suspendedUntil: 0, failedAt: 0,
+			};
 			this.activities.set(engine, activity);
 		}
 
--- a/packages/entry/src/batch-tasks.ts
+++ b/packages/entry/src/batch-tasks.ts
@@ -83,6 +83,20 @@
 		}));
 	}
 
+	/** Engines that this daemon can't reach at the moment. */
+	get unreachable(): ReadonlySet<UpstreamId> {
+		const now = this.options.clock.now();
+		return new Set(this.options.directory.all().filter(({id}) => this.sampleRunner.watch.isUnreachable(id, now)).map(({id}) => id));
+	}
+
+	/** Records that an engine did not respond to an order or a report. */
+	recordUnreached(engine: UpstreamId): void {
+		// Events of samples say more about the engine.
+		if (this.sampleRunner.countAt(engine) === 0) {
+			this.sampleRunner.watch.recordFailure(engine, this.options.clock.now());
+		}
+	}
+
 	/** Number of texts whose reward this daemon gets. */
 	get rewarding(): number {
 		return this.rewards.count;
--- a/packages/entry/src/entry-daemon.ts
+++ b/packages/entry/src/entry-daemon.ts
@@ -135,6 +135,7 @@
 			metrics: this.metrics,
 			loadReporter: this.loadReporter,
 			paces: () => this.batchTasks.paces,
+			unreachable: () => this.batchTasks.unreachable,
 			isCandidate: () => this.isCandidate,
 			linkedMembers: members => this.relays.linkedMembers(members),
 			reachesAnother: async upstream => this.relays.reachesAnother(upstream),
@@ -162,6 +163,9 @@
 			silenceMs: settings.orderSilenceMs,
 			services: () => this.fleet.fleetView.engineServices(this.operatorState.namedVersions),
 			isOwner: engine => this.fleet.fleetView.isOwner(engine),
+			onUnreached: engine => {
+				this.batchTasks.recordUnreached(engine);
+			},
 			onOrderReport: report => {
 				this.metrics.recordOrder(report.outcome);
 				logger.info({event: 'order', ...report}, report.outcome);
--- a/packages/entry/src/fleet-tasks.ts
+++ b/packages/entry/src/fleet-tasks.ts
@@ -32,6 +32,8 @@
 	loadReporter: LoadReporter;
 	/** Returns the measured paces of this daemon's engines. */
 	paces: () => ReadonlyMap<UpstreamId, Millis>;
+	/** Engines that this daemon can't reach. */
+	unreachable: () => ReadonlySet<UpstreamId>;
 	/** Whether this daemon takes engines. */
 	isCandidate: () => boolean;
 	/** Returns the members that reach upstreams. */
--- a/packages/entry/src/fleet-view.ts
+++ b/packages/entry/src/fleet-view.ts
@@ -117,7 +117,7 @@
 	/** Reassigns the engines only if members or engines differ from the last check, which is rare. */
 	private updateAssignment(members: readonly MemberRecord[], engines: readonly UpstreamRecord[]): void {
 		const {regionOf} = this.options;
-		const key = JSON.stringify([members.map(member => [member.daemon, member.dataCentre, member.region, member.role, member.cores]), engines.map(engine => [engine.id, engine.dataCentre])]);
+		const key = JSON.stringify([members.map(member => [member.daemon, member.dataCentre, member.region, member.role, member.cores, [...member.unreachable ?? []]]), engines.map(engine => [engine.id, engine.dataCentre])]);
 		if (key !== this.assignment.key) {
 			this.assignment = {key, owners: assignEngines({engines, members, regionOf}), candidates: chooseCandidates({engines, members, regionOf})};
 		}
--- a/packages/entry/src/member-rows.ts
+++ b/packages/entry/src/member-rows.ts
@@ -38,13 +38,13 @@
 export function encodeMember(member: MemberRecord): Uint8Array {
 	const paces = [...member.paces ?? []].map(([engine, ms]) => [engine, Math.round(ms * 10) / 10]);
 	return encodeList([
-		member.daemon, member.incarnation, member.dataCentre, member.region, member.state, member.heartbeatCount, member.role, member.cores, member.heartbeatMs ?? null, paces,
+		member.daemon, member.incarnation, member.dataCentre, member.region, member.state, member.heartbeatCount, member.role, member.cores, member.heartbeatMs ?? null, paces, ...(member.unreachable === undefined ? [] : [[...member.unreachable]]),
 	]);
 }
 
 /** Returns undefined if the value is not an encoded member. */
 export function decodeMember(value: Uint8Array): MemberRecord | undefined {
-	const [daemon, incarnation, dataCentre, region, state, heartbeatCount, role, cores, heartbeatMs, paces] = decodeList(value) ?? [];
+	const [daemon, incarnation, dataCentre, region, state, heartbeatCount, role, cores, heartbeatMs, paces, unreachable] = decodeList(value) ?? [];
 	if (typeof daemon !== 'string' || typeof incarnation !== 'string' || typeof dataCentre !== 'string' || typeof region !== 'string') {
 		return undefined;
 	}
@@ -61,6 +61,7 @@
 		cores: typeof cores === 'number' && cores > 0 ? cores : 1,
 		...(typeof heartbeatMs === 'number' && heartbeatMs > 0 ? {heartbeatMs} : {}),
 		...(Array.isArray(paces) && paces.length > 0 ? {paces: decodePaces(paces)} : {}),
+		...(Array.isArray(unreachable) ? {unreachable: new Set(unreachable.filter(engine => typeof engine === 'string') as UpstreamId[])} : {}),
 	};
 }
 
--- a/packages/entry/src/membership-task.test.ts
+++ b/packages/entry/src/membership-task.test.ts
@@ -147,6 +147,15 @@
 });
 
 describe('decodeMember', () => {
+	it('reads the engines that a daemon can\'t reach, and nothing from the row of a build that wrote none', () => {
+		const record = {
+			...member('d1#1'), state: 'live', heartbeatCount: 7, role: 'candidate', heartbeatMs: 700, paces: new Map([['e2' as UpstreamId, 40]]), unreachable: new Set(['e1' as UpstreamId]),
+		} as const;
+		const encoded = encodeMember(record);
+		expect(decodeMember(encoded)).toEqual(record);
+		expect(decodeMember(encodeList(decodeList(encoded)!.slice(0, 10)))?.unreachable).toBe(undefined);
+	});
+
 	it('reads the row of a build that wrote no roles as a candidate', () => {
 		const earlier = decodeList(encodeMember({
 			...member('d1#1'), state: 'live', heartbeatCount: 7, role: 'standby',
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -20,6 +20,8 @@
 	isCandidate: () => boolean;
 	/** Returns the measured paces of this daemon's engines, which heartbeats carry. Defaults to none. */
 	paces?: () => ReadonlyMap<UpstreamId, Millis>;
+	/** Returns the engines of this daemon that it can't reach, which heartbeats carry. Defaults to none. */
+	unreachable?: () => ReadonlySet<UpstreamId>;
 	/** Called when this daemon has become a candidate or a standby. */
 	onRoleChanged: (role: MemberRecord['role'], candidates: number) => void;
 }>;
@@ -183,9 +185,9 @@
 
 		this.isSendingHeartbeat = true;
 		this.heartbeatCount += 1;
-		const {store, follower, self, paces} = this.options;
+		const {store, follower, self, paces, unreachable = () => new Set<UpstreamId>()} = this.options;
 		const record: MemberRecord = {
-			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(),
+			...self, state: this.state, heartbeatCount: this.heartbeatCount, role: this.role, heartbeatMs: this.intervalMs(), unreachable: unreachable(),
 		};
 		const withPaces = paces === undefined ? record : {...record, paces: paces()};
 		const encoded = encodeMember(withPaces);
--- a/packages/fleet/src/engine-ownership.ts
+++ b/packages/fleet/src/engine-ownership.ts
@@ -17,8 +17,9 @@
 /**
 Assigns each engine to an owner: the daemon that claims samples for its slots, runs them and sends its orders. All daemons
 with the same view compute the same assignment. Each engine goes to a near candidate with few engines for its size, and a
-member that joins or leaves moves few engines. Without candidates, any member may become an owner. A temporary disagreement
-between daemons is harmless, because claims and order permits are conditional writes.
+member that joins or leaves moves few engines. Without candidates, any member may become an owner. An engine that its owner
+can't reach goes to another one, and all others stay where they are. A temporary disagreement between daemons is harmless,
+because claims and order permits are conditional writes.
 */
 export function assignEngines({engines, members, regionOf}: OwnershipOptions): Map<UpstreamId, DaemonId> {
 	const candidates = members.filter(({role}) => role === 'candidate');
@@ -39,9 +40,24 @@
 		}
 	}
 
+	for (const engine of sorted) {
+		const substitute = substituteFor(engine, owners.get(engine.id), eligible, regionOf);
+		if (substitute !== undefined) {
+			owners.set(engine.id, substitute);
+		}
+	}
+
 	return owners;
 }
 
+/** Returns the daemon that takes an engine which its owner can't reach, or undefined if the owner keeps it. */
+function substituteFor(engine: UpstreamRecord, owner: DaemonId | undefined, eligible: readonly MemberRecord[], regionOf: OwnershipOptions['regionOf']): DaemonId | undefined {
+	const isCutOff = eligible.some(({daemon, unreachable}) => daemon === owner && unreachable?.has(engine.id) === true);
+	// Daemons of earlier builds do not take engines of others for this reason.
+	const reaching = isCutOff ? eligible.filter(({unreachable}) => unreachable?.has(engine.id) === false) : [];
+	return reaching.length === 0 ? undefined : ownerOf(engine.id, nearestMembers(reaching, engine.dataCentre, regionOf).map(({daemon}) => daemon));
+}
+
 /** Returns the members at the nearest level that has any. */
 export function nearestMembers(members: readonly MemberRecord[], dataCentre: DataCentreId, regionOf: OwnershipOptions['regionOf']): MemberRecord[] {
 	const levels = members.map(member => proximityOf(member, dataCentre, regionOf));
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -250,6 +250,27 @@
 		expect([...owners.values()].filter(owner => owner === 'large')).toHaveLength(4);
 	});
 
+	describe('with an engine that its owner can\'t reach', () => {
+		const assign = (members: readonly MemberRecord[]) => assignEngines({engines, members, regionOf});
+		const reaching = (name: string, unreachable: readonly string[] = []): MemberRecord => ({...member(name), unreachable: new Set(unreachable as UpstreamId[])});
+		const [before, owner] = (() => {
+			const owners = assign([reaching('d1'), reaching('d2'), reaching('d3')]);
+			return [owners, owners.get('e1' as UpstreamId)!] as const;
+		})();
+		const names = ['d1', 'd2', 'd3'];
+
+		it('gives it to a daemon that reaches it, and moves no other engine', () => {
+			const after = assign(names.map(name => reaching(name, name === owner ? ['e1'] : [])));
+			expect(after.get('e1' as UpstreamId)).not.toBe(owner);
+			expect([...after].filter(([engine, daemon]) => before.get(engine) !== daemon).map(([engine]) => engine)).toEqual(['e1']);
+		});
+
+		it('leaves it with its owner if no other daemon reaches it or takes engines for that reason', () => {
+			expect(assign(names.map(name => reaching(name, ['e1']))).get('e1' as UpstreamId)).toBe(owner);
+			expect(assign(names.map(name => (name === owner ? reaching(name, ['e1']) : member(name)))).get('e1' as UpstreamId)).toBe(owner);
+		});
+	});
+
 	it('computes the same assignment for any order of engines and members', () => {
 		const members = [member('d1'), member('d2')];
 		const forwards = assignEngines({engines, members, regionOf});
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -17,6 +17,8 @@
 	heartbeatMs?: Millis;
 	/** Measured time between two events of a run on each engine of this daemon. Undefined in rows of builds that wrote none. */
 	paces?: ReadonlyMap<UpstreamId, Millis>;
+	/** Engines that this daemon can't reach at the moment. Undefined in rows of builds that do not take over engines of others for that reason. */
+	unreachable?: ReadonlySet<UpstreamId>;
 	/** Incremented with each heartbeat, so that each one changes the row. */
 	heartbeatCount: number;
 }>;
--- a/packages/weights/src/load-weights.ts
+++ b/packages/weights/src/load-weights.ts
@@ -45,6 +45,8 @@
 	services: () => readonly EngineService[];
 	isOwner: (engine: UpstreamId) => boolean;
 	onOrderReport: (report: OrderReport) => void;
+	/** Called when an engine did not respond to an order or a report. */
+	onUnreached?: (engine: UpstreamId) => void;
 	/** Called when the weights of an engine have changed. */
 	onLoaded: () => void;
 }>;
@@ -211,6 +213,7 @@
 
 		const report = await this.options.client.report(engine);
 		if (report === undefined) {
+			this.options.onUnreached?.(engine.id);
 			return undefined;
 		}
 
@@ -245,6 +248,7 @@
 			}
 
 			case 'unknown': {
+				this.options.onUnreached?.(engine.id);
 				this.accepted.delete(engine.id);
 				break;
 			}
