Store large bodies of a group by item

Cause: the bodies of a group were one value that was read whole for each claim and kept by each run; a call for one body read the group too.

Change: groups with more than 256 KB of bodies are stored by item, with keys that earlier builds read as further values of the group. The first row of a group shows how it is stored, so batches of earlier builds are read too.

--- a/packages/batches/src/batch-service.ts
+++ b/packages/batches/src/batch-service.ts
@@ -12,8 +12,9 @@
 import {groupPromptOf} from './group-prompt.js';
 import {writtenRows} from './commit-queue.js';
 import {
-	batchTable, bodyRange, bodyTable, decodeBodies, decodeResults, encodeGroupBodies, encodePlan, endKey, listingTable, planKey, resultRange,
+	batchTable, bodyTable, decodeResults, encodeGroupBodies, encodePlan, endKey, listingTable, planKey, resultRange,
 } from './encode-rows.js';
+import {readBodies} from './read-items.js';
 import {orderResults} from './result-order.js';
 
 export type SubmitOutcome =
@@ -176,16 +177,18 @@
 		}
 
 		const group = plan.groups.findIndex(({items}) => items.some(candidate => candidate.id === item));
-		if (group === -1) {
+		const index = plan.groups[group]?.items.findIndex(candidate => candidate.id === item) ?? -1;
+		if (index === -1) {
 			return {kind: 'not-found'};
 		}
 
-		const rows = await readAll(this.options.store, bodyRange(id, group));
-		if (rows === undefined) {
-			return {kind: 'unavailable'};
-		}
-
-		const body = decodeBodies(rows).find(candidate => candidate.id === item)?.body;
+		const bodies = await readBodies({
+			store: this.options.store,
+			onUnreadableRow() {
+				// The caller is told that the body is not available.
+			},
+		}, {batch: id, group, items: [index]});
+		const body = bodies?.find(candidate => candidate.id === item)?.body;
 		return body === undefined ? {kind: 'unavailable'} : {kind: 'body', body};
 	}
 
--- a/packages/batches/src/encode-rows.ts
+++ b/packages/batches/src/encode-rows.ts
@@ -217,12 +217,45 @@
 
 /** Encodes the request bodies of a batch. The items of a group are stored together, so that a daemon only reads the groups that it runs. */
 export function encodeBodies(groups: ReadonlyArray<readonly BatchItem[]>): ValueChunk[] {
-	return groups.flatMap((items, group) => encodeGroupBodies(items, group));
+	return groups.flatMap((items, group) => [...encodeGroupBodies(items, group)]);
 }
 
-/** Encodes the request bodies of one group. */
-export function encodeGroupBodies(items: readonly BatchItem[], group: number): ValueChunk[] {
-	return splitValue(padNumber(group), encodeList(items.map(item => [item.id, item.path, item.headers, item.body, ...(item.reward === undefined ? [] : [rewardFields(item.reward)])])));
+/** Bodies of a group that have more bytes together are stored by item, since a daemon must not read them all to run one. */
+const maxJointBytes = 256 * 1024;
+
+/** Encodes the request bodies of one group. The rows of each item are encoded when they are asked for, so that only one is in memory. */
+export function * encodeGroupBodies(items: readonly BatchItem[], group: number): Generator<ValueChunk> {
+	const bytes = items.reduce((sum, {body, reward}) => sum + body.length + (reward?.body.length ?? 0), 0);
+	if (bytes <= maxJointBytes) {
+		yield * splitValue(padNumber(group), encodeList(items.map(item => bodyFields(item))));
+		return;
+	}
+
+	for (const [index, item] of items.entries()) {
+		yield * splitValue(itemBodyName(group, index), encodeList([bodyFields(item)]));
+	}
+}
+
+function bodyFields({id, path, headers, body, reward}: BatchItem): unknown[] {
+	return [id, path, headers, body, ...(reward === undefined ? [] : [rewardFields(reward)])];
+}
+
+/** Builds that know only groups read these rows as further values of the group. */
+function itemBodyName(group: number, item: number): string {
+	return `${padNumber(group)}/${padNumber(item)}`;
+}
+
+/** Whether the key of a row with bodies is that of a single item. */
+export function isItemBodyKey(key: string): boolean {
+	return key.split('/').length === 3;
+}
+
+/** Returns the range of the rows with the request body of an item, if those of its group are stored by item. */
+export function itemBodyRange(batch: BatchId, group: number, item: number): Readonly<{table: string; part: string; from: string; to: string}> {
+	const name = itemBodyName(group, item);
+	return {
+		table: bodyTable, part: batch, from: `${name}/`, to: `${name}0`,
+	};
 }
 
 function rewardFields({id, host, path, body}: RewardCall): unknown[] {
--- a/packages/batches/src/read-items.ts
+++ b/packages/batches/src/read-items.ts
@@ -3,18 +3,40 @@
 import type {BatchView} from './batch-cache.js';
 import type {SampleText} from './batch.js';
 import {
-	bodyRange, decodeBodies, decodePartial, partialRange, RowShapeError, type ItemBody,
+	bodyRange, decodeBodies, decodePartial, isItemBodyKey, itemBodyRange, partialRange, RowShapeError, type ItemBody,
 } from './encode-rows.js';
+import type {ClaimTarget} from './plan-claims.js';
 
 export type ItemReaderOptions = Readonly<{
 	store: RowStore;
 	onUnreadableRow: (err: RowShapeError) => void;
 }>;
 
-/** Reads the request bodies of a group. Returns undefined if they can't be read. */
-export async function readBodies({store, onUnreadableRow}: ItemReaderOptions, {batch, group}: Readonly<{batch: BatchId; group: number}>): Promise<ItemBody[] | undefined> {
-	const rows = await readAll(store, bodyRange(batch, group));
-	return rows === undefined ? undefined : reportUnreadable(() => decodeBodies(rows), onUnreadableRow);
+/** Reads the request bodies of items, and those of their whole group if they are stored together. Returns undefined if they can't be read. */
+export async function readBodies({store, onUnreadableRow}: ItemReaderOptions, {batch, group, items}: ClaimTarget): Promise<ItemBody[] | undefined> {
+	const first = await store.read({...bodyRange(batch, group), limit: 1});
+	if (first.kind === 'unavailable') {
+		return undefined;
+	}
+
+	const [row] = first.rows;
+	if (row === undefined || !isItemBodyKey(row.key)) {
+		const rows = first.hasMore ? await readAll(store, bodyRange(batch, group)) : first.rows;
+		return rows === undefined ? undefined : reportUnreadable(() => decodeBodies(rows), onUnreadableRow);
+	}
+
+	const bodies: ItemBody[] = [];
+	for (const item of items) {
+		const rows = await readAll(store, itemBodyRange(batch, group, item));
+		const decoded = rows === undefined ? undefined : reportUnreadable(() => decodeBodies(rows), onUnreadableRow);
+		if (decoded === undefined) {
+			return undefined;
+		}
+
+		bodies.push(...decoded);
+	}
+
+	return bodies;
 }
 
 /** Reads the stored text of an item. Returns undefined if there is none or it can't be read. */
