Refuse calls about batches at the end of a shutdown

The new case of front-server.test.ts failed before: the call was passed on to the stand-in of the batches, which answered 404.

--- a/packages/entry/src/front-server.test.ts
+++ b/packages/entry/src/front-server.test.ts
@@ -3,7 +3,7 @@
 import {type ResponseReceiver, type PlainRequest, type RoutingConfiguration} from '@cicadapost/forwarding';
 import {KeyIndex, PresentedKey, type CopyFreshness} from '@cicadapost/teams';
 import {
-	SystemClock, type RequestId, type TeamId,
+	SystemClock, type BatchId, type RequestId, type TeamId,
 } from '@cicadapost/types';
 import {Right} from 'purify-ts';
 import {
@@ -28,6 +28,12 @@
 	override readonly readyPath = '/ready';
 
 	override parseCall({target, headers}: RequestHead): CallerCall {
+		if (target.startsWith('/results/')) {
+			return {
+				kind: 'batch-results', batch: 'b1' as BatchId, after: 0, waitMs: 0,
+			};
+		}
+
 		const id = headers.findIndex(name => name.toLowerCase() === 'x-id');
 		return {
 			kind: 'routed',
@@ -320,6 +326,13 @@
 		expect(forwarded).toEqual([]);
 	});
 
+	it('refuses calls about batches once it answers whatever is left', async () => {
+		const now = performance.now();
+		front.startDraining({startedAt: now - 6000, answersEndAt: now - 1});
+		const {text} = await sendRaw(['GET /results/b1 HTTP/1.1\r\nHost: h\r\n\r\n']);
+		expect(statuses(text)).toEqual([503]);
+	});
+
 	it('closes idle connections when it is told to, and no others', async () => {
 		respondsImmediately = false;
 		const busy = sendRaw([post('/a', 'Content-Length: 0\r\n')]);
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -54,6 +54,9 @@
 	headerBytes: 16_384, bodyBytes: 33_554_432, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
 };
 
+/** When a shutdown has begun, and when the daemon answers whatever is left. */
+type Shutdown = Readonly<{startedAt: Millis; answersEndAt: Millis}>;
+
 /** Retry-After during a shutdown. The next attempt probably reaches another daemon. */
 const shutdownRetryMs = 50;
 const shuttingDown = 'the daemon shuts down';
@@ -62,8 +65,8 @@
 export class FrontServer {
 	private readonly server: Server;
 	private inFlight = 0;
-	/** Set while the daemon shuts down: when it has begun, and when it answers whatever is left. */
-	private shutdown: Readonly<{startedAt: Millis; answersEndAt: Millis}> | undefined;
+	/** Set while the daemon shuts down. */
+	private shutdown: Shutdown | undefined;
 	/** Answers the calls that nothing else answers at the end of a shutdown. */
 	private readonly unanswered = new Map<ServerResponse, () => void>();
 	/** The response to the last request of each connection. */
@@ -111,7 +114,7 @@
 	}
 
 	/** Makes responses close their connections, and refuses requests that may not end before `answersEndAt`. */
-	startDraining(shutdown: Readonly<{startedAt: Millis; answersEndAt: Millis}>): void {
+	startDraining(shutdown: Shutdown): void {
 		this.shutdown = shutdown;
 	}
 
@@ -238,27 +241,28 @@
 		return this.options.configuration()?.teams === undefined ? this.decideInShutdown(decision, arrivedAt) : this.decide(req, decision.call, arrivedAt);
 	}
 
-	/** Refuses a request that may not end before the daemon does. */
+	/** Refuses a call that may not end before the daemon does. */
 	private decideInShutdown(decision: ArrivalDecision, arrivedAt: Millis): ArrivalDecision {
-		const {clock, serviceTimes} = this.options;
-		if (this.shutdown === undefined || decision.kind !== 'routed') {
+		if (this.shutdown === undefined || decision.kind === 'refused' || decision.kind === 'rejected' || this.canEnd(decision, this.shutdown, arrivedAt)) {
 			return decision;
 		}
 
-		const now = clock.now();
+		return {
+			kind: 'refused', retryAfterMs: shutdownRetryMs, detail: shuttingDown, report: {outcome: 'refused', inputs: {reason: shuttingDown, call: decision.call.kind}},
+		};
+	}
+
+	private canEnd(decision: Extract<ArrivalDecision, {kind: 'routed' | 'batch-call'}>, {startedAt, answersEndAt}: Shutdown, arrivedAt: Millis): boolean {
+		const now = this.options.clock.now();
+		const leftMs = answersEndAt - now;
+		if (decision.kind === 'batch-call') {
+			return leftMs > 0;
+		}
+
 		const {call, route} = decision;
-		const isServed = shouldServeLate({
-			kind: route.kind,
-			sinceStopMs: now - this.shutdown.startedAt,
-			leftMs: this.shutdown.answersEndAt - now,
-			deadlineMs: deadlineOf(call, route, arrivedAt) - now,
-			expectedMs: serviceTimes?.expectedMs(route.name),
+		return shouldServeLate({
+			kind: route.kind, sinceStopMs: now - startedAt, leftMs, deadlineMs: deadlineOf(call, route, arrivedAt) - now, expectedMs: this.options.serviceTimes?.expectedMs(route.name),
 		});
-		return isServed
-			? decision
-			: {
-				kind: 'refused', retryAfterMs: shutdownRetryMs, detail: shuttingDown, report: {outcome: 'refused', inputs: {reason: shuttingDown, route: route.name}},
-			};
 	}
 
 	/** Answers with an error at the end of a shutdown, since the call may have an effect by then. */
