--- a/packages/batches/src/claim-work.ts
+++ b/packages/batches/src/claim-work.ts
@@ -103,8 +103,8 @@
 	private readonly leftItems = new LeftItems();
 	/** Items whose claim the store has rejected for good, until their batch is over. */
 	private readonly unclaimable = new Set<string>();
-	/** Number of targets that the next transaction may have. */
-	private maxTargets = Number.POSITIVE_INFINITY;
+	/** Number of targets that the next transaction for an engine may have, after the store has rejected one. */
+	private readonly maxTargets = new Map<UpstreamId, number>();
 	private readonly leftReportedAt = new Map<UpstreamId, Millis>();
 	private isStopped = false;
 	/** Results of `slowerBy` since `comparedAt`, by engine, model and version. */
@@ -199,7 +199,7 @@
 
 		const {transaction, targets: ofBatch} = planClaimTransaction(
 			view,
-			targets.filter(target => target.batch === first.batch).slice(0, this.maxTargets),
+			targets.filter(target => target.batch === first.batch).slice(0, this.maxTargets.get(engine.id)),
 			{incarnation, engine: engine.id},
 		);
 		if (ofBatch.length === 0) {
@@ -228,7 +228,7 @@
 
 		switch (outcome.kind) {
 			case 'committed': {
-				this.maxTargets = Number.POSITIVE_INFINITY;
+				this.maxTargets.delete(engine.id);
 				follower.mergeRows(writtenRows(transaction, outcome.version));
 				return true;
 			}
@@ -265,7 +265,7 @@
 			}
 		}
 
-		this.maxTargets = Math.max(1, Math.floor(targets.length / 2));
+		this.maxTargets.set(engine, Math.max(1, Math.floor(targets.length / 2)));
 		this.options.onRejected?.(engine, targets, reason);
 		return true;
 	}
