--- a/packages/byte-budget/src/index.ts
+++ b/packages/byte-budget/src/index.ts
@@ -1,4 +1,4 @@
-/** Memory of a daemon for request bodies, responses and unread output: who gets bytes, and who is closed when they are short. */
+/** Memory of a daemon for request bodies, responses, texts of samples and unread output: who gets bytes, and who is closed when they are short. */
 
 export * from './body-memory.js';
 export * from './body-progress.js';
