Test large groups as earlier builds have stored them

The last case of large-bodies.test.ts promised to read earlier rows whatever their size, but had small ones only. It now writes groups of 16 bodies of 100, 20,000 and 200,000 bytes as one value and compares each body.

--- a/packages/batches/src/large-bodies.test.ts
+++ b/packages/batches/src/large-bodies.test.ts
@@ -1,5 +1,7 @@
 import {UpstreamDirectory} from '@cicadapost/fleet';
-import type {ReadOutcome, RowRange} from '@cicadapost/store';
+import {
+	chunksOf, encodeList, splitValue, type ReadOutcome, type RowRange,
+} from '@cicadapost/store';
 import {MemoryRowStore} from '@cicadapost/store/testing';
 import type {BatchId, ItemId, ModelId} from '@cicadapost/types';
 import {
@@ -97,21 +99,31 @@
 });
 
 describe('the bodies of a group', () => {
-	it('are stored together if they are small, and are read as earlier builds have written them whatever their size', async () => {
-		for (const bytes of [1000, 20_000]) {
-			const store = new MemoryRowStore();
-			const group = items.map((_, index) => itemOf(index, bytes));
-			// A build that knew only groups wrote them like those of small bodies.
-			const small = group.map(item => ({...item, body: item.body.subarray(0, bytes / 10)}));
-			const rows = [...encodeGroupBodies(small, 0)];
-			expect(rows.every(({key}) => key.split('/').length === 2)).toBe(true);
-			await store.transact({part: batch, writes: rows.map(row => ({...row, table: bodyTable}))});
-			const bodies = await readBodies({
-				store, onUnreadableRow(err) {
-					throw err;
-				},
-			}, {batch, group: 0, items: [3]});
-			expect(bodies?.map(({id}) => id)).toEqual(group.map(({id}) => id));
+	const read = async (store: MemoryRowStore) => readBodies({
+		store, onUnreadableRow(err) {
+			throw err;
+		},
+	}, {batch, group: 0, items: [3]});
+
+	it('are stored together if they are small', async () => {
+		const store = new MemoryRowStore();
+		const rows = [...encodeGroupBodies(items.map((_, index) => itemOf(index, 2000)), 0)];
+		expect(rows.every(({key}) => key.split('/').length === 2)).toBe(true);
+		await store.transact({part: batch, writes: rows.map(row => ({...row, table: bodyTable}))});
+		const bodies = await read(store);
+		expect(bodies?.map(({id}) => id)).toEqual(items.map(({id}) => id));
+	});
+
+	it.each([100, 20_000, bodyBytes])('are read as earlier builds have written them, with %d bytes each', async bytes => {
+		const store = new MemoryRowStore();
+		const group = items.map((_, index) => itemOf(index, bytes));
+		// Earlier builds stored a group as one value, whatever its size.
+		const rows = splitValue('000000', encodeList(group.map(({id, path, headers, body}) => [id, path, headers, body])));
+		for (const writes of chunksOf(rows.map(row => ({...row, table: bodyTable})), 10)) {
+			expect(await store.transact({part: batch, writes})).toMatchObject({kind: 'committed'});
 		}
+
+		const bodies = await read(store);
+		expect(bodies?.map(({id, body}) => [id, body.length, body[0]])).toEqual(group.map(({id}, index) => [id, bytes, index]));
 	});
 });
